--- /dev/null
+++ b/Makefile
@@ -0,0 +1,94 @@
+# hyssopmount: build, run and check.
+#
+#	make run	installs what is missing, builds, starts one instance
+#	make demo	a short scenario over real sockets
+#	make check	all tests, with sanitizers
+#	make lint	formatter and linter
+#	make format	rewrites the sources in house format
+
+PACKAGES = libh2o-evloop-dev libzmq3-dev libglib2.0-dev libjansson-dev \
+	libmsgpack-dev libxxhash-dev libsodium-dev libsqlite3-dev libpq-dev \
+	libcurl4-openssl-dev libssl-dev check pkg-config
+MODULES = libh2o-evloop libzmq glib-2.0 jansson msgpack libxxhash libsodium \
+	sqlite3 libpq libcurl openssl
+
+CC ?= gcc
+BUILD ?= build/release
+CFLAGS_BASE = -std=gnu11 -g -O2 -Wall -Wextra -Werror -DH2O_USE_LIBUV=0 \
+	-pthread
+SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	-fno-omit-frame-pointer
+CFLAGS_ALL = $(CFLAGS_BASE) $(CFLAGS) \
+	$(shell pkg-config --cflags $(MODULES) check)
+LIBS = $(shell pkg-config --libs $(MODULES)) -lm -pthread
+CHECK_LIBS = $(shell pkg-config --libs check)
+
+SOURCES = $(wildcard core/*.c src/*.c standin/*.c)
+OBJECTS = $(SOURCES:%.c=$(BUILD)/%.o)
+LIBRARY = $(BUILD)/libhyssopmount.a
+BINARY = $(BUILD)/hyssopmount
+TEST_SUPPORT = $(BUILD)/tests/script.o
+TEST_SOURCES = $(wildcard tests/test_*.c)
+TESTS = $(TEST_SOURCES:%.c=$(BUILD)/%)
+FORMATTED = $(wildcard core/*.[ch] src/*.[ch] standin/*.[ch] tests/*.[ch])
+
+all: $(BINARY)
+	@ln -sf $(BINARY) hyssopmount
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
+
+$(LIBRARY): $(filter-out $(BUILD)/src/main.o,$(OBJECTS))
+	@rm -f $@
+	@ar rcs $@ $^
+
+$(BINARY): $(BUILD)/src/main.o $(LIBRARY)
+	$(CC) $(CFLAGS_ALL) -o $@ $(BUILD)/src/main.o $(LIBRARY) $(LIBS)
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_SUPPORT) $(LIBRARY)
+	$(CC) $(CFLAGS_ALL) -o $@ $< $(TEST_SUPPORT) $(LIBRARY) \
+		$(CHECK_LIBS) $(LIBS)
+
+.PRECIOUS: $(BUILD)/tests/%.o
+
+packages:
+	@for p in $(PACKAGES); do \
+		dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; \
+	done; \
+	if [ -n "$$missing" ]; then \
+		apt-get update -qq && apt-get install -y -qq $$missing; \
+	fi
+
+run: packages
+	@$(MAKE) --no-print-directory -s all
+	@./hyssopmount serve
+
+demo: packages
+	@$(MAKE) --no-print-directory -s all
+	@./hyssopmount demo
+
+tests: $(TESTS)
+
+check: packages
+	@$(MAKE) --no-print-directory -s BUILD=build/san \
+		CFLAGS="$(SANITIZE)" check-run
+
+check-run: $(BINARY) tests
+	@HYSSOPMOUNT=$(BINARY) tests/run $(TESTS)
+
+lint:
+	clang-format --dry-run -Werror $(FORMATTED)
+	@printf '%s\n' $(filter-out tests/%,$(SOURCES)) | \
+		xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- \
+		$(CFLAGS_ALL) 2>/dev/null || exit 255' lint
+
+format:
+	clang-format -i $(FORMATTED)
+
+clean:
+	rm -rf build hyssopmount
+
+-include $(OBJECTS:.o=.d) $(wildcard $(BUILD)/tests/*.d)
+
+.PHONY: all packages run demo tests check check-run lint format clean
--- /dev/null
+++ b/core/actions.c
@@ -0,0 +1,67 @@
+/** @file actions.c The list of actions that a core hands out. */
+#include "core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ACTIONS_ROOM_FIRST 16
+
+struct action *actions_add(struct actions *a, enum action_kind kind)
+{
+	struct action *act;
+
+	if (a->count == a->room) {
+		size_t room = a->room ? a->room * 2 : ACTIONS_ROOM_FIRST;
+		struct action *list = realloc(a->list, room * sizeof(*list));
+
+		if (!list)
+			abort();
+		a->list = list;
+		a->room = room;
+	}
+	act = &a->list[a->count++];
+	memset(act, 0, sizeof(*act));
+	act->kind = kind;
+	return act;
+}
+
+void actions_clear(struct actions *a)
+{
+	size_t i;
+
+	for (i = 0; i < a->count; i++) {
+		struct action *act = &a->list[i];
+
+		if (act->kind == ACT_SEND &&
+		    act->send.message.kind == MSG_CONTRACT)
+			free(act->send.message.contract);
+	}
+	a->count = 0;
+}
+
+void actions_free(struct actions *a)
+{
+	actions_clear(a);
+	free(a->list);
+	*a = (struct actions){ 0 };
+}
+
+struct decision *actions_log(struct actions *a, const char *what,
+			     const char *reason)
+{
+	struct decision *d = &actions_add(a, ACT_LOG)->decision;
+
+	d->what = what;
+	d->reason = reason;
+	return d;
+}
+
+struct message *actions_send(struct actions *a, uint64_t to,
+			     enum message_kind kind)
+{
+	struct action *act = actions_add(a, ACT_SEND);
+
+	act->send.to = to;
+	act->send.message.kind = kind;
+	return &act->send.message;
+}
--- /dev/null
+++ b/core/error.h
@@ -0,0 +1,52 @@
+/**
+ * @file error.h
+ * The closed list of error kinds and the table from kind to answer.
+ */
+#ifndef ERROR_H
+#define ERROR_H
+
+#include "types.h"
+
+enum error {
+	ERR_NONE,
+	ERR_BAD_REQUEST,
+	ERR_TOO_LARGE,
+	ERR_NOT_FOUND,
+	ERR_UNAUTHENTICATED,
+	ERR_FORBIDDEN,
+	ERR_BAD_TOKEN,
+	ERR_RATE_LIMITED,
+	ERR_OVERLOADED,
+	ERR_DEADLINE,
+	ERR_NO_PRIMARY,
+	ERR_NO_ENDPOINT,
+	ERR_NOT_CAUGHT_UP,
+	ERR_WRITE_LOST,
+	ERR_TX_GONE,
+	ERR_TX_LIMIT,
+	ERR_STATEMENT,
+	ERR_OUTCOME_UNKNOWN,
+	ERR_ISOLATED,
+	ERR_STOPPING,
+	ERR_INTERNAL,
+	ERR_COUNT
+};
+
+enum retry_advice { RETRY_NEVER, RETRY_NOW, RETRY_LATER, RETRY_CHECK_FIRST };
+
+/** How an error kind is answered. */
+struct error_answer {
+	const char *code;	  /**< stable word for programs */
+	int status;		  /**< HTTP status */
+	enum execution execution; /**< default, a result may be narrower */
+	enum retry_advice retry;
+	const char *text;
+};
+
+/** Answer of @a kind; never NULL, unknown kinds map to ERR_INTERNAL. */
+const struct error_answer *error_answer(enum error kind);
+
+/** "not run", "run" or "unknown". */
+const char *execution_name(enum execution execution);
+
+#endif
--- /dev/null
+++ b/core/group.h
@@ -0,0 +1,77 @@
+/**
+ * @file group.h
+ * View of one database group: terms, positions and lineage of its members,
+ * the age of each replica's data, and the choice of a member for a read.
+ *
+ * Ages never compare clocks: a sample (asked_at, position) of the confirmed
+ * primary bounds the age of any replica that has reached the position.
+ */
+#ifndef GROUP_H
+#define GROUP_H
+
+#include "message.h"
+
+struct group;
+
+struct group *group_new(const struct database_spec *spec, uint16_t zone,
+			uint32_t guards_off);
+void group_free(struct group *g);
+/** Takes a changed configuration; known states of kept members stay. */
+void group_spec(struct group *g, const struct database_spec *spec);
+const struct database_spec *group_database(const struct group *g);
+
+/**
+ * Takes a report of an endpoint. @a asked_at is the local time before which
+ * the report cannot have been made: when the question left here, or for a
+ * broadcast the last time known to precede it (0 when there is none).
+ */
+void group_report(struct group *g, const struct state_report *r, uint64_t from,
+		  hm_time asked_at, hm_time now);
+
+/** Endpoint that is primary of the newest term seen, 0 for none. */
+hm_id group_primary(const struct group *g, hm_time now);
+uint64_t group_term(const struct group *g);
+/** Lineage of the newest term seen. */
+const struct lineage *group_lineage(const struct group *g);
+/** Latest state of a member, NULL when it was never heard. */
+const struct endpoint_state *group_state(const struct group *g, hm_id endpoint);
+/** Majority of the configured members. */
+uint32_t group_majority(const struct group *g);
+
+/** How a position stands to a session's floor. */
+enum reach {
+	REACH_OK,
+	REACH_BEHIND, /**< may be reached later */
+	REACH_LOST    /**< the floor lies on a branch that was cut off */
+};
+
+/** Whether a log @a lineage that ends at @a have holds all up to @a want. */
+enum reach lineage_reach(const struct lineage *lineage, struct mark have,
+			 struct mark want);
+
+/** Where a statement should go, and why. */
+struct route {
+	hm_id endpoint;	    /**< 0: nowhere now */
+	enum error error;   /**< when nowhere: what to answer at last */
+	hm_time wait_until; /**< when nowhere: try again by then */
+	const char *reason; /**< static text for the log line */
+	bool replica;
+};
+
+/** Members not to be tried again for this request, by bit of index. */
+typedef uint32_t endpoint_set;
+
+struct route group_route(const struct group *g, const struct statement *s,
+			 endpoint_set tried, hm_time now);
+/** Bit of an endpoint for endpoint_set, 0 when it is no member. */
+endpoint_set group_bit(const struct group *g, hm_id endpoint);
+/** An attempt at an endpoint ended; feeds its circuit. */
+void group_attempt(struct group *g, hm_id endpoint, bool ok, hm_time now);
+
+/**
+ * Largest age of the data that a log position shows, judged by samples of
+ * the confirmed primary. HM_NEVER when no sample is old enough.
+ */
+hm_time group_age(const struct group *g, struct mark at, hm_time now);
+
+#endif
--- /dev/null
+++ b/core/message.h
@@ -0,0 +1,119 @@
+/**
+ * @file message.h
+ * Typed messages between instances. The codec is in src/wire.c. Durations
+ * travel as remaining time and become deadlines on the receiver's clock.
+ */
+#ifndef MESSAGE_H
+#define MESSAGE_H
+
+#include "error.h"
+#include "types.h"
+
+/** Steps that the home of an endpoint performs on its control connection. */
+enum control_op {
+	CONTROL_PROBE,	 /**< report the state */
+	CONTROL_FENCE,	 /**< promise @a term to @a orderer */
+	CONTROL_PROMOTE, /**< become primary of @a term promised to @a orderer */
+	CONTROL_FOLLOW,	 /**< replicate from @a target under @a term */
+	CONTROL_HOME,	 /**< make @a orderer the home, if @a expected holds */
+	CONTROL_FRESH	 /**< probe over a connection opened for this alone */
+};
+
+/** An ordered control step; the same step may be repeated. */
+struct control {
+	struct rid nonce; /**< id of the question, echoed in the answer */
+	enum control_op op;
+	hm_id database;
+	hm_id endpoint;
+	uint64_t term;
+	uint64_t orderer;  /**< life that orders the step */
+	uint64_t expected; /**< CONTROL_HOME: life to be replaced, 0 for none */
+	hm_id target;	   /**< CONTROL_FOLLOW: endpoint to follow */
+};
+
+/** The final answer to a request. */
+struct result {
+	struct rid id;
+	enum error error;
+	enum execution execution;
+	hm_time retry_at; /**< when to come back, 0 if not applicable */
+	hm_id database;
+	hm_id endpoint;
+	struct mark at;	   /**< session mark to hand out, term 0 for none */
+	bool unsure;	   /**< later reads of the session must be careful */
+	bool reset_floor;  /**< replace the session mark by @a at */
+	struct tx_id tx;   /**< transaction opened or used */
+	uint64_t body;	   /**< rows or database error, 0 for none */
+	hm_time age_bound; /**< upper bound of the age of the data read */
+};
+
+enum message_kind {
+	MSG_HEARTBEAT,
+	MSG_STATEMENT,
+	MSG_RESULT,
+	MSG_ABANDON,
+	MSG_CONTROL,
+	MSG_STATE,
+	MSG_WANT,
+	MSG_GRANT,
+	MSG_CONTRACT,
+	MSG_CONTRACT_WANT,
+	MSG_KIND_COUNT
+};
+
+/** Sent to every peer at a fixed pace. */
+struct heartbeat {
+	hm_id instance;
+	uint16_t zone;
+	bool leaving;
+	bool stopped;		 /**< last message: all state is given up */
+	bool platform_ok;	 /**< the platform answered lately */
+	uint64_t config_version; /**< highest contract version in force */
+	uint64_t config_digest;	 /**< over all (account, version) pairs */
+	uint64_t echo;		 /**< receiver's last sequence number */
+};
+
+/** A statement sent to the home of @a endpoint. */
+struct statement_order {
+	struct statement statement; /**< deadline: remaining time on the wire */
+	hm_id endpoint;
+	uint64_t term; /**< writes: term that the sender takes as current */
+};
+
+/** State of an endpoint: broadcast by its home, or answer to a control. */
+struct state_report {
+	struct rid nonce; /**< seq 0: broadcast */
+	struct endpoint_state state;
+	uint32_t queued; /**< statements waiting at the home */
+	uint32_t free_slots;
+	hm_time wait; /**< expected wait of a new statement */
+};
+
+/** Asks for, or grants, requests of an account's rate. */
+struct rate_order {
+	struct rid nonce; /**< id of the question, echoed in the grant */
+	hm_id account;
+	uint32_t tokens;
+	hm_time valid; /**< grant: usable until question sent + valid */
+	uint64_t contract_version;
+};
+
+/** One message; @a contract is owned by the message when set. */
+struct message {
+	enum message_kind kind;
+	uint64_t from; /**< life of the sender */
+	uint64_t seq;  /**< grows by one with each message of a life */
+	union {
+		struct heartbeat heartbeat;
+		struct statement_order statement;
+		struct result result;
+		struct rid abandon;
+		struct control control;
+		struct state_report state;
+		struct rate_order rate;
+		struct contract *contract;
+		hm_id contract_want; /**< account, 0 for all */
+	};
+};
+
+#endif
--- /dev/null
+++ b/core/table.c
@@ -0,0 +1,100 @@
+/** @file table.c Open-addressing map with backward-shift removal. */
+#include "table.h"
+
+#include <stdlib.h>
+
+#define TABLE_ROOM_FIRST 16
+
+static uint64_t scramble(uint64_t x)
+{
+	x ^= x >> 33;
+	x *= 0xff51afd7ed558ccdULL;
+	x ^= x >> 33;
+	x *= 0xc4ceb9fe1a85ec53ULL;
+	x ^= x >> 33;
+	return x;
+}
+
+static uint32_t place_of(const struct table *t, uint64_t key)
+{
+	uint32_t i = (uint32_t)scramble(key) & (t->room - 1);
+
+	while (t->values[i] != TABLE_NONE && t->keys[i] != key)
+		i = (i + 1) & (t->room - 1);
+	return i;
+}
+
+static bool grow(struct table *t)
+{
+	struct table bigger = { 0 };
+	uint32_t i;
+
+	bigger.room = t->room ? t->room * 2 : TABLE_ROOM_FIRST;
+	bigger.keys = malloc(bigger.room * sizeof(*bigger.keys));
+	bigger.values = malloc(bigger.room * sizeof(*bigger.values));
+	if (!bigger.keys || !bigger.values) {
+		table_free(&bigger);
+		return false;
+	}
+	for (i = 0; i < bigger.room; i++)
+		bigger.values[i] = TABLE_NONE;
+	for (i = 0; i < t->room; i++)
+		if (t->values[i] != TABLE_NONE)
+			table_put(&bigger, t->keys[i], t->values[i]);
+	table_free(t);
+	*t = bigger;
+	return true;
+}
+
+void table_free(struct table *t)
+{
+	free(t->keys);
+	free(t->values);
+	*t = (struct table){ 0 };
+}
+
+uint32_t table_get(const struct table *t, uint64_t key)
+{
+	if (!t->room)
+		return TABLE_NONE;
+	return t->values[place_of(t, key)];
+}
+
+bool table_put(struct table *t, uint64_t key, uint32_t value)
+{
+	uint32_t i;
+
+	if (t->count * 4 >= t->room * 3 && !grow(t))
+		return false;
+	i = place_of(t, key);
+	if (t->values[i] == TABLE_NONE) {
+		t->keys[i] = key;
+		t->count++;
+	}
+	t->values[i] = value;
+	return true;
+}
+
+void table_remove(struct table *t, uint64_t key)
+{
+	uint32_t mask = t->room - 1;
+	uint32_t hole, i;
+
+	if (!t->room)
+		return;
+	hole = place_of(t, key);
+	if (t->values[hole] == TABLE_NONE)
+		return;
+	t->count--;
+	for (i = (hole + 1) & mask; t->values[i] != TABLE_NONE;
+	     i = (i + 1) & mask) {
+		uint32_t want = (uint32_t)scramble(t->keys[i]) & mask;
+
+		if (((i - want) & mask) < ((i - hole) & mask))
+			continue;
+		t->keys[hole] = t->keys[i];
+		t->values[hole] = t->values[i];
+		hole = i;
+	}
+	t->values[hole] = TABLE_NONE;
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,58 @@
+/**
+ * @file settings.h
+ * Settings of one instance, read from JSON. Every field is checked: unknown
+ * fields, wrong types, ranges and clashes are errors.
+ */
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include "../core/core.h"
+
+#define SETTINGS_FAULT_BYTES 512
+#define PATH_BYTES 256
+#define SECRET_BYTES 32
+#define SEEDS_MAX 16
+
+struct settings {
+	char instance[NAME_BYTES];
+	char zone[NAME_BYTES];
+	char zones[ZONES_MAX][NAME_BYTES];
+	uint16_t zone_count;
+	char listen_callers[ADDRESS_BYTES];
+	char listen_peers[ADDRESS_BYTES];
+	char listen_operators[ADDRESS_BYTES]; /**< status and metrics */
+	char platform[ADDRESS_BYTES];
+	char seeds[SEEDS_MAX][ADDRESS_BYTES]; /**< peers known beforehand */
+	uint32_t seed_count;
+	char tls_certificate[PATH_BYTES]; /**< empty: no TLS */
+	char tls_key[PATH_BYTES];
+	uint8_t token_secret[SECRET_BYTES]; /**< same at all instances */
+	char trace[PATH_BYTES];		    /**< recorder, empty for none */
+	char log_level[16];
+	uint32_t body_limit;	  /**< bytes */
+	uint32_t parameter_limit; /**< parameters of a statement */
+	uint32_t rows_limit;
+	uint32_t answer_limit;	  /**< bytes */
+	hm_time deadline_default; /**< of a request, from its arrival */
+	hm_time deadline_limit;
+	hm_time stop_limit; /**< longest graceful shutdown */
+	hm_time connect_limit;
+	hm_time control_limit;
+	hm_time platform_call_limit;
+	hm_time platform_watch_wait;
+	hm_time platform_list_every;
+	struct core_options core; /**< identity and limits of decisions */
+};
+
+/** Defaults for all optional fields. */
+void settings_default(struct settings *s);
+/**
+ * Parses JSON text; @a file is used in error lines only.
+ * @return false with one line "file: path: found, allowed" in @a fault.
+ */
+bool settings_parse(struct settings *s, const char *file, const char *text,
+		    char fault[SETTINGS_FAULT_BYTES]);
+bool settings_read(struct settings *s, const char *file,
+		   char fault[SETTINGS_FAULT_BYTES]);
+
+#endif
--- /dev/null
+++ b/src/sink.h
@@ -0,0 +1,20 @@
+/**
+ * @file sink.h
+ * Where a task delivers events: the instance that owns it, on its thread.
+ */
+#ifndef SINK_H
+#define SINK_H
+
+#include "../core/core.h"
+
+struct sink {
+	void (*event)(void *owner, const struct event *event);
+	void *owner;
+};
+
+static inline void sink_event(const struct sink *s, const struct event *e)
+{
+	s->event(s->owner, e);
+}
+
+#endif
--- /dev/null
+++ b/standin/member.h
@@ -0,0 +1,54 @@
+/**
+ * @file member.h
+ * Stand-in for a database group: members that speak the part of the
+ * PostgreSQL protocol that libpq uses, each over an in-memory SQLite, with
+ * an asynchronous log. One thread carries all members of a set.
+ */
+#ifndef MEMBER_H
+#define MEMBER_H
+
+#include "../core/types.h"
+
+struct members;
+
+/** Faults of one member; all off when zeroed. */
+struct member_faults {
+	bool cut_peers;	  /**< cut off from the other members */
+	bool cut_all;	  /**< refuses and drops every connection */
+	bool paused;	  /**< reads and writes nothing, keeps connections */
+	bool silent;	  /**< open connections go silent, new ones work */
+	bool lose_answer; /**< drops the connection after the effect */
+	hm_time lag;	  /**< of the log shipped to this member */
+	hm_time late;	  /**< delay of every answer */
+};
+
+/** What a member did so far, for tests. */
+struct member_figures {
+	uint32_t connections;
+	uint32_t connections_most;
+	uint32_t running_most; /**< statements at once */
+	uint64_t statements;
+	struct endpoint_state state;
+};
+
+struct member_options {
+	hm_time connect_cost;	/**< time to accept a connection */
+	hm_time statement_cost; /**< slot time of a statement */
+	hm_time lag;
+};
+
+/** Listens on the address of every endpoint of every database. */
+struct members *members_new(const struct database_spec *databases,
+			    uint32_t count,
+			    const struct member_options *options);
+/** Starts the thread. */
+void members_start(struct members *m);
+void members_free(struct members *m);
+/** Callable from any thread. */
+void members_fault(struct members *m, hm_id endpoint,
+		   const struct member_faults *faults);
+/** Kills the member: state stays, connections drop, until revived. */
+void members_figures(struct members *m, hm_id endpoint,
+		     struct member_figures *out);
+
+#endif
--- /dev/null
+++ b/tests/test_table.c
@@ -0,0 +1,50 @@
+/** @file test_table.c Map from identifier to handle, against a plain array. */
+#include <check.h>
+#include <stdlib.h>
+
+#include "../core/rng.h"
+#include "../core/table.h"
+
+#define KEYS 500
+#define STEPS 20000
+
+START_TEST(agrees_with_array)
+{
+	uint32_t held[KEYS];
+	struct rng rng = { 7 };
+	struct table t = { 0 };
+	uint32_t i, key;
+
+	for (i = 0; i < KEYS; i++)
+		held[i] = TABLE_NONE;
+	for (i = 0; i < STEPS; i++) {
+		key = (uint32_t)rng_below(&rng, KEYS);
+		if (rng_below(&rng, 3)) {
+			ck_assert(table_put(&t, key, i));
+			held[key] = i;
+		} else {
+			table_remove(&t, key);
+			held[key] = TABLE_NONE;
+		}
+		key = (uint32_t)rng_below(&rng, KEYS);
+		ck_assert_uint_eq(table_get(&t, key), held[key]);
+	}
+	table_free(&t);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("table");
+	TCase *tc = tcase_create("table");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, agrees_with_array);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
