--- a/core/home.h
+++ b/core/home.h
@@ -12,11 +12,16 @@
 
 struct home;
 
-/** @a contracts and @a options are borrowed for the life of the home. */
+/**
+ * @a contracts, @a options and @a next_conn are borrowed for the life of the
+ * home. Connections are numbered by ++*next_conn, a counter shared by all
+ * homes of one core, so that a number is never used twice in a life.
+ */
 struct home *home_new(const struct core_options *options,
 		      const struct contracts *contracts,
 		      const struct database_spec *database,
-		      const struct endpoint_spec *endpoint, hm_time now);
+		      const struct endpoint_spec *endpoint, uint64_t *next_conn,
+		      hm_time now);
 /** Closes nothing by itself: call home_close() first. */
 void home_free(struct home *h);
 
