--- a/core/core.h
+++ b/core/core.h
@@ -19,6 +19,15 @@
 
 #define CORE_TICK (10 * HM_MS)
 
+/**
+ * Modules number their control questions apart: the top byte of a nonce's
+ * sequence names the module that asked.
+ */
+#define NONCE_HOLDER ((uint64_t)1 << 56)
+#define NONCE_VERIFY ((uint64_t)2 << 56)
+#define NONCE_FAILOVER ((uint64_t)3 << 56)
+#define NONCE_RATE ((uint64_t)4 << 56)
+
 /** What happened to a statement that was sent to an endpoint. */
 enum done {
 	DONE_OK,
--- a/core/home.h
+++ b/core/home.h
@@ -31,6 +31,7 @@
 /** A statement that ended at this home, in whatever way. */
 struct home_ended {
 	struct statement statement;
+	hm_id endpoint;
 	uint64_t reply_to; /**< life of the entry instance */
 	enum error error;  /**< ERR_NONE: a database answer came */
 	enum execution execution;
--- a/core/types.h
+++ b/core/types.h
@@ -133,6 +133,7 @@
 /** One statement on its way to an endpoint. Copied by value. */
 struct statement {
 	struct rid id;
+	uint32_t attempt; /**< grows when it is sent anew after a refusal */
 	enum op op;
 	bool idempotent;
 	bool unsure;	   /**< the session has a write of unknown outcome */
--- a/core/verify.h
+++ b/core/verify.h
@@ -30,7 +30,8 @@
 struct verified {
 	struct result result;
 	uint64_t reply_to;
-	bool retry; /**< read not good enough: may be tried elsewhere */
+	uint32_t attempt; /**< of the statement */
+	bool retry;	  /**< read not good enough: may be tried elsewhere */
 };
 bool verify_next(struct verify *v, struct verified *out);
 uint32_t verify_waiting(const struct verify *v);
