--- /dev/null
+++ b/core/options.c
@@ -0,0 +1,22 @@
+/** @file options.c Default limits of a core. */
+#include "core.h"
+
+#include <string.h>
+
+#define QUEUE_LIMIT 256
+
+/* Weak, so that a definition beside the core takes its place. */
+__attribute__((weak)) void core_options_default(struct core_options *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->heartbeat_every = 200 * HM_MS;
+	o->peer_silent = 1 * HM_SEC;
+	o->probe_every = 100 * HM_MS;
+	o->probe_silent = 400 * HM_MS;
+	o->evidence_valid = 300 * HM_MS;
+	o->replica_wait = 50 * HM_MS;
+	o->isolated_grace = 3 * HM_SEC;
+	o->idle_transaction = 10 * HM_SEC;
+	o->statement_limit = 10 * HM_SEC;
+	o->queue_limit = QUEUE_LIMIT;
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,339 @@
+/**
+ * @file settings.c
+ * Reads settings by a table of fields, so that each field has its type,
+ * range and default in one place.
+ */
+#include "settings.h"
+
+#include <errno.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fields.h"
+#include "names.h"
+
+#define FILE_BYTES_MAX (1024 * 1024)
+
+#define AT(member) offsetof(struct settings, member)
+#define TEXT(json_path, member)                                            \
+	{                                                                  \
+		.path = (json_path), .kind = FIELD_TEXT, .at = AT(member), \
+		.most = sizeof(((struct settings *)0)->member) - 1         \
+	}
+#define NAME(json_path, member)                                            \
+	{                                                                  \
+		.path = (json_path), .kind = FIELD_NAME, .at = AT(member), \
+		.most = NAME_BYTES - 1, .required = true                   \
+	}
+#define ADDRESS(json_path, member, must)                                      \
+	{                                                                     \
+		.path = (json_path), .kind = FIELD_ADDRESS, .at = AT(member), \
+		.most = ADDRESS_BYTES - 1, .required = (must)                 \
+	}
+#define COUNT(json_path, member, from, to)                                  \
+	{                                                                   \
+		.path = (json_path), .kind = FIELD_COUNT, .at = AT(member), \
+		.least = (from), .most = (to)                               \
+	}
+#define MS(json_path, member, from, to)                                  \
+	{                                                                \
+		.path = (json_path), .kind = FIELD_MS, .at = AT(member), \
+		.least = (from), .most = (to)                            \
+	}
+
+static const struct field fields[] = {
+	NAME("instance", instance),
+	NAME("zone", zone),
+	{ .path = "zones", .kind = FIELD_ARRAY, .required = true },
+	ADDRESS("listen.callers", listen_callers, true),
+	ADDRESS("listen.peers", listen_peers, true),
+	ADDRESS("listen.operators", listen_operators, true),
+	ADDRESS("platform", platform, true),
+	{ .path = "seeds", .kind = FIELD_ARRAY },
+	TEXT("tls.certificate", tls_certificate),
+	TEXT("tls.key", tls_key),
+	{ .path = "token_secret",
+	  .kind = FIELD_SECRET,
+	  .required = true,
+	  .at = AT(token_secret),
+	  .most = SECRET_BYTES },
+	TEXT("trace", trace),
+	TEXT("log_level", log_level),
+	COUNT("limits.body_bytes", body_limit, 1024, 4194304),
+	COUNT("limits.header_bytes", header_limit, 1024, 65536),
+	COUNT("limits.parameters", parameter_limit, 0, 32767),
+	COUNT("limits.rows", rows_limit, 1, 1000000),
+	COUNT("limits.answer_bytes", answer_limit, 1024, 4194304),
+	COUNT("limits.queue", core.queue_limit, 1, 100000),
+	MS("timing.deadline_default_ms", deadline_default, 1, 600000),
+	MS("timing.deadline_limit_ms", deadline_limit, 1, 600000),
+	MS("timing.stop_limit_ms", stop_limit, 100, 600000),
+	MS("timing.connect_limit_ms", connect_limit, 10, 60000),
+	MS("timing.control_limit_ms", control_limit, 10, 60000),
+	MS("timing.platform_call_limit_ms", platform_call_limit, 10, 60000),
+	MS("timing.platform_watch_wait_ms", platform_watch_wait, 100, 300000),
+	MS("timing.platform_list_every_ms", platform_list_every, 100, 300000),
+	MS("timing.heartbeat_ms", core.heartbeat_every, 10, 10000),
+	MS("timing.peer_silent_ms", core.peer_silent, 50, 60000),
+	MS("timing.probe_every_ms", core.probe_every, 10, 10000),
+	MS("timing.probe_silent_ms", core.probe_silent, 20, 60000),
+	MS("timing.evidence_valid_ms", core.evidence_valid, 20, 60000),
+	MS("timing.replica_wait_ms", core.replica_wait, 0, 60000),
+	MS("timing.isolated_grace_ms", core.isolated_grace, 100, 600000),
+	MS("timing.idle_transaction_ms", core.idle_transaction, 100, 600000),
+	MS("timing.statement_limit_ms", core.statement_limit, 10, 600000),
+};
+
+#define FIELD_COUNT_ALL (sizeof(fields) / sizeof(fields[0]))
+
+static const char *const log_levels[] = { "error", "warning", "info", "debug" };
+
+void settings_default(struct settings *s)
+{
+	memset(s, 0, sizeof(*s));
+	core_options_default(&s->core);
+	s->core.life = random_id();
+	s->core.seed = random_id();
+	snprintf(s->log_level, sizeof(s->log_level), "info");
+	s->body_limit = 256 * 1024;
+	s->header_limit = 16 * 1024;
+	s->parameter_limit = 1000;
+	s->rows_limit = 10000;
+	s->answer_limit = 1024 * 1024;
+	s->deadline_default = 5 * HM_SEC;
+	s->deadline_limit = 30 * HM_SEC;
+	s->stop_limit = 20 * HM_SEC;
+	s->connect_limit = 2 * HM_SEC;
+	s->control_limit = 400 * HM_MS;
+	s->platform_call_limit = 2 * HM_SEC;
+	s->platform_watch_wait = 20 * HM_SEC;
+	s->platform_list_every = 2 * HM_SEC;
+}
+
+static bool parse_zones(struct settings *s, const json_t *root,
+			struct fault *fault)
+{
+	const json_t *list = json_object_get(root, "zones");
+	const char *text;
+	size_t i, k;
+
+	if (!fault_array(fault, "$.zones", list, 1, ZONES_MAX))
+		return false;
+	for (i = 0; i < json_array_size(list); i++) {
+		char path[32];
+
+		snprintf(path, sizeof(path), "$.zones[%zu]", i);
+		text = fault_name(fault, path, json_array_get(list, i));
+		if (!text)
+			return false;
+		for (k = 0; k < i; k++)
+			if (!strcmp(s->zones[k], text))
+				return fault_set(fault, path, text,
+						 "each zone once");
+		snprintf(s->zones[i], NAME_BYTES, "%s", text);
+	}
+	s->zone_count = (uint16_t)json_array_size(list);
+	return true;
+}
+
+static bool parse_seeds(struct settings *s, const json_t *root,
+			struct fault *fault)
+{
+	const json_t *list = json_object_get(root, "seeds");
+	const char *text;
+	size_t i;
+
+	if (!list)
+		return true;
+	if (!fault_array(fault, "$.seeds", list, 0, SEEDS_MAX))
+		return false;
+	for (i = 0; i < json_array_size(list); i++) {
+		char path[32];
+
+		snprintf(path, sizeof(path), "$.seeds[%zu]", i);
+		text = fault_address(fault, path, json_array_get(list, i));
+		if (!text)
+			return false;
+		snprintf(s->seeds[i], ADDRESS_BYTES, "%s", text);
+	}
+	s->seed_count = (uint32_t)json_array_size(list);
+	return true;
+}
+
+/* Places the zone and gives the core its identity. */
+static bool check_zone(struct settings *s, struct fault *fault)
+{
+	uint16_t i;
+
+	for (i = 0; i < s->zone_count; i++) {
+		if (strcmp(s->zones[i], s->zone) != 0)
+			continue;
+		s->core.zone = i;
+		s->core.zone_count = s->zone_count;
+		s->core.instance = name_id(s->instance);
+		return true;
+	}
+	return fault_set(fault, "$.zone", s->zone, "one of $.zones");
+}
+
+static bool check_log_level(const struct settings *s, struct fault *fault)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(log_levels) / sizeof(log_levels[0]); i++)
+		if (!strcmp(s->log_level, log_levels[i]))
+			return true;
+	return fault_set(fault, "$.log_level", s->log_level,
+			 "error, warning, info or debug");
+}
+
+/* Two listeners on one address; port 0 never clashes. */
+static bool clash(const char *a, const char *b)
+{
+	const char *port = strrchr(a, ':');
+
+	return !strcmp(a, b) && port && strcmp(port, ":0") != 0;
+}
+
+static bool check_listeners(const struct settings *s, struct fault *fault)
+{
+	if (clash(s->listen_callers, s->listen_peers))
+		return fault_set(fault, "$.listen.peers", s->listen_peers,
+				 "another address than $.listen.callers");
+	if (clash(s->listen_callers, s->listen_operators))
+		return fault_set(fault, "$.listen.operators",
+				 s->listen_operators,
+				 "another address than $.listen.callers");
+	if (clash(s->listen_peers, s->listen_operators))
+		return fault_set(fault, "$.listen.operators",
+				 s->listen_operators,
+				 "another address than $.listen.peers");
+	return true;
+}
+
+static bool check_tls(const struct settings *s, struct fault *fault)
+{
+	if (s->tls_certificate[0] && !s->tls_key[0])
+		return fault_set(fault, "$.tls.key", "nothing",
+				 "a file, since $.tls.certificate is set");
+	if (s->tls_key[0] && !s->tls_certificate[0])
+		return fault_set(fault, "$.tls.certificate", "nothing",
+				 "a file, since $.tls.key is set");
+	return true;
+}
+
+/** A duration that must be below, or at most, another one. */
+struct ordered {
+	const char *path;
+	size_t at;
+	const char *bound_path;
+	size_t bound_at;
+	int64_t factor; /**< path times this is at most the bound */
+};
+
+static const struct ordered order[] = {
+	{ "$.timing.deadline_default_ms", AT(deadline_default),
+	  "$.timing.deadline_limit_ms", AT(deadline_limit), 1 },
+	{ "$.timing.heartbeat_ms", AT(core.heartbeat_every),
+	  "$.timing.peer_silent_ms", AT(core.peer_silent), 3 },
+	{ "$.timing.probe_every_ms", AT(core.probe_every),
+	  "$.timing.probe_silent_ms", AT(core.probe_silent), 2 },
+	{ "$.timing.replica_wait_ms", AT(core.replica_wait),
+	  "$.timing.deadline_default_ms", AT(deadline_default), 1 },
+	{ "$.timing.evidence_valid_ms", AT(core.evidence_valid),
+	  "$.timing.peer_silent_ms", AT(core.peer_silent), 1 },
+};
+
+static hm_time duration_at(const struct settings *s, size_t at)
+{
+	hm_time t;
+
+	memcpy(&t, (const char *)s + at, sizeof(t));
+	return t;
+}
+
+static bool check_order(const struct settings *s, struct fault *fault)
+{
+	char found[64], allowed[128];
+	hm_time a, b;
+	size_t i;
+
+	for (i = 0; i < sizeof(order) / sizeof(order[0]); i++) {
+		a = duration_at(s, order[i].at);
+		b = duration_at(s, order[i].bound_at);
+		if (a * order[i].factor <= b)
+			continue;
+		snprintf(found, sizeof(found), "%lld", (long long)(a / HM_MS));
+		snprintf(allowed, sizeof(allowed),
+			 "at most %lld (1/%lld of %s)",
+			 (long long)(b / HM_MS / order[i].factor),
+			 (long long)order[i].factor, order[i].bound_path);
+		return fault_set(fault, order[i].path, found, allowed);
+	}
+	return true;
+}
+
+static bool check_together(struct settings *s, struct fault *fault)
+{
+	return check_zone(s, fault) && check_log_level(s, fault) &&
+	       check_listeners(s, fault) && check_tls(s, fault) &&
+	       check_order(s, fault);
+}
+
+bool settings_parse(struct settings *s, const char *file, const char *text,
+		    char fault[SETTINGS_FAULT_BYTES])
+{
+	struct fault f = { .file = file, .text = fault };
+	json_error_t error;
+	json_t *root;
+	bool ok;
+
+	fault[0] = '\0';
+	settings_default(s);
+	root = json_loads(text, JSON_REJECT_DUPLICATES, &error);
+	if (!root)
+		return fault_syntax(&f, &error);
+	ok = fields_read(fields, FIELD_COUNT_ALL, root, s, &f) &&
+	     parse_zones(s, root, &f) && parse_seeds(s, root, &f) &&
+	     check_together(s, &f);
+	json_decref(root);
+	return ok;
+}
+
+static bool unreadable(const char *file, const char *found,
+		       char fault[SETTINGS_FAULT_BYTES])
+{
+	snprintf(fault, SETTINGS_FAULT_BYTES,
+		 "%s: $: found %s, allowed a readable file up to 1 MB", file,
+		 found);
+	return false;
+}
+
+bool settings_read(struct settings *s, const char *file,
+		   char fault[SETTINGS_FAULT_BYTES])
+{
+	char *text = NULL;
+	FILE *in = fopen(file, "re");
+	size_t got;
+	bool ok;
+
+	if (!in)
+		return unreadable(file, strerror(errno), fault);
+	text = calloc(1, FILE_BYTES_MAX + 1);
+	got = text ? fread(text, 1, FILE_BYTES_MAX + 1, in) : 0;
+	if (!text || ferror(in)) {
+		ok = unreadable(file, strerror(errno), fault);
+	} else if (got > FILE_BYTES_MAX) {
+		ok = unreadable(file, "a larger file", fault);
+	} else if (strlen(text) != got) {
+		ok = unreadable(file, "a NUL byte", fault);
+	} else {
+		ok = settings_parse(s, file, text, fault);
+	}
+	free(text);
+	fclose(in);
+	return ok;
+}
--- a/src/token.h
+++ b/src/token.h
@@ -32,7 +32,13 @@
 		const char *text, size_t bytes);
 /** Entry of a database, NULL when none. */
 const struct token_entry *token_find(const struct token *t, hm_id database);
-/** Raises the floor by the mark of a result, or resets it as told. */
+/** Whether a mark of @a database can be kept. */
+bool token_has_room(const struct token *t, hm_id database);
+/**
+ * Raises the floor by the mark of a result, or resets it as told. A result
+ * that is unsure marks the entry so until a later result without error is not.
+ * @return false when the token is full; nothing changed then.
+ */
 bool token_merge(struct token *t, const struct result *result);
 
 #endif
