--- a/core/contracts.h
+++ b/core/contracts.h
@@ -22,8 +22,9 @@
 
 /**
  * Puts @a contract in force when it is valid and newer than the one held.
- * A key may belong to one account only: a contract that claims a key of
- * another live contract is refused.
+ * A key that two live contracts list belongs to neither until one drops it:
+ * the outcome is then the same in whatever order the contracts arrive. The
+ * contract takes force nonetheless and *fault names the contested key.
  * @return true when the contract in force changed.
  */
 bool contracts_apply(struct contracts *c, const struct contract *contract,
@@ -33,7 +34,7 @@
 const struct contract *contracts_find(const struct contracts *c, hm_id account);
 /** Like contracts_find(), tombstones included. */
 const struct contract *contracts_held(const struct contracts *c, hm_id account);
-/** Live contract that holds @a key, NULL when none does. */
+/** Live contract that alone holds @a key, NULL when none does. */
 const struct contract *contracts_by_key(const struct contracts *c,
 					struct key_id key);
 /** Right of a contract on a database, NULL when none. */
@@ -47,5 +48,7 @@
 uint64_t contracts_version(const struct contracts *c);
 /** Order-free digest over all (account, version) pairs. */
 uint64_t contracts_digest(const struct contracts *c);
+/** Grows by one with every change, so that users know when to check. */
+uint64_t contracts_changes(const struct contracts *c);
 
 #endif
--- a/core/peers.h
+++ b/core/peers.h
@@ -42,6 +42,13 @@
 const struct peer *peers_find(const struct peers *p, uint64_t life);
 /** Self counts as alive. */
 bool peers_alive(const struct peers *p, uint64_t life);
+/**
+ * A life that stopped, or whose instance lives again under a newer life:
+ * messages from it are to be dropped.
+ */
+bool peers_void(const struct peers *p, uint64_t life);
+/** Grows whenever the outcome of peers_owner() may have changed. */
+uint64_t peers_generation(const struct peers *p);
 
 /**
  * Owner of @a key among the live instances of @a zone; if that zone has
@@ -52,7 +59,10 @@
 uint64_t peers_owner(const struct peers *p, hm_id key, uint16_t zone,
 		     bool anywhere);
 
-/** No peer of another zone was heard, nor the platform, for the grace. */
+/**
+ * No peer of another zone was heard, nor the platform, for the grace. With a
+ * single zone configured there is nothing to be cut off from: never true.
+ */
 bool peers_isolated(const struct peers *p, hm_time now);
 /** Tells the peers that the platform answered or failed. */
 void peers_platform(struct peers *p, bool ok, hm_time now);
