Compose the core: entry, holder, databases; wire codec, peer links, instance

A request passes authenticate, permit, admit and route at the instance that got it, and queue, execute and verify at the home of the endpoint. Messages to the instance itself are settled inside the core.

--- /dev/null
+++ b/core/core.c
@@ -0,0 +1,350 @@
+/** @file core.c Events in, actions out: dispatch to the modules of a core. */
+#include "core.h"
+
+#include "entry.h"
+#include "holder.h"
+#include "state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct core *core_new(const struct core_options *options, hm_time now)
+{
+	struct core *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->options = *options;
+	c->rng.state = options->seed;
+	c->started_at = now;
+	c->heartbeat_at = now;
+	c->contracts = contracts_new();
+	c->peers = peers_new(&c->options, now);
+	c->entry = entry_new();
+	c->holder = holder_new();
+	if (!c->contracts || !c->peers || !c->entry || !c->holder)
+		goto fail;
+	c->rate = rate_new(&c->options, c->peers, now);
+	if (!c->rate)
+		goto fail;
+	c->admit = admit_new(c->rate);
+	if (!c->admit)
+		goto fail;
+	return c;
+
+fail:
+	core_free(c);
+	return NULL;
+}
+
+void core_free(struct core *c)
+{
+	if (!c)
+		return;
+	databases_free(c);
+	if (c->admit)
+		admit_free(c->admit);
+	if (c->rate)
+		rate_free(c->rate);
+	if (c->peers)
+		peers_free(c->peers);
+	if (c->contracts)
+		contracts_free(c->contracts);
+	entry_free(c->entry);
+	holder_free(c->holder);
+	free(c);
+}
+
+static void send_contract(struct actions *actions, uint64_t to,
+			  const struct contract *contract)
+{
+	struct contract *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		return; /* the digest of the next heartbeat repairs it */
+	*copy = *contract;
+	actions_send(actions, to, MSG_CONTRACT)->contract = copy;
+}
+
+/* Returns whether the contract in force changed. */
+static bool apply_contract(struct core *c, const struct contract *contract,
+			   hm_time now, struct actions *actions)
+{
+	const char *fault = NULL;
+	bool changed = contracts_apply(c->contracts, contract, &fault);
+	struct decision *log;
+
+	if (!changed && !fault)
+		return false;
+	log = actions_log(actions, changed ? "contract" : "contract_refused",
+			  fault ? fault : "newer version");
+	log->account = contract->account;
+	log->at.pos = contract->version;
+	if (changed)
+		rate_contract(c->rate, contract, now);
+	return changed;
+}
+
+static void on_contract(struct core *c, const struct contract *contract,
+			hm_time now, struct actions *actions)
+{
+	if (apply_contract(c, contract, now, actions))
+		send_contract(actions, 0, contract);
+}
+
+static void send_contracts(struct core *c, hm_id account, uint64_t to,
+			   struct actions *actions)
+{
+	uint32_t i;
+
+	for (i = 0; i < contracts_count(c->contracts); i++) {
+		const struct contract *held = contracts_at(c->contracts, i);
+
+		if (!account || held->account == account)
+			send_contract(actions, to, held);
+	}
+}
+
+static void on_heartbeat(struct core *c, const struct message *m,
+			 struct actions *actions)
+{
+	if (m->heartbeat.stopped)
+		return;
+	if (m->heartbeat.config_digest == contracts_digest(c->contracts))
+		return;
+	/* Both sides ask, so each gets what it lacks. */
+	actions_send(actions, m->from, MSG_CONTRACT_WANT)->contract_want = 0;
+}
+
+static void on_message(struct core *c, const struct message *m, hm_time now,
+		       struct actions *actions)
+{
+	switch (m->kind) {
+	case MSG_HEARTBEAT:
+		on_heartbeat(c, m, actions);
+		break;
+	case MSG_STATEMENT:
+		holder_statement(c, &m->statement, m->from, now, actions);
+		break;
+	case MSG_RESULT:
+		entry_result(c, &m->result, m->from, now, actions);
+		break;
+	case MSG_ABANDON:
+		holder_abandon(c, m->abandon, now, actions);
+		break;
+	case MSG_CONTROL:
+		holder_control(c, &m->control, now, actions);
+		break;
+	case MSG_STATE:
+		databases_report(c, &m->state, m->from, now, actions);
+		break;
+	case MSG_WANT:
+	case MSG_GRANT:
+		rate_message(c->rate, m, now, actions);
+		entry_admitted(c, now, actions);
+		break;
+	case MSG_CONTRACT:
+		apply_contract(c, m->contract, now, actions);
+		break;
+	case MSG_CONTRACT_WANT:
+		send_contracts(c, m->contract_want, m->from, actions);
+		break;
+	case MSG_KIND_COUNT:
+		break;
+	}
+}
+
+static void send_heartbeat(struct core *c, bool stopped,
+			   struct actions *actions)
+{
+	struct message *m = actions_send(actions, 0, MSG_HEARTBEAT);
+
+	m->heartbeat.instance = c->options.instance;
+	m->heartbeat.zone = c->options.zone;
+	m->heartbeat.leaving = c->stopping;
+	m->heartbeat.stopped = stopped;
+	m->heartbeat.platform_ok = c->platform_seen;
+	m->heartbeat.config_version = contracts_version(c->contracts);
+	m->heartbeat.config_digest = contracts_digest(c->contracts);
+}
+
+static void finish_stop(struct core *c, struct actions *actions)
+{
+	if (!c->stopping || c->stopped)
+		return;
+	if (entry_count(c) || holder_count(c))
+		return;
+	c->stopped = true;
+	send_heartbeat(c, true, actions);
+	actions_add(actions, ACT_STOPPED);
+}
+
+static void on_tick(struct core *c, hm_time now, struct actions *actions)
+{
+	if (now >= c->heartbeat_at) {
+		c->heartbeat_at = now + c->options.heartbeat_every;
+		send_heartbeat(c, false, actions);
+	}
+	peers_tick(c->peers, now);
+	rate_tick(c->rate, now, actions);
+	holder_tick(c, now, actions);
+	databases_tick(c, now, actions);
+	entry_tick(c, now, actions);
+	finish_stop(c, actions);
+}
+
+static void on_stop(struct core *c, struct actions *actions)
+{
+	uint32_t i;
+
+	if (c->stopping)
+		return;
+	c->stopping = true;
+	peers_leave(c->peers);
+	for (i = 0; i < c->database_count; i++)
+		failover_leave(c->databases[i].failover);
+	send_heartbeat(c, false, actions);
+}
+
+/* A message to this very instance never leaves it. */
+static bool is_loopback(const struct core *c, const struct action *a)
+{
+	return a->kind == ACT_SEND && a->send.to == c->options.life;
+}
+
+static void stamp(struct core *c, struct message *m, hm_time now)
+{
+	m->from = c->options.life;
+	m->seq = ++c->next_seq;
+	if (m->kind == MSG_CONTROL && m->control.nonce.life == m->from)
+		question_asked(c, &m->control, now);
+}
+
+/*
+ * Handles messages to this instance in place and stamps the others. The
+ * list may grow while it is walked.
+ */
+static void settle(struct core *c, size_t first, hm_time now,
+		   struct actions *actions)
+{
+	size_t i, kept = first;
+
+	for (i = first; i < actions->count; i++) {
+		struct message m;
+
+		if (actions->list[i].kind != ACT_SEND)
+			continue;
+		stamp(c, &actions->list[i].send.message, now);
+		if (!is_loopback(c, &actions->list[i]))
+			continue;
+		m = actions->list[i].send.message;
+		on_message(c, &m, now, actions);
+		if (m.kind == MSG_CONTRACT)
+			free(m.contract);
+		holder_flush(c, now, actions);
+	}
+	for (i = first; i < actions->count; i++)
+		if (!is_loopback(c, &actions->list[i]))
+			actions->list[kept++] = actions->list[i];
+	actions->count = kept;
+}
+
+static void dispatch(struct core *c, const struct event *e, hm_time now,
+		     struct actions *actions)
+{
+	switch (e->kind) {
+	case EV_TICK:
+		on_tick(c, now, actions);
+		break;
+	case EV_REQUEST:
+		entry_request(c, &e->request, now, actions);
+		break;
+	case EV_GONE:
+		entry_gone(c, e->gone, now, actions);
+		break;
+	case EV_MESSAGE:
+		peers_message(c->peers, e->message, now);
+		on_message(c, e->message, now, actions);
+		break;
+	case EV_CONNECTED:
+	case EV_CLOSED:
+	case EV_DONE:
+		holder_event(c, e, now, actions);
+		break;
+	case EV_STATE:
+		holder_state(c, e->state.nonce, &e->state.state, now, actions);
+		break;
+	case EV_CONTRACT:
+		on_contract(c, e->contract, now, actions);
+		break;
+	case EV_DATABASE:
+		databases_apply(c, e->database, now, actions);
+		break;
+	case EV_INSTANCES:
+		peers_listed(c->peers, e->instances.list, e->instances.count,
+			     now);
+		break;
+	case EV_PLATFORM:
+		c->platform_seen = e->platform_ok;
+		peers_platform(c->peers, e->platform_ok, now);
+		break;
+	case EV_STOP:
+		on_stop(c, actions);
+		break;
+	case EV_KIND_COUNT:
+		break;
+	}
+}
+
+void core_step(struct core *c, const struct event *event, hm_time now,
+	       struct actions *actions)
+{
+	size_t first = actions->count;
+
+	dispatch(c, event, now, actions);
+	holder_flush(c, now, actions);
+	settle(c, first, now, actions);
+}
+
+static uint32_t peers_alive_count(const struct core *c)
+{
+	uint32_t i, alive = 0;
+
+	for (i = 0; i < peers_count(c->peers); i++)
+		alive += peers_at(c->peers, i)->alive;
+	return alive;
+}
+
+static void add_loads(const struct core *c, struct core_figures *out)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < c->database_count; i++) {
+		const struct database *d = &c->databases[i];
+
+		out->promotions += failover_promotions(d->failover);
+		for (k = 0; k < d->member_count; k++) {
+			struct home_load load;
+
+			if (!d->members[k].home)
+				continue;
+			home_load(d->members[k].home, 0, &load);
+			out->queued += load.queued;
+			out->transactions += load.transactions;
+			out->connections += load.connections;
+		}
+	}
+}
+
+void core_figures(const struct core *c, struct core_figures *out)
+{
+	*out = c->figures;
+	out->contracts = contracts_count(c->contracts);
+	out->databases = c->database_count;
+	out->peers_alive = peers_alive_count(c);
+	out->waiting = admit_waiting(c->admit);
+	out->in_flight = entry_count(c);
+	out->config_version = contracts_version(c->contracts);
+	out->config_digest = contracts_digest(c->contracts);
+	add_loads(c, out);
+}
--- /dev/null
+++ b/core/databases.c
@@ -0,0 +1,247 @@
+/** @file databases.c Views of all database groups at one instance. */
+#include "entry.h"
+#include "holder.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct database *database_find(struct core *c, hm_id database)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->database_count; i++)
+		if (c->databases[i].spec.database == database)
+			return &c->databases[i];
+	return NULL;
+}
+
+struct member *database_member(struct database *d, hm_id endpoint)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->member_count; i++)
+		if (d->members[i].spec.endpoint == endpoint)
+			return &d->members[i];
+	return NULL;
+}
+
+struct member *databases_member(struct core *c, hm_id endpoint,
+				struct database **database)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->database_count; i++) {
+		struct member *m = database_member(&c->databases[i], endpoint);
+
+		if (!m)
+			continue;
+		if (database)
+			*database = &c->databases[i];
+		return m;
+	}
+	return NULL;
+}
+
+uint64_t member_holder(const struct core *c, const struct member *m)
+{
+	if (m->home)
+		return c->options.life;
+	if (m->holder && peers_alive(c->peers, m->holder))
+		return m->holder;
+	return 0;
+}
+
+static struct database *
+database_add(struct core *c, const struct database_spec *spec, hm_time now)
+{
+	size_t bytes = (c->database_count + 1) * sizeof(*c->databases);
+	struct database *list = realloc(c->databases, bytes);
+	struct database *d;
+
+	if (!list)
+		return NULL;
+	c->databases = list;
+	d = &list[c->database_count];
+	memset(d, 0, sizeof(*d));
+	d->group = group_new(spec, c->options.zone, c->options.guards_off);
+	if (!d->group)
+		return NULL;
+	d->verify = verify_new(&c->options, d->group);
+	d->failover = failover_new(&c->options, c->peers, d->group, now);
+	if (!d->verify || !d->failover)
+		goto fail;
+	c->database_count++;
+	return d;
+
+fail:
+	failover_free(d->failover);
+	verify_free(d->verify);
+	group_free(d->group);
+	return NULL;
+}
+
+/* Members that stay keep what is known of them. */
+static void merge_members(struct core *c, struct database *d,
+			  const struct database_spec *spec, hm_time now,
+			  struct actions *actions)
+{
+	struct member merged[ENDPOINTS_MAX] = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < spec->endpoint_count; i++) {
+		const struct endpoint_spec *e = &spec->endpoints[i];
+		struct member *m = database_member(d, e->endpoint);
+
+		if (m) {
+			merged[i] = *m;
+			m->home = NULL;
+		}
+		merged[i].spec = *e;
+		if (merged[i].home)
+			home_spec(merged[i].home, e);
+	}
+	for (i = 0; i < d->member_count; i++) {
+		struct home *gone = d->members[i].home;
+
+		if (!gone)
+			continue;
+		home_close(gone, now, actions);
+		home_free(gone);
+	}
+	(void)c;
+	memcpy(d->members, merged, sizeof(merged));
+	d->member_count = spec->endpoint_count;
+}
+
+void databases_apply(struct core *c, const struct database_spec *spec,
+		     hm_time now, struct actions *actions)
+{
+	struct database *d = database_find(c, spec->database);
+	struct decision *log;
+
+	if (d && d->spec.version >= spec->version)
+		return;
+	if (!d)
+		d = database_add(c, spec, now);
+	if (!d)
+		return;
+	d->spec = *spec;
+	group_spec(d->group, spec);
+	merge_members(c, d, spec, now, actions);
+	log = actions_log(actions, "database", "configured");
+	log->database = spec->database;
+	log->at.pos = spec->version;
+}
+
+static uint32_t question_place(uint64_t seq, hm_id endpoint)
+{
+	uint64_t x = (seq ^ endpoint) * 0x9e3779b97f4a7c15ULL;
+
+	return (uint32_t)(x >> 32) % QUESTIONS_MAX;
+}
+
+void question_asked(struct core *c, const struct control *step, hm_time now)
+{
+	uint32_t place = question_place(step->nonce.seq, step->endpoint);
+
+	c->questions[place].seq = step->nonce.seq;
+	c->questions[place].endpoint = step->endpoint;
+	c->questions[place].asked_at = now;
+}
+
+/* 0 when the report answers no remembered question of ours. */
+static hm_time question_asked_at(const struct core *c,
+				 const struct state_report *r)
+{
+	hm_id endpoint = r->state.endpoint;
+	const struct question *q;
+
+	if (r->nonce.life != c->options.life || !r->nonce.seq)
+		return 0;
+	q = &c->questions[question_place(r->nonce.seq, endpoint)];
+	if (q->seq != r->nonce.seq || q->endpoint != endpoint)
+		return 0;
+	return q->asked_at;
+}
+
+static void announce_primary(struct core *c, struct database *d, hm_time now,
+			     struct actions *actions)
+{
+	hm_id primary = group_primary(d->group, now);
+	uint64_t term = group_term(d->group);
+	struct member *m = primary ? database_member(d, primary) : NULL;
+	struct action *a;
+	struct decision *log;
+
+	if (!primary || (primary == d->announced && term == d->announced_term))
+		return;
+	d->announced = primary;
+	d->announced_term = term;
+	log = actions_log(actions, "primary", "newest term");
+	log->database = d->spec.database;
+	log->endpoint = primary;
+	log->at.term = term;
+	if (!m || !m->home)
+		return;
+	a = actions_add(actions, ACT_ANNOUNCE);
+	a->announce.database = d->spec.database;
+	a->announce.primary = primary;
+	a->announce.term = term;
+	(void)c;
+}
+
+void databases_report(struct core *c, const struct state_report *r,
+		      uint64_t from, hm_time now, struct actions *actions)
+{
+	struct database *d = database_find(c, r->state.database);
+	struct member *m;
+
+	if (!d)
+		return;
+	m = database_member(d, r->state.endpoint);
+	if (!m)
+		return;
+	m->reported_at = now;
+	if (r->state.reachable) {
+		m->holder = r->state.home;
+		holder_named(c, d, m, r->state.home, now, actions);
+	}
+	if (m->holder == 0 || m->holder == from)
+		failover_home(d->failover, m->spec.endpoint, from);
+	group_report(d->group, r, from, question_asked_at(c, r), now);
+	failover_report(d->failover, r, from, now, actions);
+	verify_report(d->verify, r, now, actions);
+	announce_primary(c, d, now, actions);
+}
+
+void databases_tick(struct core *c, hm_time now, struct actions *actions)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < c->database_count; i++) {
+		struct database *d = &c->databases[i];
+
+		for (k = 0; k < d->member_count; k++)
+			failover_home(d->failover, d->members[k].spec.endpoint,
+				      member_holder(c, &d->members[k]));
+		verify_tick(d->verify, now, actions);
+		failover_tick(d->failover, now, actions);
+		announce_primary(c, d, now, actions);
+	}
+}
+
+void databases_free(struct core *c)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < c->database_count; i++) {
+		struct database *d = &c->databases[i];
+
+		for (k = 0; k < d->member_count; k++)
+			home_free(d->members[k].home);
+		failover_free(d->failover);
+		verify_free(d->verify);
+		group_free(d->group);
+	}
+	free(c->databases);
+}
--- /dev/null
+++ b/core/entry.h
@@ -0,0 +1,29 @@
+/**
+ * @file entry.h
+ * Requests of callers at the instance that received them, from arrival to
+ * answer, as a row of filters.
+ */
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "state.h"
+
+struct entry *entry_new(void);
+void entry_free(struct entry *e);
+/** EV_REQUEST. */
+void entry_request(struct core *c, const struct statement *s, hm_time now,
+		   struct actions *actions);
+/** EV_GONE. */
+void entry_gone(struct core *c, struct rid id, hm_time now,
+		struct actions *actions);
+/** MSG_RESULT. */
+void entry_result(struct core *c, const struct result *r, uint64_t from,
+		  hm_time now, struct actions *actions);
+/** Moves on requests that have got a token of their account. */
+void entry_admitted(struct core *c, hm_time now, struct actions *actions);
+/** Deadlines, waiting requests, lost homes. */
+void entry_tick(struct core *c, hm_time now, struct actions *actions);
+/** Requests without an answer. */
+uint32_t entry_count(const struct core *c);
+
+#endif
--- a/core/options.c
+++ b/core/options.c
@@ -5,17 +5,17 @@
 
 #define QUEUE_LIMIT 256
 
-/* Weak, so that a definition beside the core takes its place. */
-__attribute__((weak)) void core_options_default(struct core_options *o)
+void core_options_default(struct core_options *o)
 {
 	memset(o, 0, sizeof(*o));
+	o->zone_count = 1;
 	o->heartbeat_every = 200 * HM_MS;
 	o->peer_silent = 1 * HM_SEC;
 	o->probe_every = 100 * HM_MS;
 	o->probe_silent = 400 * HM_MS;
 	o->evidence_valid = 300 * HM_MS;
-	o->replica_wait = 50 * HM_MS;
-	o->isolated_grace = 3 * HM_SEC;
+	o->replica_wait = 250 * HM_MS;
+	o->isolated_grace = 5 * HM_SEC;
 	o->idle_transaction = 10 * HM_SEC;
 	o->statement_limit = 10 * HM_SEC;
 	o->queue_limit = QUEUE_LIMIT;
--- /dev/null
+++ b/src/instance.c
@@ -0,0 +1,445 @@
+/**
+ * @file instance.c
+ * A core and the tasks around it on one loop. Events of the tasks go into
+ * the core, its actions are performed at once.
+ */
+#include "instance.h"
+
+#include <glib.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "driver.h"
+#include "front.h"
+#include "log.h"
+#include "names.h"
+#include "peer.h"
+#include "platform.h"
+#include "status.h"
+
+/* Watchers of the platform in each zone; the rest hears from peers. */
+#define WATCHERS_PER_ZONE 2
+#define BODIES_EXPIRE_EVERY (1 * HM_SEC)
+
+struct instance {
+	struct settings settings;
+	const char *zones[ZONES_MAX];
+	struct loop *loop;
+	struct bodies *bodies;
+	struct names *names;
+	struct core *core;
+	struct front *front;
+	struct peer_links *peers;
+	struct platform *platform;
+	const struct driver *driver;
+	struct driver_state *driver_state;
+	struct timer *tick;
+	GPtrArray *databases; /* struct database_spec, by pointer */
+	hm_time expire_at;
+	hm_time stop_at; /* HM_NEVER until the shutdown began */
+	atomic_int stops;
+	struct actions actions;
+	bool stepping;
+	GQueue late; /* events that came while one was handled */
+};
+
+static const struct endpoint_spec *find_endpoint(const struct instance *i,
+						 hm_id endpoint,
+						 const struct database_spec **d)
+{
+	guint n;
+	uint32_t k;
+
+	for (n = 0; n < i->databases->len; n++) {
+		*d = g_ptr_array_index(i->databases, n);
+		for (k = 0; k < (*d)->endpoint_count; k++)
+			if ((*d)->endpoints[k].endpoint == endpoint)
+				return &(*d)->endpoints[k];
+	}
+	*d = NULL;
+	return NULL;
+}
+
+static const char *database_name(const struct instance *i, hm_id database)
+{
+	return names_find(i->names, database);
+}
+
+static void do_send(struct instance *i, const struct action *a)
+{
+	peer_links_send(i->peers, a->send.to, &a->send.message);
+}
+
+static void do_answer(struct instance *i, const struct action *a)
+{
+	front_answer(i->front, &a->answer);
+}
+
+static void do_connect(struct instance *i, const struct action *a)
+{
+	const struct database_spec *d;
+	const struct endpoint_spec *e;
+
+	e = find_endpoint(i, a->conn.endpoint, &d);
+	if (e)
+		i->driver->connect(i->driver_state, a->conn.conn, d, e);
+}
+
+static void do_execute(struct instance *i, const struct action *a)
+{
+	i->driver->execute(i->driver_state, a->conn.conn, &a->conn.statement);
+}
+
+static void do_cancel(struct instance *i, const struct action *a)
+{
+	i->driver->cancel(i->driver_state, a->conn.conn);
+}
+
+static void do_reset(struct instance *i, const struct action *a)
+{
+	i->driver->reset(i->driver_state, a->conn.conn);
+}
+
+static void do_close(struct instance *i, const struct action *a)
+{
+	i->driver->close(i->driver_state, a->conn.conn);
+}
+
+static void do_control(struct instance *i, const struct action *a)
+{
+	const struct database_spec *d;
+	const struct endpoint_spec *e;
+
+	e = find_endpoint(i, a->control.endpoint, &d);
+	if (e)
+		i->driver->control(i->driver_state, &a->control, d, e);
+}
+
+static void do_log(struct instance *i, const struct action *a)
+{
+	log_decision(&a->decision, i->names);
+}
+
+static void do_announce(struct instance *i, const struct action *a)
+{
+	platform_announce(i->platform, database_name(i, a->announce.database),
+			  names_find(i->names, a->announce.primary),
+			  a->announce.term);
+}
+
+static void do_stopped(struct instance *i, const struct action *a)
+{
+	(void)a;
+	loop_stop(i->loop);
+}
+
+static void (*const performers[])(struct instance *i,
+				  const struct action *a) = {
+	[ACT_SEND] = do_send,	    [ACT_ANSWER] = do_answer,
+	[ACT_CONNECT] = do_connect, [ACT_EXECUTE] = do_execute,
+	[ACT_CANCEL] = do_cancel,   [ACT_RESET] = do_reset,
+	[ACT_CLOSE] = do_close,	    [ACT_CONTROL] = do_control,
+	[ACT_LOG] = do_log,	    [ACT_ANNOUNCE] = do_announce,
+	[ACT_STOPPED] = do_stopped,
+};
+
+static void step(struct instance *i, const struct event *e)
+{
+	size_t n;
+
+	core_step(i->core, e, loop_now(), &i->actions);
+	for (n = 0; n < i->actions.count; n++) {
+		const struct action *a = &i->actions.list[n];
+
+		performers[a->kind](i, a);
+	}
+	actions_clear(&i->actions);
+}
+
+static void keep_database(struct instance *i, const struct database_spec *spec)
+{
+	const struct database_spec *known;
+	struct database_spec *copy = g_memdup2(spec, sizeof(*spec));
+	uint32_t k;
+	guint n;
+
+	names_learn(i->names, spec->name);
+	for (k = 0; k < spec->endpoint_count; k++)
+		names_learn(i->names, spec->endpoints[k].name);
+	for (n = 0; n < i->databases->len; n++) {
+		known = g_ptr_array_index(i->databases, n);
+		if (known->database != spec->database)
+			continue;
+		g_ptr_array_remove_index_fast(i->databases, n);
+		break;
+	}
+	g_ptr_array_add(i->databases, copy);
+}
+
+static void learn(struct instance *i, const struct event *e)
+{
+	if (e->kind == EV_DATABASE)
+		keep_database(i, e->database);
+	else if (e->kind == EV_CONTRACT)
+		names_learn(i->names, e->contract->name);
+	else if (e->kind == EV_MESSAGE && e->message->kind == MSG_CONTRACT)
+		names_learn(i->names, e->message->contract->name);
+}
+
+/*
+ * Tasks deliver from their own callbacks only. A front may still ask while
+ * an answer is performed, so that such an event waits its turn.
+ */
+static void on_event(void *owner, const struct event *e)
+{
+	struct instance *i = owner;
+	struct event *late;
+
+	learn(i, e);
+	if (i->stepping) {
+		g_queue_push_tail(&i->late, g_memdup2(e, sizeof(*e)));
+		return;
+	}
+	i->stepping = true;
+	step(i, e);
+	while ((late = g_queue_pop_head(&i->late))) {
+		step(i, late);
+		g_free(late);
+	}
+	i->stepping = false;
+}
+
+static void on_request(void *owner, const struct statement *s)
+{
+	struct event e = { .kind = EV_REQUEST, .request = *s };
+
+	on_event(owner, &e);
+}
+
+static void on_gone(void *owner, struct rid id)
+{
+	struct event e = { .kind = EV_GONE, .gone = id };
+
+	on_event(owner, &e);
+}
+
+static char *on_metrics(void *owner)
+{
+	struct instance *i = owner;
+	struct status status;
+
+	core_figures(i->core, &status.core);
+	status.bodies = bodies_count(i->bodies);
+	status.peer_dropped = peer_links_dropped(i->peers);
+	status.platform_calls = platform_calls(i->platform);
+	return status_metrics(&status);
+}
+
+static char *on_status(void *owner)
+{
+	struct instance *i = owner;
+	struct status status;
+
+	core_figures(i->core, &status.core);
+	status.bodies = bodies_count(i->bodies);
+	status.peer_dropped = peer_links_dropped(i->peers);
+	status.platform_calls = platform_calls(i->platform);
+	return status_json(&status, &i->settings);
+}
+
+static void stop_tick(struct instance *i, hm_time now)
+{
+	struct event e = { .kind = EV_STOP };
+	int stops = atomic_load(&i->stops);
+
+	if (stops > 0 && i->stop_at == HM_NEVER) {
+		i->stop_at = now + i->settings.stop_limit;
+		g_message("event=stopping instance=%s", i->settings.instance);
+		front_stop(i->front);
+		on_event(i, &e);
+	}
+	if (stops > 1 || now >= i->stop_at)
+		loop_stop(i->loop);
+}
+
+static void on_tick(void *arg)
+{
+	struct instance *i = arg;
+	struct event e = { .kind = EV_TICK };
+	hm_time now = loop_now();
+
+	stop_tick(i, now);
+	on_event(i, &e);
+	if (now >= i->expire_at) {
+		i->expire_at = now + BODIES_EXPIRE_EVERY;
+		bodies_expire(i->bodies, now);
+	}
+	timer_set(i->tick, now + CORE_TICK);
+}
+
+static bool is_watcher(const struct instance *i,
+		       const struct platform_instance *list, uint32_t count)
+{
+	uint32_t k, before = 0;
+
+	for (k = 0; k < count; k++)
+		if (list[k].zone == i->settings.core.zone && !list[k].leaving &&
+		    strcmp(list[k].name, i->settings.instance) < 0)
+			before++;
+	return before < WATCHERS_PER_ZONE;
+}
+
+static void on_instances(void *owner, const struct platform_instance *list,
+			 uint32_t count)
+{
+	struct instance *i = owner;
+	char(*addresses)[ADDRESS_BYTES] =
+		g_malloc0_n(count + SEEDS_MAX, ADDRESS_BYTES);
+	uint32_t k;
+
+	for (k = 0; k < count; k++) {
+		memcpy(addresses[k], list[k].address, ADDRESS_BYTES);
+		names_learn(i->names, list[k].name);
+	}
+	for (k = 0; k < i->settings.seed_count; k++)
+		memcpy(addresses[count + k], i->settings.seeds[k],
+		       ADDRESS_BYTES);
+	peer_links_addresses(i->peers, (const char(*)[ADDRESS_BYTES])addresses,
+			     count + i->settings.seed_count);
+	platform_watch(i->platform, is_watcher(i, list, count));
+	g_free(addresses);
+}
+
+static bool open_driver(struct instance *i, struct sink sink)
+{
+	struct driver_host host = { 0 };
+
+	host.loop = i->loop;
+	host.bodies = i->bodies;
+	host.sink = sink;
+	host.life = i->settings.core.life;
+	host.connect_limit = i->settings.connect_limit;
+	host.control_limit = i->settings.control_limit;
+	host.rows_limit = i->settings.rows_limit;
+	host.answer_bytes = i->settings.answer_limit;
+	i->driver = &driver_pg;
+	i->driver_state = i->driver->open(&host);
+	return i->driver_state != NULL;
+}
+
+static bool open_platform(struct instance *i, struct sink sink)
+{
+	struct platform_options options = { 0 };
+	uint16_t k;
+
+	for (k = 0; k < i->settings.zone_count; k++)
+		i->zones[k] = i->settings.zones[k];
+	options.address = i->settings.platform;
+	options.zones = i->zones;
+	options.zone_count = i->settings.zone_count;
+	options.call_limit = i->settings.platform_call_limit;
+	options.watch_wait = i->settings.platform_watch_wait;
+	options.list_every = i->settings.platform_list_every;
+	options.seed = i->settings.core.seed;
+	options.watch = true;
+	options.instances = on_instances;
+	i->platform = platform_new(i->loop, &options, sink);
+	return i->platform != NULL;
+}
+
+static bool open_front(struct instance *i, char fault[SETTINGS_FAULT_BYTES])
+{
+	struct front_hooks hooks = { on_request, on_gone, on_metrics, on_status,
+				     i };
+
+	i->front = front_new(i->loop, &i->settings, i->bodies, &hooks, fault);
+	return i->front != NULL;
+}
+
+static void set_identity(struct instance *i)
+{
+	struct core_options *o = &i->settings.core;
+
+	if (!o->life)
+		o->life = random_id();
+	if (!o->seed)
+		o->seed = random_id();
+	o->instance = name_id(i->settings.instance);
+	names_learn(i->names, i->settings.instance);
+}
+
+struct instance *instance_new(const struct settings *settings,
+			      char fault[SETTINGS_FAULT_BYTES])
+{
+	struct instance *i = g_new0(struct instance, 1);
+	struct sink sink = { on_event, i };
+
+	fault[0] = '\0';
+	i->settings = *settings;
+	i->stop_at = HM_NEVER;
+	g_queue_init(&i->late);
+	i->names = names_new();
+	set_identity(i);
+	i->loop = loop_new();
+	i->bodies = bodies_new();
+	i->databases = g_ptr_array_new_with_free_func(g_free);
+	i->core = core_new(&i->settings.core, loop_now());
+	if (!i->core)
+		goto fail;
+	i->peers = peer_links_new(i->loop, i->settings.listen_peers,
+				  i->settings.core.life, i->bodies, sink);
+	if (!i->peers) {
+		g_snprintf(fault, SETTINGS_FAULT_BYTES,
+			   "cannot listen for peers on %s",
+			   i->settings.listen_peers);
+		goto fail;
+	}
+	if (!open_driver(i, sink))
+		goto fail;
+	if (!open_front(i, fault))
+		goto fail;
+	if (!open_platform(i, sink))
+		goto fail;
+	on_instances(i, NULL, 0);
+	i->tick = timer_new(i->loop, on_tick, i);
+	timer_set(i->tick, loop_now());
+	return i;
+
+fail:
+	if (!fault[0])
+		g_strlcpy(fault, "the instance cannot start",
+			  SETTINGS_FAULT_BYTES);
+	instance_free(i);
+	return NULL;
+}
+
+void instance_run(struct instance *i)
+{
+	loop_run(i->loop);
+}
+
+void instance_stop(struct instance *i)
+{
+	atomic_fetch_add(&i->stops, 1);
+}
+
+void instance_free(struct instance *i)
+{
+	if (!i)
+		return;
+	timer_free(i->tick);
+	platform_free(i->platform);
+	front_free(i->front);
+	if (i->driver_state)
+		i->driver->shut(i->driver_state);
+	peer_links_free(i->peers);
+	core_free(i->core);
+	actions_free(&i->actions);
+	g_queue_clear_full(&i->late, g_free);
+	if (i->databases)
+		g_ptr_array_free(i->databases, TRUE);
+	bodies_free(i->bodies);
+	loop_free(i->loop);
+	names_free(i->names);
+	g_free(i);
+}
--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,309 @@
+/**
+ * @file peer.c
+ * Links over ZeroMQ: a ROUTER socket takes messages from all peers, a DEALER
+ * socket per peer sends. A message has two frames: the address at which its
+ * sender listens, and the packed message.
+ */
+#include "peer.h"
+
+#include <string.h>
+#include <zmq.h>
+
+#include "wire.h"
+
+#define QUEUE_MESSAGES 4096
+/* A link whose peer has not heard anything for this long is replaced. */
+#define LINK_SILENT (1 * HM_SEC)
+#define POLL_EVERY (20 * HM_MS)
+
+struct link {
+	char address[ADDRESS_BYTES];
+	void *socket;
+	uint64_t life;	    /* last life heard from that address */
+	uint64_t heard_seq; /* its highest message number */
+	uint64_t echo;	    /* highest number of ours that it has heard */
+	hm_time echo_due;   /* replace the link when no echo came by then */
+};
+
+struct peer_links {
+	struct loop *loop;
+	struct bodies *bodies;
+	struct sink sink;
+	void *context;
+	void *router;
+	struct watch *watch;
+	struct timer *poll;
+	GPtrArray *links;
+	char listen[ADDRESS_BYTES];
+	uint64_t life;
+	uint64_t dropped;
+};
+
+static void link_connect(struct peer_links *p, struct link *l)
+{
+	int queue = QUEUE_MESSAGES, linger = 0;
+	char url[ADDRESS_BYTES + 8];
+
+	l->socket = zmq_socket(p->context, ZMQ_DEALER);
+	zmq_setsockopt(l->socket, ZMQ_SNDHWM, &queue, sizeof(queue));
+	zmq_setsockopt(l->socket, ZMQ_LINGER, &linger, sizeof(linger));
+	g_snprintf(url, sizeof(url), "tcp://%s", l->address);
+	if (zmq_connect(l->socket, url))
+		g_warning("event=peer_connect address=%s error=\"%s\"",
+			  l->address, zmq_strerror(zmq_errno()));
+	l->echo_due = loop_now() + LINK_SILENT;
+}
+
+static void link_free(gpointer data)
+{
+	struct link *l = data;
+
+	zmq_close(l->socket);
+	g_free(l);
+}
+
+static struct link *link_find(const struct peer_links *p, const char *address)
+{
+	guint i;
+
+	for (i = 0; i < p->links->len; i++) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		if (!strcmp(l->address, address))
+			return l;
+	}
+	return NULL;
+}
+
+static struct link *link_add(struct peer_links *p, const char *address)
+{
+	struct link *l = g_new0(struct link, 1);
+
+	g_strlcpy(l->address, address, sizeof(l->address));
+	link_connect(p, l);
+	g_ptr_array_add(p->links, l);
+	return l;
+}
+
+static struct link *link_of_life(const struct peer_links *p, uint64_t life)
+{
+	guint i;
+
+	for (i = 0; i < p->links->len; i++) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		if (l->life == life)
+			return l;
+	}
+	return NULL;
+}
+
+static void link_heard(struct link *l, const struct message *m)
+{
+	if (l->life != m->from) {
+		l->life = m->from;
+		l->heard_seq = 0;
+		l->echo = 0;
+	}
+	if (m->seq > l->heard_seq)
+		l->heard_seq = m->seq;
+	if (m->kind != MSG_HEARTBEAT || m->heartbeat.echo <= l->echo)
+		return;
+	l->echo = m->heartbeat.echo;
+	l->echo_due = loop_now() + LINK_SILENT;
+}
+
+static void deliver(struct peer_links *p, const char *address, zmq_msg_t *frame)
+{
+	struct event e = { .kind = EV_MESSAGE };
+	struct message m;
+	struct link *l;
+
+	if (!wire_read(zmq_msg_data(frame), zmq_msg_size(frame), &m, p->bodies,
+		       loop_now())) {
+		g_warning("event=peer_malformed address=%s bytes=%zu", address,
+			  zmq_msg_size(frame));
+		return;
+	}
+	if (m.from == p->life)
+		goto done;
+	l = link_find(p, address);
+	if (!l)
+		l = link_add(p, address);
+	link_heard(l, &m);
+	e.message = &m;
+	sink_event(&p->sink, &e);
+
+done:
+	if (m.kind == MSG_CONTRACT)
+		g_free(m.contract);
+}
+
+/* Receives the frames of one message; false when there is none. */
+static bool receive(struct peer_links *p)
+{
+	char address[ADDRESS_BYTES] = "";
+	zmq_msg_t frame;
+	int index = 0;
+	bool more;
+
+	zmq_msg_init(&frame);
+	do {
+		if (zmq_msg_recv(&frame, p->router, ZMQ_DONTWAIT) < 0)
+			break;
+		more = zmq_msg_more(&frame);
+		if (index == 1 && zmq_msg_size(&frame) < sizeof(address))
+			memcpy(address, zmq_msg_data(&frame),
+			       zmq_msg_size(&frame));
+		if (index == 2 && address[0])
+			deliver(p, address, &frame);
+		index++;
+	} while (more);
+	zmq_msg_close(&frame);
+	return index > 0;
+}
+
+/* The descriptor signals edges, so all that is there must be taken. */
+static void on_readable(void *arg)
+{
+	while (receive(arg))
+		;
+}
+
+static void on_poll(void *arg)
+{
+	struct peer_links *p = arg;
+
+	on_readable(p);
+	timer_set(p->poll, loop_now() + POLL_EVERY);
+}
+
+struct peer_links *peer_links_new(struct loop *loop, const char *listen,
+				  uint64_t life, struct bodies *bodies,
+				  struct sink sink)
+{
+	struct peer_links *p = g_new0(struct peer_links, 1);
+	int queue = QUEUE_MESSAGES, linger = 0, fd;
+	size_t bytes = sizeof(fd);
+	char url[ADDRESS_BYTES + 8];
+
+	p->loop = loop;
+	p->bodies = bodies;
+	p->sink = sink;
+	p->life = life;
+	g_strlcpy(p->listen, listen, sizeof(p->listen));
+	p->links = g_ptr_array_new_with_free_func(link_free);
+	p->context = zmq_ctx_new();
+	p->router = zmq_socket(p->context, ZMQ_ROUTER);
+	zmq_setsockopt(p->router, ZMQ_RCVHWM, &queue, sizeof(queue));
+	zmq_setsockopt(p->router, ZMQ_LINGER, &linger, sizeof(linger));
+	g_snprintf(url, sizeof(url), "tcp://%s", listen);
+	if (zmq_bind(p->router, url))
+		goto fail;
+	zmq_getsockopt(p->router, ZMQ_FD, &fd, &bytes);
+	p->watch = watch_new(loop, fd, on_readable, p);
+	p->poll = timer_new(loop, on_poll, p);
+	timer_set(p->poll, loop_now() + POLL_EVERY);
+	return p;
+
+fail:
+	peer_links_free(p);
+	return NULL;
+}
+
+void peer_links_free(struct peer_links *p)
+{
+	if (!p)
+		return;
+	watch_free(p->watch);
+	timer_free(p->poll);
+	g_ptr_array_free(p->links, TRUE);
+	zmq_close(p->router);
+	zmq_ctx_term(p->context);
+	g_free(p);
+}
+
+static bool is_listed(const char (*addresses)[ADDRESS_BYTES], uint32_t count,
+		      const char *address)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(addresses[i], address))
+			return true;
+	return false;
+}
+
+void peer_links_addresses(struct peer_links *p,
+			  const char (*addresses)[ADDRESS_BYTES],
+			  uint32_t count)
+{
+	hm_time now = loop_now();
+	guint i;
+
+	for (i = p->links->len; i-- > 0;) {
+		struct link *l = g_ptr_array_index(p->links, i);
+
+		/* The list lags: keep a link on which the peer answers. */
+		if (!is_listed(addresses, count, l->address) &&
+		    now > l->echo_due)
+			g_ptr_array_remove_index_fast(p->links, i);
+	}
+	for (i = 0; i < count; i++)
+		if (strcmp(addresses[i], p->listen) != 0 &&
+		    !link_find(p, addresses[i]))
+			link_add(p, addresses[i]);
+}
+
+/* Replaces a link on which nothing arrives; what it held is lost. */
+static void link_check(struct peer_links *p, struct link *l, hm_time now)
+{
+	if (now < l->echo_due)
+		return;
+	g_debug("event=peer_link_replaced address=%s", l->address);
+	zmq_close(l->socket);
+	link_connect(p, l);
+}
+
+static void link_send(struct peer_links *p, struct link *l,
+		      const struct message *m)
+{
+	hm_time now = loop_now();
+	struct message copy = *m;
+	GBytes *packed;
+	gsize bytes;
+	const void *data;
+	int sent;
+
+	if (copy.kind == MSG_HEARTBEAT) {
+		copy.heartbeat.echo = l->heard_seq;
+		link_check(p, l, now);
+	}
+	packed = wire_write(&copy, p->bodies, now);
+	data = g_bytes_get_data(packed, &bytes);
+	sent = zmq_send(l->socket, p->listen, strlen(p->listen),
+			ZMQ_DONTWAIT | ZMQ_SNDMORE);
+	if (sent >= 0)
+		sent = zmq_send(l->socket, data, bytes, ZMQ_DONTWAIT);
+	if (sent < 0)
+		p->dropped++;
+	g_bytes_unref(packed);
+}
+
+void peer_links_send(struct peer_links *p, uint64_t to, const struct message *m)
+{
+	struct link *l = to ? link_of_life(p, to) : NULL;
+	guint i;
+
+	if (l)
+		link_send(p, l, m);
+	else if (to)
+		p->dropped++;
+	for (i = 0; !to && i < p->links->len; i++)
+		link_send(p, g_ptr_array_index(p->links, i), m);
+}
+
+uint64_t peer_links_dropped(const struct peer_links *p)
+{
+	return p->dropped;
+}
