--- /dev/null
+++ b/src/object_api.c
@@ -0,0 +1,475 @@
+/** @file object_api.c Calls of the object API over libcurl. */
+#include "object_api.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "loop.h"
+
+#define POLL_MOST_MS 1000
+#define ANSWER_MOST_BYTES (64 * 1024 * 1024)
+#define SETTLE_PAUSE (50 * HM_MS)
+
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_TOO_MANY 429
+#define HTTP_CLIENT_FAULT 400
+#define HTTP_SERVER_FAULT 500
+
+struct object_api {
+	char *base; /**< "http://IP:port" */
+	CURLM *multi;
+	CURL *easy;
+	atomic_bool cancelled;
+	atomic_ulong calls;
+};
+
+/** Answer to one call. */
+struct reply {
+	GString *text;
+	long status;
+	bool answered;
+	bool sent; /**< bytes of the request may have arrived */
+};
+
+static void init_curl(void)
+{
+	static gsize done;
+
+	if (!g_once_init_enter(&done))
+		return;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	g_once_init_leave(&done, 1);
+}
+
+struct object_api *object_api_new(const char *address)
+{
+	struct object_api *api = g_new0(struct object_api, 1);
+
+	init_curl();
+	api->base = g_strdup_printf("http://%s", address);
+	api->multi = curl_multi_init();
+	api->easy = curl_easy_init();
+	return api;
+}
+
+void object_api_free(struct object_api *api)
+{
+	if (!api)
+		return;
+	curl_easy_cleanup(api->easy);
+	curl_multi_cleanup(api->multi);
+	g_free(api->base);
+	g_free(api);
+}
+
+void object_api_cancel(struct object_api *api)
+{
+	atomic_store(&api->cancelled, true);
+	curl_multi_wakeup(api->multi);
+}
+
+uint64_t object_api_calls(const struct object_api *api)
+{
+	return atomic_load(&api->calls);
+}
+
+static size_t take_bytes(char *bytes, size_t size, size_t count, void *arg)
+{
+	GString *text = arg;
+	size_t total = size * count;
+
+	if (text->len + total > ANSWER_MOST_BYTES)
+		return 0;
+	g_string_append_len(text, bytes, (gssize)total);
+	return total;
+}
+
+/* True when the transfer ended, *code then says how. */
+static bool transfer_ended(struct object_api *api, CURLcode *code)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(api->multi, &left))) {
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		*code = message->data.result;
+		return true;
+	}
+	return false;
+}
+
+/* Carries the transfer to its end, to @a until or to a cancel. */
+static bool run_transfer(struct object_api *api, hm_time until)
+{
+	CURLcode code = CURLE_OK;
+	hm_time left;
+	int running;
+
+	for (;;) {
+		curl_multi_perform(api->multi, &running);
+		if (transfer_ended(api, &code))
+			return code == CURLE_OK;
+		left = until - loop_now();
+		if (left <= 0 || atomic_load(&api->cancelled))
+			return false;
+		curl_multi_poll(api->multi, NULL, 0,
+				(int)MIN(left / HM_MS + 1, POLL_MOST_MS), NULL);
+	}
+}
+
+static void prepare(struct object_api *api, const char *method,
+		    const char *path, const char *body, GString *into)
+{
+	char *url = g_strconcat(api->base, path, NULL);
+
+	curl_easy_reset(api->easy);
+	curl_easy_setopt(api->easy, CURLOPT_URL, url);
+	curl_easy_setopt(api->easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(api->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(api->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(api->easy, CURLOPT_CUSTOMREQUEST, method);
+	curl_easy_setopt(api->easy, CURLOPT_WRITEFUNCTION, take_bytes);
+	curl_easy_setopt(api->easy, CURLOPT_WRITEDATA, into);
+	if (body)
+		curl_easy_setopt(api->easy, CURLOPT_POSTFIELDS, body);
+	/* On a kept connection libcurl may send a request twice. */
+	if (strcmp(method, "GET") != 0)
+		curl_easy_setopt(api->easy, CURLOPT_FRESH_CONNECT, 1L);
+	g_free(url);
+}
+
+/* @a reply's text is to be freed by the caller. */
+static void call(struct object_api *api, const char *method, const char *path,
+		 const char *body, hm_time until, struct reply *reply)
+{
+	curl_off_t connected = 0;
+
+	*reply = (struct reply){ .text = g_string_new(NULL) };
+	prepare(api, method, path, body, reply->text);
+	atomic_fetch_add(&api->calls, 1);
+	curl_multi_add_handle(api->multi, api->easy);
+	reply->answered = run_transfer(api, until);
+	curl_easy_getinfo(api->easy, CURLINFO_RESPONSE_CODE, &reply->status);
+	curl_easy_getinfo(api->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
+	reply->sent = connected > 0;
+	curl_multi_remove_handle(api->multi, api->easy);
+}
+
+static enum api_outcome outcome_of(const struct reply *r)
+{
+	if (!r->answered)
+		return r->sent ? API_LOST : API_UNAVAILABLE;
+	switch (r->status) {
+	case HTTP_OK:
+		return API_OK;
+	case HTTP_NOT_FOUND:
+		return API_MISSING;
+	case HTTP_CONFLICT:
+		return API_CONFLICT;
+	case HTTP_TOO_MANY:
+		return API_UNAVAILABLE;
+	default:
+		break;
+	}
+	/* Other refusals do not tell whether a change took effect. */
+	if (r->status >= HTTP_CLIENT_FAULT && r->status < HTTP_SERVER_FAULT)
+		return API_INVALID;
+	return API_LOST;
+}
+
+/* Makes a call; *json is a new reference to the answer, or NULL. */
+static enum api_outcome call_json(struct object_api *api, const char *method,
+				  const char *path, const char *body,
+				  hm_time until, json_t **json)
+{
+	enum api_outcome outcome;
+	struct reply reply;
+
+	call(api, method, path, body, until, &reply);
+	outcome = outcome_of(&reply);
+	*json = NULL;
+	if (outcome == API_OK || outcome == API_CONFLICT)
+		*json = json_loadb(reply.text->str, reply.text->len, 0, NULL);
+	if (outcome == API_OK && !*json)
+		outcome = API_LOST;
+	g_string_free(reply.text, TRUE);
+	return outcome;
+}
+
+/* A lost answer to a read is no more than an unavailable platform. */
+static enum api_outcome read_json(struct object_api *api, const char *path,
+				  hm_time until, json_t **json)
+{
+	enum api_outcome o = call_json(api, "GET", path, NULL, until, json);
+
+	return o == API_LOST ? API_UNAVAILABLE : o;
+}
+
+enum api_outcome object_api_get(struct object_api *api, const char *kind,
+				const char *name, hm_time until,
+				struct object *out)
+{
+	char *path = g_strdup_printf("/objects/%s/%s", kind, name);
+	char fault[OBJECT_FAULT_BYTES];
+	enum api_outcome outcome;
+	json_t *json;
+
+	outcome = read_json(api, path, until, &json);
+	if (outcome == API_OK && !object_parse(json, out, fault))
+		outcome = API_INVALID;
+	json_decref(json);
+	g_free(path);
+	return outcome;
+}
+
+static enum api_outcome read_list(struct object_api *api, const char *path,
+				  hm_time until, struct object_list *out)
+{
+	char fault[OBJECT_FAULT_BYTES];
+	enum api_outcome outcome;
+	json_t *json;
+
+	outcome = read_json(api, path, until, &json);
+	if (outcome == API_OK && !object_list_parse(json, out, fault))
+		outcome = API_INVALID;
+	json_decref(json);
+	return outcome;
+}
+
+enum api_outcome object_api_list(struct object_api *api, const char *kind,
+				 hm_time until, struct object_list *out)
+{
+	char *path = g_strdup_printf("/objects/%s", kind);
+	enum api_outcome outcome = read_list(api, path, until, out);
+
+	g_free(path);
+	return outcome;
+}
+
+enum api_outcome object_api_watch(struct object_api *api, const char *kind,
+				  uint64_t from, hm_time wait, hm_time until,
+				  struct object_list *out)
+{
+	enum api_outcome outcome;
+	char *path;
+
+	path = g_strdup_printf("/objects/%s?watch=1&from=%" G_GUINT64_FORMAT
+			       "&wait_ms=%" G_GINT64_FORMAT,
+			       kind, from, wait / HM_MS);
+	outcome = read_list(api, path, until, out);
+	g_free(path);
+	return outcome;
+}
+
+static char *put_body(uint64_t if_version, const json_t *value)
+{
+	json_t *body = json_pack("{s:I, s:O}", "if_version",
+				 (json_int_t)if_version, "value", value);
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	json_decref(body);
+	return text;
+}
+
+static enum api_outcome send_change(struct object_api *api, const char *kind,
+				    const char *name, uint64_t if_version,
+				    const json_t *value, hm_time until,
+				    json_t **json)
+{
+	char *body = value ? put_body(if_version, value) : NULL;
+	enum api_outcome outcome;
+	char *path;
+
+	if (value)
+		path = g_strdup_printf("/objects/%s/%s", kind, name);
+	else
+		path = g_strdup_printf("/objects/%s/%s?if_version="
+				       "%" G_GUINT64_FORMAT,
+				       kind, name, if_version);
+	outcome = call_json(api, value ? "PUT" : "DELETE", path, body, until,
+			    json);
+	g_free(path);
+	free(body);
+	return outcome;
+}
+
+/*
+ * One change; *held is what the platform holds after API_OK or API_CONFLICT,
+ * with version 0 when it did not say, and is to be cleared.
+ */
+static enum api_outcome change_once(struct object_api *api, const char *kind,
+				    const char *name, uint64_t if_version,
+				    const json_t *value, hm_time until,
+				    struct object *held)
+{
+	char fault[OBJECT_FAULT_BYTES];
+	enum api_outcome outcome;
+	json_t *json;
+
+	*held = (struct object){ 0 };
+	outcome = send_change(api, kind, name, if_version, value, until, &json);
+	if (json && !object_parse(json, held, fault)) {
+		object_clear(held);
+		outcome = outcome == API_OK ? API_LOST : outcome;
+	}
+	json_decref(json);
+	return outcome;
+}
+
+enum api_outcome object_api_change(struct object_api *api, const char *kind,
+				   const char *name, uint64_t if_version,
+				   const json_t *value, hm_time until,
+				   uint64_t *version)
+{
+	enum api_outcome outcome;
+	struct object held;
+
+	outcome = change_once(api, kind, name, if_version, value, until, &held);
+	*version = held.version;
+	object_clear(&held);
+	return outcome;
+}
+
+enum api_outcome object_api_instances(struct object_api *api, hm_time until,
+				      json_t **out)
+{
+	enum api_outcome outcome;
+	json_t *json, *items;
+
+	outcome = read_json(api, "/instances", until, &json);
+	items = json_object_get(json, "items");
+	if (outcome == API_OK && !json_is_array(items))
+		outcome = API_INVALID;
+	if (outcome == API_OK)
+		*out = json_incref(items);
+	json_decref(json);
+	return outcome;
+}
+
+/** A change whose outcome is being found out. */
+struct settling {
+	struct object_api *api;
+	const char *kind;
+	const char *name;
+	uint64_t if_version;
+	const json_t *value; /**< NULL for a delete */
+	hm_time call_limit;
+	hm_time until;
+	struct object held;
+};
+
+static hm_time call_until(const struct settling *s)
+{
+	return MIN(loop_now() + s->call_limit, s->until);
+}
+
+/* Waits a little; false when no time is left. */
+static bool pause_calls(const struct settling *s)
+{
+	if (atomic_load(&s->api->cancelled) ||
+	    loop_now() + SETTLE_PAUSE >= s->until)
+		return false;
+	g_usleep((gulong)SETTLE_PAUSE);
+	return true;
+}
+
+/* Outcome of a change of unknown fate when no live object is held. */
+static enum api_outcome judge_missing(const struct settling *s)
+{
+	if (!s->value)
+		return API_OK;
+	/* Created and deleted since, or never created: nobody can tell. */
+	return s->if_version ? API_CONFLICT : API_LOST;
+}
+
+/* Outcome of a change of unknown fate; API_MISSING: not in effect so far. */
+static enum api_outcome judge_held(const struct settling *s)
+{
+	if (s->held.deleted)
+		return judge_missing(s);
+	if (s->held.version <= s->if_version)
+		return API_MISSING;
+	if (s->value && json_equal(s->held.value, s->value))
+		return API_OK;
+	return API_CONFLICT;
+}
+
+static enum api_outcome read_back(struct settling *s)
+{
+	enum api_outcome outcome;
+
+	do {
+		object_clear(&s->held);
+		outcome = object_api_get(s->api, s->kind, s->name,
+					 call_until(s), &s->held);
+		if (outcome == API_OK)
+			return judge_held(s);
+		if (outcome == API_MISSING)
+			return judge_missing(s);
+	} while (pause_calls(s));
+	return API_LOST;
+}
+
+static enum api_outcome change_again(struct settling *s)
+{
+	object_clear(&s->held);
+	return change_once(s->api, s->kind, s->name, s->if_version, s->value,
+			   call_until(s), &s->held);
+}
+
+/* The change was sent and its answer lost. */
+static enum api_outcome settle_lost(struct settling *s)
+{
+	enum api_outcome outcome;
+
+	do {
+		outcome = read_back(s);
+		if (outcome != API_MISSING)
+			return outcome;
+		/* A read may be stale, the answer to a change is not. */
+		outcome = change_again(s);
+		if (outcome == API_CONFLICT && s->held.version)
+			return judge_held(s);
+		if (outcome == API_OK)
+			return API_OK;
+	} while (pause_calls(s));
+	return API_LOST;
+}
+
+static enum api_outcome settle(struct settling *s)
+{
+	enum api_outcome outcome;
+
+	do {
+		outcome = change_again(s);
+		if (outcome == API_LOST)
+			return settle_lost(s);
+		if (outcome != API_UNAVAILABLE)
+			return outcome;
+	} while (pause_calls(s));
+	return API_UNAVAILABLE;
+}
+
+enum api_outcome object_api_settle(struct object_api *api, const char *kind,
+				   const char *name, uint64_t if_version,
+				   const json_t *value, hm_time call_limit,
+				   hm_time until, uint64_t *version)
+{
+	struct settling s = { .api = api,
+			      .kind = kind,
+			      .name = name,
+			      .if_version = if_version,
+			      .value = value,
+			      .call_limit = call_limit,
+			      .until = until };
+	enum api_outcome outcome = settle(&s);
+
+	*version = s.held.version;
+	object_clear(&s.held);
+	return outcome;
+}
--- /dev/null
+++ b/standin/objects.c
@@ -0,0 +1,175 @@
+/** @file objects.c Versioned objects of the stand-in platform. */
+#include "objects.h"
+
+#include <glib.h>
+#include <string.h>
+
+/** An object as of now and as of before its last change. */
+struct held {
+	struct object now;
+	struct object before; /**< version 0: it did not exist */
+};
+
+struct objects {
+	GPtrArray *all; /**< struct held, in order of creation */
+	uint64_t version;
+};
+
+static void free_held(gpointer data)
+{
+	struct held *h = data;
+
+	object_clear(&h->now);
+	object_clear(&h->before);
+	g_free(h);
+}
+
+struct objects *objects_new(void)
+{
+	struct objects *o = g_new0(struct objects, 1);
+
+	o->all = g_ptr_array_new_with_free_func(free_held);
+	return o;
+}
+
+void objects_free(struct objects *o)
+{
+	if (!o)
+		return;
+	g_ptr_array_unref(o->all);
+	g_free(o);
+}
+
+uint64_t objects_version(const struct objects *o)
+{
+	return o->version;
+}
+
+static struct held *find(const struct objects *o, const char *kind,
+			 const char *name)
+{
+	guint i;
+
+	for (i = 0; i < o->all->len; i++) {
+		struct held *h = g_ptr_array_index(o->all, i);
+
+		if (!strcmp(h->now.kind, kind) && !strcmp(h->now.name, name))
+			return h;
+	}
+	return NULL;
+}
+
+static bool is_live(const struct object *object)
+{
+	return object->version && !object->deleted;
+}
+
+static struct held *add(struct objects *o, const char *kind, const char *name)
+{
+	struct held *h = g_new0(struct held, 1);
+
+	g_strlcpy(h->now.kind, kind, sizeof(h->now.kind));
+	g_strlcpy(h->now.name, name, sizeof(h->now.name));
+	g_ptr_array_add(o->all, h);
+	return h;
+}
+
+bool objects_change(struct objects *o, const char *kind, const char *name,
+		    uint64_t if_version, json_t *value)
+{
+	struct held *h = find(o, kind, name);
+	uint64_t version = h && is_live(&h->now) ? h->now.version : 0;
+
+	if (if_version != OBJECTS_ANY && if_version != version)
+		return false;
+	if (!value && !version)
+		return if_version == OBJECTS_ANY;
+	if (!h)
+		h = add(o, kind, name);
+	object_clear(&h->before);
+	h->before = h->now;
+	h->now.version = ++o->version;
+	h->now.deleted = !value;
+	h->now.value = json_incref(value);
+	return true;
+}
+
+/* The object as of the last change, or as of the one before. */
+static const struct object *as_of(const struct objects *o, const struct held *h,
+				  bool stale)
+{
+	if (stale && h->now.version == o->version)
+		return &h->before;
+	return &h->now;
+}
+
+json_t *objects_get(const struct objects *o, const char *kind, const char *name,
+		    bool stale)
+{
+	const struct held *h = find(o, kind, name);
+	const struct object *object = h ? as_of(o, h, stale) : NULL;
+
+	return object && is_live(object) ? object_json(object) : NULL;
+}
+
+json_t *objects_held(const struct objects *o, const char *kind,
+		     const char *name)
+{
+	const struct held *h = find(o, kind, name);
+
+	return h ? object_json(&h->now) : NULL;
+}
+
+static json_t *list_of(uint64_t version, json_t *items)
+{
+	return json_pack("{s:I, s:o}", "version", (json_int_t)version, "items",
+			 items);
+}
+
+json_t *objects_list(const struct objects *o, const char *kind, bool stale)
+{
+	json_t *items = json_array();
+	guint i;
+
+	for (i = 0; i < o->all->len; i++) {
+		const struct held *h = g_ptr_array_index(o->all, i);
+		const struct object *object = as_of(o, h, stale);
+
+		if (!strcmp(h->now.kind, kind) && is_live(object))
+			json_array_append_new(items, object_json(object));
+	}
+	return list_of(o->version - (stale && o->version), items);
+}
+
+static gint compare_versions(gconstpointer a, gconstpointer b)
+{
+	const struct held *x = *(struct held *const *)a;
+	const struct held *y = *(struct held *const *)b;
+
+	return x->now.version < y->now.version ? -1 : 1;
+}
+
+json_t *objects_since(const struct objects *o, const char *kind, uint64_t from)
+{
+	GPtrArray *changed = g_ptr_array_new();
+	json_t *items = json_array();
+	guint i;
+
+	for (i = 0; i < o->all->len; i++) {
+		struct held *h = g_ptr_array_index(o->all, i);
+
+		if (!strcmp(h->now.kind, kind) && h->now.version > from)
+			g_ptr_array_add(changed, h);
+	}
+	g_ptr_array_sort(changed, compare_versions);
+	for (i = 0; i < changed->len; i++) {
+		const struct held *h = g_ptr_array_index(changed, i);
+
+		json_array_append_new(items, object_json(&h->now));
+	}
+	g_ptr_array_unref(changed);
+	if (json_array_size(items))
+		return list_of(o->version, items);
+	json_decref(items);
+	return NULL;
+}
