--- /dev/null
+++ b/core/group.c
@@ -0,0 +1,276 @@
+/** @file group.c What is known of the members of one database group. */
+#include "group_members.h"
+
+#include <stdlib.h>
+
+_Static_assert(SAMPLES_RECENT == SAMPLES_COARSE, "one kind of ring");
+
+struct group *group_new(const struct database_spec *spec, uint16_t zone,
+			uint32_t guards_off)
+{
+	struct group *g = calloc(1, sizeof(*g));
+
+	if (!g)
+		return NULL;
+	g->spec = *spec;
+	g->zone = zone;
+	g->guards_off = guards_off;
+	return g;
+}
+
+void group_free(struct group *g)
+{
+	free(g);
+}
+
+uint32_t group_index(const struct group *g, hm_id endpoint)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->spec.endpoint_count; i++)
+		if (g->spec.endpoints[i].endpoint == endpoint)
+			return i;
+	return ENDPOINTS_MAX;
+}
+
+static struct member *member_of(struct group *g, hm_id endpoint)
+{
+	uint32_t i = group_index(g, endpoint);
+
+	return i < ENDPOINTS_MAX ? &g->members[i] : NULL;
+}
+
+void group_spec(struct group *g, const struct database_spec *spec)
+{
+	struct group old = *g;
+	uint32_t i, j;
+
+	g->spec = *spec;
+	for (i = 0; i < spec->endpoint_count; i++) {
+		j = group_index(&old, spec->endpoints[i].endpoint);
+		g->members[i] = j < ENDPOINTS_MAX ? old.members[j]
+						  : (struct member){ 0 };
+	}
+}
+
+const struct database_spec *group_database(const struct group *g)
+{
+	return &g->spec;
+}
+
+static void note_primary(struct group *g, const struct endpoint_state *s)
+{
+	uint64_t term = lineage_term(&s->lineage);
+
+	if (s->role != ROLE_PRIMARY || term < g->term || s->promised > term)
+		return;
+	g->term = term;
+	g->primary = s->endpoint;
+	g->lineage = s->lineage;
+}
+
+static void note_leaving(struct group *g, hm_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->spec.endpoint_count; i++) {
+		struct member *m = &g->members[i];
+
+		if (!g->spec.endpoints[i].leaving)
+			m->leaving_at = 0;
+		else if (!m->leaving_at)
+			m->leaving_at = now;
+	}
+}
+
+static void store_report(struct member *m, const struct state_report *r,
+			 uint64_t from, hm_time now)
+{
+	hm_time age = r->age ? r->age : m->report.age;
+
+	m->age_grows = m->report.age && age > m->report.age;
+	m->report = *r;
+	m->report.age = age;
+	m->report.state.refused = false;
+	m->home = r->state.home ? r->state.home : from;
+	m->heard = true;
+	m->heard_at = now;
+}
+
+void group_report(struct group *g, const struct state_report *r, uint64_t from,
+		  hm_time asked_at, hm_time now)
+{
+	struct member *m = member_of(g, r->state.endpoint);
+
+	(void)asked_at;
+	if (!m)
+		return;
+	note_leaving(g, now);
+	if (!r->state.reachable) {
+		m->report.state.reachable = false;
+		m->home = from;
+		m->heard_at = now;
+		return;
+	}
+	if (m->heard && r->state.promised < m->report.state.promised)
+		return;
+	store_report(m, r, from, now);
+	note_primary(g, &m->report.state);
+}
+
+hm_id group_primary(const struct group *g, hm_time now)
+{
+	uint32_t i = group_index(g, g->primary);
+
+	(void)now;
+	if (!g->primary || i == ENDPOINTS_MAX)
+		return 0;
+	if (g->members[i].report.state.promised > g->term)
+		return 0;
+	return g->primary;
+}
+
+uint64_t group_term(const struct group *g)
+{
+	return g->term;
+}
+
+const struct lineage *group_lineage(const struct group *g)
+{
+	return &g->lineage;
+}
+
+const struct endpoint_state *group_state(const struct group *g, hm_id endpoint)
+{
+	uint32_t i = group_index(g, endpoint);
+
+	if (i == ENDPOINTS_MAX || !g->members[i].heard)
+		return NULL;
+	return &g->members[i].report.state;
+}
+
+uint32_t group_majority(const struct group *g)
+{
+	return g->spec.endpoint_count / 2 + 1;
+}
+
+uint64_t group_home(const struct group *g, hm_id endpoint)
+{
+	uint32_t i = group_index(g, endpoint);
+
+	return i < ENDPOINTS_MAX ? g->members[i].home : 0;
+}
+
+bool group_is_primary(const struct group *g, hm_id endpoint, uint64_t term)
+{
+	const struct endpoint_state *s = group_state(g, endpoint);
+
+	if (g->primary == endpoint && g->term == term)
+		return true;
+	return s && s->role == ROLE_PRIMARY &&
+	       lineage_term(&s->lineage) == term;
+}
+
+bool group_superseded(const struct group *g, uint64_t term)
+{
+	uint32_t later = 0;
+	uint32_t i;
+
+	for (i = 0; i < g->spec.endpoint_count; i++)
+		if (g->members[i].heard &&
+		    g->members[i].report.state.promised > term)
+			later++;
+	return g->spec.endpoint_count - later < group_majority(g);
+}
+
+static void samples_add(struct samples *s, struct sample new)
+{
+	s->list[s->next] = new;
+	s->next = (s->next + 1) % SAMPLES_RECENT;
+	if (s->count < SAMPLES_RECENT)
+		s->count++;
+}
+
+static hm_time samples_last(const struct samples *s)
+{
+	if (!s->count)
+		return 0;
+	return s->list[(s->next + SAMPLES_RECENT - 1) % SAMPLES_RECENT]
+		.asked_at;
+}
+
+void group_sample(struct group *g, hm_time asked_at,
+		  const struct endpoint_state *primary)
+{
+	struct sample new = { asked_at, primary->at };
+
+	note_primary(g, primary);
+	if (lineage_term(&primary->lineage) > g->confirmed)
+		g->confirmed = lineage_term(&primary->lineage);
+	samples_add(&g->recent, new);
+	if (!g->coarse.count ||
+	    asked_at - samples_last(&g->coarse) >= SAMPLES_COARSE_EVERY)
+		samples_add(&g->coarse, new);
+}
+
+bool group_confirmed(const struct group *g)
+{
+	return g->term && g->confirmed == g->term;
+}
+
+hm_time group_sampled(const struct group *g)
+{
+	return samples_last(&g->recent);
+}
+
+enum reach group_reach(const struct group *g, const struct lineage *lineage,
+		       struct mark have, struct mark want)
+{
+	if (g->guards_off & GUARD_LINEAGE)
+		return have.pos >= want.pos ? REACH_OK : REACH_BEHIND;
+	return lineage_reach(lineage, have, want);
+}
+
+static hm_time samples_reached(const struct group *g, const struct samples *s,
+			       struct mark at)
+{
+	hm_time newest = 0;
+	uint32_t i;
+
+	for (i = 0; i < s->count; i++) {
+		const struct sample *e = &s->list[i];
+
+		if (e->asked_at > newest &&
+		    group_reach(g, &g->lineage, at, e->at) == REACH_OK)
+			newest = e->asked_at;
+	}
+	return newest;
+}
+
+hm_time group_age(const struct group *g, struct mark at, hm_time now)
+{
+	hm_time recent, coarse;
+
+	if (!(g->guards_off & GUARD_LINEAGE) && !lineage_holds(&g->lineage, at))
+		return HM_NEVER;
+	recent = samples_reached(g, &g->recent, at);
+	coarse = samples_reached(g, &g->coarse, at);
+	if (!recent && !coarse)
+		return HM_NEVER;
+	return now - (recent > coarse ? recent : coarse);
+}
+
+endpoint_set group_bit(const struct group *g, hm_id endpoint)
+{
+	uint32_t i = group_index(g, endpoint);
+
+	return i < ENDPOINTS_MAX ? 1U << i : 0;
+}
+
+void group_attempt(struct group *g, hm_id endpoint, bool ok, hm_time now)
+{
+	struct member *m = member_of(g, endpoint);
+
+	if (m)
+		circuit_attempt(&m->circuit, ok, now);
+}
--- a/core/group.h
+++ b/core/group.h
@@ -9,6 +9,8 @@
 #ifndef GROUP_H
 #define GROUP_H
 
+#include "core.h"
+#include "lineage.h"
 #include "message.h"
 
 struct group;
@@ -37,30 +39,46 @@
 const struct endpoint_state *group_state(const struct group *g, hm_id endpoint);
 /** Majority of the configured members. */
 uint32_t group_majority(const struct group *g);
+/** Life that last reported @a endpoint as its home, 0 for none. */
+uint64_t group_home(const struct group *g, hm_id endpoint);
+/** Whether @a endpoint is known to have been the primary of @a term. */
+bool group_is_primary(const struct group *g, hm_id endpoint, uint64_t term);
+/** Whether members too many for @a term to go on are bound to later terms. */
+bool group_superseded(const struct group *g, uint64_t term);
 
-/** How a position stands to a session's floor. */
-enum reach {
-	REACH_OK,
-	REACH_BEHIND, /**< may be reached later */
-	REACH_LOST    /**< the floor lies on a branch that was cut off */
-};
+/**
+ * Takes a proved sample: @a primary answered a question sent at @a asked_at,
+ * and a majority answered questions sent no earlier that its term stood.
+ */
+void group_sample(struct group *g, hm_time asked_at,
+		  const struct endpoint_state *primary);
+/** Whether the newest term seen was proved by a sample. */
+bool group_confirmed(const struct group *g);
+/** When the question of the newest sample was sent, 0 for never. */
+hm_time group_sampled(const struct group *g);
 
-/** Whether a log @a lineage that ends at @a have holds all up to @a want. */
-enum reach lineage_reach(const struct lineage *lineage, struct mark have,
-			 struct mark want);
+/** Whether a log holds all up to @a want; honours the guards. */
+enum reach group_reach(const struct group *g, const struct lineage *lineage,
+		       struct mark have, struct mark want);
 
 /** Where a statement should go, and why. */
 struct route {
 	hm_id endpoint;	    /**< 0: nowhere now */
 	enum error error;   /**< when nowhere: what to answer at last */
-	hm_time wait_until; /**< when nowhere: try again by then */
+	hm_time wait_until; /**< when nowhere: try again by then; 0: at once */
 	const char *reason; /**< static text for the log line */
 	bool replica;
+	struct mark reset; /**< ERR_WRITE_LOST: what is left of the session */
 };
 
 /** Members not to be tried again for this request, by bit of index. */
 typedef uint32_t endpoint_set;
 
+/**
+ * Chooses the member for a statement. With ERR_WRITE_LOST and wait_until 0
+ * the request is to be answered at once: it was not run, and the answer
+ * replaces the session mark by @a reset.
+ */
 struct route group_route(const struct group *g, const struct statement *s,
 			 endpoint_set tried, hm_time now);
 /** Bit of an endpoint for endpoint_set, 0 when it is no member. */
--- /dev/null
+++ b/core/lineage.c
@@ -0,0 +1,58 @@
+/** @file lineage.c How log positions of different terms relate. */
+#include "lineage.h"
+
+#define NOT_FOUND UINT32_MAX
+
+static uint32_t place_of(const struct lineage *l, uint64_t term)
+{
+	uint32_t i;
+
+	for (i = 0; i < l->count; i++)
+		if (l->begin[i].term == term)
+			return i;
+	return NOT_FOUND;
+}
+
+/* Last position of term number i that later terms kept. */
+static uint64_t last_kept(const struct lineage *l, uint32_t i)
+{
+	return i + 1 < l->count ? l->begin[i + 1].pos : UINT64_MAX;
+}
+
+uint64_t lineage_term(const struct lineage *l)
+{
+	return l->count ? l->begin[l->count - 1].term : 0;
+}
+
+bool lineage_holds(const struct lineage *l, struct mark at)
+{
+	uint32_t i = place_of(l, at.term);
+
+	return i != NOT_FOUND && at.pos <= last_kept(l, i);
+}
+
+enum reach lineage_reach(const struct lineage *lineage, struct mark have,
+			 struct mark want)
+{
+	if (!want.term)
+		return REACH_OK;
+	if (want.term > lineage_term(lineage))
+		return REACH_BEHIND;
+	if (!lineage_holds(lineage, want))
+		return REACH_LOST;
+	return have.pos >= want.pos ? REACH_OK : REACH_BEHIND;
+}
+
+struct mark lineage_kept(const struct lineage *l, struct mark lost)
+{
+	struct mark kept = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < l->count && l->begin[i].term <= lost.term; i++) {
+		kept.term = l->begin[i].term;
+		kept.pos = last_kept(l, i);
+	}
+	if (kept.pos > lost.pos)
+		kept.pos = lost.pos;
+	return kept;
+}
--- /dev/null
+++ b/core/proof.h
@@ -0,0 +1,48 @@
+/**
+ * @file proof.h
+ * Rounds of questions to all members of a group, through their homes. An
+ * answer shows the member's state at some moment after its round was asked,
+ * so that it proves what held at the time of the question and later.
+ */
+#ifndef PROOF_H
+#define PROOF_H
+
+#include "group.h"
+
+#define PROOF_ROUNDS 32
+
+struct proof_round {
+	uint64_t seq; /**< 0: unused */
+	hm_time asked_at;
+	uint32_t answered; /**< bits of members that were reached */
+	bool sampled;
+	struct endpoint_state states[ENDPOINTS_MAX];
+};
+
+struct proof {
+	uint64_t life;
+	struct group *group; /**< borrowed; gets samples */
+	uint64_t seq;	     /**< of the newest round */
+	hm_time asked_at;    /**< of the newest round */
+	struct proof_round rounds[PROOF_ROUNDS];
+};
+
+/** Which answers count: those of members besides @a endpoint, asked since. */
+struct proof_query {
+	hm_id endpoint;
+	hm_time since;
+};
+
+/** Sends a question to every member whose home is known. */
+void proof_ask(struct proof *p, hm_time now, struct actions *actions);
+/** Takes an answer; false when it belongs to no round kept. */
+bool proof_report(struct proof *p, const struct state_report *r);
+
+/** Members bound to no term later than @a term. */
+uint32_t proof_standing(const struct proof *p, struct proof_query q,
+			uint64_t term);
+/** Members that also hold the log up to @a at, written under its term. */
+uint32_t proof_holding(const struct proof *p, struct proof_query q,
+		       struct mark at);
+
+#endif
--- /dev/null
+++ b/core/route.c
@@ -0,0 +1,191 @@
+/** @file route.c Choice of a member for a statement. */
+#include "group_members.h"
+
+/** A parked statement is looked at again after this. */
+#define ROUTE_AGAIN (10 * HM_MS)
+/** Reports older than this no longer stand for the present. */
+#define REPORT_STALE HM_SEC
+/** A replica no older than this is tried before its report shows the floor. */
+#define CATCH_UP_AGE (150 * HM_MS)
+/** Cost of a replica in another zone, and of one not known to suffice. */
+#define COST_OTHER_ZONE (3 * HM_MS)
+#define COST_BEHIND (20 * HM_MS)
+/** Work kept away from the primary, which alone can write. */
+#define COST_PRIMARY (100 * HM_MS)
+/** A leaving primary serves until another took over, no longer than this. */
+#define LEAVING_LIMIT (3 * HM_SEC)
+
+static struct route nowhere(enum error error, const char *reason, hm_time now)
+{
+	return (struct route){ .error = error,
+			       .reason = reason,
+			       .wait_until = now + ROUTE_AGAIN };
+}
+
+static struct route to_endpoint(hm_id endpoint, bool replica,
+				const char *reason)
+{
+	return (struct route){ .endpoint = endpoint,
+			       .replica = replica,
+			       .reason = reason };
+}
+
+static bool member_usable(const struct group *g, uint32_t i, endpoint_set tried,
+			  hm_time now)
+{
+	const struct member *m = &g->members[i];
+
+	return m->heard && m->report.state.reachable && !(tried & (1U << i)) &&
+	       !circuit_open(&m->circuit, now);
+}
+
+static hm_time member_cost(const struct group *g, uint32_t i)
+{
+	const struct member *m = &g->members[i];
+	hm_time cost = m->report.wait;
+
+	if (g->spec.endpoints[i].zone != g->zone)
+		cost += COST_OTHER_ZONE;
+	return cost;
+}
+
+/* Age that a read started now is likely to see; checked again at the home. */
+static hm_time likely_age(const struct group *g, uint32_t i, hm_time now)
+{
+	const struct member *m = &g->members[i];
+	hm_time own = group_age(g, m->report.state.at, now);
+	hm_time elapsed = now - m->heard_at;
+	hm_time age = m->report.age;
+
+	if (!age)
+		return own;
+	if (m->age_grows || elapsed > REPORT_STALE)
+		age += elapsed;
+	return age < own ? age : own;
+}
+
+static bool primary_usable(const struct group *g, endpoint_set tried,
+			   hm_time now)
+{
+	hm_id primary = group_primary(g, now);
+	uint32_t i = group_index(g, primary);
+	hm_time leaving_at;
+
+	if (!primary || i == ENDPOINTS_MAX || group_superseded(g, g->term))
+		return false;
+	leaving_at = g->members[i].leaving_at;
+	if (leaving_at && now - leaving_at > LEAVING_LIMIT)
+		return false;
+	return member_usable(g, i, tried, now);
+}
+
+/* The session's floor was cut off by the newest term. */
+static bool floor_lost(const struct group *g, struct mark floor)
+{
+	struct mark all = { g->term, UINT64_MAX };
+
+	return g->term && group_reach(g, &g->lineage, all, floor) == REACH_LOST;
+}
+
+static struct route lost_floor(const struct group *g, struct mark floor,
+			       hm_time now)
+{
+	struct route r = nowhere(ERR_WRITE_LOST, "floor_lost", now);
+
+	if (!group_confirmed(g) || group_superseded(g, g->term))
+		return nowhere(ERR_NO_PRIMARY, "term_unproved", now);
+	r.wait_until = 0;
+	r.reset = lineage_kept(&g->lineage, floor);
+	return r;
+}
+
+static struct route route_primary(const struct group *g,
+				  const struct statement *s, endpoint_set tried,
+				  const char *reason, hm_time now)
+{
+	if (floor_lost(g, s->floor))
+		return lost_floor(g, s->floor, now);
+	if (primary_usable(g, tried, now))
+		return to_endpoint(g->primary, false, reason);
+	if (!group_primary(g, now) || group_superseded(g, g->term))
+		return nowhere(ERR_NO_PRIMARY, "no_primary", now);
+	return nowhere(ERR_NO_PRIMARY, "primary_unusable", now);
+}
+
+/* Cost of a replica for a read, HM_NEVER when it does not suit. */
+static hm_time replica_cost(const struct group *g, const struct statement *s,
+			    endpoint_set tried, uint32_t i, hm_time now)
+{
+	const struct endpoint_state *state = &g->members[i].report.state;
+	hm_time age;
+
+	if (g->spec.endpoints[i].leaving || !member_usable(g, i, tried, now))
+		return HM_NEVER;
+	age = likely_age(g, i, now);
+	if (age > s->max_age)
+		return HM_NEVER;
+	switch (group_reach(g, &state->lineage, state->at, s->floor)) {
+	case REACH_OK:
+		return member_cost(g, i);
+	case REACH_BEHIND:
+		if (!tried && age <= CATCH_UP_AGE)
+			return member_cost(g, i) + COST_BEHIND;
+		break;
+	case REACH_LOST:
+		break;
+	}
+	return HM_NEVER;
+}
+
+static uint32_t best_replica(const struct group *g, const struct statement *s,
+			     endpoint_set tried, hm_time now, hm_time *cost)
+{
+	uint32_t best = ENDPOINTS_MAX;
+	uint32_t i;
+
+	*cost = HM_NEVER;
+	for (i = 0; i < g->spec.endpoint_count; i++) {
+		hm_time c;
+
+		if (g->spec.endpoints[i].endpoint == group_primary(g, now))
+			continue;
+		c = replica_cost(g, s, tried, i, now);
+		if (c >= *cost)
+			continue;
+		*cost = c;
+		best = i;
+	}
+	return best;
+}
+
+static struct route route_aged(const struct group *g, const struct statement *s,
+			       endpoint_set tried, hm_time now)
+{
+	uint32_t i, p;
+	hm_time cost;
+
+	if (floor_lost(g, s->floor))
+		return lost_floor(g, s->floor, now);
+	i = best_replica(g, s, tried, now, &cost);
+	if (i == ENDPOINTS_MAX)
+		return route_primary(g, s, tried, "no_fit_replica", now);
+	p = group_index(g, g->primary);
+	if (primary_usable(g, tried, now) &&
+	    member_cost(g, p) + COST_PRIMARY < cost)
+		return to_endpoint(g->primary, false, "replicas_busy");
+	return to_endpoint(g->spec.endpoints[i].endpoint, true, "replica");
+}
+
+struct route group_route(const struct group *g, const struct statement *s,
+			 endpoint_set tried, hm_time now)
+{
+	if (s->tx.id.seq)
+		return to_endpoint(s->tx.endpoint, false, "transaction");
+	if (s->op != OP_READ)
+		return route_primary(g, s, tried, "write", now);
+	if (s->unsure)
+		return route_primary(g, s, tried, "unsure_session", now);
+	if (!s->max_age)
+		return route_primary(g, s, tried, "no_accepted_age", now);
+	return route_aged(g, s, tried, now);
+}
--- a/core/verify.h
+++ b/core/verify.h
@@ -2,8 +2,8 @@
  * @file verify.h
  * Answers that wait for evidence before they may leave the home of the
  * endpoint: commits and reads of a primary until it is proved, by questions
- * asked after they ended, that its term stood; replica reads until their
- * position is checked against floor and age.
+ * asked after they ended or began, that its term stood; reads of an accepted
+ * age until their position is checked against floor and age.
  */
 #ifndef VERIFY_H
 #define VERIFY_H
@@ -32,8 +32,18 @@
 	uint64_t reply_to;
 	uint32_t attempt; /**< of the statement */
 	bool retry;	  /**< read not good enough: may be tried elsewhere */
+	/**
+	 * The acknowledgement must leave for the caller before this, or its
+	 * outcome is unknown; HM_NEVER when a replica holds the write.
+	 */
+	hm_time valid_until;
 };
 bool verify_next(struct verify *v, struct verified *out);
 uint32_t verify_waiting(const struct verify *v);
+/**
+ * No proof of late that the term of the primary stands, though this is its
+ * home and asks all the time: a write sent now could not be acknowledged.
+ */
+bool verify_stalled(const struct verify *v, hm_time now);
 
 #endif
