failover, verify: fence a majority, promote the furthest, prove terms

Commits wait for a replica that holds them, then for a standing majority not older than the evidence limit; reads of the primary for a question asked after they began.

--- /dev/null
+++ b/core/failover_steps.c
@@ -0,0 +1,506 @@
+/** @file failover_steps.c The phases of a change of primary. */
+#include "failover_state.h"
+
+#include <string.h>
+
+/** A step without answer is sent again after this. */
+#define STEP_AGAIN (100 * HM_MS)
+/** Head start of each orderer over the next in rank. */
+#define RANK_DELAY (150 * HM_MS)
+/** Members that must answer before anything is fenced get this long. */
+#define CONFIRM_EXTRA (100 * HM_MS)
+#define FENCE_LIMIT (2 * HM_SEC)
+#define PROMOTE_LIMIT (2 * HM_SEC)
+#define FOLLOW_LIMIT (3 * HM_SEC)
+#define CATCH_UP_LIMIT (2 * HM_SEC)
+/** Pause after a failed attempt: the least, and the random part. */
+#define BACKOFF_LEAST (100 * HM_MS)
+#define BACKOFF_RANDOM (400 * HM_MS)
+/** Promotion waits a little longer than evidence is valid: clock rates. */
+#define WAIT_MARGIN_DIVISOR 16
+
+static struct decision *log_step(struct failover *f, struct actions *actions,
+				 const char *what, const char *reason)
+{
+	struct decision *d = actions_log(actions, what, reason);
+
+	d->database = group_database(f->group)->database;
+	d->endpoint = f->chosen;
+	d->at.term = f->term;
+	return d;
+}
+
+static void enter(struct failover *f, enum phase_id phase, hm_time now)
+{
+	uint32_t i;
+
+	f->phase = phase;
+	f->entered_at = now;
+	f->send_at = now;
+	f->seq++;
+	for (i = 0; i < f->count; i++)
+		f->candidates[i].answered = false;
+}
+
+void failover_back_off(struct failover *f, hm_time now, const char *reason,
+		       struct actions *actions)
+{
+	log_step(f, actions, "failover_abandoned", reason);
+	f->not_before = now + BACKOFF_LEAST +
+			(hm_time)rng_below(&f->rng, BACKOFF_RANDOM);
+	f->suspect_since = 0;
+	enter(f, PHASE_IDLE, now);
+}
+
+static void send_step(struct failover *f, const struct candidate *c,
+		      enum control_op op, struct actions *actions)
+{
+	uint64_t home = failover_asked(f, c);
+	struct control step = {
+		.nonce = { f->options->life, f->seq },
+		.op = op,
+		.database = group_database(f->group)->database,
+		.endpoint = c->endpoint,
+		.term = f->term,
+		.orderer = f->options->life,
+		.target = f->chosen,
+	};
+
+	if (home == f->options->life)
+		actions_add(actions, ACT_CONTROL)->control = step;
+	else if (home)
+		actions_send(actions, home, MSG_CONTROL)->control = step;
+}
+
+/* Whether it is time to send the steps of the phase (again). */
+static bool send_due(struct failover *f, hm_time now)
+{
+	if (now < f->send_at)
+		return false;
+	f->send_at = now + STEP_AGAIN;
+	return true;
+}
+
+static bool elapsed(const struct failover *f, hm_time limit, hm_time now)
+{
+	return now - f->entered_at >= limit;
+}
+
+static uint64_t newest_term(const struct failover *f)
+{
+	uint64_t term = suspect_promised(f);
+
+	if (group_term(f->group) > term)
+		term = group_term(f->group);
+	return f->term > term ? f->term : term;
+}
+
+static void tick_idle(struct failover *f, hm_time now, struct actions *actions)
+{
+	uint32_t rank;
+
+	f->cause = suspect_cause(f, now);
+	if (!f->cause || f->leave ||
+	    !suspect_rank(f, group_primary(f->group, now), &rank)) {
+		f->suspect_since = 0;
+		return;
+	}
+	if (!f->suspect_since)
+		f->suspect_since = now;
+	if (now < f->not_before || now < f->suspect_since + rank * RANK_DELAY)
+		return;
+	log_step(f, actions, "failover_suspects", f->cause);
+	enter(f, PHASE_CONFIRM, now);
+}
+
+/* Confirmation */
+
+static void start_fence(struct failover *f, hm_time now,
+			struct actions *actions)
+{
+	hm_id primary = group_primary(f->group, now);
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++)
+		f->candidates[i].fenced = false;
+	f->term = newest_term(f) + 1;
+	f->chosen = 0;
+	log_step(f, actions, "failover_fences", f->cause);
+	if (!strcmp(f->cause, "leaving")) {
+		f->chosen = primary;
+		enter(f, PHASE_HAND_OVER, now);
+	} else {
+		enter(f, PHASE_FENCE, now);
+	}
+}
+
+static uint32_t reached_count(const struct failover *f)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++)
+		if (f->candidates[i].answered &&
+		    f->candidates[i].state.reachable)
+			count++;
+	return count;
+}
+
+/* The primary answered a fresh connection, or was given the time to. */
+static bool primary_decided(struct failover *f, hm_time now)
+{
+	struct candidate *c =
+		failover_candidate(f, group_primary(f->group, now));
+	hm_time limit = f->options->probe_silent + CONFIRM_EXTRA;
+
+	return !c || c->answered || elapsed(f, limit, now) ||
+	       !peers_alive(f->peers, failover_asked(f, c));
+}
+
+/* Whether what was learned since removes the cause. */
+static bool cause_gone(struct failover *f, hm_time now)
+{
+	struct candidate *c =
+		failover_candidate(f, group_primary(f->group, now));
+
+	if (!suspect_cause(f, now))
+		return true;
+	return c && c->answered && c->state.reachable &&
+	       c->state.role == ROLE_PRIMARY &&
+	       suspect_promised(f) <= group_term(f->group) &&
+	       !failover_leaving(f, c->endpoint);
+}
+
+static void send_confirm(struct failover *f, const struct candidate *c,
+			 hm_id primary, struct actions *actions)
+{
+	if (c->answered)
+		return;
+	send_step(f, c, c->endpoint == primary ? CONTROL_FRESH : CONTROL_PROBE,
+		  actions);
+}
+
+static void tick_confirm(struct failover *f, hm_time now,
+			 struct actions *actions)
+{
+	hm_id primary = group_primary(f->group, now);
+	hm_time limit = 2 * (f->options->probe_silent + CONFIRM_EXTRA);
+	uint32_t i;
+
+	if (f->leave || cause_gone(f, now)) {
+		failover_back_off(f, now, f->leave ? "stopping" : "cause_gone",
+				  actions);
+		return;
+	}
+	if (primary_decided(f, now) &&
+	    reached_count(f) >= group_majority(f->group)) {
+		start_fence(f, now, actions);
+		failover_phases[f->phase].tick(f, now, actions);
+		return;
+	}
+	if (elapsed(f, limit, now)) {
+		failover_back_off(f, now, "no_majority", actions);
+		return;
+	}
+	if (!send_due(f, now))
+		return;
+	for (i = 0; i < f->count; i++)
+		send_confirm(f, &f->candidates[i], primary, actions);
+}
+
+static void answer_confirm(struct failover *f, struct candidate *c,
+			   const struct state_report *r, hm_time now,
+			   struct actions *actions)
+{
+	c->answered = true;
+	c->state = r->state;
+	tick_confirm(f, now, actions);
+}
+
+/* Fencing */
+
+static bool take_fence(struct failover *f, struct candidate *c,
+		       const struct state_report *r)
+{
+	if (r->state.refused || r->state.promised != f->term ||
+	    r->state.promised_by != f->options->life)
+		return false;
+	c->answered = true;
+	c->fenced = true;
+	c->state = r->state;
+	return true;
+}
+
+static uint32_t fenced_count(const struct failover *f)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++)
+		count += f->candidates[i].fenced;
+	return count;
+}
+
+static bool fence_complete(const struct failover *f)
+{
+	uint32_t needed = group_majority(f->group);
+
+	if (f->options->guards_off & GUARD_FENCE)
+		needed = 1;
+	return fenced_count(f) >= needed;
+}
+
+static void send_fences(struct failover *f, hm_time now,
+			struct actions *actions)
+{
+	uint32_t i;
+
+	if (!send_due(f, now))
+		return;
+	for (i = 0; i < f->count; i++)
+		if (!f->candidates[i].fenced)
+			send_step(f, &f->candidates[i], CONTROL_FENCE, actions);
+}
+
+static void tick_fence(struct failover *f, hm_time now, struct actions *actions)
+{
+	if (elapsed(f, FENCE_LIMIT, now))
+		failover_back_off(f, now, "no_fence_majority", actions);
+	else
+		send_fences(f, now, actions);
+}
+
+static void answer_fence(struct failover *f, struct candidate *c,
+			 const struct state_report *r, hm_time now,
+			 struct actions *actions)
+{
+	if (!r->state.reachable)
+		return;
+	if (!take_fence(f, c, r)) {
+		failover_back_off(f, now, "newer_term", actions);
+		return;
+	}
+	if (!fence_complete(f))
+		return;
+	f->phase = PHASE_WAIT; /* answers to the same nonce still count */
+	f->entered_at = now;
+}
+
+/* A leaving primary: stop its writes, let a replica catch up, then go on. */
+
+static bool caught_up(const struct failover *f, const struct candidate *from)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++) {
+		const struct candidate *c = &f->candidates[i];
+
+		if (c != from && c->answered &&
+		    !failover_leaving(f, c->endpoint) &&
+		    lineage_reach(&c->state.lineage, c->state.at,
+				  from->state.at) == REACH_OK)
+			return true;
+	}
+	return false;
+}
+
+static void tick_hand_over(struct failover *f, hm_time now,
+			   struct actions *actions)
+{
+	struct candidate *from = failover_candidate(f, f->chosen);
+	uint32_t i;
+
+	if (!from || elapsed(f, CATCH_UP_LIMIT, now)) {
+		enter(f, PHASE_FENCE, now);
+		tick_fence(f, now, actions);
+		return;
+	}
+	if (now < f->send_at)
+		return;
+	f->send_at = now + CORE_TICK;
+	if (!from->fenced)
+		send_step(f, from, CONTROL_FENCE, actions);
+	for (i = 0; from->fenced && i < f->count; i++)
+		if (&f->candidates[i] != from)
+			send_step(f, &f->candidates[i], CONTROL_PROBE, actions);
+}
+
+static void answer_hand_over(struct failover *f, struct candidate *c,
+			     const struct state_report *r, hm_time now,
+			     struct actions *actions)
+{
+	struct candidate *from = failover_candidate(f, f->chosen);
+
+	if (!r->state.reachable || !from)
+		return;
+	if (c == from) {
+		if (!take_fence(f, c, r))
+			failover_back_off(f, now, "newer_term", actions);
+		return;
+	}
+	c->answered = true;
+	c->state = r->state;
+	if (!from->fenced || !caught_up(f, from))
+		return;
+	enter(f, PHASE_FENCE, now);
+	tick_fence(f, now, actions);
+}
+
+/* Promotion */
+
+static bool further(const struct failover *f, const struct candidate *a,
+		    const struct candidate *b)
+{
+	int order = mark_compare(a->state.at, b->state.at);
+
+	if (order)
+		return order > 0;
+	return failover_leaving(f, b->endpoint) &&
+	       !failover_leaving(f, a->endpoint);
+}
+
+static hm_id furthest(const struct failover *f)
+{
+	const struct candidate *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++) {
+		const struct candidate *c = &f->candidates[i];
+
+		if (c->fenced && (!best || further(f, c, best)))
+			best = c;
+	}
+	return best ? best->endpoint : 0;
+}
+
+static hm_time wait_limit(const struct failover *f)
+{
+	hm_time valid = f->options->evidence_valid;
+
+	if (f->options->guards_off & GUARD_FENCE)
+		return 0;
+	return valid + valid / WAIT_MARGIN_DIVISOR;
+}
+
+static void tick_wait(struct failover *f, hm_time now, struct actions *actions)
+{
+	if (!elapsed(f, wait_limit(f), now)) {
+		send_fences(f, now, actions);
+		return;
+	}
+	f->chosen = furthest(f);
+	enter(f, PHASE_PROMOTE, now);
+	log_step(f, actions, "failover_promotes", "furthest_log");
+	failover_phases[f->phase].tick(f, now, actions);
+}
+
+static void answer_wait(struct failover *f, struct candidate *c,
+			const struct state_report *r, hm_time now,
+			struct actions *actions)
+{
+	if (r->state.reachable && !take_fence(f, c, r))
+		failover_back_off(f, now, "newer_term", actions);
+}
+
+static void announce(struct failover *f, const struct endpoint_state *s,
+		     struct actions *actions)
+{
+	struct action *a = actions_add(actions, ACT_ANNOUNCE);
+	struct message *m;
+
+	a->announce.database = s->database;
+	a->announce.primary = f->chosen;
+	a->announce.term = f->term;
+	m = actions_send(actions, 0, MSG_STATE);
+	m->state.state = *s;
+}
+
+static void promoted(struct failover *f, const struct endpoint_state *s,
+		     hm_time now, struct actions *actions)
+{
+	f->promotions++;
+	log_step(f, actions, "failover_promoted", f->cause);
+	announce(f, s, actions);
+	enter(f, PHASE_FOLLOW, now);
+	failover_phases[f->phase].tick(f, now, actions);
+}
+
+static void tick_promote(struct failover *f, hm_time now,
+			 struct actions *actions)
+{
+	struct candidate *c = failover_candidate(f, f->chosen);
+
+	if (group_is_primary(f->group, f->chosen, f->term))
+		promoted(f, group_state(f->group, f->chosen), now, actions);
+	else if (!c || elapsed(f, PROMOTE_LIMIT, now))
+		failover_back_off(f, now, "promotion_unanswered", actions);
+	else if (send_due(f, now))
+		send_step(f, c, CONTROL_PROMOTE, actions);
+}
+
+static void answer_promote(struct failover *f, struct candidate *c,
+			   const struct state_report *r, hm_time now,
+			   struct actions *actions)
+{
+	if (c->endpoint != f->chosen || !r->state.reachable)
+		return;
+	if (r->state.refused || r->state.promised != f->term ||
+	    r->state.role != ROLE_PRIMARY) {
+		failover_back_off(f, now, "promotion_refused", actions);
+		return;
+	}
+	promoted(f, &r->state, now, actions);
+}
+
+static void tick_follow(struct failover *f, hm_time now,
+			struct actions *actions)
+{
+	bool due = send_due(f, now);
+	uint32_t open = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++) {
+		struct candidate *c = &f->candidates[i];
+
+		if (c->answered || c->endpoint == f->chosen)
+			continue;
+		open++;
+		if (due)
+			send_step(f, c, CONTROL_FOLLOW, actions);
+	}
+	if (open && !elapsed(f, FOLLOW_LIMIT, now))
+		return;
+	f->suspect_since = 0;
+	enter(f, PHASE_IDLE, now);
+}
+
+static void answer_follow(struct failover *f, struct candidate *c,
+			  const struct state_report *r, hm_time now,
+			  struct actions *actions)
+{
+	if (!r->state.reachable)
+		return;
+	c->answered = true;
+	tick_follow(f, now, actions);
+}
+
+static void ignore_answer(struct failover *f, struct candidate *c,
+			  const struct state_report *r, hm_time now,
+			  struct actions *actions)
+{
+	(void)f;
+	(void)c;
+	(void)r;
+	(void)now;
+	(void)actions;
+}
+
+const struct phase failover_phases[PHASE_COUNT] = {
+	[PHASE_IDLE] = { "idle", tick_idle, ignore_answer },
+	[PHASE_CONFIRM] = { "confirm", tick_confirm, answer_confirm },
+	[PHASE_HAND_OVER] = { "hand_over", tick_hand_over, answer_hand_over },
+	[PHASE_FENCE] = { "fence", tick_fence, answer_fence },
+	[PHASE_WAIT] = { "wait", tick_wait, answer_wait },
+	[PHASE_PROMOTE] = { "promote", tick_promote, answer_promote },
+	[PHASE_FOLLOW] = { "follow", tick_follow, answer_follow },
+};
--- a/core/proof.c
+++ b/core/proof.c
@@ -104,11 +104,6 @@
 
 typedef bool (*state_test)(const struct endpoint_state *s, struct mark at);
 
-static bool stands(const struct endpoint_state *s, struct mark at)
-{
-	return s->promised <= at.term;
-}
-
 static bool holds(const struct endpoint_state *s, struct mark at)
 {
 	return s->promised <= at.term &&
@@ -140,10 +135,41 @@
 	return (uint32_t)__builtin_popcount(passing);
 }
 
-uint32_t proof_standing(const struct proof *p, struct proof_query q,
-			uint64_t term)
+static hm_time member_stood_at(const struct proof *p, struct proof_query q,
+			       uint64_t term, uint32_t member)
+{
+	hm_time newest = -1;
+	uint32_t i;
+
+	for (i = 0; i < PROOF_ROUNDS; i++) {
+		const struct proof_round *r = &p->rounds[i];
+
+		if (r->answered & (1U << member) && r->asked_at >= q.since &&
+		    r->asked_at > newest && r->states[member].promised <= term)
+			newest = r->asked_at;
+	}
+	return newest;
+}
+
+hm_time proof_stood_at(const struct proof *p, struct proof_query q,
+		       uint64_t term, uint32_t needed)
 {
-	return count_passing(p, q, (struct mark){ term, 0 }, stands);
+	hm_time stood[ENDPOINTS_MAX];
+	uint32_t count = 0;
+	uint32_t i, j;
+
+	for (i = 0; i < ENDPOINTS_MAX; i++) {
+		hm_time at = member_stood_at(p, q, term, i);
+
+		if (at < 0 || group_bit(p->group, q.endpoint) == 1U << i)
+			continue;
+		for (j = count++; j && stood[j - 1] < at; j--)
+			stood[j] = stood[j - 1];
+		stood[j] = at;
+	}
+	if (count < needed)
+		return -1;
+	return needed ? stood[needed - 1] : HM_NEVER;
 }
 
 uint32_t proof_holding(const struct proof *p, struct proof_query q,
--- a/core/proof.h
+++ b/core/proof.h
@@ -38,9 +38,13 @@
 /** Takes an answer; false when it belongs to no round kept. */
 bool proof_report(struct proof *p, const struct state_report *r);
 
-/** Members bound to no term later than @a term. */
-uint32_t proof_standing(const struct proof *p, struct proof_query q,
-			uint64_t term);
+/**
+ * Latest time such that @a needed members answered questions sent since then
+ * that they are bound to no term later than @a term; -1 when there is none,
+ * HM_NEVER when none are needed.
+ */
+hm_time proof_stood_at(const struct proof *p, struct proof_query q,
+		       uint64_t term, uint32_t needed);
 /** Members that also hold the log up to @a at, written under its term. */
 uint32_t proof_holding(const struct proof *p, struct proof_query q,
 		       struct mark at);
--- /dev/null
+++ b/core/repair.c
@@ -0,0 +1,56 @@
+/** @file repair.c Brings members back under the newest term. */
+#include "failover_state.h"
+
+/** A step is ordered anew at this pace until its effect is seen. */
+#define REPAIR_EVERY (500 * HM_MS)
+
+/* The member still writes or follows under an older term. */
+static bool behind_term(const struct endpoint_state *s, uint64_t term)
+{
+	if (!s || !s->reachable || s->promised > term)
+		return false;
+	return s->promised < term || lineage_term(&s->lineage) < term ||
+	       s->role == ROLE_PRIMARY;
+}
+
+static void order_follow(struct failover *f, const struct candidate *c,
+			 const struct endpoint_state *primary,
+			 struct actions *actions)
+{
+	struct control *step = &actions_add(actions, ACT_CONTROL)->control;
+	struct decision *d;
+
+	step->nonce = (struct rid){ f->options->life, NONCE_FAILOVER };
+	step->op = CONTROL_FOLLOW;
+	step->database = primary->database;
+	step->endpoint = c->endpoint;
+	step->term = primary->promised;
+	step->orderer = primary->promised_by;
+	step->target = primary->endpoint;
+	d = actions_log(actions, "repair", "older_term");
+	d->database = primary->database;
+	d->endpoint = c->endpoint;
+	d->at.term = primary->promised;
+}
+
+void repair_tick(struct failover *f, hm_time now, struct actions *actions)
+{
+	uint64_t term = group_term(f->group);
+	hm_id primary = group_primary(f->group, now);
+	const struct endpoint_state *p = group_state(f->group, primary);
+	uint32_t i;
+
+	if (!primary || !p || p->promised != term)
+		return;
+	for (i = 0; i < f->count; i++) {
+		struct candidate *c = &f->candidates[i];
+
+		if (c->endpoint == primary ||
+		    failover_asked(f, c) != f->options->life ||
+		    now < c->repaired_at + REPAIR_EVERY ||
+		    !behind_term(group_state(f->group, c->endpoint), term))
+			continue;
+		c->repaired_at = now;
+		order_follow(f, c, p, actions);
+	}
+}
--- /dev/null
+++ b/core/suspect.c
@@ -0,0 +1,117 @@
+/** @file suspect.c Whether a primary should change, and who orders it. */
+#include "failover_state.h"
+
+/** A primary whose reports stop is suspected after so many probes. */
+#define SILENT_PROBES 3
+
+uint64_t suspect_promised(const struct failover *f)
+{
+	uint64_t term = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++) {
+		const struct endpoint_state *s =
+			group_state(f->group, f->candidates[i].endpoint);
+
+		if (s && s->promised > term)
+			term = s->promised;
+	}
+	return term;
+}
+
+static const char *cause_without_primary(const struct failover *f)
+{
+	uint32_t heard = 0;
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++)
+		if (group_state(f->group, f->candidates[i].endpoint))
+			heard++;
+	return heard >= group_majority(f->group) ? "no_primary" : NULL;
+}
+
+/* A reachable member that is not leaving could take over. */
+static bool has_successor(const struct failover *f)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++) {
+		hm_id id = f->candidates[i].endpoint;
+		const struct endpoint_state *s = group_state(f->group, id);
+
+		if (s && s->reachable && !failover_leaving(f, id))
+			return true;
+	}
+	return false;
+}
+
+const char *suspect_cause(struct failover *f, hm_time now)
+{
+	hm_id primary = group_primary(f->group, now);
+	struct candidate *c = failover_candidate(f, primary);
+	hm_time silent = f->options->peer_silent +
+			 SILENT_PROBES * f->options->probe_every;
+
+	if (!primary || !c)
+		return cause_without_primary(f);
+	if (suspect_promised(f) > group_term(f->group))
+		return "unfinished_change";
+	if (!group_state(f->group, primary)->reachable)
+		return "unreachable";
+	if (now - c->reached_at >= silent)
+		return "silent";
+	if (failover_leaving(f, primary) && has_successor(f))
+		return "leaving";
+	return NULL;
+}
+
+static uint64_t rank_hash(const struct failover *f, uint64_t life)
+{
+	struct rng mix = { life ^ group_database(f->group)->database };
+
+	return rng_next(&mix);
+}
+
+static bool is_replica_home(const struct failover *f, uint64_t life,
+			    hm_id primary)
+{
+	uint32_t i;
+
+	for (i = 0; i < f->count; i++)
+		if (failover_asked(f, &f->candidates[i]) == life &&
+		    f->candidates[i].endpoint != primary)
+			return true;
+	return false;
+}
+
+static bool seen_before(const struct failover *f, uint32_t i)
+{
+	uint64_t home = failover_asked(f, &f->candidates[i]);
+	uint32_t j;
+
+	for (j = 0; j < i; j++)
+		if (failover_asked(f, &f->candidates[j]) == home)
+			return true;
+	return false;
+}
+
+bool suspect_rank(const struct failover *f, hm_id primary, uint32_t *rank)
+{
+	uint64_t own = f->options->life;
+	uint32_t i;
+
+	*rank = 0;
+	if (!is_replica_home(f, own, primary))
+		return false;
+	for (i = 0; i < f->count; i++) {
+		uint64_t home = failover_asked(f, &f->candidates[i]);
+
+		if (!home || home == own || seen_before(f, i) ||
+		    !peers_alive(f->peers, home) ||
+		    !is_replica_home(f, home, primary))
+			continue;
+		if (rank_hash(f, home) < rank_hash(f, own))
+			(*rank)++;
+	}
+	return true;
+}
--- a/core/verify.c
+++ b/core/verify.c
@@ -119,17 +119,13 @@
 /* A majority stood by the term, asked for after the commit and not long ago. */
 static bool term_stands(const struct verify *v, struct waiting *w, hm_time now)
 {
-	hm_time oldest = now - v->options->evidence_valid + 1;
-	struct proof_query q = { w->ended.endpoint, oldest };
-	hm_time since;
-
-	if (q.since < w->ended.ended_at)
-		q.since = w->ended.ended_at;
-	if (proof_standing(&v->proof, q, w->ended.after.term) <
-	    others_needed(v))
+	struct proof_query q = { w->ended.endpoint, w->ended.ended_at };
+	hm_time stood = proof_stood_at(&v->proof, q, w->ended.after.term,
+				       others_needed(v));
+
+	if (stood < 0 || now - stood >= v->options->evidence_valid)
 		return false;
-	since = q.since;
-	w->valid_until = since + v->options->evidence_valid;
+	w->valid_until = stood + v->options->evidence_valid;
 	return true;
 }
 
@@ -180,7 +176,7 @@
 	if (guard_off(v, GUARD_EVIDENCE))
 		return judge_floor(v, w);
 	if (group_is_primary(v->group, q.endpoint, term) &&
-	    proof_standing(&v->proof, q, term) >= others_needed(v))
+	    proof_stood_at(&v->proof, q, term, others_needed(v)) >= 0)
 		return judge_floor(v, w);
 	if (group_superseded(v->group, term))
 		return VERDICT_RETRY;
