--- a/core/admit.h
+++ b/core/admit.h
@@ -29,7 +29,8 @@
 /** One statement that left the line. */
 struct admit_left {
 	struct statement statement;
-	bool passed; /**< false: its deadline passed or its account ended */
+	/** False: its deadline is out of reach or its account ended. */
+	bool passed;
 	hm_time retry_at;
 };
 
--- a/core/contracts.c
+++ b/core/contracts.c
@@ -208,7 +208,8 @@
 {
 	if (c->count == c->room) {
 		uint32_t room = c->room ? c->room * 2 : 16;
-		struct contract **list = realloc(c->list, room * sizeof(*list));
+		struct contract **list =
+			realloc(c->list, room * sizeof(void *));
 
 		if (!list)
 			abort();
--- a/core/peers.c
+++ b/core/peers.c
@@ -269,11 +269,12 @@
 	uint64_t life;
 };
 
-static void enter(struct contest *c, const struct peer *peer)
+/* Only what an instance says of itself counts: lists differ between readers. */
+static void enter(struct contest *c, const struct peer *peer, bool leaving)
 {
 	uint64_t r;
 
-	if (!peer->alive || peer->leaving != c->leaving)
+	if (!peer->alive || leaving != c->leaving)
 		return;
 	if (!c->any_zone && peer->zone != c->zone)
 		return;
@@ -291,13 +292,12 @@
 		.instance = p->options->instance,
 		.zone = p->options->zone,
 		.alive = true,
-		.leaving = p->leaving,
 	};
 	uint32_t i;
 
-	enter(&c, &self);
+	enter(&c, &self, p->leaving);
 	for (i = 0; i < p->count; i++)
-		enter(&c, &p->list[i].peer);
+		enter(&c, &p->list[i].peer, p->list[i].told_leaving);
 	return c.life;
 }
 
--- a/core/peers.h
+++ b/core/peers.h
@@ -28,7 +28,7 @@
 	hm_id instance;
 	uint16_t zone;
 	bool alive;   /**< heard within the limit and not stopped */
-	bool leaving; /**< alive, takes over nothing new */
+	bool leaving; /**< told by itself or by the list: route no work there */
 	hm_time heard_at;
 	uint64_t seq;
 	bool platform_ok;
@@ -52,8 +52,9 @@
 
 /**
  * Owner of @a key among the live instances of @a zone; if that zone has
- * none and @a anywhere, among all live instances. Leaving instances own
- * nothing unless nobody else does.
+ * none and @a anywhere, among all live instances. Instances that told their
+ * peers that they leave own nothing unless nobody else does; what the list
+ * says does not count here, since two readers of it may disagree.
  * @return its life, 0 when there is none.
  */
 uint64_t peers_owner(const struct peers *p, hm_id key, uint16_t zone,
--- a/core/rate.h
+++ b/core/rate.h
@@ -12,6 +12,21 @@
 
 struct rate;
 
+/** What one zone mints of an account; all zero when it mints nothing. */
+struct rate_part {
+	uint32_t rate;
+	uint32_t burst;
+	hm_time valid; /**< of a grant, from the time of the question */
+};
+
+/**
+ * Part of zone @a zone. The parts of all zones sum to exactly the rate and
+ * burst of the contract. A bucket holds at most burst - rate * valid, so that
+ * grants in flight stay within the burst too.
+ */
+void rate_part_of(const struct contract *c, uint16_t zone, uint16_t zone_count,
+		  struct rate_part *out);
+
 struct rate *rate_new(const struct core_options *options,
 		      const struct peers *peers, hm_time now);
 void rate_free(struct rate *r);
@@ -29,7 +44,10 @@
 void rate_demand(struct rate *r, hm_id account, uint32_t waiting, hm_time now,
 		 struct actions *actions);
 
-/** Earliest time at which a token may be at hand, for retry advice. */
+/**
+ * Time at which the last of @a waiting requests is expected to have a token,
+ * for retry advice; HM_NEVER for an account without contract.
+ */
 hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t waiting,
 		      hm_time now);
 
