--- a/core/rate.c
+++ b/core/rate.c
@@ -124,7 +124,7 @@
 		return;
 	out->rate = share(c->rate, index, n);
 	out->burst = share(c->burst, index, n);
-	if (out->burst < 2)
+	if (!out->rate || out->burst < 2)
 		return;
 	half = out->burst * TOKEN / 2;
 	out->valid = half / out->rate;
