Deliver what the platform holds as events, forward only

Watches are replaced when silent and backed by lists read at a fixed pace; an object that a later list lacks is taken as deleted at that version. An invalid contract is reported as a status object and leaves the last good one in force. Status objects are written by conditional update, the higher term stays.

--- /dev/null
+++ b/src/feed.c
@@ -0,0 +1,362 @@
+/** @file feed.c Watches, lists and status writes, each in its thread. */
+#include "feed.h"
+
+#include <glib.h>
+#include <stdatomic.h>
+
+#include "../core/rng.h"
+#include "log.h"
+#include "loop.h"
+#include "platform.h"
+#include "publish.h"
+
+#define BACKOFF_FIRST (50 * HM_MS)
+#define BACKOFF_MOST (2 * HM_SEC)
+#define JITTER_PART 8	    /* a pace varies by one part in so many */
+#define UNWATCHED_ROUNDS 12 /* rounds per list of unwatched contracts */
+
+/** A thread with its connection to the platform. */
+struct reader {
+	struct feed *feed;
+	const char *kind; /**< NULL for the one that reads lists */
+	struct object_api *api;
+	struct rng rng;
+	hm_time backoff;
+	uint64_t from; /**< watches: changes up to this version are known */
+	bool listed;   /**< @a from is the version of a list or later */
+	GThread *thread;
+};
+
+enum { READ_CONTRACTS, READ_DATABASES, READ_LISTS, READER_COUNT };
+
+struct feed {
+	struct feed_options options;
+	struct publish *publish;
+	struct reader readers[READER_COUNT];
+	GMutex lock; /**< guards what follows */
+	GCond changed;
+	bool stopping;
+	bool watching;
+	bool published; /**< something new waits to be written */
+};
+
+void feed_item_free(struct feed_item *item)
+{
+	if (!item)
+		return;
+	object_list_clear(&item->list);
+	json_decref(item->instances);
+	g_free(item);
+}
+
+static void deliver_health(struct feed *f, bool ok)
+{
+	struct feed_item *item = g_new0(struct feed_item, 1);
+
+	item->type = FEED_HEALTH;
+	item->ok = ok;
+	f->options.deliver(f->options.owner, item);
+}
+
+static void deliver_objects(struct reader *r, const char *kind, bool complete,
+			    const struct object_list *list)
+{
+	struct feed_item *item = g_new0(struct feed_item, 1);
+
+	item->type = FEED_OBJECTS;
+	item->kind = kind;
+	item->complete = complete;
+	item->list = *list;
+	r->feed->options.deliver(r->feed->options.owner, item);
+}
+
+static bool is_stopping(struct feed *f)
+{
+	bool stopping;
+
+	g_mutex_lock(&f->lock);
+	stopping = f->stopping;
+	g_mutex_unlock(&f->lock);
+	return stopping;
+}
+
+/* Waits until @a until, a stop, or news to be written if @a news counts. */
+static void wait_until(struct feed *f, hm_time until, bool news)
+{
+	gint64 end = g_get_monotonic_time() + until - loop_now();
+
+	g_mutex_lock(&f->lock);
+	while (!f->stopping && !(news && f->published))
+		if (!g_cond_wait_until(&f->changed, &f->lock, end))
+			break;
+	g_mutex_unlock(&f->lock);
+}
+
+static hm_time with_jitter(struct reader *r, hm_time pace)
+{
+	uint64_t spread = (uint64_t)(pace / JITTER_PART) + 1;
+
+	return pace - (hm_time)rng_below(&r->rng, spread);
+}
+
+static void back_off(struct reader *r)
+{
+	hm_time wait = r->backoff ? r->backoff : BACKOFF_FIRST;
+
+	r->backoff = MIN(wait * 2, BACKOFF_MOST);
+	wait = wait / 2 + (hm_time)rng_below(&r->rng, (uint64_t)wait);
+	wait_until(r->feed, loop_now() + wait, false);
+}
+
+static void read_failed(struct reader *r, const char *what)
+{
+	if (is_stopping(r->feed))
+		return;
+	log_event(G_LOG_LEVEL_WARNING, "platform_failed", "call", what, "kind",
+		  r->kind, NULL);
+	deliver_health(r->feed, false);
+	back_off(r);
+}
+
+/* Reads and delivers one list; its version in *version. */
+static bool read_list(struct reader *r, const char *kind, uint64_t *version)
+{
+	hm_time until = loop_now() + r->feed->options.call_limit;
+	struct object_list list;
+
+	if (object_api_list(r->api, kind, until, &list) != API_OK)
+		return false;
+	*version = list.version;
+	deliver_objects(r, kind, true, &list);
+	return true;
+}
+
+static void start_from_list(struct reader *r)
+{
+	if (!read_list(r, r->kind, &r->from)) {
+		read_failed(r, "list");
+		return;
+	}
+	r->backoff = 0;
+	r->listed = true;
+	deliver_health(r->feed, true);
+}
+
+/*
+ * A watch that ran into its time limit is dead, which tells nothing about
+ * the platform; the list read next does.
+ */
+static void watch_failed(struct reader *r, hm_time until)
+{
+	r->listed = false;
+	if (loop_now() < until)
+		read_failed(r, "watch");
+	else
+		log_event(G_LOG_LEVEL_WARNING, "watch_silent", "kind", r->kind,
+			  NULL);
+}
+
+static void watch_once(struct reader *r)
+{
+	const struct feed_options *o = &r->feed->options;
+	hm_time begin = loop_now();
+	hm_time until = begin + o->watch_wait + o->call_limit;
+	struct object_list list;
+	bool early;
+
+	if (object_api_watch(r->api, r->kind, r->from, o->watch_wait, until,
+			     &list) != API_OK) {
+		watch_failed(r, until);
+		return;
+	}
+	early = !list.count && loop_now() - begin < o->watch_wait / 2;
+	r->from = MAX(r->from, list.version);
+	deliver_objects(r, r->kind, false, &list);
+	deliver_health(r->feed, true);
+	if (early)
+		back_off(r);
+	else
+		r->backoff = 0;
+}
+
+/* Waits until this kind is to be watched; false when stopping. */
+static bool wait_for_watch(struct reader *r)
+{
+	struct feed *f = r->feed;
+	bool stopping;
+
+	g_mutex_lock(&f->lock);
+	while (!f->stopping && !f->watching && r->listed &&
+	       r == &f->readers[READ_CONTRACTS])
+		g_cond_wait(&f->changed, &f->lock);
+	stopping = f->stopping;
+	g_mutex_unlock(&f->lock);
+	return !stopping;
+}
+
+static gpointer run_watch(gpointer data)
+{
+	struct reader *r = data;
+
+	while (wait_for_watch(r)) {
+		if (r->listed)
+			watch_once(r);
+		else
+			start_from_list(r);
+	}
+	return NULL;
+}
+
+static bool read_instances(struct reader *r)
+{
+	hm_time until = loop_now() + r->feed->options.call_limit;
+	struct feed_item *item;
+	json_t *instances;
+
+	if (object_api_instances(r->api, until, &instances) != API_OK)
+		return false;
+	item = g_new0(struct feed_item, 1);
+	item->type = FEED_INSTANCES;
+	item->instances = instances;
+	r->feed->options.deliver(r->feed->options.owner, item);
+	return true;
+}
+
+/* True once per news. */
+static bool take_news(struct feed *f)
+{
+	bool news;
+
+	g_mutex_lock(&f->lock);
+	news = f->published;
+	f->published = false;
+	g_mutex_unlock(&f->lock);
+	return news;
+}
+
+static bool is_watching(struct feed *f)
+{
+	bool watching;
+
+	g_mutex_lock(&f->lock);
+	watching = f->watching;
+	g_mutex_unlock(&f->lock);
+	return watching;
+}
+
+/* One round of lists. The first is left to the watches. */
+static void read_round(struct reader *r, uint64_t round)
+{
+	bool contracts = is_watching(r->feed) || round % UNWATCHED_ROUNDS == 0;
+	uint64_t version;
+
+	if (!read_instances(r) ||
+	    (round && !read_list(r, KIND_DATABASE, &version)) ||
+	    (round && contracts && !read_list(r, KIND_CONTRACT, &version))) {
+		read_failed(r, "round");
+		return;
+	}
+	r->backoff = 0;
+	deliver_health(r->feed, true);
+}
+
+static gpointer run_lists(gpointer data)
+{
+	struct reader *r = data;
+	struct feed *f = r->feed;
+	hm_time next = 0;
+	uint64_t round = 0;
+
+	while (!is_stopping(f)) {
+		if (loop_now() >= next) {
+			next = loop_now() +
+			       with_jitter(r, f->options.list_every);
+			read_round(r, round++);
+			take_news(f);
+			publish_flush(f->publish, r->api,
+				      f->options.call_limit);
+		} else if (take_news(f)) {
+			publish_flush(f->publish, r->api,
+				      f->options.call_limit);
+		}
+		wait_until(f, next, true);
+	}
+	return NULL;
+}
+
+static void start_reader(struct feed *f, int index, const char *kind)
+{
+	struct reader *r = &f->readers[index];
+
+	r->feed = f;
+	r->kind = kind;
+	r->rng.state = f->options.seed + (uint64_t)index;
+	r->api = object_api_new(f->options.address);
+	r->thread = g_thread_new(kind ? kind : "lists",
+				 kind ? run_watch : run_lists, r);
+}
+
+struct feed *feed_new(const struct feed_options *options)
+{
+	struct feed *f = g_new0(struct feed, 1);
+
+	f->options = *options;
+	f->watching = options->watch;
+	f->publish = publish_new();
+	g_mutex_init(&f->lock);
+	g_cond_init(&f->changed);
+	start_reader(f, READ_CONTRACTS, KIND_CONTRACT);
+	start_reader(f, READ_DATABASES, KIND_DATABASE);
+	start_reader(f, READ_LISTS, NULL);
+	return f;
+}
+
+void feed_free(struct feed *f)
+{
+	int i;
+
+	if (!f)
+		return;
+	g_mutex_lock(&f->lock);
+	f->stopping = true;
+	g_cond_broadcast(&f->changed);
+	g_mutex_unlock(&f->lock);
+	for (i = 0; i < READER_COUNT; i++)
+		object_api_cancel(f->readers[i].api);
+	for (i = 0; i < READER_COUNT; i++)
+		g_thread_join(f->readers[i].thread);
+	for (i = 0; i < READER_COUNT; i++)
+		object_api_free(f->readers[i].api);
+	publish_free(f->publish);
+	g_cond_clear(&f->changed);
+	g_mutex_clear(&f->lock);
+	g_free(f);
+}
+
+void feed_watch(struct feed *f, bool watch)
+{
+	g_mutex_lock(&f->lock);
+	f->watching = watch;
+	g_cond_broadcast(&f->changed);
+	g_mutex_unlock(&f->lock);
+}
+
+void feed_publish(struct feed *f, const char *name, const char *rank_field,
+		  uint64_t rank, json_t *value)
+{
+	publish_put(f->publish, name, rank_field, rank, value);
+	g_mutex_lock(&f->lock);
+	f->published = true;
+	g_cond_broadcast(&f->changed);
+	g_mutex_unlock(&f->lock);
+}
+
+uint64_t feed_calls(const struct feed *f)
+{
+	uint64_t calls = 0;
+	int i;
+
+	for (i = 0; i < READER_COUNT; i++)
+		calls += object_api_calls(f->readers[i].api);
+	return calls;
+}
--- /dev/null
+++ b/src/platform.c
@@ -0,0 +1,412 @@
+/** @file platform.c Delivers what the platform holds, on the loop's thread. */
+#include "platform.h"
+
+#include <glib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include "feed.h"
+#include "log.h"
+#include "spec.h"
+
+#define REFUSED_PREFIX "refused."
+
+/** What was seen of one object. */
+struct seen {
+	uint64_t version; /**< never goes back */
+	bool deleted;
+	struct database_spec *database; /**< last good one, of a database */
+};
+
+struct platform {
+	struct platform_options options;
+	char **zones;
+	struct sink sink;
+	struct feed *feed;
+	GAsyncQueue *inbox; /**< struct feed_item, from the feed's threads */
+	int wake_fd;
+	struct watch *wake;
+	GHashTable *contracts; /**< struct seen by name */
+	GHashTable *databases;
+};
+
+static void free_seen(gpointer data)
+{
+	struct seen *s = data;
+
+	g_free(s->database);
+	g_free(s);
+}
+
+static struct seen *seen_of(GHashTable *table, const char *name)
+{
+	struct seen *s = g_hash_table_lookup(table, name);
+
+	if (!s) {
+		s = g_new0(struct seen, 1);
+		g_hash_table_insert(table, g_strdup(name), s);
+	}
+	return s;
+}
+
+/* Called on threads of the feed. */
+static void take_in(void *owner, struct feed_item *item)
+{
+	struct platform *p = owner;
+	uint64_t one = 1;
+
+	g_async_queue_push(p->inbox, item);
+	if (write(p->wake_fd, &one, sizeof(one)) < 0)
+		return; /* the counter is full, so the loop is awake */
+}
+
+static void log_object(GLogLevelFlags level, const char *event,
+		       const struct object *o, const char *fault)
+{
+	char version[24];
+
+	g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT, o->version);
+	log_event(level, event, "kind", o->kind, "name", o->name, "version",
+		  version, "fault", fault, NULL);
+}
+
+/* The last good one stays in force; operators see why. */
+static void refuse(struct platform *p, const struct object *o,
+		   const char *fault)
+{
+	char *name = g_strdup_printf(REFUSED_PREFIX "%s.%s", o->kind, o->name);
+	json_t *value;
+
+	log_object(G_LOG_LEVEL_WARNING, "config_refused", o, fault);
+	value = json_pack("{s:s, s:s, s:I, s:s}", "kind", o->kind, "name",
+			  o->name, "version", (json_int_t)o->version, "fault",
+			  fault);
+	if (value && object_name_valid(name))
+		feed_publish(p->feed, name, "version", o->version, value);
+	else
+		json_decref(value);
+	g_free(name);
+}
+
+static void deliver_contract(struct platform *p, const struct contract *c)
+{
+	struct event event = { .kind = EV_CONTRACT, .contract = c };
+
+	sink_event(&p->sink, &event);
+}
+
+static void contract_seen(struct platform *p, const struct object *o)
+{
+	char fault[SPEC_FAULT_BYTES];
+	struct contract contract = { 0 };
+
+	if (o->deleted) {
+		g_strlcpy(contract.name, o->name, sizeof(contract.name));
+		contract.account = name_id(contract.name);
+		contract.version = o->version;
+		contract.withdrawn = true;
+	} else if (!spec_contract(o->name, o->value, o->version, &contract,
+				  fault)) {
+		refuse(p, o, fault);
+		return;
+	}
+	log_object(G_LOG_LEVEL_INFO,
+		   o->deleted ? "contract_withdrawn" : "contract", o, NULL);
+	deliver_contract(p, &contract);
+}
+
+static void deliver_database(struct platform *p, const struct database_spec *d)
+{
+	struct event event = { .kind = EV_DATABASE, .database = d };
+
+	sink_event(&p->sink, &event);
+}
+
+/* A deleted group gets no new work: all its endpoints are leaving. */
+static void database_deleted(struct platform *p, struct seen *s,
+			     const struct object *o)
+{
+	uint32_t i;
+
+	log_object(G_LOG_LEVEL_INFO, "database_withdrawn", o, NULL);
+	if (!s->database)
+		return;
+	s->database->version = o->version;
+	for (i = 0; i < s->database->endpoint_count; i++)
+		s->database->endpoints[i].leaving = true;
+	deliver_database(p, s->database);
+}
+
+static void database_seen(struct platform *p, struct seen *s,
+			  const struct object *o)
+{
+	struct zone_names zones = { (const char *const *)p->zones,
+				    p->options.zone_count };
+	struct database_spec database;
+	char fault[SPEC_FAULT_BYTES];
+
+	if (o->deleted) {
+		database_deleted(p, s, o);
+		return;
+	}
+	if (!spec_database(o->name, o->value, o->version, zones, &database,
+			   fault)) {
+		refuse(p, o, fault);
+		return;
+	}
+	log_object(G_LOG_LEVEL_INFO, "database", o, NULL);
+	if (!s->database)
+		s->database = g_new(struct database_spec, 1);
+	*s->database = database;
+	deliver_database(p, &database);
+}
+
+static void object_seen(struct platform *p, const struct object *o)
+{
+	bool contract = !strcmp(o->kind, KIND_CONTRACT);
+	struct seen *s =
+		seen_of(contract ? p->contracts : p->databases, o->name);
+
+	if (o->version <= s->version)
+		return;
+	s->version = o->version;
+	s->deleted = o->deleted;
+	if (contract)
+		contract_seen(p, o);
+	else
+		database_seen(p, s, o);
+}
+
+static GHashTable *names_of(const struct object_list *list)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+	size_t i;
+
+	for (i = 0; i < list->count; i++)
+		g_hash_table_add(names, list->items[i].name);
+	return names;
+}
+
+/*
+ * An object known from before that a later list lacks was deleted, at that
+ * version at the latest: whatever follows has a higher one.
+ */
+static void find_deleted(struct platform *p, const char *kind,
+			 const struct object_list *list)
+{
+	bool contract = !strcmp(kind, KIND_CONTRACT);
+	GHashTable *names = names_of(list);
+	gpointer name, value;
+	GHashTableIter at;
+
+	g_hash_table_iter_init(&at, contract ? p->contracts : p->databases);
+	while (g_hash_table_iter_next(&at, &name, &value)) {
+		const struct seen *s = value;
+		struct object gone = { .version = list->version,
+				       .deleted = true };
+
+		if (s->deleted || s->version >= list->version ||
+		    g_hash_table_contains(names, name))
+			continue;
+		g_strlcpy(gone.kind, kind, sizeof(gone.kind));
+		g_strlcpy(gone.name, name, sizeof(gone.name));
+		object_seen(p, &gone);
+	}
+	g_hash_table_unref(names);
+}
+
+static void objects_seen(struct platform *p, const struct feed_item *item)
+{
+	size_t i;
+
+	for (i = 0; i < item->list.count; i++)
+		if (!strcmp(item->list.items[i].kind, item->kind))
+			object_seen(p, &item->list.items[i]);
+	if (item->complete)
+		find_deleted(p, item->kind, &item->list);
+}
+
+static bool find_zone(const struct platform *p, const char *name, uint16_t *out)
+{
+	uint16_t i;
+
+	for (i = 0; i < p->options.zone_count; i++) {
+		if (!strcmp(p->zones[i], name)) {
+			*out = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+static bool parse_instance(const struct platform *p, const json_t *json,
+			   struct platform_instance *out)
+{
+	const char *name = json_string_value(json_object_get(json, "name"));
+	const char *zone = json_string_value(json_object_get(json, "zone"));
+	const char *address =
+		json_string_value(json_object_get(json, "address"));
+	const char *state = json_string_value(json_object_get(json, "state"));
+
+	*out = (struct platform_instance){ 0 };
+	if (!name || !zone || !address || strlen(name) >= NAME_BYTES ||
+	    strlen(address) >= ADDRESS_BYTES || !find_zone(p, zone, &out->zone))
+		return false;
+	memcpy(out->name, name, strlen(name) + 1);
+	memcpy(out->address, address, strlen(address) + 1);
+	out->leaving = state && !strcmp(state, "leaving");
+	return true;
+}
+
+static void deliver_instances(struct platform *p,
+			      const struct platform_instance *list,
+			      uint32_t count)
+{
+	struct listed_instance *listed = g_new0(struct listed_instance, count);
+	struct event event = { .kind = EV_INSTANCES };
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		listed[i].instance = name_id(list[i].name);
+		listed[i].zone = list[i].zone;
+		listed[i].leaving = list[i].leaving;
+	}
+	event.instances.list = listed;
+	event.instances.count = count;
+	sink_event(&p->sink, &event);
+	if (p->options.instances)
+		p->options.instances(p->sink.owner, list, count);
+	g_free(listed);
+}
+
+static void instances_seen(struct platform *p, const json_t *items)
+{
+	size_t i, all = json_array_size(items);
+	struct platform_instance *list = g_new(struct platform_instance, all);
+	uint32_t count = 0;
+
+	for (i = 0; i < all; i++) {
+		if (parse_instance(p, json_array_get(items, i), &list[count]))
+			count++;
+		else
+			log_event(G_LOG_LEVEL_WARNING, "instance_ignored",
+				  "reason", "malformed", NULL);
+	}
+	deliver_instances(p, list, count);
+	g_free(list);
+}
+
+static void health_seen(struct platform *p, bool ok)
+{
+	struct event event = { .kind = EV_PLATFORM, .platform_ok = ok };
+
+	sink_event(&p->sink, &event);
+}
+
+static void item_seen(struct platform *p, const struct feed_item *item)
+{
+	switch (item->type) {
+	case FEED_OBJECTS:
+		objects_seen(p, item);
+		break;
+	case FEED_INSTANCES:
+		instances_seen(p, item->instances);
+		break;
+	case FEED_HEALTH:
+		health_seen(p, item->ok);
+		break;
+	}
+}
+
+static void on_wake(void *arg)
+{
+	struct platform *p = arg;
+	struct feed_item *item;
+	uint64_t count;
+
+	if (read(p->wake_fd, &count, sizeof(count)) < 0)
+		return;
+	while ((item = g_async_queue_try_pop(p->inbox))) {
+		item_seen(p, item);
+		feed_item_free(item);
+	}
+}
+
+static char **copy_zones(const char *const *zones, uint16_t count)
+{
+	char **copy = g_new0(char *, count + 1);
+	uint16_t i;
+
+	for (i = 0; i < count; i++)
+		copy[i] = g_strdup(zones[i]);
+	return copy;
+}
+
+static struct feed *start_feed(struct platform *p)
+{
+	struct feed_options options = { .address = p->options.address,
+					.call_limit = p->options.call_limit,
+					.watch_wait = p->options.watch_wait,
+					.list_every = p->options.list_every,
+					.seed = p->options.seed,
+					.watch = p->options.watch,
+					.deliver = take_in,
+					.owner = p };
+
+	return feed_new(&options);
+}
+
+struct platform *platform_new(struct loop *loop,
+			      const struct platform_options *options,
+			      struct sink sink)
+{
+	struct platform *p = g_new0(struct platform, 1);
+
+	p->options = *options;
+	p->zones = copy_zones(options->zones, options->zone_count);
+	p->sink = sink;
+	p->inbox = g_async_queue_new_full((GDestroyNotify)feed_item_free);
+	p->contracts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     free_seen);
+	p->databases = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     free_seen);
+	p->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+	p->wake = watch_new(loop, p->wake_fd, on_wake, p);
+	p->feed = start_feed(p);
+	return p;
+}
+
+void platform_free(struct platform *p)
+{
+	if (!p)
+		return;
+	feed_free(p->feed);
+	watch_free(p->wake);
+	close(p->wake_fd);
+	g_async_queue_unref(p->inbox);
+	g_hash_table_unref(p->contracts);
+	g_hash_table_unref(p->databases);
+	g_strfreev(p->zones);
+	g_free(p);
+}
+
+void platform_watch(struct platform *p, bool watch)
+{
+	feed_watch(p->feed, watch);
+}
+
+void platform_announce(struct platform *p, const char *database,
+		       const char *primary, uint64_t term)
+{
+	json_t *value = json_pack("{s:s, s:I}", "primary", primary, "term",
+				  (json_int_t)term);
+
+	if (value)
+		feed_publish(p->feed, database, "term", term, value);
+}
+
+uint64_t platform_calls(const struct platform *p)
+{
+	return feed_calls(p->feed);
+}
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,464 @@
+/** @file test_platform.c Client of the platform against the stand-in. */
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../src/loop.h"
+#include "../src/names.h"
+#include "../src/object_api.h"
+#include "../src/platform.h"
+#include "../standin/store.h"
+
+#define ADDRESS "127.0.0.1:25020"
+#define PATIENCE (10 * HM_SEC)
+#define POLL_EVERY_US 2000
+
+static const char *const zones[] = { "north", "east" };
+static const char good[] = "{\"rate_per_s\":5,\"burst\":6,\"weight\":1,"
+			   "\"transactions\":2,\"databases\":{},\"keys\":[]}";
+static const char bad[] = "{\"rate_per_s\":0}";
+static const char group[] =
+	"{\"endpoints\":[{\"name\":\"d-1\",\"address\":\"127.0.0.1:1\","
+	"\"zone\":\"east\",\"slots\":2,\"connections\":16}]}";
+
+/** One delivered event. */
+struct delivery {
+	enum event_kind kind;
+	char name[NAME_BYTES];
+	uint64_t version;
+	bool withdrawn; /**< or all endpoints leaving */
+	bool ok;
+	uint32_t count;
+	hm_time at;
+};
+
+static struct store *store;
+static struct loop *loop;
+static GThread *thread;
+static struct platform *_Atomic platform;
+static struct platform_options options;
+static GMutex lock;
+static GArray *deliveries;
+static char peer_address[ADDRESS_BYTES];
+
+static void record(void *owner, const struct event *e)
+{
+	struct delivery d = { .kind = e->kind, .at = loop_now() };
+
+	(void)owner;
+	if (e->kind == EV_CONTRACT) {
+		g_strlcpy(d.name, e->contract->name, sizeof(d.name));
+		d.version = e->contract->version;
+		d.withdrawn = e->contract->withdrawn;
+	} else if (e->kind == EV_DATABASE) {
+		g_strlcpy(d.name, e->database->name, sizeof(d.name));
+		d.version = e->database->version;
+		d.withdrawn = e->database->endpoints[0].leaving;
+	} else if (e->kind == EV_PLATFORM) {
+		d.ok = e->platform_ok;
+	} else if (e->kind == EV_INSTANCES) {
+		d.count = e->instances.count;
+	}
+	g_mutex_lock(&lock);
+	g_array_append_val(deliveries, d);
+	g_mutex_unlock(&lock);
+}
+
+static void on_instances(void *owner, const struct platform_instance *list,
+			 uint32_t count)
+{
+	(void)owner;
+	g_mutex_lock(&lock);
+	if (count)
+		g_strlcpy(peer_address, list[0].address, sizeof(peer_address));
+	g_mutex_unlock(&lock);
+}
+
+/* Newest delivery of @a kind and name, kind EV_TICK when there is none. */
+static struct delivery newest(enum event_kind kind, const char *name)
+{
+	struct delivery found = { 0 };
+	guint i;
+
+	g_mutex_lock(&lock);
+	for (i = 0; i < deliveries->len; i++) {
+		struct delivery *d =
+			&g_array_index(deliveries, struct delivery, i);
+
+		if (d->kind == kind && (!name || !strcmp(d->name, name)))
+			found = *d;
+	}
+	g_mutex_unlock(&lock);
+	return found;
+}
+
+/* Deliveries of @a kind so far. */
+static guint count_of(enum event_kind kind)
+{
+	guint i, n = 0;
+
+	g_mutex_lock(&lock);
+	for (i = 0; i < deliveries->len; i++)
+		n += g_array_index(deliveries, struct delivery, i).kind == kind;
+	g_mutex_unlock(&lock);
+	return n;
+}
+
+static void open_platform(void *arg)
+{
+	struct sink sink = { record, NULL };
+
+	(void)arg;
+	platform = platform_new(loop, &options, sink);
+}
+
+static void close_platform(void *arg)
+{
+	(void)arg;
+	platform_free(platform);
+	platform = NULL;
+	loop_stop(loop);
+}
+
+static gpointer run_loop(gpointer data)
+{
+	loop_run(data);
+	return NULL;
+}
+
+static void start(void)
+{
+	loop_post(loop, open_platform, NULL);
+	thread = g_thread_new("loop", run_loop, loop);
+}
+
+static void set_up(void)
+{
+	options = (struct platform_options){ .address = ADDRESS,
+					     .zones = zones,
+					     .zone_count = 2,
+					     .call_limit = 300 * HM_MS,
+					     .watch_wait = 300 * HM_MS,
+					     .list_every = 100 * HM_MS,
+					     .seed = 3,
+					     .watch = true,
+					     .instances = on_instances };
+	deliveries = g_array_new(FALSE, TRUE, sizeof(struct delivery));
+	memset(peer_address, 0, sizeof(peer_address));
+	store = store_new(ADDRESS);
+	ck_assert_ptr_nonnull(store);
+	store_start(store);
+	loop = loop_new();
+}
+
+static void tear_down(void)
+{
+	loop_post(loop, close_platform, NULL);
+	g_thread_join(thread);
+	loop_free(loop);
+	store_free(store);
+	g_array_unref(deliveries);
+}
+
+/* Waits until @a condition holds. */
+#define EVENTUALLY(condition)                                             \
+	do {                                                              \
+		hm_time deadline = loop_now() + PATIENCE;                 \
+		while (!(condition)) {                                    \
+			ck_assert_msg(loop_now() < deadline, #condition); \
+			g_usleep(POLL_EVERY_US);                          \
+		}                                                         \
+	} while (0)
+
+static void put(const char *name, const char *value)
+{
+	ck_assert(store_put(store, KIND_CONTRACT, name, value));
+}
+
+static void fault(struct store_faults faults)
+{
+	store_fault(store, &faults);
+}
+
+/* Holds for every test: versions of one name never go back. */
+static void check_forward(void)
+{
+	guint i, j;
+
+	for (i = 0; i < deliveries->len; i++) {
+		struct delivery *d =
+			&g_array_index(deliveries, struct delivery, i);
+
+		for (j = 0; j < i; j++) {
+			struct delivery *e =
+				&g_array_index(deliveries, struct delivery, j);
+
+			if (d->kind == e->kind && d->version &&
+			    !strcmp(d->name, e->name))
+				ck_assert_uint_gt(d->version, e->version);
+		}
+	}
+}
+
+START_TEST(delivers_lists_and_changes)
+{
+	put("a", good);
+	ck_assert(store_put(store, KIND_DATABASE, "d", group));
+	ck_assert(store_instances(
+		store, "[{\"name\":\"i\",\"zone\":\"east\",\"address\":"
+		       "\"127.0.0.1:9\",\"state\":\"live\"},{\"name\":7}]"));
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 1);
+	EVENTUALLY(newest(EV_DATABASE, "d").version == 2);
+	EVENTUALLY(newest(EV_INSTANCES, NULL).count == 1);
+	EVENTUALLY(newest(EV_PLATFORM, NULL).ok);
+	put("b", good);
+	EVENTUALLY(newest(EV_CONTRACT, "b").version == 3);
+	ck_assert_uint_eq(newest(EV_CONTRACT, "a").version, 1);
+	g_mutex_lock(&lock);
+	ck_assert_str_eq(peer_address, "127.0.0.1:9");
+	g_mutex_unlock(&lock);
+	check_forward();
+}
+END_TEST
+
+static void delete_object(const char *kind, const char *name)
+{
+	struct object_api *api = object_api_new(ADDRESS);
+	hm_time until = loop_now() + PATIENCE;
+	struct object held;
+	uint64_t version;
+
+	ck_assert_int_eq(object_api_get(api, kind, name, until, &held), API_OK);
+	ck_assert_int_eq(object_api_change(api, kind, name, held.version, NULL,
+					   until, &version),
+			 API_OK);
+	object_clear(&held);
+	object_api_free(api);
+}
+
+START_TEST(delete_becomes_tombstone)
+{
+	put("a", good);
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 1);
+	delete_object(KIND_CONTRACT, "a");
+	EVENTUALLY(newest(EV_CONTRACT, "a").withdrawn);
+	ck_assert_uint_eq(newest(EV_CONTRACT, "a").version, 2);
+	put("a", good);
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 3);
+	ck_assert(!newest(EV_CONTRACT, "a").withdrawn);
+	check_forward();
+}
+END_TEST
+
+START_TEST(deleted_group_gets_no_new_work)
+{
+	ck_assert(store_put(store, KIND_DATABASE, "d", group));
+	start();
+	EVENTUALLY(newest(EV_DATABASE, "d").version == 1);
+	delete_object(KIND_DATABASE, "d");
+	EVENTUALLY(newest(EV_DATABASE, "d").withdrawn);
+	check_forward();
+}
+END_TEST
+
+START_TEST(silent_watch_misses_nothing)
+{
+	options.watch_wait = 10 * HM_SEC;
+	put("a", good);
+	put("gone", good);
+	start();
+	fault((struct store_faults){ .silent_watch = true });
+	EVENTUALLY(newest(EV_CONTRACT, "gone").version == 2);
+	put("a", good);
+	delete_object(KIND_CONTRACT, "gone");
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 3);
+	EVENTUALLY(newest(EV_CONTRACT, "gone").withdrawn);
+	check_forward();
+}
+END_TEST
+
+START_TEST(silent_watch_is_replaced)
+{
+	struct store_figures before, now;
+
+	options.list_every = 60 * HM_SEC;
+	fault((struct store_faults){ .silent_watch = true });
+	start();
+	store_figures(store, &before);
+	EVENTUALLY((store_figures(store, &now), now.watches >= 4));
+	/* A silent watch is no outage. */
+	ck_assert(newest(EV_PLATFORM, NULL).ok);
+	put("a", good);
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 1);
+}
+END_TEST
+
+START_TEST(stale_reads_never_revert)
+{
+	put("a", good);
+	put("a", good);
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 2);
+	fault((struct store_faults){ .stale_reads = true });
+	EVENTUALLY(count_of(EV_INSTANCES) > 5);
+	put("b", good);
+	EVENTUALLY(newest(EV_CONTRACT, "b").version == 3);
+	check_forward();
+}
+END_TEST
+
+START_TEST(starts_from_stale_read_and_catches_up)
+{
+	put("a", good);
+	put("a", good);
+	fault((struct store_faults){ .stale_reads = true });
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 2);
+	check_forward();
+}
+END_TEST
+
+START_TEST(invalid_contract_is_reported_and_not_delivered)
+{
+	struct object_api *api = object_api_new(ADDRESS);
+	struct object status = { 0 };
+	const json_t *version;
+
+	put("a", good);
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 1);
+	put("a", bad);
+	EVENTUALLY(object_api_get(api, KIND_STATUS, "refused.contract.a",
+				  loop_now() + HM_SEC, &status) == API_OK);
+	version = json_object_get(status.value, "version");
+	ck_assert_int_eq(json_integer_value(version), 2);
+	ck_assert_uint_eq(newest(EV_CONTRACT, "a").version, 1);
+	put("a", good);
+	EVENTUALLY(newest(EV_CONTRACT, "a").version > 2);
+	object_clear(&status);
+	object_api_free(api);
+	check_forward();
+}
+END_TEST
+
+START_TEST(outage_is_told_and_ends)
+{
+	put("a", good);
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 1);
+	fault((struct store_faults){ .down = true });
+	EVENTUALLY(newest(EV_PLATFORM, NULL).kind == EV_PLATFORM &&
+		   !newest(EV_PLATFORM, NULL).ok);
+	put("a", good);
+	ck_assert_uint_eq(newest(EV_CONTRACT, "a").version, 1);
+	fault((struct store_faults){ 0 });
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 2);
+	EVENTUALLY(newest(EV_PLATFORM, NULL).ok);
+}
+END_TEST
+
+START_TEST(unwatched_reads_contracts_once)
+{
+	struct store_figures figures;
+
+	options.watch = false;
+	put("a", good);
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 1);
+	put("a", good);
+	EVENTUALLY(count_of(EV_INSTANCES) > 4);
+	ck_assert_uint_eq(newest(EV_CONTRACT, "a").version, 1);
+	platform_watch(platform, true);
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == 2);
+	store_figures(store, &figures);
+	ck_assert_uint_le(figures.reads + figures.watches + figures.writes,
+			  platform_calls(platform));
+}
+END_TEST
+
+/* Term of the status of group "d", -1 when there is none. */
+static json_int_t status_term(struct object_api *api)
+{
+	hm_time until = loop_now() + HM_SEC;
+	struct object status;
+	json_int_t term;
+
+	if (object_api_get(api, KIND_STATUS, "d", until, &status) != API_OK)
+		return -1;
+	term = json_integer_value(json_object_get(status.value, "term"));
+	object_clear(&status);
+	return term;
+}
+
+START_TEST(older_term_does_not_replace_newer)
+{
+	struct object_api *api = object_api_new(ADDRESS);
+	guint rounds;
+
+	start();
+	EVENTUALLY(newest(EV_PLATFORM, NULL).ok);
+	fault((struct store_faults){ .lose_answer = true });
+	platform_announce(platform, "d", "d-2", 5);
+	EVENTUALLY(status_term(api) == 5);
+	fault((struct store_faults){ 0 });
+	platform_announce(platform, "d", "d-1", 4);
+	rounds = count_of(EV_INSTANCES);
+	EVENTUALLY(count_of(EV_INSTANCES) > rounds + 2);
+	ck_assert_int_eq(status_term(api), 5);
+	platform_announce(platform, "d", "d-3", 6);
+	EVENTUALLY(status_term(api) == 6);
+	object_api_free(api);
+}
+END_TEST
+
+START_TEST(ends_at_once_while_watching)
+{
+	hm_time begin;
+
+	options.watch_wait = 30 * HM_SEC;
+	options.call_limit = 30 * HM_SEC;
+	fault((struct store_faults){ .slow = 20 * HM_SEC });
+	start();
+	EVENTUALLY(platform && platform_calls(platform) >= 3);
+	begin = loop_now();
+	loop_post(loop, close_platform, NULL);
+	g_thread_join(thread);
+	ck_assert_int_lt(loop_now() - begin, PATIENCE);
+	loop_free(loop);
+	loop = loop_new();
+	fault((struct store_faults){ 0 });
+	start();
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("platform");
+	TCase *tc = tcase_create("platform");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, delivers_lists_and_changes);
+	tcase_add_test(tc, delete_becomes_tombstone);
+	tcase_add_test(tc, deleted_group_gets_no_new_work);
+	tcase_add_test(tc, silent_watch_misses_nothing);
+	tcase_add_test(tc, silent_watch_is_replaced);
+	tcase_add_test(tc, stale_reads_never_revert);
+	tcase_add_test(tc, starts_from_stale_read_and_catches_up);
+	tcase_add_test(tc, invalid_contract_is_reported_and_not_delivered);
+	tcase_add_test(tc, outage_is_told_and_ends);
+	tcase_add_test(tc, unwatched_reads_contracts_once);
+	tcase_add_test(tc, older_term_does_not_replace_newer);
+	tcase_add_test(tc, ends_at_once_while_watching);
+	tcase_set_timeout(tc, 120);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
