Serve statements and transactions over HTTP

One table of routes with method, key requirement and handler; strict bodies; session tokens bound to the account; answers carry the request's number, the truth about execution and retry advice. A caller that goes away is noticed over HTTP/1 too.

--- a/src/fields.c
+++ b/src/fields.c
@@ -74,8 +74,8 @@
 	}
 }
 
-static bool fault_value(struct fault *fault, const char *path,
-			const json_t *value, const char *allowed)
+bool fault_value(struct fault *fault, const char *path, const json_t *value,
+		 const char *allowed)
 {
 	char found[FOUND_BYTES];
 
@@ -162,6 +162,17 @@
 	return true;
 }
 
+static bool read_bool(const struct field *f, const char *path,
+		      const json_t *value, void *out, struct fault *fault)
+{
+	bool on = json_is_true(value);
+
+	if (!json_is_boolean(value))
+		return fault_value(fault, path, value, "true or false");
+	memcpy((char *)out + f->at, &on, sizeof(on));
+	return true;
+}
+
 static bool read_checked(const struct field *f, const char *path,
 			 const json_t *value, void *out, struct fault *fault)
 {
@@ -208,7 +219,9 @@
 		return read_number(f, path, value, out, fault);
 	case FIELD_SECRET:
 		return read_secret(f, path, value, out, fault);
-	case FIELD_ARRAY:
+	case FIELD_BOOL:
+		return read_bool(f, path, value, out, fault);
+	case FIELD_OTHER:
 		break;
 	}
 	return true;
@@ -302,7 +315,7 @@
 			continue;
 		snprintf(path, sizeof(path), "$.%s", fields[i].path);
 		return fault_set(fault, path, "nothing",
-				 "no settings without it");
+				 "a value, the field is required");
 	}
 	return true;
 }
--- a/src/fields.h
+++ b/src/fields.h
@@ -21,7 +21,8 @@
 	FIELD_COUNT,   /**< uint32_t */
 	FIELD_MS,      /**< hm_time, milliseconds in JSON */
 	FIELD_SECRET,  /**< bytes, twice as many hexadecimal digits in JSON */
-	FIELD_ARRAY    /**< known, read by its owner */
+	FIELD_BOOL,    /**< bool */
+	FIELD_OTHER    /**< known, read by its owner */
 };
 
 /** One field; a path "a.b" lies in the object "a". */
@@ -47,6 +48,9 @@
 /** Writes a line, always returns false. */
 bool fault_set(struct fault *fault, const char *path, const char *found,
 	       const char *allowed);
+/** The same, describing @a value. */
+bool fault_value(struct fault *fault, const char *path, const json_t *value,
+		 const char *allowed);
 /** The same for text that is no JSON. */
 bool fault_syntax(struct fault *fault, const json_error_t *error);
 /** False unless @a value is an array of @a least to @a most items. */
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,228 @@
+/** @file front.c Life of the callers' side, and its open requests. */
+#define _GNU_SOURCE /* POLLRDHUP; NOLINT(readability-identifier-naming) */
+#include "front_internal.h"
+
+#include <poll.h>
+#include <stdio.h>
+
+#include "log.h"
+
+#define HANGUP_CHECK_EVERY (100 * HM_MS)
+#define HTTP_2 0x200
+#define CALLERS_HOST "callers"
+#define OPERATORS_HOST "operators"
+#define HOST_PORT 65535
+/* A larger entity is refused by h2o itself, before it is read. */
+#define ENTITY_MARGIN 65536
+
+/** h2o's handler with the listener that it serves. */
+struct handler {
+	h2o_handler_t super;
+	struct front *front;
+	bool operators;
+};
+
+static int on_request(h2o_handler_t *super, h2o_req_t *req)
+{
+	struct handler *h = (struct handler *)super;
+
+	return front_request(h->front, h->operators, req);
+}
+
+static void add_host(struct front *f, struct listener *l, const char *name,
+		     bool operators)
+{
+	h2o_iovec_t host = h2o_iovec_init(name, strlen(name));
+	h2o_pathconf_t *path;
+	struct handler *h;
+
+	l->hosts[0] = h2o_config_register_host(&f->config, host, HOST_PORT);
+	path = h2o_config_register_path(l->hosts[0], "/", 0);
+	h = (struct handler *)h2o_create_handler(path, sizeof(*h));
+	h->super.on_req = on_request;
+	h->front = f;
+	h->operators = operators;
+}
+
+static void configure(struct front *f)
+{
+	h2o_config_init(&f->config);
+	f->config.server_name = h2o_iovec_init(H2O_STRLIT("hyssopmount"));
+	f->config.max_request_entity_size =
+		(size_t)f->settings->body_limit + ENTITY_MARGIN;
+	add_host(f, &f->callers, CALLERS_HOST, false);
+	add_host(f, &f->operators, OPERATORS_HOST, true);
+	h2o_context_init(&f->context, loop_h2o(f->loop), &f->config);
+}
+
+static bool open_listeners(struct front *f, char fault[SETTINGS_FAULT_BYTES])
+{
+	const struct settings *s = f->settings;
+
+	if (s->tls_certificate[0]) {
+		f->ssl = listener_tls(s, fault);
+		if (!f->ssl)
+			return false;
+		f->callers.accept.ssl_ctx = f->ssl;
+	}
+	return listener_open(&f->callers, f, "$.listen.callers",
+			     s->listen_callers, fault) &&
+	       listener_open(&f->operators, f, "$.listen.operators",
+			     s->listen_operators, fault);
+}
+
+/* Whether the other side of an HTTP/1 connection has ended it. */
+static bool hung_up(const struct exchange *x)
+{
+	struct pollfd p = { .events = POLLRDHUP };
+
+	if (x->req->version >= HTTP_2)
+		return false;
+	p.fd = h2o_socket_get_fd(
+		x->req->conn->callbacks->get_socket(x->req->conn));
+	return poll(&p, 1, 0) == 1;
+}
+
+/* Tells the instance that nobody waits for the answer any more. */
+void exchange_drop(struct exchange *x)
+{
+	struct front *f = x->front;
+	char text[RID_TEXT_BYTES];
+
+	log_event(G_LOG_LEVEL_INFO, "caller_gone", "request",
+		  rid_text(x->id, text), NULL);
+	f->hooks.gone(f->hooks.owner, x->id);
+}
+
+/*
+ * h2o reads nothing from an HTTP/1 connection while a request of it is
+ * open, so its end is looked for here.
+ */
+static void check_hangups(void *arg)
+{
+	struct front *f = arg;
+	GHashTableIter iter;
+	gpointer value;
+	GSList *gone = NULL, *i;
+
+	g_hash_table_iter_init(&iter, f->exchanges);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (!hung_up(value))
+			continue;
+		g_hash_table_iter_remove(&iter);
+		gone = g_slist_prepend(gone, value);
+	}
+	for (i = gone; i; i = i->next) {
+		exchange_drop(i->data);
+		exchange_refuse(i->data, ERR_OUTCOME_UNKNOWN, NULL);
+	}
+	g_slist_free(gone);
+	timer_set(f->hangup, loop_now() + HANGUP_CHECK_EVERY);
+}
+
+struct front *front_new(struct loop *loop, const struct settings *settings,
+			struct bodies *bodies, const struct front_hooks *hooks,
+			char fault[SETTINGS_FAULT_BYTES])
+{
+	struct front *f = g_new0(struct front, 1);
+	size_t routes;
+
+	front_routes(&routes);
+	f->loop = loop;
+	f->settings = settings;
+	f->bodies = bodies;
+	f->hooks = *hooks;
+	g_queue_init(&f->connections);
+	f->exchanges = g_hash_table_new(g_int64_hash, g_int64_equal);
+	f->latency = g_new0(struct histogram, routes);
+	f->answers = g_new0(uint64_t, routes * ERR_COUNT);
+	f->hangup = timer_new(loop, check_hangups, f);
+	timer_set(f->hangup, loop_now() + HANGUP_CHECK_EVERY);
+	configure(f);
+	if (open_listeners(f, fault))
+		return f;
+	front_free(f);
+	return NULL;
+}
+
+/* Nobody is left to answer these: the instance is gone or going. */
+static void answer_all(struct front *f)
+{
+	GList *list = g_hash_table_get_values(f->exchanges);
+	GList *i;
+
+	g_hash_table_remove_all(f->exchanges);
+	for (i = list; i; i = i->next)
+		exchange_refuse(i->data, ERR_OUTCOME_UNKNOWN, NULL);
+	g_list_free(list);
+}
+
+void front_free(struct front *f)
+{
+	h2o_multithread_queue_t *queue;
+	h2o_timeout_entry_t *later; /* second GOAWAY of a shutdown */
+
+	if (!f)
+		return;
+	later = &f->context.http2._graceful_shutdown_timeout;
+	f->stopping = true;
+	timer_free(f->hangup);
+	answer_all(f);
+	listener_close(&f->callers);
+	listener_close(&f->operators);
+	if (!connections_end(f)) {
+		log_event(G_LOG_LEVEL_WARNING, "connections_left", NULL);
+		return; /* h2o still refers to the front */
+	}
+	h2o_evloop_run(loop_h2o(f->loop), 0);
+	queue = f->context.queue;
+	if (h2o_timeout_is_linked(later))
+		h2o_timeout_unlink(later);
+	h2o_context_dispose(&f->context);
+#if H2O_VERSION_MAJOR == 2 && H2O_VERSION_MINOR == 2
+	free(queue); /* left over by h2o_multithread_destroy_queue() */
+#endif
+	h2o_config_dispose(&f->config);
+	SSL_CTX_free(f->ssl);
+	g_hash_table_destroy(f->exchanges);
+	g_free(f->latency);
+	g_free(f->answers);
+	g_free(f);
+}
+
+void front_answer(struct front *f, const struct result *result)
+{
+	struct exchange *x = NULL;
+
+	if (result->id.life == f->settings->core.life)
+		x = g_hash_table_lookup(f->exchanges, &result->id.seq);
+	if (!x) {
+		if (result->body)
+			bodies_drop(f->bodies, result->body);
+		return;
+	}
+	g_hash_table_remove(f->exchanges, &result->id.seq);
+	exchange_answer(x, result, NULL);
+}
+
+void front_stop(struct front *f)
+{
+	if (f->stopping)
+		return;
+	f->stopping = true;
+	listener_close(&f->callers);
+	h2o_context_request_shutdown(&f->context);
+}
+
+uint32_t front_open(const struct front *f)
+{
+	return g_hash_table_size(f->exchanges);
+}
+
+void front_address(const struct front *f, bool operators,
+		   char out[ADDRESS_BYTES])
+{
+	const struct listener *l = operators ? &f->operators : &f->callers;
+
+	memcpy(out, l->address, ADDRESS_BYTES);
+}
--- /dev/null
+++ b/src/front_listen.c
@@ -0,0 +1,174 @@
+/** @file front_listen.c Listening sockets, TLS and open connections. */
+#include "front_internal.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <openssl/err.h>
+#include <stdio.h>
+
+#include "address.h"
+
+#define FLUSH_LIMIT (500 * HM_MS)
+#define CLOSE_LIMIT (500 * HM_MS)
+#define RUN_WAIT_MS 10
+
+/** An accepted connection. */
+struct connection {
+	struct front *front;
+	int fd; /**< of its h2o socket */
+};
+
+static void on_connection_closed(void *data)
+{
+	struct connection *c = data;
+
+	g_queue_remove(&c->front->connections, c);
+	g_free(c);
+}
+
+static void track(struct front *f, h2o_socket_t *socket)
+{
+	struct connection *c = g_new(struct connection, 1);
+
+	c->front = f;
+	c->fd = h2o_socket_get_fd(socket);
+	socket->on_close.cb = on_connection_closed;
+	socket->on_close.data = c;
+	g_queue_push_tail(&f->connections, c);
+}
+
+static void accept_all(struct listener *l)
+{
+	h2o_socket_t *socket;
+
+	while ((socket = h2o_evloop_socket_accept(l->socket))) {
+		track(l->front, socket);
+		h2o_accept(&l->accept, socket);
+	}
+}
+
+static void on_accept(h2o_socket_t *socket, const char *err)
+{
+	if (!err)
+		accept_all(socket->data);
+}
+
+static int bind_socket(const struct sockaddr_storage *ss)
+{
+	int fd = socket(ss->ss_family,
+			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int on = 1;
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (const struct sockaddr *)ss, address_bytes(ss)) ||
+	    listen(fd, SOMAXCONN)) {
+		int keep = errno;
+
+		close(fd);
+		errno = keep;
+		return -1;
+	}
+	return fd;
+}
+
+static void note_address(struct listener *l, int fd, const char *wanted)
+{
+	struct sockaddr_storage ss;
+	socklen_t bytes = sizeof(ss);
+	const char *colon = strrchr(wanted, ':');
+	int32_t port = -1;
+
+	if (!getsockname(fd, (struct sockaddr *)&ss, &bytes))
+		port = h2o_socket_getport((struct sockaddr *)&ss);
+	snprintf(l->address, sizeof(l->address), "%.*s:%d",
+		 (int)(colon - wanted), wanted, (int)port);
+}
+
+bool listener_open(struct listener *l, struct front *f, const char *path,
+		   const char *address, char fault[SETTINGS_FAULT_BYTES])
+{
+	struct sockaddr_storage ss;
+	int fd = -1;
+
+	if (address_parse(address, &ss))
+		fd = bind_socket(&ss);
+	if (fd < 0) {
+		snprintf(fault, SETTINGS_FAULT_BYTES,
+			 "%s: %s: %s, allowed a free address of this machine",
+			 path, address, strerror(errno));
+		return false;
+	}
+	note_address(l, fd, address);
+	l->front = f;
+	l->accept.ctx = &f->context;
+	l->accept.hosts = l->hosts;
+	l->socket = h2o_evloop_socket_create(loop_h2o(f->loop), fd,
+					     H2O_SOCKET_FLAG_DONT_READ);
+	l->socket->data = l;
+	h2o_socket_read_start(l->socket, on_accept);
+	return true;
+}
+
+void listener_close(struct listener *l)
+{
+	if (!l->socket)
+		return;
+	accept_all(l);
+	h2o_socket_read_stop(l->socket);
+	h2o_socket_close(l->socket);
+	l->socket = NULL;
+}
+
+static bool load_files(SSL_CTX *ssl, const struct settings *s)
+{
+	return SSL_CTX_use_certificate_chain_file(ssl, s->tls_certificate) ==
+		       1 &&
+	       SSL_CTX_use_PrivateKey_file(ssl, s->tls_key, SSL_FILETYPE_PEM) ==
+		       1 &&
+	       SSL_CTX_check_private_key(ssl) == 1;
+}
+
+SSL_CTX *listener_tls(const struct settings *s,
+		      char fault[SETTINGS_FAULT_BYTES])
+{
+	SSL_CTX *ssl = SSL_CTX_new(TLS_server_method());
+	char reason[128];
+
+	if (ssl && load_files(ssl, s)) {
+		SSL_CTX_set_min_proto_version(ssl, TLS1_2_VERSION);
+		h2o_ssl_register_alpn_protocols(ssl, h2o_alpn_protocols);
+		return ssl;
+	}
+	ERR_error_string_n(ERR_get_error(), reason, sizeof(reason));
+	snprintf(fault, SETTINGS_FAULT_BYTES,
+		 "tls: %s: %s, allowed a PEM certificate and its key",
+		 s->tls_certificate, reason);
+	SSL_CTX_free(ssl);
+	return NULL;
+}
+
+static void shut_all(struct front *f, int how)
+{
+	GList *i;
+
+	for (i = f->connections.head; i; i = i->next)
+		shutdown(((struct connection *)i->data)->fd, how);
+}
+
+static void run_until_closed(struct front *f, hm_time deadline)
+{
+	while (f->connections.length && loop_now() < deadline)
+		h2o_evloop_run(loop_h2o(f->loop), RUN_WAIT_MS);
+}
+
+bool connections_end(struct front *f)
+{
+	/* Idle connections end now, others once their answer is sent. */
+	shut_all(f, SHUT_RD);
+	run_until_closed(f, loop_now() + FLUSH_LIMIT);
+	shut_all(f, SHUT_RDWR);
+	run_until_closed(f, loop_now() + CLOSE_LIMIT);
+	return f->connections.length == 0;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -295,11 +295,12 @@
 	g_log_structured_array(level, fields, count);
 }
 
-void rid_text(struct rid id, char out[RID_TEXT_BYTES])
+const char *rid_text(struct rid id, char out[RID_TEXT_BYTES])
 {
 	snprintf(out, RID_TEXT_BYTES,
 		 "%016" G_GINT64_MODIFIER "x-%" G_GINT64_MODIFIER "x", id.life,
 		 id.seq);
+	return out;
 }
 
 static const char *number_text(uint64_t n, const char *format,
--- a/src/log.h
+++ b/src/log.h
@@ -37,6 +37,6 @@
 
 /** Text of a request or transaction number: "life-seq" in hexadecimal. */
 #define RID_TEXT_BYTES 34
-void rid_text(struct rid id, char out[RID_TEXT_BYTES]);
+const char *rid_text(struct rid id, char out[RID_TEXT_BYTES]);
 
 #endif
--- /dev/null
+++ b/tests/front_world.h
@@ -0,0 +1,59 @@
+/**
+ * @file front_world.h
+ * A front on a loop of its own thread, with a scripted instance behind it
+ * that records statements and gives planned answers, and HTTP calls to it.
+ */
+#ifndef FRONT_WORLD_H
+#define FRONT_WORLD_H
+
+#include "../src/front.h"
+
+struct world;
+
+/** Settings with free ports, fixed life 1 and limits for tests. */
+void world_settings(struct settings *s);
+/** Starts; @a settings are copied. */
+struct world *world_new(const struct settings *settings);
+void world_free(struct world *w);
+/** Result of all following statements; body is JSON or NULL. */
+void world_plan(struct world *w, const struct result *plan, const char *body);
+/** Following statements get no answer. */
+void world_hold(struct world *w);
+/** Answers the newest statement now by the plan. */
+void world_release(struct world *w);
+/** Newest statement; false when none came yet. */
+bool world_last(struct world *w, struct statement *out);
+/** Body of the newest statement, a new string. */
+char *world_body(struct world *w);
+/** Waits until @a count callers were reported gone; false after 5 s. */
+bool world_gone(struct world *w, uint32_t count);
+/** Waits for @a count statements in all; false after 5 s. */
+bool world_seen(struct world *w, uint32_t count);
+void world_stop_front(struct world *w);
+/** Account of all keys, 0 for none. */
+void world_account(struct world *w, hm_id account);
+const char *world_address(const struct world *w, bool operators);
+
+/** One HTTP exchange. */
+struct call {
+	const char *method; /**< NULL: GET, or POST when there is a body */
+	const char *path;
+	const char *key;   /**< NULL for none */
+	const char *token; /**< NULL for none */
+	const char *body;
+	bool operators;
+	bool http2;
+	bool tls;
+	long status; /**< 0 when no answer came */
+	GString *headers;
+	GString *answer;
+};
+
+void world_call(struct world *w, struct call *c);
+/** Value of an answer's header, a new string, NULL when absent. */
+char *call_header(const struct call *c, const char *name);
+void call_clear(struct call *c);
+/** A connected TCP socket to the callers' listener. */
+int world_connect(const struct world *w);
+
+#endif
--- /dev/null
+++ b/tests/test_front.c
@@ -0,0 +1,468 @@
+/** @file test_front.c The callers' side over real sockets. */
+#include <check.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../src/names.h"
+#include "../src/request.h"
+#include "front_world.h"
+#include "script.h"
+
+#define CALLS 50
+#define READ_LIMIT_S 5
+
+/** A scripted run: a front, and what earlier commands left behind. */
+struct run {
+	struct world *world;
+	bool brief; /**< answers are shown as code and text only */
+	char *token;
+	char *tx;
+	uint32_t seen;
+};
+
+static enum error error_of(const char *code)
+{
+	int i;
+
+	for (i = 0; code && i < ERR_COUNT; i++)
+		if (!strcmp(error_answer((enum error)i)->code, code))
+			return (enum error)i;
+	ck_assert_msg(!code, "no error kind %s", code);
+	return ERR_NONE;
+}
+
+static enum execution execution_of(const char *line, enum error error)
+{
+	char *text = script_arg(line, "execution");
+	enum execution execution = error_answer(error)->execution;
+
+	if (text && !strcmp(text, "unknown"))
+		execution = EXEC_UNKNOWN;
+	else if (text)
+		execution = EXEC_RUN;
+	g_free(text);
+	return execution;
+}
+
+static void run_plan(struct run *run, const char *line)
+{
+	char *code = script_arg(line, "error");
+	char *body = script_arg(line, "body");
+	struct result plan = { 0 };
+
+	plan.error = error_of(code);
+	plan.execution = execution_of(line, plan.error);
+	plan.database = name_id("rota");
+	plan.endpoint = (hm_id)script_int(line, "endpoint", 0);
+	plan.at.term = (uint64_t)script_int(line, "term", 0);
+	plan.at.pos = (uint64_t)script_int(line, "pos", 0);
+	plan.unsure = script_int(line, "unsure", 0);
+	plan.reset_floor = script_int(line, "reset", 0);
+	plan.retry_at = script_int(line, "retry_ms", 0) * HM_MS;
+	plan.age_bound = script_int(line, "age_ms", 0) * HM_MS;
+	if (script_int(line, "tx", 0)) {
+		plan.tx.id.life = 2;
+		plan.tx.id.seq = (uint64_t)script_int(line, "tx", 0);
+		plan.tx.endpoint = plan.endpoint;
+	}
+	world_plan(run->world, &plan, body);
+	g_free(code);
+	g_free(body);
+}
+
+static void show_statement(struct run *run, GString *out)
+{
+	static const char *const ops[] = { "read", "write", "begin", "commit",
+					   "rollback" };
+	struct statement s;
+	char *body;
+	hm_time left;
+
+	if (!world_last(run->world, &s) || s.id.seq == run->seen)
+		return;
+	run->seen = (uint32_t)s.id.seq;
+	body = world_body(run->world);
+	/* Rounded, since time passed since the request's arrival. */
+	left = s.deadline - loop_now();
+	g_string_append_printf(out, "sent %s%s%s", ops[s.op],
+			       s.idempotent ? " idempotent" : "",
+			       s.unsure ? " unsure" : "");
+	if (s.tx.id.seq)
+		g_string_append_printf(out, " tx=%d@%d", (int)s.tx.id.seq,
+				       (int)s.tx.endpoint);
+	g_string_append_printf(out, " floor=%d.%d max_age_ms=%d",
+			       (int)s.floor.term, (int)s.floor.pos,
+			       (int)(s.max_age / HM_MS));
+	g_string_append_printf(out, " deadline_in=%s %s\n",
+			       left > 20 * HM_SEC  ? "limit"
+			       : left > 2 * HM_SEC ? "default"
+						   : "given",
+			       body);
+	g_free(body);
+}
+
+/* Replaces the transaction's text, which is long, by TX. */
+static void append_hidden(GString *out, const struct run *run, const char *text)
+{
+	char **parts = g_strsplit(text, run->tx ? run->tx : "\n", -1);
+	char *joined = g_strjoinv("TX", parts);
+
+	g_string_append(out, joined);
+	g_free(joined);
+	g_strfreev(parts);
+}
+
+static void show_brief(const struct call *c, GString *out)
+{
+	json_t *root = json_loads(c->answer->str, 0, NULL);
+	json_t *error = json_object_get(root, "error");
+
+	g_string_append_printf(out, "%ld", c->status);
+	if (error) {
+		g_string_append_printf(
+			out, " %s: %s",
+			json_string_value(json_object_get(error, "code")),
+			json_string_value(json_object_get(error, "text")));
+		ck_assert_str_eq(
+			json_string_value(json_object_get(error, "execution")),
+			"not run");
+	}
+	json_decref(root);
+}
+
+static void keep_transaction(struct run *run, const struct call *c)
+{
+	json_t *root = json_loads(c->answer->str, 0, NULL);
+	const char *text =
+		json_string_value(json_object_get(root, "transaction"));
+
+	if (text) {
+		g_free(run->tx);
+		run->tx = g_strdup(text);
+	}
+	json_decref(root);
+}
+
+static void show_answer(struct run *run, const struct call *c, GString *out)
+{
+	char *token = call_header(c, "session-token");
+	char *retry = call_header(c, "retry-after");
+	char *id = call_header(c, "request-id");
+
+	ck_assert_ptr_nonnull(id);
+	keep_transaction(run, c);
+	if (run->brief) {
+		show_brief(c, out);
+	} else {
+		g_string_append_printf(out, "%ld ", c->status);
+		append_hidden(out, run, c->answer->str);
+	}
+	if (retry)
+		g_string_append_printf(out, "\nretry-after %s", retry);
+	if (token)
+		g_string_append(out, run->brief ? " token" : "\ntoken");
+	g_string_append_c(out, '\n');
+	if (token) {
+		g_free(run->token);
+		run->token = token;
+	}
+	g_free(retry);
+	g_free(id);
+}
+
+/* FILLERn stands for n letters, TX for the text of the transaction. */
+static char *expand(const struct run *run, char *text)
+{
+	char **parts;
+	char *joined;
+
+	if (text && g_str_has_prefix(text, "FILLER")) {
+		size_t bytes = strtoul(text + strlen("FILLER"), NULL, 10);
+
+		g_free(text);
+		return g_strnfill(bytes, 'x');
+	}
+	if (!text || !run->tx)
+		return text;
+	parts = g_strsplit(text, "TX", -1);
+	joined = g_strjoinv(run->tx, parts);
+	g_strfreev(parts);
+	g_free(text);
+	return joined;
+}
+
+static void run_call(struct run *run, const char *line, GString *out)
+{
+	char *path = expand(run, script_arg(line, "path"));
+	char *key = expand(run, script_arg(line, "key"));
+	char *token = script_arg(line, "token");
+	char *body = expand(run, script_arg(line, "body"));
+	struct call c = {
+		.path = path, .key = key, .token = token, .body = body
+	};
+
+	if (token && !strcmp(token, "last"))
+		c.token = run->token;
+	if (g_str_has_prefix(line, "post"))
+		c.method = "POST";
+	c.operators = script_int(line, "operators", 0);
+	world_call(run->world, &c);
+	if (!run->brief)
+		show_statement(run, out);
+	show_answer(run, &c, out);
+	call_clear(&c);
+	g_free(path);
+	g_free(key);
+	g_free(token);
+	g_free(body);
+}
+
+static void command(void *context, const char *line, GString *out)
+{
+	struct run *run = context;
+
+	if (g_str_has_prefix(line, "plan"))
+		run_plan(run, line);
+	else if (g_str_has_prefix(line, "account"))
+		world_account(run->world, (hm_id)script_int(line, "id", 0));
+	else
+		run_call(run, line, out);
+}
+
+static void run_file(const char *file, bool brief)
+{
+	struct settings s;
+	struct run run = { .brief = brief };
+	char *fault;
+
+	world_settings(&s);
+	run.world = world_new(&s);
+	fault = script_run(file, command, &run);
+	ck_assert_msg(!fault, "%s", fault);
+	world_free(run.world);
+	g_free(run.token);
+	g_free(run.tx);
+}
+
+START_TEST(statements)
+{
+	run_file("tests/scripts/front_statement.txt", false);
+}
+END_TEST
+
+START_TEST(refusals)
+{
+	run_file("tests/scripts/front_refuse.txt", true);
+}
+END_TEST
+
+#define BODY "{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"read\"}"
+
+START_TEST(http2_prior_knowledge)
+{
+	struct call c = {
+		.path = "/v1/statement", .key = "k", .body = BODY, .http2 = true
+	};
+	struct settings s;
+	struct world *w;
+
+	world_settings(&s);
+	w = world_new(&s);
+	world_call(w, &c);
+	ck_assert_int_eq(c.status, 200);
+	ck_assert(g_str_has_prefix(c.headers->str, "HTTP/2"));
+	call_clear(&c);
+	world_free(w);
+}
+END_TEST
+
+static gpointer call_thread(gpointer arg)
+{
+	struct call c = { .path = "/v1/statement", .key = "k", .body = BODY };
+	long status;
+
+	world_call(arg, &c);
+	status = c.status;
+	call_clear(&c);
+	return GINT_TO_POINTER((int)status);
+}
+
+START_TEST(stop_finishes_open_requests)
+{
+	struct result plan = { .execution = EXEC_RUN };
+	struct settings s;
+	struct world *w;
+	GThread *caller;
+	struct call late = { .path = "/health" };
+
+	world_settings(&s);
+	w = world_new(&s);
+	world_plan(w, &plan, NULL);
+	world_hold(w);
+	caller = g_thread_new("caller", call_thread, w);
+	ck_assert(world_seen(w, 1));
+	world_stop_front(w);
+	world_call(w, &late);
+	ck_assert_int_eq(late.status, 0);
+	world_release(w);
+	ck_assert_int_eq(GPOINTER_TO_INT(g_thread_join(caller)), 200);
+	call_clear(&late);
+	world_free(w);
+}
+END_TEST
+
+START_TEST(free_answers_what_is_open)
+{
+	struct settings s;
+	struct world *w;
+	GThread *caller;
+
+	world_settings(&s);
+	w = world_new(&s);
+	world_hold(w);
+	caller = g_thread_new("caller", call_thread, w);
+	ck_assert(world_seen(w, 1));
+	world_free(w);
+	ck_assert_int_eq(GPOINTER_TO_INT(g_thread_join(caller)), 504);
+}
+END_TEST
+
+#define RAW_REQUEST                                             \
+	"POST /v1/statement HTTP/1.1\r\nHost: a\r\n"            \
+	"Authorization: Bearer k\r\nContent-Length: 45\r\n\r\n" \
+	"{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"read\"}\r\n"
+
+static void send_raw(int fd)
+{
+	ck_assert_int_eq(send(fd, RAW_REQUEST, strlen(RAW_REQUEST), 0),
+			 strlen(RAW_REQUEST));
+}
+
+/* The end of a caller is noticed although more of its bytes wait unread. */
+START_TEST(tells_that_caller_is_gone)
+{
+	struct settings s;
+	struct world *w;
+	int fd;
+
+	world_settings(&s);
+	w = world_new(&s);
+	world_hold(w);
+	fd = world_connect(w);
+	send_raw(fd);
+	send_raw(fd);
+	ck_assert(world_seen(w, 1));
+	close(fd);
+	ck_assert(world_gone(w, 1));
+	world_free(w);
+}
+END_TEST
+
+static gpointer call_http2(gpointer arg)
+{
+	struct call c = {
+		.path = "/v1/statement", .key = "k", .body = BODY, .http2 = true
+	};
+
+	world_call(arg, &c);
+	call_clear(&c);
+	return NULL;
+}
+
+/* Answers of requests on one connection keep to their own streams. */
+START_TEST(late_answer_of_gone_caller_is_dropped)
+{
+	struct result plan = { .execution = EXEC_RUN };
+	struct settings s;
+	struct world *w;
+	GThread *caller;
+	int fd;
+
+	world_settings(&s);
+	w = world_new(&s);
+	world_plan(w, &plan, "{\"rows\":[]}");
+	world_hold(w);
+	fd = world_connect(w);
+	send_raw(fd);
+	ck_assert(world_seen(w, 1));
+	close(fd);
+	ck_assert(world_gone(w, 1));
+	world_release(w);
+	caller = g_thread_new("caller", call_http2, w);
+	ck_assert(world_seen(w, 2));
+	world_release(w);
+	g_thread_join(caller);
+	world_free(w);
+}
+END_TEST
+
+static void open_routes(struct world *w)
+{
+	struct call health = { .path = "/health" };
+	struct call api = { .path = "/v1/api" };
+	struct call metrics = { .path = "/metrics", .operators = true };
+	struct call status = { .path = "/status", .operators = true };
+
+	world_call(w, &health);
+	ck_assert_str_eq(health.answer->str, "{\"status\":\"serving\"}\n");
+	world_call(w, &api);
+	ck_assert_ptr_nonnull(strstr(api.answer->str, "outcome_unknown"));
+	ck_assert_ptr_null(strstr(api.answer->str, "/metrics"));
+	world_call(w, &metrics);
+	ck_assert(g_str_has_prefix(metrics.answer->str, "instance_metric 1\n"));
+	ck_assert_ptr_nonnull(strstr(
+		metrics.answer->str,
+		"hyssopmount_front_answers_total{route=\"/v1/statement\","
+		"code=\"ok\"} 50\n"));
+	ck_assert_ptr_nonnull(strstr(metrics.answer->str,
+				     "hyssopmount_front_latency_seconds_count"
+				     "{route=\"/v1/statement\"} 50\n"));
+	world_call(w, &status);
+	ck_assert_str_eq(status.answer->str, "{\"instance\":\"a\"}");
+	call_clear(&health);
+	call_clear(&api);
+	call_clear(&metrics);
+	call_clear(&status);
+}
+
+START_TEST(open_and_operators_routes)
+{
+	struct settings s;
+	struct world *w;
+	int i;
+
+	world_settings(&s);
+	w = world_new(&s);
+	for (i = 0; i < CALLS; i++)
+		ck_assert_int_eq(GPOINTER_TO_INT(call_thread(w)), 200);
+	open_routes(w);
+	world_free(w);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("front");
+	TCase *tc = tcase_create("front");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, statements);
+	tcase_add_test(tc, refusals);
+	tcase_add_test(tc, http2_prior_knowledge);
+	tcase_add_test(tc, stop_finishes_open_requests);
+	tcase_add_test(tc, free_answers_what_is_open);
+	tcase_add_test(tc, tells_that_caller_is_gone);
+	tcase_add_test(tc, late_answer_of_gone_caller_is_dropped);
+	tcase_add_test(tc, open_and_operators_routes);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
