--- a/core/core.c
+++ b/core/core.c
@@ -348,3 +348,10 @@
 	out->config_digest = contracts_digest(c->contracts);
 	add_loads(c, out);
 }
+
+hm_id core_account(const struct core *c, struct key_id key)
+{
+	const struct contract *contract = contracts_by_key(c->contracts, key);
+
+	return contract ? contract->account : 0;
+}
--- a/core/core.h
+++ b/core/core.h
@@ -225,5 +225,7 @@
 	uint64_t promotions;
 };
 void core_figures(const struct core *core, struct core_figures *out);
+/** Account whose live contract holds @a key, 0 when none does. */
+hm_id core_account(const struct core *core, struct key_id key);
 
 #endif
--- a/src/front.c
+++ b/src/front.c
@@ -166,6 +166,7 @@
 		return;
 	later = &f->context.http2._graceful_shutdown_timeout;
 	f->stopping = true;
+	f->ended = true;
 	timer_free(f->hangup);
 	answer_all(f);
 	listener_close(&f->callers);
--- a/src/front_exchange.c
+++ b/src/front_exchange.c
@@ -227,6 +227,8 @@
 	if (header_bytes(req) > f->settings->header_limit)
 		exchange_refuse(x, ERR_TOO_LARGE,
 				"the headers exceed $.limits.header_bytes");
+	else if (f->ended)
+		exchange_refuse(x, ERR_STOPPING, NULL);
 	else if (!x->route)
 		exchange_refuse(x, ERR_NOT_FOUND, NULL);
 	else if (x->route->open || exchange_credentials(x))
--- a/src/front_internal.h
+++ b/src/front_internal.h
@@ -35,6 +35,7 @@
 	struct timer *hangup;  /**< looks for callers that went away */
 	uint64_t seq;	       /**< of the last request */
 	bool stopping;
+	bool ended;		   /**< takes no request any more */
 	struct histogram *latency; /**< by route */
 	uint64_t *answers;	   /**< by route and error kind */
 };
--- a/src/front_routes.c
+++ b/src/front_routes.c
@@ -247,8 +247,6 @@
 	metrics_single(out, "hyssopmount_front_connections", "gauge",
 		       "Connections of callers and operators.",
 		       f->connections.length);
-	metrics_single(out, "hyssopmount_log_lines_dropped_total", "counter",
-		       "Log lines lost to a full queue.", log_dropped());
 	append_answers(f, out);
 	metrics_family(out, "hyssopmount_front_latency_seconds", "histogram",
 		       "Time from arrival to answer, by route.");
--- a/src/instance.c
+++ b/src/instance.c
@@ -223,6 +223,20 @@
 	on_event(owner, &e);
 }
 
+static hm_id on_account(void *owner, struct key_id key)
+{
+	struct instance *i = owner;
+
+	return core_account(i->core, key);
+}
+
+static const char *on_name(void *owner, hm_id id)
+{
+	struct instance *i = owner;
+
+	return names_find(i->names, id);
+}
+
 static char *on_metrics(void *owner)
 {
 	struct instance *i = owner;
@@ -349,8 +363,13 @@
 
 static bool open_front(struct instance *i, char fault[SETTINGS_FAULT_BYTES])
 {
-	struct front_hooks hooks = { on_request, on_gone, on_metrics, on_status,
-				     i };
+	struct front_hooks hooks = { .request = on_request,
+				     .gone = on_gone,
+				     .account = on_account,
+				     .name = on_name,
+				     .metrics = on_metrics,
+				     .status = on_status,
+				     .owner = i };
 
 	i->front = front_new(i->loop, &i->settings, i->bodies, &hooks, fault);
 	return i->front != NULL;
@@ -428,8 +447,9 @@
 	if (!i)
 		return;
 	timer_free(i->tick);
-	platform_free(i->platform);
+	/* The front still runs the loop to send its last answers. */
 	front_free(i->front);
+	platform_free(i->platform);
 	if (i->driver_state)
 		i->driver->shut(i->driver_state);
 	peer_links_free(i->peers);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -2,7 +2,6 @@
 #include "metrics.h"
 
 #define FIRST_BOUND (100 * (hm_time)1)
-#define LABELS_BYTES 64
 
 hm_time histogram_bound(uint32_t index)
 {
@@ -100,69 +99,3 @@
 			       name, labels, h->sum / HM_SEC, h->sum % HM_SEC,
 			       name, labels, h->count);
 }
-
-/** A figure of the core and how it is shown. */
-struct shown {
-	const char *name;
-	const char *type;
-	const char *help;
-	size_t at;
-	bool wide; /**< uint64_t, else uint32_t */
-};
-
-#define AT(member) offsetof(struct core_figures, member)
-
-static const struct shown shown[] = {
-	{ "hyssopmount_contracts", "gauge", "Contracts in force.",
-	  AT(contracts), false },
-	{ "hyssopmount_databases", "gauge", "Database groups known.",
-	  AT(databases), false },
-	{ "hyssopmount_peers_alive", "gauge", "Other instances alive.",
-	  AT(peers_alive), false },
-	{ "hyssopmount_requests_waiting", "gauge",
-	  "Requests waiting for a token of their account's rate.", AT(waiting),
-	  false },
-	{ "hyssopmount_requests_in_flight", "gauge",
-	  "Requests at the home of an endpoint.", AT(in_flight), false },
-	{ "hyssopmount_statements_queued", "gauge",
-	  "Statements queued here for held endpoints.", AT(queued), false },
-	{ "hyssopmount_transactions_open", "gauge",
-	  "Transactions open at held endpoints.", AT(transactions), false },
-	{ "hyssopmount_endpoint_connections", "gauge",
-	  "Connections open to held endpoints.", AT(connections), false },
-	{ "hyssopmount_config_version", "gauge",
-	  "Highest contract version in force.", AT(config_version), true },
-	{ "hyssopmount_answered_total", "counter",
-	  "Requests that were answered.", AT(answered), true },
-	{ "hyssopmount_reads_replica_total", "counter",
-	  "Reads served by replicas.", AT(reads_replica), true },
-	{ "hyssopmount_reads_primary_total", "counter",
-	  "Reads served by primaries.", AT(reads_primary), true },
-	{ "hyssopmount_promotions_total", "counter",
-	  "Promotions ordered by this instance.", AT(promotions), true },
-};
-
-static uint64_t figure(const struct core_figures *f, const struct shown *s)
-{
-	const char *p = (const char *)f + s->at;
-
-	return s->wide ? *(const uint64_t *)p : *(const uint32_t *)p;
-}
-
-void metrics_core(GString *out, const struct core_figures *f)
-{
-	char labels[LABELS_BYTES];
-	size_t i;
-
-	for (i = 0; i < G_N_ELEMENTS(shown); i++)
-		metrics_single(out, shown[i].name, shown[i].type, shown[i].help,
-			       figure(f, &shown[i]));
-	metrics_family(out, "hyssopmount_errors_total", "counter",
-		       "Requests answered with an error, by kind.");
-	for (i = ERR_NONE + 1; i < ERR_COUNT; i++) {
-		g_snprintf(labels, sizeof(labels), "code=\"%s\"",
-			   error_answer((enum error)i)->code);
-		metrics_value(out, "hyssopmount_errors_total", labels,
-			      f->errors[i]);
-	}
-}
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -8,7 +8,7 @@
 
 #include <glib.h>
 
-#include "../core/core.h"
+#include "../core/types.h"
 
 /** Upper bounds of latency buckets grow by half from 100 microseconds. */
 #define HISTOGRAM_BUCKETS 32
@@ -38,7 +38,4 @@
 /** Writes buckets, sum and count in seconds. */
 void metrics_histogram(GString *out, const char *name, const char *labels,
 		       const struct histogram *h);
-/** Families of the figures of a core. */
-void metrics_core(GString *out, const struct core_figures *f);
-
 #endif
