Stand-in members: PostgreSQL protocol over SQLite, log, terms, faults

Members replicate a log of statements with a lag, arbitrate terms and the home by hm_ functions, and carry faults that can be switched at run time.

--- /dev/null
+++ b/standin/engine.c
@@ -0,0 +1,411 @@
+/** @file engine.c SQL of a stand-in member over an in-memory SQLite. */
+#include "engine.h"
+
+#include <sqlite3.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Virtual machine steps between checks, and checks of one statement. */
+#define PROGRESS_STEPS 1000000
+#define PROGRESS_CHECKS 200
+
+#define TYPE_INT8 20
+#define TYPE_TEXT 25
+#define TYPE_FLOAT8 701
+
+struct engine {
+	sqlite3 *reader;
+	sqlite3 *writer;
+	bool internal; /**< the running SQL is this module's own */
+	uint32_t checks;
+};
+
+/** SQLSTATE of an extended SQLite result code. */
+static const struct {
+	int code;
+	const char *sqlstate;
+} states[] = {
+	{ SQLITE_CONSTRAINT_UNIQUE, "23505" },
+	{ SQLITE_CONSTRAINT_PRIMARYKEY, "23505" },
+	{ SQLITE_CONSTRAINT_ROWID, "23505" },
+	{ SQLITE_CONSTRAINT_NOTNULL, "23502" },
+	{ SQLITE_CONSTRAINT_FOREIGNKEY, "23503" },
+	{ SQLITE_CONSTRAINT_CHECK, "23514" },
+	{ SQLITE_INTERRUPT, "57014" },
+	{ SQLITE_AUTH, "42501" },
+	{ SQLITE_FULL, "53100" },
+	{ SQLITE_NOMEM, "53200" },
+	{ SQLITE_MISMATCH, "22P02" },
+	{ SQLITE_TOOBIG, "54000" },
+};
+
+/** SQLSTATE of an SQLite message, where the code says too little. */
+static const struct {
+	const char *text;
+	const char *sqlstate;
+} messages[] = {
+	{ "no such table", "42P01" },	 { "no such column", "42703" },
+	{ "no such function", "42883" }, { "already exists", "42P07" },
+	{ "not authorized", "42501" },	 { "syntax error", "42601" },
+	{ "incomplete input", "42601" },
+};
+
+static const char *sqlstate_of(sqlite3 *db)
+{
+	int code = sqlite3_extended_errcode(db);
+	const char *text = sqlite3_errmsg(db);
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(states); i++)
+		if (states[i].code == code || states[i].code == (code & 0xff))
+			return states[i].sqlstate;
+	for (i = 0; i < G_N_ELEMENTS(messages); i++)
+		if (strstr(text, messages[i].text))
+			return messages[i].sqlstate;
+	return (code & 0xff) == SQLITE_CONSTRAINT ? "23000" : "XX000";
+}
+
+static void fail(struct engine_result *r, const char *sqlstate,
+		 const char *message)
+{
+	g_strlcpy(r->sqlstate, sqlstate, sizeof(r->sqlstate));
+	g_free(r->message);
+	r->message = g_strdup(message);
+}
+
+static void fail_db(struct engine_result *r, sqlite3 *db)
+{
+	fail(r, sqlstate_of(db), sqlite3_errmsg(db));
+}
+
+static bool random_function(const char *name)
+{
+	return !g_ascii_strcasecmp(name, "random") ||
+	       !g_ascii_strcasecmp(name, "randomblob") ||
+	       !g_ascii_strcasecmp(name, "load_extension");
+}
+
+/* Statements are replayed on replicas and share two connections. */
+static int authorize(void *arg, int code, const char *first, const char *second,
+		     const char *third, const char *fourth)
+{
+	const struct engine *e = arg;
+
+	(void)first;
+	(void)third;
+	(void)fourth;
+	if (e->internal)
+		return SQLITE_OK;
+	switch (code) {
+	case SQLITE_ATTACH:
+	case SQLITE_DETACH:
+	case SQLITE_PRAGMA:
+	case SQLITE_TRANSACTION:
+	case SQLITE_SAVEPOINT:
+	case SQLITE_CREATE_TEMP_TABLE:
+	case SQLITE_CREATE_TEMP_VIEW:
+	case SQLITE_CREATE_TEMP_TRIGGER:
+	case SQLITE_CREATE_TEMP_INDEX:
+		return SQLITE_DENY;
+	case SQLITE_FUNCTION:
+		return random_function(second) ? SQLITE_DENY : SQLITE_OK;
+	default:
+		return SQLITE_OK;
+	}
+}
+
+static int progress(void *arg)
+{
+	struct engine *e = arg;
+
+	return ++e->checks > PROGRESS_CHECKS;
+}
+
+static sqlite3 *connection_new(struct engine *e)
+{
+	const int flags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE |
+			  SQLITE_OPEN_MEMORY | SQLITE_OPEN_NOMUTEX;
+	sqlite3 *db = NULL;
+
+	if (sqlite3_open_v2(":memory:", &db, flags, NULL) != SQLITE_OK)
+		goto fail;
+	sqlite3_extended_result_codes(db, 1);
+	if (sqlite3_exec(db, "PRAGMA foreign_keys = on", NULL, NULL, NULL) !=
+	    SQLITE_OK)
+		goto fail;
+	sqlite3_set_authorizer(db, authorize, e);
+	sqlite3_progress_handler(db, PROGRESS_STEPS, progress, e);
+	return db;
+fail:
+	sqlite3_close(db);
+	return NULL;
+}
+
+struct engine *engine_new(void)
+{
+	struct engine *e = g_new0(struct engine, 1);
+
+	e->writer = connection_new(e);
+	e->reader = connection_new(e);
+	if (e->writer && e->reader)
+		return e;
+	engine_free(e);
+	return NULL;
+}
+
+void engine_free(struct engine *e)
+{
+	sqlite3_close(e->reader);
+	sqlite3_close(e->writer);
+	g_free(e);
+}
+
+static sqlite3 *connection(const struct engine *e, bool writer)
+{
+	return writer ? e->writer : e->reader;
+}
+
+/* One statement only, as with the extended query protocol. */
+static sqlite3_stmt *prepare(sqlite3 *db, const char *sql,
+			     struct engine_result *out)
+{
+	sqlite3_stmt *stmt = NULL;
+	const char *tail = "";
+
+	if (sqlite3_prepare_v2(db, sql, -1, &stmt, &tail) != SQLITE_OK) {
+		fail_db(out, db);
+		return NULL;
+	}
+	if (!stmt) {
+		fail(out, "42601", "empty statement");
+		return NULL;
+	}
+	if (tail[strspn(tail, " \t\r\n;")]) {
+		fail(out, "42601", "more than one statement");
+		sqlite3_finalize(stmt);
+		return NULL;
+	}
+	return stmt;
+}
+
+enum engine_kind engine_kind(struct engine *e, bool writer, const char *sql,
+			     struct engine_result *out)
+{
+	sqlite3_stmt *stmt = prepare(connection(e, writer), sql, out);
+	bool reads;
+
+	if (!stmt)
+		return ENGINE_FAULT;
+	reads = sqlite3_stmt_readonly(stmt);
+	sqlite3_finalize(stmt);
+	return reads ? ENGINE_READ : ENGINE_WRITE;
+}
+
+static bool bind_integer(sqlite3_stmt *stmt, int i, const char *text)
+{
+	char back[32];
+	gint64 v;
+
+	if (strlen(text) >= sizeof(back))
+		return false;
+	v = g_ascii_strtoll(text, NULL, 10);
+	g_snprintf(back, sizeof(back), "%" G_GINT64_FORMAT, v);
+	if (strcmp(back, text) != 0)
+		return false;
+	sqlite3_bind_int64(stmt, i, v);
+	return true;
+}
+
+static bool bind_real(sqlite3_stmt *stmt, int i, const char *text)
+{
+	char *end;
+	double v;
+
+	if (!g_ascii_isdigit(text[text[0] == '-']) || !strchr(text, '.'))
+		return false;
+	v = g_ascii_strtod(text, &end);
+	if (*end)
+		return false;
+	sqlite3_bind_double(stmt, i, v);
+	return true;
+}
+
+/* Text that is a number in its shortest form is bound as a number. */
+static void bind_text(sqlite3_stmt *stmt, int i, const char *text)
+{
+	if (!text) {
+		sqlite3_bind_null(stmt, i);
+		return;
+	}
+	if (bind_integer(stmt, i, text) || bind_real(stmt, i, text))
+		return;
+	sqlite3_bind_text(stmt, i, text, -1, SQLITE_TRANSIENT);
+}
+
+static bool bind_all(sqlite3_stmt *stmt, char *const *params, uint32_t count,
+		     struct engine_result *out)
+{
+	int wanted = sqlite3_bind_parameter_count(stmt);
+	const char *name;
+	int i, n;
+
+	for (i = 1; i <= wanted; i++) {
+		name = sqlite3_bind_parameter_name(stmt, i);
+		n = name && name[0] == '$' ? atoi(name + 1) : 0;
+		if (n < 1 || (uint32_t)n > count) {
+			fail(out, "42P02", "there is no such parameter");
+			return false;
+		}
+		bind_text(stmt, i, params[n - 1]);
+	}
+	return true;
+}
+
+static uint32_t type_of(int sqlite_type)
+{
+	switch (sqlite_type) {
+	case SQLITE_INTEGER:
+		return TYPE_INT8;
+	case SQLITE_FLOAT:
+		return TYPE_FLOAT8;
+	default:
+		return TYPE_TEXT;
+	}
+}
+
+static void take_columns(sqlite3_stmt *stmt, struct engine_result *out)
+{
+	uint32_t i;
+
+	out->column_count = (uint32_t)sqlite3_column_count(stmt);
+	out->columns = g_new0(char *, out->column_count + 1);
+	out->types = g_new0(uint32_t, out->column_count + 1);
+	for (i = 0; i < out->column_count; i++) {
+		out->columns[i] = g_strdup(sqlite3_column_name(stmt, (int)i));
+		out->types[i] = TYPE_TEXT;
+	}
+}
+
+static void take_row(sqlite3_stmt *stmt, struct engine_result *out)
+{
+	char **row = g_new0(char *, out->column_count + 1);
+	uint32_t i;
+	int type;
+
+	for (i = 0; i < out->column_count; i++) {
+		type = sqlite3_column_type(stmt, (int)i);
+		if (!out->rows->len)
+			out->types[i] = type_of(type);
+		if (type != SQLITE_NULL)
+			row[i] = g_strdup((const char *)sqlite3_column_text(
+				stmt, (int)i));
+	}
+	g_ptr_array_add(out->rows, row);
+}
+
+static bool step_all(sqlite3 *db, sqlite3_stmt *stmt, struct engine_result *out)
+{
+	int rc;
+
+	while ((rc = sqlite3_step(stmt)) == SQLITE_ROW)
+		take_row(stmt, out);
+	if (rc == SQLITE_DONE)
+		return true;
+	fail_db(out, db);
+	return false;
+}
+
+bool engine_run(struct engine *e, bool writer, const char *sql,
+		char *const *params, uint32_t count, struct engine_result *out)
+{
+	sqlite3 *db = connection(e, writer);
+	sqlite3_stmt *stmt = prepare(db, sql, out);
+	bool ok;
+
+	if (!stmt)
+		return false;
+	e->checks = 0;
+	out->rows = g_ptr_array_new();
+	out->wrote = !sqlite3_stmt_readonly(stmt);
+	take_columns(stmt, out);
+	ok = bind_all(stmt, params, count, out) && step_all(db, stmt, out);
+	if (ok && out->wrote)
+		out->affected = (uint64_t)sqlite3_changes64(db);
+	sqlite3_finalize(stmt);
+	return ok;
+}
+
+void engine_result_clear(struct engine_result *r)
+{
+	uint32_t i, k;
+	char **row;
+
+	for (i = 0; r->rows && i < r->rows->len; i++) {
+		row = r->rows->pdata[i];
+		for (k = 0; k < r->column_count; k++)
+			g_free(row[k]);
+		g_free(row);
+	}
+	if (r->rows)
+		g_ptr_array_unref(r->rows);
+	g_strfreev(r->columns);
+	g_free(r->types);
+	g_free(r->message);
+	memset(r, 0, sizeof(*r));
+}
+
+static bool control(struct engine *e, sqlite3 *db, const char *sql)
+{
+	int rc;
+
+	e->internal = true;
+	rc = sqlite3_exec(db, sql, NULL, NULL, NULL);
+	e->internal = false;
+	return rc == SQLITE_OK;
+}
+
+bool engine_begin(struct engine *e)
+{
+	return control(e, e->writer, "BEGIN IMMEDIATE");
+}
+
+bool engine_commit(struct engine *e)
+{
+	return control(e, e->writer, "COMMIT");
+}
+
+void engine_rollback(struct engine *e)
+{
+	if (!sqlite3_get_autocommit(e->writer))
+		control(e, e->writer, "ROLLBACK");
+}
+
+static bool run_all(struct engine *e, bool writer, const GPtrArray *statements)
+{
+	struct engine_result result = { 0 };
+	struct memlog_statement *s;
+	bool ok = true;
+	guint i;
+
+	for (i = 0; ok && i < statements->len; i++) {
+		s = statements->pdata[i];
+		ok = engine_run(e, writer, s->sql, s->params, s->count,
+				&result);
+		engine_result_clear(&result);
+	}
+	return ok;
+}
+
+bool engine_publish(struct engine *e, const GPtrArray *statements)
+{
+	return control(e, e->reader, "BEGIN") &&
+	       run_all(e, false, statements) && control(e, e->reader, "COMMIT");
+}
+
+bool engine_apply(struct engine *e, const GPtrArray *statements)
+{
+	if (engine_begin(e) && run_all(e, true, statements) && engine_commit(e))
+		return engine_publish(e, statements);
+	engine_rollback(e);
+	return false;
+}
--- a/standin/member.h
+++ b/standin/member.h
@@ -16,6 +16,7 @@
 	bool cut_peers;	  /**< cut off from the other members */
 	bool cut_all;	  /**< refuses and drops every connection */
 	bool paused;	  /**< reads and writes nothing, keeps connections */
+	bool dead;	  /**< killed; state stays as on disk */
 	bool silent;	  /**< open connections go silent, new ones work */
 	bool lose_answer; /**< drops the connection after the effect */
 	hm_time lag;	  /**< of the log shipped to this member */
@@ -35,6 +36,7 @@
 	hm_time connect_cost;	/**< time to accept a connection */
 	hm_time statement_cost; /**< slot time of a statement */
 	hm_time lag;
+	hm_time keepalive; /**< a silent connection is ended, 0: 5 s */
 };
 
 /** Listens on the address of every endpoint of every database. */
@@ -47,8 +49,12 @@
 /** Callable from any thread. */
 void members_fault(struct members *m, hm_id endpoint,
 		   const struct member_faults *faults);
-/** Kills the member: state stays, connections drop, until revived. */
 void members_figures(struct members *m, hm_id endpoint,
 		     struct member_figures *out);
+/**
+ * Runs one SQL statement at a member outside any session, for seeding.
+ * @return false when it failed or the member may not write
+ */
+bool members_sql(struct members *m, hm_id endpoint, const char *sql);
 
 #endif
--- /dev/null
+++ b/standin/node.c
@@ -0,0 +1,369 @@
+/** @file node.c One stand-in member. */
+#include "node.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "session.h"
+
+#define BACKLOG 128
+
+static bool parse_address(const char *text, struct sockaddr_in *out)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[ADDRESS_BYTES];
+
+	if (!colon)
+		return false;
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(ip, text, (gsize)(colon - text) + 1);
+	out->sin_family = AF_INET;
+	out->sin_port = htons((uint16_t)atoi(colon + 1));
+	return inet_pton(AF_INET, ip, &out->sin_addr) == 1;
+}
+
+static int listen_on(const char *address)
+{
+	struct sockaddr_in at;
+	int one = 1;
+	int fd;
+
+	if (!parse_address(address, &at))
+		return -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (!bind(fd, (struct sockaddr *)&at, sizeof(at)) &&
+	    !listen(fd, BACKLOG))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+struct node *node_new(hm_id database, const struct endpoint_spec *spec,
+		      const struct member_options *options, GPtrArray *peers)
+{
+	struct node *n = g_new0(struct node, 1);
+
+	n->database = database;
+	n->spec = *spec;
+	n->options = *options;
+	n->peers = peers;
+	n->next_pid = 1;
+	n->sessions = g_ptr_array_new();
+	g_queue_init(&n->waiting);
+	memlog_open(&n->log);
+	n->engine = engine_new();
+	n->listener = listen_on(spec->address);
+	if (n->engine && n->listener >= 0)
+		return n;
+	node_free(n);
+	return NULL;
+}
+
+static void drop_sessions(struct node *n)
+{
+	guint i;
+
+	/* Nobody in line may take the lock of those that are dropped. */
+	g_queue_clear(&n->waiting);
+	for (i = 0; i < n->sessions->len; i++)
+		session_close(n->sessions->pdata[i]);
+}
+
+static void reap_sessions(struct node *n)
+{
+	struct session *s;
+	guint i;
+
+	for (i = n->sessions->len; i-- > 0;) {
+		s = n->sessions->pdata[i];
+		if (!s->closed)
+			continue;
+		g_ptr_array_remove_index_fast(n->sessions, i);
+		session_free(s);
+	}
+}
+
+void node_free(struct node *n)
+{
+	guint i;
+
+	drop_sessions(n);
+	for (i = 0; i < n->sessions->len; i++)
+		session_free(n->sessions->pdata[i]);
+	g_ptr_array_unref(n->sessions);
+	if (n->listener >= 0)
+		close(n->listener);
+	if (n->engine)
+		engine_free(n->engine);
+	memlog_close(&n->log);
+	g_free(n);
+}
+
+void node_accept(struct node *n)
+{
+	int one = 1;
+	int fd = accept(n->listener, NULL, NULL);
+
+	if (fd < 0)
+		return;
+	if (n->faults.cut_all || n->faults.dead) {
+		close(fd);
+		return;
+	}
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	fcntl(fd, F_SETFD, FD_CLOEXEC);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	g_ptr_array_add(n->sessions, session_new(n, fd, n->next_pid++));
+}
+
+static struct node *find_peer(const struct node *n, hm_id endpoint)
+{
+	struct node *peer;
+	guint i;
+
+	for (i = 0; i < n->peers->len; i++) {
+		peer = n->peers->pdata[i];
+		if (peer->spec.endpoint == endpoint)
+			return peer;
+	}
+	return NULL;
+}
+
+static bool linked(const struct node *n)
+{
+	const struct member_faults *f = &n->faults;
+
+	return !f->cut_peers && !f->cut_all && !f->paused && !f->dead;
+}
+
+/* The member to replicate from, when its log may be taken over now. */
+static struct node *source_of(const struct node *n)
+{
+	struct node *from;
+
+	if (n->log.role != ROLE_REPLICA || !n->log.following)
+		return NULL;
+	from = find_peer(n, n->log.following);
+	if (!from || from == n || !linked(n) || !linked(from))
+		return NULL;
+	return memlog_accepts(&n->log, &from->log) ? from : NULL;
+}
+
+static hm_time arrival(const struct node *n, const struct memlog_record *r)
+{
+	hm_time lag = n->faults.lag ? n->faults.lag : n->options.lag;
+
+	return r->committed_at + lag;
+}
+
+static bool replay(struct node *n, const struct memlog_record *r)
+{
+	return engine_apply(n->engine, r->statements);
+}
+
+/* Replays the log into an empty database. */
+static void rebuild(struct node *n)
+{
+	guint i;
+
+	statement_doom(n, 0);
+	engine_free(n->engine);
+	n->engine = engine_new();
+	for (i = 0; n->engine && i < n->log.records->len; i++)
+		if (!replay(n, n->log.records->pdata[i]))
+			break;
+	if (!n->engine || i < n->log.records->len)
+		g_error("cannot replay the log of %s", n->spec.name);
+}
+
+/* Cuts off records that the log of @a from contradicts. */
+static void rewind_tail(struct node *n, const struct node *from)
+{
+	uint64_t branch = memlog_branch(&n->log, &from->log);
+
+	if (branch == n->log.records->len || branch == from->log.records->len)
+		return;
+	memlog_cut(&n->log, branch);
+	rebuild(n);
+}
+
+static void take_record(struct node *n, const struct node *from,
+			struct memlog_record *r)
+{
+	if (!replay(n, r))
+		g_error("cannot apply a record to %s", n->spec.name);
+	memlog_take(&n->log, r);
+	if (r->at.term <= n->log.promised)
+		return;
+	n->log.promised = r->at.term;
+	n->log.promised_by = from->log.promised_by;
+}
+
+static void replicate(struct node *n, hm_time now)
+{
+	struct node *from = source_of(n);
+	struct memlog_record *r;
+
+	if (!from)
+		return;
+	rewind_tail(n, from);
+	while ((r = memlog_next(&n->log, &from->log)) && arrival(n, r) <= now)
+		take_record(n, from, r);
+}
+
+void node_tick(struct node *n, hm_time now)
+{
+	guint i;
+
+	reap_sessions(n);
+	if (n->faults.paused)
+		return;
+	if (!n->faults.dead)
+		replicate(n, now);
+	for (i = 0; i < n->sessions->len; i++)
+		session_work(n->sessions->pdata[i], now);
+	reap_sessions(n);
+}
+
+hm_time node_due(const struct node *n, hm_time now)
+{
+	const struct memlog_record *r;
+	const struct node *from = source_of(n);
+	hm_time due = HM_NEVER;
+	guint i;
+
+	if (n->faults.paused)
+		return HM_NEVER;
+	for (i = 0; i < n->sessions->len; i++)
+		due = MIN(due, session_due(n->sessions->pdata[i], now));
+	r = from ? memlog_next(&n->log, &from->log) : NULL;
+	if (r)
+		due = MIN(due, arrival(n, r));
+	return due;
+}
+
+static void silence(struct node *n, hm_time now)
+{
+	struct session *s;
+	guint i;
+
+	for (i = 0; i < n->sessions->len; i++) {
+		s = n->sessions->pdata[i];
+		s->silent = true;
+		s->silent_at = now;
+	}
+}
+
+void node_fault(struct node *n, const struct member_faults *faults, hm_time now)
+{
+	struct member_faults old = n->faults;
+
+	n->faults = *faults;
+	if (faults->dead && !old.dead)
+		n->home = 0;
+	if ((faults->dead && !old.dead) || (faults->cut_all && !old.cut_all))
+		drop_sessions(n);
+	if (faults->silent && !old.silent)
+		silence(n, now);
+	if (faults->paused && !old.paused)
+		n->paused_at = now;
+	/* The holder could not be heard meanwhile. */
+	if (!faults->paused && old.paused)
+		n->home_heard += now - n->paused_at;
+}
+
+void node_state(const struct node *n, hm_time now, struct endpoint_state *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->database = n->database;
+	out->endpoint = n->spec.endpoint;
+	out->reachable = true;
+	out->role = n->log.role;
+	out->promised = n->log.promised;
+	out->promised_by = n->log.promised_by;
+	out->at = memlog_at(&n->log);
+	memlog_lineage(&n->log, &out->lineage);
+	out->home = n->home;
+	out->home_idle = n->home ? now - n->home_heard : 0;
+}
+
+bool node_take_home(struct node *n, uint64_t life, uint64_t expected,
+		    hm_time now)
+{
+	struct session *s;
+	guint i;
+
+	if (!life || (n->home != life && n->home != expected))
+		return false;
+	n->home = life;
+	n->home_heard = now;
+	for (i = 0; i < n->sessions->len; i++) {
+		s = n->sessions->pdata[i];
+		if (s->life && s->life != life)
+			session_fatal(s, "57P01", "the member has a new home");
+	}
+	return true;
+}
+
+bool node_follow(struct node *n, uint64_t term, uint64_t orderer, hm_id target,
+		 hm_time now)
+{
+	if (!find_peer(n, target) || target == n->spec.endpoint)
+		return false;
+	if (!memlog_follow(&n->log, term, orderer, target))
+		return false;
+	statement_doom(n, now);
+	replicate(n, now);
+	return true;
+}
+
+uint32_t node_connections(const struct node *n)
+{
+	const struct session *s;
+	uint32_t count = 0;
+	guint i;
+
+	for (i = 0; i < n->sessions->len; i++) {
+		s = n->sessions->pdata[i];
+		count += !s->closed && !s->forgotten && !s->control &&
+			 s->stage != STAGE_STARTUP;
+	}
+	return count;
+}
+
+struct session *node_session(const struct node *n, uint32_t pid)
+{
+	struct session *s;
+	guint i;
+
+	for (i = 0; i < n->sessions->len; i++) {
+		s = n->sessions->pdata[i];
+		if (!s->closed && !s->forgotten && s->pid == pid)
+			return s;
+	}
+	return NULL;
+}
+
+bool node_sql(struct node *n, const char *sql, hm_time now)
+{
+	GPtrArray *list = g_ptr_array_new_with_free_func(memlog_statement_free);
+	bool ok = !n->writer && memlog_writable(&n->log);
+
+	g_ptr_array_add(list, memlog_statement_new(sql, NULL, 0));
+	ok = ok && engine_apply(n->engine, list);
+	if (ok)
+		memlog_append(&n->log, list, now);
+	else
+		g_ptr_array_unref(list);
+	return ok;
+}
--- /dev/null
+++ b/standin/order.c
@@ -0,0 +1,173 @@
+/**
+ * @file order.c
+ * Control functions of a stand-in member: hm_state(), hm_fence(term,
+ * orderer), hm_promote(term, orderer), hm_follow(term, orderer, target),
+ * hm_home(life, expected) and hm_cancel(pid). Terms and pids are decimal,
+ * lives and targets hexadecimal.
+ */
+#include <string.h>
+
+#include "session.h"
+
+#define ARGS_MAX 3
+
+struct order_args {
+	uint32_t count;
+	char text[ARGS_MAX][32];
+};
+
+typedef bool (*order_step)(struct session *s, const struct order_args *args,
+			   hm_time now);
+
+static uint64_t decimal(const char *text)
+{
+	return g_ascii_strtoull(text, NULL, 10);
+}
+
+static uint64_t hexadecimal(const char *text)
+{
+	return g_ascii_strtoull(text, NULL, 16);
+}
+
+static bool state(struct session *s, const struct order_args *args, hm_time now)
+{
+	(void)s;
+	(void)args;
+	(void)now;
+	return true;
+}
+
+static bool fence(struct session *s, const struct order_args *args, hm_time now)
+{
+	(void)now;
+	return memlog_fence(&s->node->log, decimal(args->text[0]),
+			    hexadecimal(args->text[1]));
+}
+
+static bool promote(struct session *s, const struct order_args *args,
+		    hm_time now)
+{
+	return memlog_promote(&s->node->log, decimal(args->text[0]),
+			      hexadecimal(args->text[1]), now);
+}
+
+static bool follow(struct session *s, const struct order_args *args,
+		   hm_time now)
+{
+	return node_follow(s->node, decimal(args->text[0]),
+			   hexadecimal(args->text[1]),
+			   hexadecimal(args->text[2]), now);
+}
+
+static bool home(struct session *s, const struct order_args *args, hm_time now)
+{
+	return node_take_home(s->node, hexadecimal(args->text[0]),
+			      hexadecimal(args->text[1]), now);
+}
+
+static bool cancel(struct session *s, const struct order_args *args,
+		   hm_time now)
+{
+	uint64_t pid = decimal(args->text[0]);
+	struct session *other = node_session(s->node, (uint32_t)pid);
+
+	if (!other)
+		return false;
+	statement_cancel(other, now);
+	return true;
+}
+
+static const struct {
+	const char *name;
+	uint32_t args;
+	bool effect;
+	order_step step;
+} orders[] = {
+	{ "hm_state", 0, false, state },    { "hm_fence", 2, true, fence },
+	{ "hm_promote", 2, true, promote }, { "hm_follow", 3, true, follow },
+	{ "hm_home", 2, true, home },	    { "hm_cancel", 1, false, cancel },
+};
+
+static const char *skip(const char *at, const char *what)
+{
+	return at + strspn(at, what);
+}
+
+/* Arguments between parentheses; quotes and blanks are dropped. */
+static bool parse_args(const char *at, struct order_args *out)
+{
+	size_t bytes;
+
+	out->count = 0;
+	at = skip(at, " ");
+	if (*at++ != '(')
+		return false;
+	for (at = skip(at, " ',"); *at && *at != ')'; at = skip(at, " ',")) {
+		bytes = strcspn(at, " ',)");
+		if (out->count == ARGS_MAX || bytes >= sizeof(out->text[0]))
+			return false;
+		memcpy(out->text[out->count], at, bytes);
+		out->text[out->count++][bytes] = 0;
+		at += bytes;
+	}
+	return *at == ')' && !*skip(at + 1, " ;\n");
+}
+
+static void write_lineage(GString *row, const struct lineage *lineage)
+{
+	uint32_t i;
+
+	for (i = 0; i < lineage->count; i++)
+		g_string_append_printf(
+			row, "%s[%" G_GUINT64_FORMAT ",%" G_GUINT64_FORMAT "]",
+			i ? "," : "", lineage->begin[i].term,
+			lineage->begin[i].pos);
+}
+
+static void write_state(GString *row, const struct endpoint_state *e)
+{
+	const char *role = e->role == ROLE_PRIMARY ? "primary" : "replica";
+
+	g_string_append_printf(row,
+			       "{\"refused\":%s,\"role\":\"%s\","
+			       "\"promised\":%" G_GUINT64_FORMAT ","
+			       "\"promised_by\":\"%016" G_GINT64_MODIFIER "x\","
+			       "\"at\":[%" G_GUINT64_FORMAT
+			       ",%" G_GUINT64_FORMAT "],\"lineage\":[",
+			       e->refused ? "true" : "false", role, e->promised,
+			       e->promised_by, e->at.term, e->at.pos);
+	write_lineage(row, &e->lineage);
+	g_string_append_printf(row,
+			       "],\"home\":\"%016" G_GINT64_MODIFIER "x\","
+			       "\"home_idle\":%" G_GINT64_FORMAT "}",
+			       e->home, e->home_idle);
+}
+
+enum order order_run(struct session *s, const char *sql, GString *row,
+		     bool *effect, hm_time now)
+{
+	const char *name = skip(sql, " \n\t");
+	struct order_args args;
+	struct endpoint_state e;
+	bool accepted;
+	size_t i, bytes;
+
+	if (g_ascii_strncasecmp(name, "select ", 7) != 0)
+		return ORDER_NONE;
+	name = skip(name + 7, " ");
+	bytes = strcspn(name, " (");
+	for (i = 0; i < G_N_ELEMENTS(orders); i++)
+		if (strlen(orders[i].name) == bytes &&
+		    !strncmp(orders[i].name, name, bytes))
+			break;
+	if (i == G_N_ELEMENTS(orders))
+		return ORDER_NONE;
+	if (!parse_args(name + bytes, &args) || args.count != orders[i].args)
+		return ORDER_FAULT;
+	accepted = orders[i].step(s, &args, now);
+	node_state(s->node, now, &e);
+	e.refused = !accepted;
+	write_state(row, &e);
+	*effect = orders[i].effect;
+	return ORDER_DONE;
+}
--- /dev/null
+++ b/standin/pgproto.h
@@ -0,0 +1,62 @@
+/**
+ * @file pgproto.h
+ * Server side of the PostgreSQL frontend/backend protocol 3.0: framing of
+ * what a client sends and building of what a server answers. Text format
+ * only.
+ */
+#ifndef PGPROTO_H
+#define PGPROTO_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define PG_PROTOCOL 196608
+#define PG_CANCEL 80877102
+#define PG_SSL 80877103
+#define PG_GSSENC 80877104
+
+/** One message from a client; @a body points into the input. */
+struct pg_message {
+	uint8_t type; /**< 0 for the first message of a connection */
+	const uint8_t *body;
+	uint32_t bytes;
+	uint32_t whole; /**< bytes to drop from the input afterwards */
+};
+
+enum pg_next { PG_SHORT, PG_MESSAGE, PG_BROKEN };
+
+/** Next message of an input; @a first for one without a type byte. */
+enum pg_next pg_next(const GByteArray *in, bool first, struct pg_message *out);
+
+/** Reads fields in order; @a broken is set when they end too early. */
+struct pg_reader {
+	const uint8_t *at;
+	const uint8_t *end;
+	bool broken;
+};
+
+struct pg_reader pg_reader(const struct pg_message *m);
+uint32_t pg_read_u32(struct pg_reader *r);
+uint16_t pg_read_u16(struct pg_reader *r);
+/** Borrowed text up to a NUL; "" when broken. */
+const char *pg_read_text(struct pg_reader *r);
+/** A new text of @a bytes; NULL when broken. */
+char *pg_read_bytes(struct pg_reader *r, uint32_t bytes);
+
+void pg_write_auth_ok(GByteArray *out);
+void pg_write_parameter(GByteArray *out, const char *name, const char *value);
+void pg_write_key(GByteArray *out, uint32_t pid, uint32_t secret);
+/** @param status 'I' idle, 'T' in a transaction, 'E' in a failed one */
+void pg_write_ready(GByteArray *out, char status);
+/** A message without a body, such as ParseComplete. */
+void pg_write_empty(GByteArray *out, char type);
+void pg_write_columns(GByteArray *out, char *const *names,
+		      const uint32_t *types, uint32_t count);
+void pg_write_row(GByteArray *out, char *const *values, uint32_t count);
+void pg_write_complete(GByteArray *out, const char *tag);
+/** @param severity "ERROR", or "FATAL" before the connection is closed */
+void pg_write_error(GByteArray *out, const char *severity, const char *sqlstate,
+		    const char *message);
+
+#endif
