--- /dev/null
+++ b/src/pg_control.h
@@ -0,0 +1,26 @@
+/**
+ * @file pg_control.h
+ * Control steps at endpoints: one connection kept for each endpoint, opened
+ * again when it broke, or one opened for a single step.
+ */
+#ifndef PG_CONTROL_H
+#define PG_CONTROL_H
+
+#include "driver.h"
+
+struct pg_control;
+
+struct pg_control *pg_control_new(const struct driver_host *host);
+void pg_control_free(struct pg_control *c);
+/** Ends with one EV_STATE. */
+void pg_control_step(struct pg_control *c, const struct control *step,
+		     const struct database_spec *database,
+		     const struct endpoint_spec *endpoint);
+/** Cancels what a server process runs; nobody is told how it went. */
+void pg_control_cancel(struct pg_control *c, hm_id database,
+		       const char *database_name,
+		       const struct endpoint_spec *endpoint, int pid);
+/** Closes the connection of an endpoint once its steps ended. */
+void pg_control_forget(struct pg_control *c, hm_id endpoint);
+
+#endif
