--- /dev/null
+++ b/core/outcome.c
@@ -0,0 +1,47 @@
+/** @file outcome.c From the end of a statement to its error and execution. */
+#include "outcome.h"
+
+/* The endpoint took no part of it, or said that it did not run it. */
+static struct outcome not_run(enum op op, bool in_tx, bool refused)
+{
+	if (in_tx)
+		return (struct outcome){ ERR_TX_GONE, EXEC_NOT_RUN };
+	if (refused && op != OP_READ)
+		return (struct outcome){ ERR_NO_PRIMARY, EXEC_NOT_RUN };
+	return (struct outcome){ ERR_NO_ENDPOINT, EXEC_NOT_RUN };
+}
+
+/*
+ * The connection is closed with the statement on it, and an open transaction
+ * is rolled back with it: only a commit, or a statement outside of one, may
+ * have taken effect.
+ */
+static struct outcome lost(enum op op, bool in_tx)
+{
+	if (op == OP_BEGIN)
+		return (struct outcome){ ERR_NO_ENDPOINT, EXEC_NOT_RUN };
+	if (in_tx && op != OP_COMMIT)
+		return (struct outcome){ ERR_TX_GONE, EXEC_UNKNOWN };
+	return (struct outcome){ ERR_OUTCOME_UNKNOWN, EXEC_UNKNOWN };
+}
+
+struct outcome outcome_of(enum op op, enum done done, bool in_tx,
+			  bool cancelled)
+{
+	switch (done) {
+	case DONE_OK:
+		return (struct outcome){ ERR_NONE, EXEC_RUN };
+	case DONE_REJECTED:
+		/* A rejected statement leaves no effect. */
+		if (cancelled)
+			return (struct outcome){ ERR_DEADLINE, EXEC_NOT_RUN };
+		return (struct outcome){ ERR_STATEMENT, EXEC_RUN };
+	case DONE_REFUSED:
+		return not_run(op, in_tx, true);
+	case DONE_NOT_SENT:
+		return not_run(op, in_tx, false);
+	case DONE_LOST:
+		break;
+	}
+	return lost(op, in_tx);
+}
--- /dev/null
+++ b/tests/test_home.c
@@ -0,0 +1,675 @@
+/**
+ * @file test_home.c
+ * The home of an endpoint against a modelled endpoint that answers late, in
+ * part, wrongly or never, and its fairness against a plain FIFO.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../core/home.h"
+#include "../core/rng.h"
+
+#define ACCOUNTS 4
+#define STATEMENTS 4000
+#define CONNS_MOST 64
+#define SLOTS 2
+#define CONNECTIONS 16
+#define LIFE 9
+
+/* One connection as the endpoint sees it. */
+struct remote {
+	uint64_t conn; /* 0: free */
+	bool ready;
+	hm_time at; /* next thing happens, HM_NEVER for none */
+	bool running;
+	bool resetting;
+	bool cancelled;
+	struct statement statement;
+	hm_id tx_account; /* holder of the open transaction */
+};
+
+struct record {
+	bool submitted;
+	bool ran;
+	uint32_t ended;
+	enum execution claimed;
+	enum error error;
+};
+
+struct bench {
+	struct core_options options;
+	struct contracts *contracts;
+	struct home *home;
+	struct actions actions;
+	struct remote remotes[CONNS_MOST];
+	struct record records[STATEMENTS + 1];
+	struct tx_id open[ACCOUNTS + 1];
+	struct rng rng;
+	hm_time now;
+	uint64_t next_conn;
+	uint32_t next;
+	uint32_t fault_percent;
+	uint32_t served[ACCOUNTS + 1];
+};
+
+static struct key_id key_of(hm_id account)
+{
+	return (struct key_id){ account, 1 };
+}
+
+static void grant(struct bench *b, hm_id account, uint64_t version, bool gone)
+{
+	struct contract c = { .account = account,
+			      .version = version,
+			      .withdrawn = gone,
+			      .rate = 100,
+			      .burst = 100,
+			      .weight = 1,
+			      .transactions = 3,
+			      .database_count = 1,
+			      .key_count = 1 };
+	const char *fault;
+
+	c.databases[0].database = 1;
+	c.keys[0] = key_of(account);
+	contracts_apply(b->contracts, &c, &fault);
+}
+
+static struct bench *bench_new(uint64_t seed, uint32_t fault_percent)
+{
+	struct bench *b = calloc(1, sizeof(*b));
+	struct database_spec d = { .database = 1 };
+	struct endpoint_spec e = { .endpoint = 2,
+				   .slots = SLOTS,
+				   .connections = CONNECTIONS };
+	hm_id account;
+
+	b->options = (struct core_options){ .life = LIFE,
+					    .idle_transaction = 2 * HM_SEC,
+					    .statement_limit = 10 * HM_SEC,
+					    .queue_limit = 100 };
+	b->rng.state = seed;
+	b->fault_percent = fault_percent;
+	b->contracts = contracts_new();
+	for (account = 1; account <= ACCOUNTS; account++)
+		grant(b, account, account, false);
+	b->home = home_new(&b->options, b->contracts, &d, &e, &b->next_conn, 0);
+	return b;
+}
+
+static void bench_free(struct bench *b)
+{
+	home_free(b->home);
+	contracts_free(b->contracts);
+	actions_free(&b->actions);
+	free(b);
+}
+
+static bool chance(struct bench *b, uint32_t percent)
+{
+	return rng_below(&b->rng, 100) < percent;
+}
+
+static struct remote *remote_of(struct bench *b, uint64_t conn)
+{
+	uint32_t i;
+
+	for (i = 0; i < CONNS_MOST; i++)
+		if (b->remotes[i].conn == conn)
+			return &b->remotes[i];
+	return NULL;
+}
+
+static void check_limits(const struct bench *b)
+{
+	uint32_t open = 0, running = 0;
+	uint32_t i;
+
+	for (i = 0; i < CONNS_MOST; i++) {
+		open += b->remotes[i].conn != 0;
+		running += b->remotes[i].running || b->remotes[i].resetting;
+	}
+	ck_assert_uint_le(open, CONNECTIONS - 3);
+	ck_assert_uint_le(running, SLOTS);
+}
+
+/* A lost statement may have run; a lost BEGIN leaves nothing behind. */
+static void maybe_ran(struct bench *b, const struct remote *r)
+{
+	if (r->statement.op != OP_BEGIN && chance(b, 50))
+		b->records[r->statement.id.seq].ran = true;
+}
+
+static void on_execute(struct bench *b, struct remote *r,
+		       const struct statement *s)
+{
+	ck_assert(r->ready && !r->running && !r->resetting);
+	/* Nobody enters another account's transaction. */
+	ck_assert(!r->tx_account || r->tx_account == s->account);
+	ck_assert(!s->tx.id.seq == !r->tx_account);
+	r->running = true;
+	r->cancelled = false;
+	r->statement = *s;
+	r->at = b->now + 1000 + (hm_time)rng_below(&b->rng, 40 * HM_MS);
+	if (chance(b, b->fault_percent / 4))
+		r->at = HM_NEVER;
+}
+
+static void perform(struct bench *b, const struct action *act)
+{
+	struct remote *r;
+
+	r = remote_of(b, act->kind == ACT_CONNECT ? 0 : act->conn.conn);
+	ck_assert_ptr_nonnull(r);
+	switch (act->kind) {
+	case ACT_CONNECT:
+		*r = (struct remote){ .conn = act->conn.conn };
+		r->at = b->now + 10 * HM_MS;
+		break;
+	case ACT_EXECUTE:
+		on_execute(b, r, &act->conn.statement);
+		break;
+	case ACT_CANCEL:
+		ck_assert(r->running);
+		r->cancelled = true;
+		if (r->at != HM_NEVER)
+			r->at = b->now + 1000;
+		break;
+	case ACT_RESET:
+		ck_assert(r->ready && !r->running);
+		r->resetting = true;
+		r->at = chance(b, b->fault_percent / 4) ? HM_NEVER
+							: b->now + 1000;
+		break;
+	case ACT_CLOSE:
+		/* What was running may yet take effect. */
+		if (r->running)
+			maybe_ran(b, r);
+		*r = (struct remote){ 0 };
+		break;
+	default:
+		ck_abort();
+	}
+	check_limits(b);
+}
+
+static void drain(struct bench *b)
+{
+	struct home_ended e;
+	size_t i;
+
+	for (i = 0; i < b->actions.count; i++)
+		perform(b, &b->actions.list[i]);
+	actions_clear(&b->actions);
+	while (home_next_ended(b->home, &e)) {
+		struct record *rec = &b->records[e.statement.id.seq];
+		hm_id account = e.statement.account;
+
+		rec->ended++;
+		rec->claimed = e.execution;
+		rec->error = e.error;
+		if (e.statement.op == OP_BEGIN || e.statement.tx.id.seq)
+			b->open[account] = e.tx;
+		if (e.error == ERR_NONE)
+			b->served[account]++;
+	}
+}
+
+static void feed(struct bench *b, const struct event *e)
+{
+	home_event(b->home, e, b->now, &b->actions);
+	drain(b);
+}
+
+static void closed(struct bench *b, struct remote *r)
+{
+	struct event e = { .kind = EV_CLOSED };
+
+	e.conn.conn = r->conn;
+	e.conn.failed = !r->ready;
+	*r = (struct remote){ 0 };
+	feed(b, &e);
+}
+
+static enum done draw_done(struct bench *b, const struct remote *r)
+{
+	if (r->cancelled && chance(b, 70))
+		return DONE_REJECTED;
+	if (!chance(b, b->fault_percent))
+		return DONE_OK;
+	return (enum done)(DONE_REJECTED + rng_below(&b->rng, 4));
+}
+
+/* Takes the effects that the model says this end had. */
+static void take_effect(struct bench *b, struct remote *r, enum done done)
+{
+	enum op op = r->statement.op;
+
+	if (done == DONE_OK)
+		b->records[r->statement.id.seq].ran = true;
+	if (done == DONE_LOST)
+		maybe_ran(b, r);
+	if (done == DONE_OK && op == OP_BEGIN)
+		r->tx_account = r->statement.account;
+	if (done == DONE_OK && (op == OP_COMMIT || op == OP_ROLLBACK))
+		r->tx_account = 0;
+}
+
+static void statement_done(struct bench *b, struct remote *r)
+{
+	struct event e = { .kind = EV_DONE };
+
+	e.done.conn = r->conn;
+	e.done.id = r->statement.id;
+	e.done.done = draw_done(b, r);
+	take_effect(b, r, e.done.done);
+	e.done.open_tx = r->tx_account != 0;
+	r->running = false;
+	r->at = HM_NEVER;
+	/* A crossed answer of another request must be dropped. */
+	e.done.id.seq++;
+	feed(b, &e);
+	e.done.id.seq--;
+	feed(b, &e);
+	feed(b, &e);
+}
+
+static void reset_done(struct bench *b, struct remote *r)
+{
+	struct event e = { .kind = EV_DONE };
+
+	r->resetting = false;
+	r->at = HM_NEVER;
+	r->tx_account = 0;
+	e.done.conn = r->conn;
+	feed(b, &e);
+}
+
+static void remote_step(struct bench *b, struct remote *r)
+{
+	if (!r->conn || r->at > b->now)
+		return;
+	if (!r->ready && !chance(b, b->fault_percent)) {
+		struct event e = { .kind = EV_CONNECTED };
+
+		r->ready = true;
+		r->at = HM_NEVER;
+		e.conn.conn = r->conn;
+		feed(b, &e);
+	} else if (!r->ready || chance(b, b->fault_percent / 4)) {
+		if (r->running)
+			maybe_ran(b, r);
+		closed(b, r);
+	} else if (r->running) {
+		statement_done(b, r);
+	} else if (r->resetting) {
+		reset_done(b, r);
+	}
+}
+
+static enum op draw_op(struct bench *b, bool in_tx)
+{
+	static const enum op single[] = { OP_READ, OP_READ, OP_WRITE,
+					  OP_BEGIN };
+	static const enum op inside[] = { OP_READ, OP_WRITE, OP_COMMIT,
+					  OP_ROLLBACK };
+
+	return in_tx ? inside[rng_below(&b->rng, 4)]
+		     : single[rng_below(&b->rng, 4)];
+}
+
+static void submit_one(struct bench *b)
+{
+	hm_id account = 1 + rng_below(&b->rng, ACCOUNTS);
+	struct statement s = { .account = account, .database = 1 };
+
+	s.id = (struct rid){ LIFE, ++b->next };
+	s.key = key_of(account);
+	/* Now and then somebody names a transaction that is not his. */
+	if (chance(b, 40))
+		s.tx = b->open[chance(b, 90) ? account
+					     : 1 + account % ACCOUNTS];
+	s.op = draw_op(b, s.tx.id.seq != 0);
+	s.deadline = b->now + (hm_time)rng_below(&b->rng, HM_SEC);
+	b->records[b->next].submitted = true;
+	home_submit(b->home, &s, 5, b->now, &b->actions);
+	drain(b);
+	if (!b->records[b->next].ended)
+		home_submit(b->home, &s, 5, b->now, &b->actions);
+	if (chance(b, 5))
+		home_abandon(b->home, s.id, b->now, &b->actions);
+	drain(b);
+}
+
+static void bench_step(struct bench *b)
+{
+	uint32_t i;
+
+	b->now += 1000;
+	for (i = 0; i < CONNS_MOST; i++)
+		remote_step(b, &b->remotes[i]);
+	if (b->now % CORE_TICK == 0)
+		home_tick(b->home, b->now, &b->actions);
+	drain(b);
+}
+
+static void check_records(const struct bench *b, uint64_t seed)
+{
+	uint32_t i;
+
+	for (i = 1; i <= b->next; i++) {
+		const struct record *r = &b->records[i];
+
+		ck_assert_msg(r->ended == 1, "seed %d: %d ended %d times",
+			      (int)seed, i, r->ended);
+		ck_assert_msg(r->claimed != EXEC_NOT_RUN || !r->ran,
+			      "seed %d: %d ran, told not run", (int)seed, i);
+		ck_assert_msg(r->error != ERR_NONE || r->ran,
+			      "seed %d: %d told done, never ran", (int)seed, i);
+	}
+}
+
+START_TEST(every_statement_ends_once_and_truly)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 12; seed++) {
+		struct bench *b = bench_new(seed, (uint32_t)seed % 4 * 6);
+		uint32_t account, version = 10;
+
+		while (b->next < STATEMENTS) {
+			bench_step(b);
+			if (chance(b, 15))
+				submit_one(b);
+			if (rng_below(&b->rng, 3000))
+				continue;
+			account = (uint32_t)(1 + rng_below(&b->rng, ACCOUNTS));
+			grant(b, account, ++version, chance(b, 50));
+		}
+		for (account = 0; account < 3000; account++)
+			bench_step(b);
+		home_close(b->home, b->now, &b->actions);
+		drain(b);
+		check_records(b, seed);
+		ck_assert_uint_gt(b->served[1], 0);
+		bench_free(b);
+	}
+}
+END_TEST
+
+/* Fairness: seven small accounts and a large one, two slots. */
+#define CALLERS 8
+#define LARGE 0
+#define SMALL_COST (10 * HM_MS)
+#define LARGE_COST (200 * HM_MS)
+#define SMALL_PACE 20
+#define LARGE_PACE 15
+#define RUN_TIME (60 * HM_SEC)
+#define WAITS_MAX 2000
+
+struct job {
+	uint32_t caller;
+	hm_time offered_at;
+	hm_time deadline;
+	hm_time ends_at; /* while it runs */
+	bool cancelled;
+	uint64_t conn;
+	struct rid id;
+};
+
+struct share {
+	hm_time demand;
+	hm_time served;
+	hm_time waits[WAITS_MAX];
+	uint32_t wait_count;
+};
+
+static hm_time cost_of(uint32_t caller)
+{
+	return caller == LARGE ? LARGE_COST : SMALL_COST;
+}
+
+static void note_served(struct share *s, const struct job *j, hm_time now)
+{
+	s->served += cost_of(j->caller);
+	if (s->wait_count < WAITS_MAX)
+		s->waits[s->wait_count++] =
+			now - j->offered_at - cost_of(j->caller);
+}
+
+/* Next arrival, if one is due in this millisecond. */
+static bool draw_job(struct rng *rng, uint32_t caller, hm_time now,
+		     struct job *out)
+{
+	uint32_t pace = caller == LARGE ? LARGE_PACE : SMALL_PACE;
+
+	if (rng_below(rng, 1000) >= pace)
+		return false;
+	*out = (struct job){ .caller = caller,
+			     .offered_at = now,
+			     .deadline = now + 2 * HM_SEC };
+	return true;
+}
+
+static void run_fifo(uint64_t seed, struct share *shares)
+{
+	static struct job queue[100000];
+	struct job running[SLOTS] = { 0 };
+	uint32_t first = 0, last = 0, caller, slot;
+	struct rng rng = { seed };
+	hm_time now;
+
+	for (now = 0; now < RUN_TIME; now += HM_MS) {
+		for (caller = 0; caller < CALLERS; caller++)
+			if (draw_job(&rng, caller, now, &queue[last])) {
+				shares[caller].demand += cost_of(caller);
+				last++;
+			}
+		for (slot = 0; slot < SLOTS; slot++) {
+			struct job *j = &running[slot];
+
+			if (j->ends_at && j->ends_at <= now) {
+				note_served(&shares[j->caller], j, now);
+				j->ends_at = 0;
+			}
+			while (!j->ends_at && first < last) {
+				*j = queue[first++];
+				if (j->deadline > now)
+					j->ends_at = now + cost_of(j->caller);
+			}
+		}
+	}
+}
+
+/* The same arrivals through a home whose endpoint has no faults. */
+struct fair {
+	struct bench *bench;
+	struct job jobs[SLOTS];
+	struct job offered[100000];
+	uint32_t offered_count;
+	struct share *shares;
+};
+
+static void fair_cancel(struct fair *f, uint64_t conn)
+{
+	uint32_t slot;
+
+	for (slot = 0; slot < SLOTS; slot++)
+		if (f->jobs[slot].conn == conn && f->jobs[slot].ends_at) {
+			f->jobs[slot].ends_at = f->bench->now + HM_MS;
+			f->jobs[slot].cancelled = true;
+		}
+}
+
+static void fair_action(struct fair *f, const struct action *act)
+{
+	struct bench *b = f->bench;
+	struct event e = { .kind = EV_CONNECTED };
+	uint32_t slot = 0;
+
+	if (act->kind == ACT_CONNECT) {
+		e.conn.conn = act->conn.conn;
+		home_event(b->home, &e, b->now, &b->actions);
+		return;
+	}
+	if (act->kind == ACT_CANCEL)
+		fair_cancel(f, act->conn.conn);
+	if (act->kind != ACT_EXECUTE)
+		return;
+	while (slot < SLOTS && f->jobs[slot].ends_at)
+		slot++;
+	ck_assert_uint_lt(slot, SLOTS);
+	f->jobs[slot] = f->offered[act->conn.statement.id.seq];
+	f->jobs[slot].ends_at = b->now + cost_of(f->jobs[slot].caller);
+	f->jobs[slot].conn = act->conn.conn;
+	f->jobs[slot].id = act->conn.statement.id;
+}
+
+static void fair_drain(struct fair *f)
+{
+	struct actions *actions = &f->bench->actions;
+	struct home_ended e;
+	size_t i;
+
+	for (i = 0; i < actions->count; i++) {
+		struct action act = actions->list[i];
+
+		fair_action(f, &act);
+	}
+	actions_clear(actions);
+	while (home_next_ended(f->bench->home, &e))
+		if (e.error == ERR_NONE)
+			note_served(&f->shares[e.statement.account - 1],
+				    &f->offered[e.statement.id.seq],
+				    f->bench->now);
+}
+
+static void fair_offer(struct fair *f, uint32_t caller, struct rng *rng)
+{
+	struct bench *b = f->bench;
+	struct job *j = &f->offered[f->offered_count + 1];
+	struct statement s = { .op = OP_READ, .account = caller + 1 };
+
+	if (!draw_job(rng, caller, b->now, j))
+		return;
+	f->shares[caller].demand += cost_of(caller);
+	s.id = (struct rid){ LIFE, ++f->offered_count };
+	s.key = key_of(s.account);
+	s.deadline = j->deadline;
+	home_submit(b->home, &s, 5, b->now, &b->actions);
+	fair_drain(f);
+}
+
+static void fair_step(struct fair *f, struct rng *rng)
+{
+	struct bench *b = f->bench;
+	uint32_t i;
+
+	for (i = 0; i < CALLERS; i++)
+		fair_offer(f, i, rng);
+	for (i = 0; i < SLOTS; i++) {
+		struct job *j = &f->jobs[i];
+		struct event e = { .kind = EV_DONE };
+
+		if (!j->ends_at || j->ends_at > b->now)
+			continue;
+		j->ends_at = 0;
+		e.done.conn = j->conn;
+		e.done.id = j->id;
+		e.done.done = j->cancelled ? DONE_REJECTED : DONE_OK;
+		home_event(b->home, &e, b->now, &b->actions);
+		fair_drain(f);
+	}
+	if (b->now % CORE_TICK == 0)
+		home_tick(b->home, b->now, &b->actions);
+	fair_drain(f);
+	b->now += HM_MS;
+}
+
+static void run_fair(uint64_t seed, struct share *shares)
+{
+	struct fair *f = calloc(1, sizeof(*f));
+	struct rng rng = { seed };
+	hm_id account;
+
+	f->bench = bench_new(seed, 0);
+	f->bench->options.queue_limit = 1000;
+	f->shares = shares;
+	for (account = 1; account <= CALLERS; account++)
+		grant(f->bench, account, 100 + account, false);
+	while (f->bench->now < RUN_TIME)
+		fair_step(f, &rng);
+	bench_free(f->bench);
+	free(f);
+}
+
+static int compare_times(const void *a, const void *b)
+{
+	hm_time x = *(const hm_time *)a, y = *(const hm_time *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Small accounts ask for less than an eighth, so all of it is their due. */
+static double worst_share(const char *name, uint64_t seed, struct share *shares)
+{
+	double worst = 1;
+	hm_time slowest = 0;
+	uint32_t i;
+
+	for (i = 0; i < CALLERS; i++) {
+		struct share *s = &shares[i];
+		double part = (double)s->served / (double)s->demand;
+
+		if (i == LARGE || !s->wait_count)
+			continue;
+		qsort(s->waits, s->wait_count, sizeof(hm_time), compare_times);
+		if (s->waits[s->wait_count * 99 / 100] > slowest)
+			slowest = s->waits[s->wait_count * 99 / 100];
+		worst = part < worst ? part : worst;
+	}
+	printf("%s seed=%d worst_share=%.3f p99_wait_ms=%d large_share=%.2f\n",
+	       name, (int)seed, worst, (int)(slowest / HM_MS),
+	       (double)shares[LARGE].served / (double)RUN_TIME / SLOTS);
+	return worst;
+}
+
+START_TEST(large_account_does_not_crowd_out_small_ones)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 3; seed++) {
+		struct share *shares = calloc(CALLERS, sizeof(*shares));
+		double fifo, fair;
+
+		run_fifo(seed, shares);
+		fifo = worst_share("fifo", seed, shares);
+		memset(shares, 0, CALLERS * sizeof(*shares));
+		run_fair(seed, shares);
+		fair = worst_share("fair", seed, shares);
+		ck_assert(fair >= 0.95);
+		ck_assert(fair > fifo);
+		free(shares);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("home");
+	TCase *tc = tcase_create("home");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, every_statement_ends_once_and_truly);
+	tcase_add_test(tc, large_account_does_not_crowd_out_small_ones);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
