Members take free ports; writes without BEGIN commit at Sync

Two runs of the tests at once failed to bind the fixed ports: a member set on port 0 now reports the addresses it got. A write without BEGIN commits at the end of its group as a server does, so a failed deferred constraint is reported after the rows. Before, it came as 'not the primary', which the driver took for not run.

With the attribution of such errors switched off in the driver, the new case fails: INSERT is reported done.

--- a/standin/engine.c
+++ b/standin/engine.c
@@ -65,8 +65,8 @@
 	return (code & 0xff) == SQLITE_CONSTRAINT ? "23000" : "XX000";
 }
 
-static void fail(struct engine_result *r, const char *sqlstate,
-		 const char *message)
+void engine_result_fail(struct engine_result *r, const char *sqlstate,
+			const char *message)
 {
 	g_strlcpy(r->sqlstate, sqlstate, sizeof(r->sqlstate));
 	g_free(r->message);
@@ -75,7 +75,7 @@
 
 static void fail_db(struct engine_result *r, sqlite3 *db)
 {
-	fail(r, sqlstate_of(db), sqlite3_errmsg(db));
+	engine_result_fail(r, sqlstate_of(db), sqlite3_errmsg(db));
 }
 
 static bool random_function(const char *name)
@@ -177,11 +177,11 @@
 		return NULL;
 	}
 	if (!stmt) {
-		fail(out, "42601", "empty statement");
+		engine_result_fail(out, "42601", "empty statement");
 		return NULL;
 	}
 	if (tail[strspn(tail, " \t\r\n;")]) {
-		fail(out, "42601", "more than one statement");
+		engine_result_fail(out, "42601", "more than one statement");
 		sqlite3_finalize(stmt);
 		return NULL;
 	}
@@ -253,7 +253,8 @@
 		name = sqlite3_bind_parameter_name(stmt, i);
 		n = name && name[0] == '$' ? atoi(name + 1) : 0;
 		if (n < 1 || (uint32_t)n > count) {
-			fail(out, "42P02", "there is no such parameter");
+			engine_result_fail(out, "42P02",
+					   "there is no such parameter");
 			return false;
 		}
 		bind_text(stmt, i, params[n - 1]);
@@ -369,9 +370,12 @@
 	return control(e, e->writer, "BEGIN IMMEDIATE");
 }
 
-bool engine_commit(struct engine *e)
+bool engine_commit(struct engine *e, struct engine_result *out)
 {
-	return control(e, e->writer, "COMMIT");
+	if (control(e, e->writer, "COMMIT"))
+		return true;
+	fail_db(out, e->writer);
+	return false;
 }
 
 void engine_rollback(struct engine *e)
@@ -404,8 +408,12 @@
 
 bool engine_apply(struct engine *e, const GPtrArray *statements)
 {
-	if (engine_begin(e) && run_all(e, true, statements) && engine_commit(e))
+	struct engine_result result = { 0 };
+
+	if (engine_begin(e) && run_all(e, true, statements) &&
+	    engine_commit(e, &result))
 		return engine_publish(e, statements);
+	engine_result_clear(&result);
 	engine_rollback(e);
 	return false;
 }
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -41,11 +41,15 @@
 /** Runs one statement; release @a out with engine_result_clear(). */
 bool engine_run(struct engine *e, bool writer, const char *sql,
 		char *const *params, uint32_t count, struct engine_result *out);
+/** Fills in an error. */
+void engine_result_fail(struct engine_result *r, const char *sqlstate,
+			const char *message);
 void engine_result_clear(struct engine_result *r);
 
 /** Transaction on the connection that writes. */
 bool engine_begin(struct engine *e);
-bool engine_commit(struct engine *e);
+/** False with the error in @a out; the transaction is still open then. */
+bool engine_commit(struct engine *e, struct engine_result *out);
 void engine_rollback(struct engine *e);
 /** Replays committed statements, of struct memlog_statement, for readers. */
 bool engine_publish(struct engine *e, const GPtrArray *statements);
--- a/standin/member.c
+++ b/standin/member.c
@@ -17,6 +17,7 @@
 
 struct members {
 	GMutex lock;	   /**< of everything below */
+	GArray *databases; /**< of struct database_spec, constant */
 	GPtrArray *groups; /**< of GPtrArray of struct node */
 	GPtrArray *nodes;
 	GThread *thread;
@@ -33,23 +34,26 @@
 	struct session *session;
 };
 
-static bool add_group(struct members *m, const struct database_spec *d,
+static bool add_group(struct members *m, const struct database_spec *database,
 		      const struct member_options *options)
 {
+	struct database_spec d = *database;
 	GPtrArray *group = g_ptr_array_new();
 	struct node *n;
 	uint32_t i;
 
 	g_ptr_array_add(m->groups, group);
-	for (i = 0; i < d->endpoint_count; i++) {
-		n = node_new(d->database, &d->endpoints[i], options, group);
+	for (i = 0; i < d.endpoint_count; i++) {
+		n = node_new(d.database, &d.endpoints[i], options, group);
 		if (!n)
 			return false;
+		d.endpoints[i] = n->spec;
 		g_ptr_array_add(group, n);
 		g_ptr_array_add(m->nodes, n);
 		n->log.role = i ? ROLE_REPLICA : ROLE_PRIMARY;
-		n->log.following = i ? d->endpoints[0].endpoint : 0;
+		n->log.following = i ? d.endpoints[0].endpoint : 0;
 	}
+	g_array_append_val(m->databases, d);
 	return true;
 }
 
@@ -61,6 +65,7 @@
 	uint32_t i;
 
 	g_mutex_init(&m->lock);
+	m->databases = g_array_new(false, false, sizeof(struct database_spec));
 	m->groups = g_ptr_array_new();
 	m->nodes = g_ptr_array_new();
 	m->polled = g_array_new(false, false, sizeof(struct pollfd));
@@ -98,6 +103,7 @@
 		node_free(m->nodes->pdata[i]);
 	for (i = 0; i < m->groups->len; i++)
 		g_ptr_array_unref(m->groups->pdata[i]);
+	g_array_unref(m->databases);
 	g_ptr_array_unref(m->groups);
 	g_ptr_array_unref(m->nodes);
 	g_array_unref(m->polled);
@@ -216,6 +222,12 @@
 	return NULL;
 }
 
+void members_database(const struct members *m, uint32_t index,
+		      struct database_spec *out)
+{
+	*out = g_array_index(m->databases, struct database_spec, index);
+}
+
 void members_start(struct members *m)
 {
 	m->thread = g_thread_new("members", run, m);
--- a/standin/member.h
+++ b/standin/member.h
@@ -39,10 +39,16 @@
 	hm_time keepalive; /**< a silent connection is ended, 0: 5 s */
 };
 
-/** Listens on the address of every endpoint of every database. */
+/**
+ * Listens on the address of every endpoint of every database; port 0 takes a
+ * free one, see members_database(). NULL when an address is taken.
+ */
 struct members *members_new(const struct database_spec *databases,
 			    uint32_t count,
 			    const struct member_options *options);
+/** Copies database number @a index with the addresses in use. */
+void members_database(const struct members *m, uint32_t index,
+		      struct database_spec *out);
 /** Starts the thread. */
 void members_start(struct members *m);
 void members_free(struct members *m);
--- a/standin/node.c
+++ b/standin/node.c
@@ -48,6 +48,18 @@
 	return -1;
 }
 
+static void write_address(int fd, char address[ADDRESS_BYTES])
+{
+	struct sockaddr_in at;
+	socklen_t bytes = sizeof(at);
+	char ip[INET_ADDRSTRLEN];
+
+	if (getsockname(fd, (struct sockaddr *)&at, &bytes) < 0 ||
+	    !inet_ntop(AF_INET, &at.sin_addr, ip, sizeof(ip)))
+		return;
+	g_snprintf(address, ADDRESS_BYTES, "%s:%u", ip, ntohs(at.sin_port));
+}
+
 struct node *node_new(hm_id database, const struct endpoint_spec *spec,
 		      const struct member_options *options, GPtrArray *peers)
 {
@@ -63,8 +75,10 @@
 	memlog_open(&n->log);
 	n->engine = engine_new();
 	n->listener = listen_on(spec->address);
-	if (n->engine && n->listener >= 0)
+	if (n->engine && n->listener >= 0) {
+		write_address(n->listener, n->spec.address);
 		return n;
+	}
 	node_free(n);
 	return NULL;
 }
--- a/standin/session.c
+++ b/standin/session.c
@@ -151,10 +151,10 @@
 {
 	if (s->closed)
 		return;
-	if (s->tx == TX_OPEN) {
+	if (s->tx == TX_OPEN)
 		s->tx = TX_FAILED;
-		statement_abandon(s, now);
-	}
+	s->implicit = false;
+	statement_abandon(s, now);
 	pg_write_error(s->build, "ERROR", sqlstate, message);
 	s->stage = STAGE_IDLE;
 	if (s->simple)
@@ -379,10 +379,14 @@
 
 static void on_sync(struct session *s, struct pg_reader *r, hm_time now)
 {
+	bool wrote = s->implicit;
+
 	(void)r;
+	wrote = statement_sync(s, now) && wrote;
 	s->skipping = false;
+	s->simple = false;
 	pg_write_ready(s->build, (char)s->tx);
-	put_chunk(s, now);
+	session_answered(s, wrote, now);
 }
 
 static void on_query(struct session *s, struct pg_reader *r, hm_time now)
--- a/standin/session.h
+++ b/standin/session.h
@@ -48,6 +48,7 @@
 	enum tx_status tx;
 	bool read_only;
 	bool doomed;	       /**< the member rolled it back */
+	bool implicit;	       /**< wrote without BEGIN, up to Sync */
 	GPtrArray *statements; /**< writes of the transaction, for the log */
 };
 
@@ -77,6 +78,8 @@
 void statement_start(struct session *s, hm_time now);
 /** The cost is paid, or the lock is free: performs it. */
 void statement_perform(struct session *s, hm_time now);
+/** Commits what was written without BEGIN; false when that failed. */
+bool statement_sync(struct session *s, hm_time now);
 /** Ends a statement that is running or waiting, with an error. */
 void statement_cancel(struct session *s, hm_time now);
 /** Gives up the transaction and the write lock. */
--- a/standin/statement.c
+++ b/standin/statement.c
@@ -14,9 +14,11 @@
 	return memlog_writable(&n->log);
 }
 
+#define NOT_PRIMARY "25006", "the member is not the primary"
+
 static void refuse_write(struct session *s, hm_time now)
 {
-	session_error(s, "25006", "the member is not the primary", now);
+	session_error(s, NOT_PRIMARY, now);
 }
 
 /* Lets the next sessions in line work; they take the lock themselves. */
@@ -85,14 +87,19 @@
 	statement_abandon(s, now);
 }
 
-/* Commits what the session wrote; false when the member may not. */
-static bool commit(struct session *s, hm_time now)
+/* Commits what the session wrote; false with the error in @a out. */
+static bool commit(struct session *s, struct engine_result *out, hm_time now)
 {
 	struct node *n = s->node;
 
+	if (s->doomed || (n->writer == s && !writable(n))) {
+		engine_result_fail(out, NOT_PRIMARY);
+		statement_abandon(s, now);
+		return false;
+	}
 	if (n->writer != s)
-		return !s->doomed;
-	if (!writable(n) || !engine_commit(n->engine)) {
+		return true;
+	if (!engine_commit(n->engine, out)) {
 		statement_abandon(s, now);
 		return false;
 	}
@@ -106,6 +113,7 @@
 
 static void end_transaction(struct session *s)
 {
+	s->implicit = false;
 	s->tx = TX_IDLE;
 	s->read_only = false;
 	s->doomed = false;
@@ -124,6 +132,7 @@
 
 	if (s->tx == TX_IDLE) {
 		s->tx = TX_OPEN;
+		s->implicit = false;
 		s->read_only = strstr(upper, "READ ONLY") != NULL;
 	}
 	g_free(upper);
@@ -140,18 +149,20 @@
 static void run_commit(struct session *s, hm_time now)
 {
 	bool wrote = s->node->writer == s;
+	struct engine_result r = { 0 };
 	bool committed;
 
 	if (s->tx == TX_FAILED) {
 		run_rollback(s, now);
 		return;
 	}
-	committed = commit(s, now);
+	committed = commit(s, &r, now);
 	end_transaction(s);
 	if (committed)
 		complete(s, "COMMIT", wrote, now);
 	else
-		refuse_write(s, now);
+		session_error(s, r.sqlstate, r.message, now);
+	engine_result_clear(&r);
 }
 
 static void run_session(struct session *s, hm_time now)
@@ -256,15 +267,22 @@
 	write_tag(s, r);
 }
 
-static void fail_statement(struct session *s, const struct engine_result *r,
-			   hm_time now)
+/* Without BEGIN a transaction ends with its group of messages. */
+bool statement_sync(struct session *s, hm_time now)
 {
-	if (s->tx == TX_IDLE || s->writes)
-		statement_abandon(s, now);
-	session_error(s, r->sqlstate, r->message, now);
+	struct engine_result r = { 0 };
+	bool committed;
+
+	if (!s->implicit)
+		return true;
+	committed = commit(s, &r, now);
+	end_transaction(s);
+	if (!committed)
+		session_error(s, r.sqlstate, r.message, now);
+	engine_result_clear(&r);
+	return committed;
 }
 
-/* Runs SQL, commits it when no transaction is open, and answers. */
 static void run_sql(struct session *s, hm_time now)
 {
 	struct node *n = s->node;
@@ -272,17 +290,16 @@
 
 	if (!engine_run(n->engine, n->writer == s, s->sql, s->params,
 			s->param_count, &r)) {
-		fail_statement(s, &r, now);
+		session_error(s, r.sqlstate, r.message, now);
 		goto out;
 	}
 	if (s->writes)
 		remember(s);
-	if (s->tx == TX_IDLE && !commit(s, now)) {
-		refuse_write(s, now);
+	s->implicit = s->tx == TX_IDLE && n->writer == s;
+	if (s->simple && !statement_sync(s, now))
 		goto out;
-	}
 	answer_rows(s, &r);
-	session_answered(s, true, now);
+	session_answered(s, !s->implicit, now);
 out:
 	engine_result_clear(&r);
 }
--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -12,7 +12,6 @@
 #include "../src/names.h"
 #include "../standin/member.h"
 
-#define PORT 23100
 #define COUNT 3
 #define LIFE 0xaa
 #define OTHER_LIFE 0xbb
@@ -109,7 +108,7 @@
 	for (i = 0; i < COUNT; i++) {
 		e = &spec.endpoints[i];
 		g_snprintf(e->name, NAME_BYTES, "rota-%u", i);
-		g_snprintf(e->address, ADDRESS_BYTES, "127.0.0.1:%u", PORT + i);
+		g_strlcpy(e->address, "127.0.0.1:0", ADDRESS_BYTES);
 		e->endpoint = name_id(e->name);
 		e->slots = 2;
 		e->connections = 4;
@@ -123,6 +122,7 @@
 	fill_spec();
 	members = members_new(&spec, 1, options);
 	ck_assert_ptr_nonnull(members);
+	members_database(members, 0, &spec);
 	members_start(members);
 	events = g_async_queue_new();
 	returns = g_async_queue_new();
@@ -452,6 +452,26 @@
 }
 END_TEST
 
+/* The error comes at the end of a group, after the rows. */
+START_TEST(failed_commit_is_rejected)
+{
+	ck_assert(members_sql(members, spec.endpoints[0].endpoint,
+			      "CREATE TABLE c (k INTEGER REFERENCES t (k) "
+			      "DEFERRABLE INITIALLY DEFERRED)"));
+	open_conn(1, 0);
+	expect(1, OP_WRITE, "{\"sql\": \"INSERT INTO c VALUES (9)\"}",
+	       DONE_REJECTED);
+	expect_body("23503");
+	expect(1, OP_BEGIN, NULL, DONE_OK);
+	expect(1, OP_WRITE, "{\"sql\": \"INSERT INTO c VALUES (9)\"}", DONE_OK);
+	expect(1, OP_COMMIT, NULL, DONE_REJECTED);
+	expect_body("23503");
+	ck_assert(!last.event.done.open_tx);
+	expect(1, OP_READ, "{\"sql\": \"SELECT count(*) FROM c\"}", DONE_OK);
+	expect_body("[[0]]");
+}
+END_TEST
+
 START_TEST(fenced_commit_is_refused)
 {
 	open_conn(1, 0);
@@ -729,6 +749,7 @@
 	tcase_add_test(tc, transaction_control_by_text_is_refused);
 	tcase_add_test(tc, transactions);
 	tcase_add_test(tc, commit_of_a_failed_transaction);
+	tcase_add_test(tc, failed_commit_is_rejected);
 	tcase_add_test(tc, fenced_commit_is_refused);
 	tcase_add_test(tc, reset_clears_the_connection);
 	tcase_add_test(tc, cancel_ends_a_wait);
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -10,7 +10,6 @@
 #include "../src/names.h"
 #include "../standin/member.h"
 
-#define PORT 23000
 #define COUNT 3
 #define PATIENCE (5 * HM_SEC)
 #define LAG (2 * HM_MS)
@@ -31,13 +30,14 @@
 	for (i = 0; i < COUNT; i++) {
 		e = &spec.endpoints[i];
 		g_snprintf(e->name, NAME_BYTES, "rota-%u", i);
-		g_snprintf(e->address, ADDRESS_BYTES, "127.0.0.1:%u", PORT + i);
+		g_strlcpy(e->address, "127.0.0.1:0", ADDRESS_BYTES);
 		e->endpoint = name_id(e->name);
 		e->slots = 2;
 		e->connections = 4;
 	}
 	members = members_new(&spec, 1, options);
 	ck_assert_ptr_nonnull(members);
+	members_database(members, 0, &spec);
 	members_start(members);
 }
 
@@ -63,9 +63,9 @@
 	char info[256];
 
 	g_snprintf(info, sizeof(info),
-		   "hostaddr=127.0.0.1 port=%u dbname=rota user=test "
+		   "hostaddr=127.0.0.1 port=%s dbname=rota user=test "
 		   "sslmode=disable gssencmode=disable application_name=%s",
-		   PORT + i, application);
+		   strrchr(spec.endpoints[i].address, ':') + 1, application);
 	return PQconnectdb(info);
 }
 
