walk: random orderings over one group, with every answer checked

The walk found that a write whose session floor was cut off took over the session's mark and hid the loss: it now reports the loss and that it ran, and an unknown outcome keeps the old mark unless the log held it.

--- a/core/verify.c
+++ b/core/verify.c
@@ -106,13 +106,41 @@
 	return group_majority(v->group) - 1;
 }
 
+/* How what the session knew stands to what the statement worked on. */
+static enum verdict judge_floor(const struct verify *v, const struct waiting *w)
+{
+	const struct home_ended *e = &w->ended;
+
+	switch (group_reach(v->group, &e->lineage, e->before,
+			    e->statement.floor)) {
+	case REACH_OK:
+		return VERDICT_GOOD;
+	case REACH_LOST:
+		return VERDICT_FLOOR_LOST;
+	case REACH_BEHIND:
+		break;
+	}
+	return VERDICT_RETRY;
+}
+
+/* A write that is kept, though what the session knew before may be lost. */
+static enum verdict judge_kept(const struct verify *v, const struct waiting *w)
+{
+	if (judge_floor(v, w) == VERDICT_FLOOR_LOST)
+		return VERDICT_FLOOR_LOST;
+	return VERDICT_GOOD;
+}
+
 /* A later term is proved: it kept the write, or has cut it off. */
-static enum verdict judge_by_successor(const struct verify *v, struct mark at)
+static enum verdict judge_by_successor(const struct verify *v,
+				       const struct waiting *w)
 {
+	struct mark at = w->ended.after;
+
 	if (!group_confirmed(v->group) || group_term(v->group) <= at.term)
 		return VERDICT_WAIT;
 	if (lineage_holds(group_lineage(v->group), at))
-		return VERDICT_GOOD;
+		return judge_kept(v, w);
 	return VERDICT_UNKNOWN;
 }
 
@@ -138,31 +166,13 @@
 	if (guard_off(v, GUARD_EVIDENCE))
 		return VERDICT_GOOD;
 	if (proof_holding(&v->proof, after, e->after) >= others_needed(v))
-		return VERDICT_GOOD;
+		return judge_kept(v, w);
 	if (now - e->ended_at >= v->options->replica_wait &&
 	    term_stands(v, w, now))
-		return VERDICT_GOOD;
+		return judge_kept(v, w);
 	if (now >= e->statement.deadline - DEADLINE_MARGIN)
 		return VERDICT_UNKNOWN;
-	return judge_by_successor(v, e->after);
-}
-
-static enum verdict judge_floor(const struct verify *v, const struct waiting *w)
-{
-	const struct home_ended *e = &w->ended;
-
-	if (in_transaction(w))
-		return VERDICT_GOOD;
-	switch (group_reach(v->group, &e->lineage, e->before,
-			    e->statement.floor)) {
-	case REACH_OK:
-		return VERDICT_GOOD;
-	case REACH_LOST:
-		return VERDICT_FLOOR_LOST;
-	case REACH_BEHIND:
-		break;
-	}
-	return VERDICT_RETRY;
+	return judge_by_successor(v, w);
 }
 
 /* Read of the primary: its term stood after the read began. */
@@ -266,20 +276,27 @@
 
 	r->execution = EXEC_RUN;
 	r->error = ERR_WRITE_LOST;
+	r->tx = w->ended.tx;
 	r->at = w->ended.after;
 	r->reset_floor = true;
 }
 
-/* The mark pins the write: later reads show it or report its loss. */
-static void answer_unknown(const struct waiting *w, hm_time now,
-			   struct verified *out)
+/*
+ * The mark pins the write: later reads show it or report its loss. It may
+ * replace the session's own only where the log held that.
+ */
+static void answer_unknown(const struct verify *v, const struct waiting *w,
+			   hm_time now, struct verified *out)
 {
 	struct result *r = &out->result;
 
 	r->execution = EXEC_UNKNOWN;
 	r->error = ERR_OUTCOME_UNKNOWN;
-	r->at = w->ended.after;
 	r->retry_at = now;
+	if (judge_floor(v, w) == VERDICT_GOOD)
+		r->at = w->ended.after;
+	else
+		r->unsure = true;
 }
 
 static struct verified *ready_add(struct verify *v, const struct waiting *w)
@@ -313,7 +330,7 @@
 		answer_lost(w, out);
 		break;
 	case VERDICT_UNKNOWN:
-		answer_unknown(w, now, out);
+		answer_unknown(v, w, now, out);
 		break;
 	case VERDICT_RETRY:
 	case VERDICT_WAIT:
--- /dev/null
+++ b/tests/bed.c
@@ -0,0 +1,514 @@
+/** @file bed.c Proxies and members of one group, with checks of answers. */
+#include "bed.h"
+
+#include <string.h>
+
+#define DATABASE 77
+#define STATEMENT_LIMIT (2 * HM_SEC)
+
+uint64_t bed_life(uint32_t proxy)
+{
+	return 1001 + proxy;
+}
+
+static uint32_t proxy_of(uint64_t life)
+{
+	return (uint32_t)(life - bed_life(0));
+}
+
+static uint32_t node_of(hm_id endpoint)
+{
+	return BED_PROXIES + (uint32_t)(endpoint - model_endpoint(0));
+}
+
+static struct packet *put(struct bed *b, enum packet_kind kind, uint32_t from,
+			  uint32_t to)
+{
+	struct packet *p;
+
+	if (b->bag_count == BED_PACKETS)
+		bed_drop(b, (uint32_t)rng_below(&b->rng, BED_PACKETS));
+	p = &b->bag[b->bag_count++];
+	p->kind = kind;
+	p->from = from;
+	p->to = to;
+	return p;
+}
+
+static void spec_of(struct database_spec *spec)
+{
+	uint32_t i;
+
+	memset(spec, 0, sizeof(*spec));
+	spec->database = DATABASE;
+	spec->endpoint_count = MODEL_MEMBERS;
+	for (i = 0; i < MODEL_MEMBERS; i++) {
+		spec->endpoints[i].endpoint = model_endpoint(i);
+		spec->endpoints[i].zone = (uint16_t)i;
+	}
+}
+
+static void options_of(struct core_options *o, uint32_t proxy, uint64_t seed,
+		       uint32_t guards_off)
+{
+	core_options_default(o);
+	o->instance = proxy + 1;
+	o->life = bed_life(proxy);
+	o->zone = (uint16_t)proxy;
+	o->zone_count = BED_PROXIES;
+	o->seed = seed;
+	o->peer_silent = 300 * HM_MS;
+	o->probe_every = 150 * HM_MS;
+	o->probe_silent = 100 * HM_MS;
+	o->evidence_valid = 150 * HM_MS;
+	o->replica_wait = 20 * HM_MS;
+	o->guards_off = guards_off;
+}
+
+static void proxy_init(struct bed *b, uint32_t i, uint64_t seed,
+		       uint32_t guards_off)
+{
+	struct proxy *p = &b->proxies[i];
+	struct database_spec spec;
+
+	spec_of(&spec);
+	options_of(&p->options, i, seed, guards_off);
+	p->skew = (hm_time)rng_below(&b->rng, 1000) * HM_SEC;
+	p->peers = peers_new(&p->options, bed_local(b, i));
+	p->group = group_new(&spec, p->options.zone, guards_off);
+	p->verify = verify_new(&p->options, p->group);
+	p->failover =
+		failover_new(&p->options, p->peers, p->group, bed_local(b, i));
+	p->holds[i] = true;
+	b->model.members[i].home = bed_life(i);
+}
+
+void bed_init(struct bed *b, uint64_t seed, uint32_t guards_off)
+{
+	uint32_t i;
+
+	memset(b, 0, offsetof(struct bed, proxies));
+	memset(&b->cut, 0, sizeof(*b) - offsetof(struct bed, cut));
+	b->rng.state = seed;
+	b->now = HM_SEC;
+	model_init(&b->model);
+	b->promoted = b->model.promoted;
+	for (i = 0; i < BED_PROXIES; i++) {
+		struct proxy *p = &b->proxies[i];
+
+		memset(p, 0, offsetof(struct proxy, orders));
+		proxy_init(b, i, seed, guards_off);
+	}
+	bed_advance(b, 0);
+}
+
+void bed_free(struct bed *b)
+{
+	uint32_t i;
+
+	for (i = 0; i < BED_PROXIES; i++) {
+		struct proxy *p = &b->proxies[i];
+
+		failover_free(p->failover);
+		verify_free(p->verify);
+		group_free(p->group);
+		peers_free(p->peers);
+	}
+	actions_free(&b->actions);
+}
+
+void bed_cut(struct bed *b, uint32_t a, uint32_t c, bool cut)
+{
+	b->cut[a][c] = cut;
+	b->cut[c][a] = cut;
+}
+
+bool bed_linked(const struct bed *b, uint32_t a, uint32_t c)
+{
+	return !b->cut[a][c];
+}
+
+static void heartbeat(struct bed *b, uint32_t from, uint32_t to)
+{
+	struct proxy *p = &b->proxies[from];
+	struct message m = { .kind = MSG_HEARTBEAT, .from = bed_life(from) };
+
+	if (p->paused || b->proxies[to].paused || !bed_linked(b, from, to))
+		return;
+	m.seq = ++p->seq;
+	m.heartbeat.instance = p->options.instance;
+	m.heartbeat.zone = p->options.zone;
+	peers_message(b->proxies[to].peers, &m, bed_local(b, to));
+}
+
+void bed_advance(struct bed *b, hm_time step)
+{
+	uint32_t i, j;
+
+	b->now += step;
+	for (i = 0; i < BED_PROXIES; i++)
+		for (j = 0; j < BED_PROXIES; j++)
+			if (i != j)
+				heartbeat(b, i, j);
+}
+
+/* Reports */
+
+static void perform(struct bed *b, uint32_t proxy);
+static void flush(struct bed *b, uint32_t proxy);
+
+static void take_report(struct bed *b, uint32_t proxy,
+			const struct state_report *r, uint32_t from)
+{
+	struct proxy *p = &b->proxies[proxy];
+	hm_time now = bed_local(b, proxy);
+
+	if (r->state.reachable && r->state.home)
+		failover_home(p->failover, r->state.endpoint, r->state.home);
+	group_report(p->group, r, bed_life(from), 0, now);
+	failover_report(p->failover, r, bed_life(from), now, &b->actions);
+	verify_report(p->verify, r, now, &b->actions);
+	perform(b, proxy);
+	flush(b, proxy);
+}
+
+static void send_report(struct bed *b, uint32_t from, uint32_t to,
+			const struct state_report *r)
+{
+	put(b, PACKET_REPORT, from, to)->report = *r;
+}
+
+static void broadcast(struct bed *b, uint32_t proxy,
+		      const struct state_report *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < BED_PROXIES; i++)
+		if (i != proxy)
+			send_report(b, proxy, i, r);
+}
+
+static void perform_send(struct bed *b, uint32_t proxy, const struct action *a)
+{
+	const struct message *m = &a->send.message;
+
+	if (m->kind == MSG_CONTROL)
+		put(b, PACKET_QUESTION, proxy, proxy_of(a->send.to))->step =
+			m->control;
+	else if (m->kind == MSG_STATE)
+		broadcast(b, proxy, &m->state);
+}
+
+static void perform_log(struct bed *b, uint32_t proxy, const struct decision *d)
+{
+	if (b->log)
+		g_string_append_printf(
+			b->log, "proxy=%u %s reason=%s term=%u\n", proxy,
+			d->what, d->reason, (unsigned int)d->at.term);
+	if (!strcmp(d->what, "failover_promoted"))
+		b->promotions++;
+}
+
+static void perform(struct bed *b, uint32_t proxy)
+{
+	size_t i;
+
+	for (i = 0; i < b->actions.count; i++) {
+		const struct action *a = &b->actions.list[i];
+
+		if (a->kind == ACT_SEND)
+			perform_send(b, proxy, a);
+		else if (a->kind == ACT_CONTROL)
+			put(b, PACKET_STEP, proxy, node_of(a->control.endpoint))
+				->step = a->control;
+		else if (a->kind == ACT_LOG)
+			perform_log(b, proxy, &a->decision);
+	}
+	actions_clear(&b->actions);
+}
+
+static void flush(struct bed *b, uint32_t proxy)
+{
+	struct proxy *p = &b->proxies[proxy];
+	struct verified v;
+
+	while (verify_next(p->verify, &v)) {
+		struct order *o = &p->orders[v.result.id.seq];
+
+		o->verified = v;
+		if (v.result.error == ERR_NONE && !o->write) {
+			bed_check_read(b, o);
+			b->reads_replica += o->ended.statement.max_age != 0;
+		}
+		put(b, PACKET_ANSWER, proxy, proxy)->order = *o;
+	}
+}
+
+/* Delivery */
+
+static void ask_member(struct bed *b, uint32_t proxy,
+		       const struct control *step)
+{
+	put(b, PACKET_STEP, proxy, node_of(step->endpoint))->step = *step;
+}
+
+static void deliver_question(struct bed *b, const struct packet *p)
+{
+	if (b->proxies[p->to].holds[node_of(p->step.endpoint) - BED_PROXIES])
+		ask_member(b, p->to, &p->step);
+}
+
+static void deliver_step(struct bed *b, const struct packet *p)
+{
+	struct model_member *m = model_member(&b->model, p->step.endpoint);
+	struct state_report r = { .nonce = p->step.nonce };
+
+	if (!m->down && m->home != bed_life(p->from)) {
+		b->proxies[p->from].holds[p->to - BED_PROXIES] = false;
+		return;
+	}
+	r.state = model_control(&b->model, &p->step);
+	bed_check_promotion(b);
+	put(b, PACKET_STATE, p->to, p->from)->report = r;
+}
+
+static void deliver_state(struct bed *b, const struct packet *p)
+{
+	struct state_report r = p->report;
+	struct proxy *home = &b->proxies[p->to];
+	bool probe = r.nonce.seq >> 56 == NONCE_HOLDER >> 56;
+	hm_time age = group_age(home->group, r.state.at, bed_local(b, p->to));
+
+	if (age != HM_NEVER)
+		r.age = age;
+	if (r.nonce.life != bed_life(p->to))
+		send_report(b, p->to, proxy_of(r.nonce.life), &r);
+	take_report(b, p->to, &r, p->to);
+	r.nonce = (struct rid){ 0 };
+	if (probe)
+		broadcast(b, p->to, &r);
+}
+
+/* An order that is repeated, of another term, or misdirected is refused. */
+static void deliver_order(struct bed *b, const struct packet *p)
+{
+	struct proxy *home = &b->proxies[p->to];
+	uint32_t node = node_of(p->order.ended.endpoint);
+	bool *seen = &home->seen[p->order.ended.statement.id.seq];
+	struct packet *e;
+
+	if (!home->holds[node - BED_PROXIES] || *seen ||
+	    (p->order.write && p->order.term != group_term(home->group)))
+		return;
+	*seen = true;
+	e = put(b, PACKET_EXECUTE, p->to, node);
+	e->order = p->order;
+	e->order.ended.started_at = bed_local(b, p->to);
+}
+
+static void deliver_execute(struct bed *b, const struct packet *p)
+{
+	struct model_member *m =
+		model_member(&b->model, p->order.ended.endpoint);
+	struct order o = p->order;
+
+	if (m->down || m->home != bed_life(p->from))
+		return;
+	o.ended.before = model_at(m);
+	o.snapshot = o.write ? 0 : model_bits(m);
+	if (o.write && (model_holds(m, o.write) || !model_write(m, o.write)))
+		return;
+	o.ended.after = model_at(m);
+	o.ended.lineage = m->lineage;
+	put(b, PACKET_DONE, p->to, p->from)->order = o;
+}
+
+static void deliver_done(struct bed *b, const struct packet *p)
+{
+	struct proxy *home = &b->proxies[p->to];
+	struct order *o = &home->orders[p->order.ended.statement.id.seq];
+
+	*o = p->order;
+	o->ended.ended_at = bed_local(b, p->to);
+	o->ended.statement.deadline = o->ended.ended_at + STATEMENT_LIMIT;
+	verify_add(home->verify, &o->ended, bed_local(b, p->to), &b->actions);
+	perform(b, p->to);
+	flush(b, p->to);
+}
+
+/* Nothing answers over a cut link; the home finds out by its time limit. */
+static void fail_packet(struct bed *b, const struct packet *p)
+{
+	struct state_report r = { .nonce = p->step.nonce };
+
+	if (p->kind != PACKET_STEP)
+		return;
+	r.state.database = DATABASE;
+	r.state.endpoint = p->step.endpoint;
+	put(b, PACKET_STATE, p->from, p->from)->report = r;
+}
+
+static void deliver_one(struct bed *b, struct packet *p)
+{
+	static void (*const deliver[])(struct bed *, const struct packet *) = {
+		[PACKET_QUESTION] = deliver_question,
+		[PACKET_STEP] = deliver_step,
+		[PACKET_STATE] = deliver_state,
+		[PACKET_ORDER] = deliver_order,
+		[PACKET_EXECUTE] = deliver_execute,
+		[PACKET_DONE] = deliver_done,
+	};
+
+	if (p->kind == PACKET_REPORT)
+		take_report(b, p->to, &p->report, p->from);
+	else if (p->kind == PACKET_ANSWER)
+		bed_take_answer(b, p->to, &p->order);
+	else
+		deliver[p->kind](b, p);
+}
+
+void bed_drop(struct bed *b, uint32_t index)
+{
+	b->bag[index] = b->bag[--b->bag_count];
+}
+
+void bed_repeat(struct bed *b, uint32_t index)
+{
+	struct packet p = b->bag[index];
+
+	if (p.kind != PACKET_DONE && p.kind != PACKET_ANSWER &&
+	    p.kind != PACKET_EXECUTE)
+		*put(b, p.kind, p.from, p.to) = p;
+}
+
+void bed_deliver(struct bed *b, uint32_t index)
+{
+	struct packet p = b->bag[index];
+
+	if (p.to < BED_PROXIES && b->proxies[p.to].paused)
+		return;
+	bed_drop(b, index);
+	if (bed_linked(b, p.from, p.to))
+		deliver_one(b, &p);
+	else
+		fail_packet(b, &p);
+}
+
+static void probe(struct bed *b, uint32_t proxy)
+{
+	struct proxy *p = &b->proxies[proxy];
+	struct control step = { .op = CONTROL_PROBE, .database = DATABASE };
+	uint32_t i;
+
+	if (bed_local(b, proxy) < p->probe_at)
+		return;
+	p->probe_at = bed_local(b, proxy) + p->options.probe_every;
+	for (i = 0; i < MODEL_MEMBERS; i++) {
+		if (!p->holds[i])
+			continue;
+		step.nonce.life = bed_life(proxy);
+		step.nonce.seq = NONCE_HOLDER + ++p->nonce;
+		step.endpoint = model_endpoint(i);
+		ask_member(b, proxy, &step);
+	}
+}
+
+void bed_tick(struct bed *b, uint32_t proxy)
+{
+	struct proxy *p = &b->proxies[proxy];
+
+	if (p->paused)
+		return;
+	peers_tick(p->peers, bed_local(b, proxy));
+	probe(b, proxy);
+	verify_tick(p->verify, bed_local(b, proxy), &b->actions);
+	perform(b, proxy);
+	failover_tick(p->failover, bed_local(b, proxy), &b->actions);
+	perform(b, proxy);
+	flush(b, proxy);
+}
+
+/* Callers */
+
+static bool send_order(struct bed *b, uint32_t proxy, struct order *o)
+{
+	struct proxy *p = &b->proxies[proxy];
+	struct session *s = &b->sessions[o->session];
+	struct route r;
+	uint64_t home;
+
+	o->ended.statement.floor = s->floor;
+	s->waits_for = o->ended.statement.id.seq;
+	r = group_route(p->group, &o->ended.statement, 0, bed_local(b, proxy));
+	if (r.error == ERR_WRITE_LOST && !r.wait_until) {
+		o->verified.result.error = ERR_WRITE_LOST;
+		o->verified.result.at = r.reset;
+		bed_session_answer(b, o);
+	}
+	home = r.endpoint ? group_home(p->group, r.endpoint) : 0;
+	if (!home) {
+		s->waits_for = 0;
+		return false;
+	}
+	o->ended.endpoint = r.endpoint;
+	o->acked = b->acked;
+	o->term = group_term(p->group);
+	put(b, PACKET_ORDER, proxy, proxy_of(home))->order = *o;
+	return true;
+}
+
+static void number(struct bed *b, struct order *o, uint32_t session,
+		   uint32_t proxy)
+{
+	memset(o, 0, sizeof(*o));
+	o->session = session;
+	o->ended.statement.id.life = bed_life(proxy);
+	o->ended.statement.id.seq = 1 + b->statements++ % (BED_STATEMENTS - 1);
+	o->ended.statement.database = DATABASE;
+}
+
+/* A caller has one statement out; now and then it gives up on it. */
+static bool caller_free(struct bed *b, uint32_t session, uint32_t proxy)
+{
+	if (b->proxies[proxy].paused)
+		return false;
+	return !b->sessions[session].waits_for || !rng_below(&b->rng, 16);
+}
+
+bool bed_write(struct bed *b, uint32_t session, uint32_t proxy)
+{
+	struct order o;
+
+	if (!caller_free(b, session, proxy) || b->writes == BED_WRITES)
+		return false;
+	number(b, &o, session, proxy);
+	o.write = ++b->writes;
+	o.ended.statement.op = OP_WRITE;
+	return send_order(b, proxy, &o);
+}
+
+bool bed_read(struct bed *b, uint32_t session, uint32_t proxy, hm_time max_age)
+{
+	struct order o;
+
+	if (!caller_free(b, session, proxy))
+		return false;
+	number(b, &o, session, proxy);
+	o.ended.statement.op = OP_READ;
+	o.ended.statement.max_age = max_age;
+	return send_order(b, proxy, &o);
+}
+
+void bed_take_over(struct bed *b, uint32_t proxy, uint32_t member)
+{
+	struct proxy *p = &b->proxies[proxy];
+	struct model_member *m = &b->model.members[member];
+
+	if (p->paused || m->down ||
+	    !bed_linked(b, proxy, BED_PROXIES + member) ||
+	    peers_alive(p->peers, m->home))
+		return;
+	m->home = bed_life(proxy);
+	p->holds[member] = true;
+	p->probe_at = 0;
+}
--- /dev/null
+++ b/tests/bed.h
@@ -0,0 +1,136 @@
+/**
+ * @file bed.h
+ * Three proxies with group, verify and failover over the modelled members of
+ * one database group. Packets wait in a bag until somebody delivers, drops or
+ * repeats them; every answer is checked against what the members hold.
+ */
+#ifndef BED_H
+#define BED_H
+
+#include <glib.h>
+
+#include "../core/failover.h"
+#include "../core/rng.h"
+#include "../core/verify.h"
+#include "model.h"
+
+#define BED_PROXIES 3
+#define BED_NODES (BED_PROXIES + MODEL_MEMBERS)
+#define BED_PACKETS 96
+#define BED_SESSIONS 6
+#define BED_WRITES 60
+#define BED_STATEMENTS 240
+
+enum packet_kind {
+	PACKET_QUESTION, /**< proxy to proxy: control step */
+	PACKET_REPORT,	 /**< proxy to proxy: state of a member */
+	PACKET_STEP,	 /**< proxy to member */
+	PACKET_STATE,	 /**< member to proxy: answer to a step */
+	PACKET_ORDER,	 /**< entry to home: statement */
+	PACKET_EXECUTE,	 /**< home to member */
+	PACKET_DONE,	 /**< member to home: answer */
+	PACKET_ANSWER	 /**< from the home to the caller */
+};
+
+/** A statement on its way, with what it saw. */
+struct order {
+	struct home_ended ended;
+	uint32_t session;
+	uint64_t write;	   /**< number of the write, 0 for a read */
+	uint64_t snapshot; /**< bits of the writes that a read saw */
+	uint64_t term;	   /**< that the entry takes as current */
+	uint64_t acked;	   /**< writes acknowledged when it was sent */
+	struct verified verified;
+};
+
+struct packet {
+	enum packet_kind kind;
+	uint32_t from; /**< node: proxies first, then members */
+	uint32_t to;
+	union {
+		struct control step;
+		struct state_report report;
+		struct order order;
+	};
+};
+
+struct proxy {
+	struct core_options options;
+	struct peers *peers;
+	struct group *group;
+	struct verify *verify;
+	struct failover *failover;
+	hm_time skew; /**< of its clock */
+	bool paused;
+	bool holds[MODEL_MEMBERS];
+	hm_time probe_at;
+	uint64_t seq;
+	uint64_t nonce;
+	bool seen[BED_STATEMENTS];	     /**< statements taken in */
+	struct order orders[BED_STATEMENTS]; /**< by number of the statement */
+};
+
+/** A caller that roams. */
+struct session {
+	struct mark floor;
+	uint64_t must_see;  /**< bits of writes acknowledged or shown to it */
+	uint64_t waits_for; /**< statement that it has out, 0 for none */
+};
+
+struct bed {
+	struct rng rng;
+	hm_time now;
+	struct model model;
+	struct proxy proxies[BED_PROXIES];
+	bool cut[BED_NODES][BED_NODES];
+	struct packet bag[BED_PACKETS];
+	uint32_t bag_count;
+	struct session sessions[BED_SESSIONS];
+	uint64_t statements;
+	uint64_t writes;
+	uint64_t acked;	  /**< bits of acknowledged writes not lost since */
+	uint64_t durable; /**< bits of those that no failover may lose */
+	hm_time acked_at[BED_WRITES + 1];
+	uint64_t promoted;     /**< newest term already checked */
+	const char *violation; /**< first broken rule, NULL for none */
+	uint64_t answered;
+	uint64_t acks;
+	uint64_t acks_limited; /**< acknowledged by a standing majority */
+	uint64_t reads_replica;
+	uint64_t lost; /**< answers that reported a lost write */
+	uint64_t unknown;
+	uint64_t promotions;
+	struct actions actions;
+	GString *log; /**< decisions, when set */
+};
+
+void bed_init(struct bed *b, uint64_t seed, uint32_t guards_off);
+void bed_free(struct bed *b);
+void bed_advance(struct bed *b, hm_time step);
+void bed_tick(struct bed *b, uint32_t proxy);
+/** Delivers packet number @a index of the bag. */
+void bed_deliver(struct bed *b, uint32_t index);
+void bed_drop(struct bed *b, uint32_t index);
+void bed_repeat(struct bed *b, uint32_t index);
+/** Cuts or heals the link between two nodes. */
+void bed_cut(struct bed *b, uint32_t a, uint32_t c, bool cut);
+bool bed_linked(const struct bed *b, uint32_t a, uint32_t c);
+/** A caller's statement at a proxy; false when it was routed nowhere. */
+bool bed_write(struct bed *b, uint32_t session, uint32_t proxy);
+bool bed_read(struct bed *b, uint32_t session, uint32_t proxy, hm_time max_age);
+/** @a proxy takes over a member whose home it takes for dead. */
+void bed_take_over(struct bed *b, uint32_t proxy, uint32_t member);
+uint64_t bed_life(uint32_t proxy);
+/** Time on the clock of a proxy. */
+hm_time bed_local(const struct bed *b, uint32_t proxy);
+
+/** A member was promoted: nothing kept for good may be missing there. */
+void bed_check_promotion(struct bed *b);
+/** A read is about to be answered. */
+void bed_check_read(struct bed *b, const struct order *o);
+/** What the caller learns from an answer. */
+void bed_session_answer(struct bed *b, const struct order *o);
+/** An answer leaves  proxy for the caller. */
+void bed_take_answer(struct bed *b, uint32_t proxy, struct order *o);
+
+#endif
--- /dev/null
+++ b/tests/bed_check.c
@@ -0,0 +1,126 @@
+/** @file bed_check.c Checks of answers against what the members hold. */
+#include "bed.h"
+
+hm_time bed_local(const struct bed *b, uint32_t proxy)
+{
+	return b->now + b->proxies[proxy].skew;
+}
+
+static void break_rule(struct bed *b, const char *rule)
+{
+	if (!b->violation)
+		b->violation = rule;
+}
+
+/* A newer primary must hold what was acknowledged for good. */
+void bed_check_promotion(struct bed *b)
+{
+	uint64_t bits;
+
+	if (b->model.promoted == b->promoted)
+		return;
+	b->promoted = b->model.promoted;
+	bits = model_bits(&b->model.newest);
+	if (b->durable & ~bits)
+		break_rule(b, "a promotion lost a write held by a replica");
+	b->acked &= bits;
+}
+
+static void check_ack(struct bed *b, const struct order *o)
+{
+	uint64_t bit = (uint64_t)1 << o->write;
+	uint64_t term = o->ended.after.term;
+	bool limited = o->verified.valid_until != HM_NEVER;
+
+	b->acks++;
+	b->acks_limited += limited;
+	if (limited && b->model.promoted > term)
+		break_rule(b, "acknowledged by a superseded primary");
+	if (b->model.promoted > term && !(model_bits(&b->model.newest) & bit))
+		break_rule(b, "acknowledged a write that was cut off");
+	if (!limited && b->model.promoted == term)
+		b->durable |= bit;
+	if (!(b->acked & bit))
+		b->acked_at[o->write] = b->now;
+	b->acked |= bit;
+}
+
+static uint64_t acked_before(const struct bed *b, hm_time at)
+{
+	uint64_t bits = 0;
+	uint64_t w;
+
+	for (w = 1; w <= b->writes; w++)
+		if (b->acked >> w & 1 && b->acked_at[w] <= at)
+			bits |= (uint64_t)1 << w;
+	return bits;
+}
+
+static void check_age(struct bed *b, const struct order *o)
+{
+	hm_time max_age = o->ended.statement.max_age;
+	uint64_t need = o->acked & b->acked;
+
+	if (max_age)
+		need = acked_before(b, b->now - max_age);
+	if (need & ~o->snapshot)
+		break_rule(b, "a read showed older data than accepted");
+}
+
+static void check_session(struct bed *b, const struct order *o)
+{
+	const struct session *s = &b->sessions[o->session];
+
+	if (s->waits_for != o->ended.statement.id.seq)
+		return; /* the caller gave up on it */
+	if (s->must_see & ~o->snapshot)
+		break_rule(b, "a session did not read its writes");
+}
+
+void bed_check_read(struct bed *b, const struct order *o)
+{
+	check_age(b, o);
+	check_session(b, o);
+}
+
+void bed_session_answer(struct bed *b, const struct order *o)
+{
+	const struct result *r = &o->verified.result;
+	struct session *s = &b->sessions[o->session];
+
+	if (s->waits_for != o->ended.statement.id.seq)
+		return;
+	s->waits_for = 0;
+	if (r->error == ERR_WRITE_LOST) {
+		b->lost++;
+		if (model_reached(&b->model.newest, s->floor))
+			break_rule(b, "reported a loss that was none");
+		s->must_see &= model_bits(&b->model.newest);
+		if (o->write && r->execution == EXEC_RUN)
+			s->must_see |= (uint64_t)1 << o->write;
+		s->floor = r->at;
+		return;
+	}
+	if (r->error == ERR_NONE && o->write)
+		s->must_see |= (uint64_t)1 << o->write;
+	if (r->error == ERR_NONE)
+		s->must_see |= o->snapshot;
+	if (r->at.term)
+		s->floor = r->at;
+}
+
+void bed_take_answer(struct bed *b, uint32_t proxy, struct order *o)
+{
+	struct result *r = &o->verified.result;
+
+	if (r->error == ERR_NONE &&
+	    bed_local(b, proxy) >= o->verified.valid_until) {
+		r->error = ERR_OUTCOME_UNKNOWN;
+		r->execution = EXEC_UNKNOWN;
+	}
+	b->answered++;
+	b->unknown += r->error == ERR_OUTCOME_UNKNOWN;
+	if (r->error == ERR_NONE && o->write)
+		check_ack(b, o);
+	bed_session_answer(b, o);
+}
--- /dev/null
+++ b/tests/test_walk.c
@@ -0,0 +1,263 @@
+/**
+ * @file test_walk.c
+ * Seeded random walk over the decisions of one database group: packets are
+ * delivered in any order, lost and repeated, links cut, proxies paused,
+ * members lost and callers roam; every answer is checked.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bed.h"
+
+#define WALK_SEEDS 20000
+#define WALK_STEPS 2500
+/** Within so many walks a missing guard must show. */
+#define MUTANT_SEEDS 20000
+
+static struct bed walked;
+
+static uint32_t pick(struct bed *b, uint32_t limit)
+{
+	return (uint32_t)rng_below(&b->rng, limit);
+}
+
+static void some_packet(struct bed *b)
+{
+	uint32_t i, what;
+
+	if (!b->bag_count)
+		return;
+	i = pick(b, b->bag_count);
+	what = pick(b, 50);
+	if (what == 0)
+		bed_drop(b, i);
+	else if (what == 1)
+		bed_repeat(b, i);
+	else
+		bed_deliver(b, i);
+}
+
+static void some_time(struct bed *b)
+{
+	bed_advance(b, (hm_time)pick(b, pick(b, 40) ? 10000 : 300000));
+	bed_tick(b, pick(b, BED_PROXIES));
+}
+
+static void some_work(struct bed *b)
+{
+	uint32_t session = pick(b, BED_SESSIONS);
+	uint32_t proxy = pick(b, BED_PROXIES);
+
+	switch (pick(b, 4)) {
+	case 0:
+	case 1:
+		bed_write(b, session, proxy);
+		break;
+	case 2:
+		bed_read(b, session, proxy, 0);
+		break;
+	default:
+		bed_read(b, session, proxy, pick(b, 2) ? HM_SEC : HM_SEC / 5);
+	}
+}
+
+static void some_replication(struct bed *b)
+{
+	uint32_t i = pick(b, MODEL_MEMBERS);
+	struct model_member *m = &b->model.members[i];
+
+	if (m->target &&
+	    bed_linked(b, BED_PROXIES + i,
+		       BED_PROXIES + (uint32_t)(m->target - model_endpoint(0))))
+		model_replicate(&b->model, m, 1 + pick(b, 3));
+}
+
+/* A zone is a proxy and its member. */
+static void cut_zone(struct bed *b, uint32_t zone, bool proxy_too)
+{
+	uint32_t i;
+
+	for (i = 0; i < BED_PROXIES; i++) {
+		if (i == zone)
+			continue;
+		bed_cut(b, BED_PROXIES + zone, BED_PROXIES + i, true);
+		if (!proxy_too)
+			continue;
+		bed_cut(b, zone, i, true);
+		bed_cut(b, zone, BED_PROXIES + i, true);
+		bed_cut(b, BED_PROXIES + zone, i, true);
+	}
+}
+
+static void heal(struct bed *b)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < BED_NODES; i++)
+		for (j = 0; j < BED_NODES; j++)
+			b->cut[i][j] = false;
+}
+
+static void some_fault(struct bed *b)
+{
+	uint32_t i = pick(b, BED_PROXIES);
+
+	switch (pick(b, 8)) {
+	case 0:
+		cut_zone(b, i, true);
+		break;
+	case 1:
+		cut_zone(b, i, false);
+		break;
+	case 2:
+		bed_cut(b, pick(b, BED_NODES), pick(b, BED_NODES), true);
+		break;
+	case 3:
+	case 4:
+		heal(b);
+		break;
+	case 5:
+		b->model.members[i].down = !b->model.members[i].down;
+		break;
+	case 6:
+		b->proxies[i].paused = !b->proxies[i].paused;
+		break;
+	default:
+		bed_take_over(b, i, pick(b, MODEL_MEMBERS));
+	}
+}
+
+static void some_step(struct bed *b)
+{
+	uint32_t what = pick(b, 256);
+
+	if (what < 190)
+		some_packet(b);
+	else if (what < 222)
+		some_time(b);
+	else if (what < 233)
+		some_work(b);
+	else if (what < 255)
+		some_replication(b);
+	else
+		some_fault(b);
+}
+
+/* Lets all parties hear of each other. */
+static void settle(struct bed *b)
+{
+	uint32_t round, i;
+
+	for (round = 0; round < 3; round++) {
+		bed_advance(b, 20 * HM_MS);
+		for (i = 0; i < BED_PROXIES; i++)
+			bed_tick(b, i);
+		while (b->bag_count)
+			bed_deliver(b, 0);
+	}
+}
+
+/* Steps taken until the end or a broken rule. */
+static uint32_t walk(struct bed *b, uint64_t seed, uint32_t guards_off)
+{
+	uint32_t i;
+
+	bed_init(b, seed, guards_off);
+	settle(b);
+	for (i = 0; i < WALK_STEPS && !b->violation; i++)
+		some_step(b);
+	bed_free(b);
+	return i;
+}
+
+/* Counts over all walks, to show that they get anywhere. */
+struct totals {
+	uint64_t acks;
+	uint64_t acks_limited;
+	uint64_t answered;
+	uint64_t reads_replica;
+	uint64_t lost;
+	uint64_t unknown;
+	uint64_t promotions;
+};
+
+static void add(struct totals *t, const struct bed *b)
+{
+	t->acks += b->acks;
+	t->acks_limited += b->acks_limited;
+	t->answered += b->answered;
+	t->reads_replica += b->reads_replica;
+	t->lost += b->lost;
+	t->unknown += b->unknown;
+	t->promotions += b->promotions;
+}
+
+START_TEST(no_rule_is_broken)
+{
+	struct bed *b = &walked;
+	struct totals t = { 0 };
+	uint64_t seed;
+
+	for (seed = 1; seed <= WALK_SEEDS; seed++) {
+		walk(b, seed, 0);
+		ck_assert_msg(!b->violation, "seed %u: %s", (unsigned int)seed,
+			      b->violation);
+		add(&t, b);
+	}
+	printf("walk seeds=%u steps=%u acks=%lu limited=%lu answered=%lu "
+	       "aged=%lu lost=%lu unknown=%lu promotions=%lu\n",
+	       WALK_SEEDS, WALK_STEPS, t.acks, t.acks_limited, t.answered,
+	       t.reads_replica, t.lost, t.unknown, t.promotions);
+	ck_assert_uint_gt(t.acks, WALK_SEEDS / 10);
+	ck_assert_uint_gt(t.acks_limited, WALK_SEEDS / 100);
+	ck_assert_uint_gt(t.promotions, WALK_SEEDS / 10);
+	ck_assert_uint_gt(t.lost, 0);
+}
+END_TEST
+
+static const struct {
+	enum guard guard;
+	const char *name;
+} mutants[] = {
+	{ GUARD_FENCE, "fence" },
+	{ GUARD_RECHECK, "recheck" },
+	{ GUARD_LINEAGE, "lineage" },
+	{ GUARD_EVIDENCE, "evidence" },
+};
+
+START_TEST(missing_guard_is_found)
+{
+	struct bed *b = &walked;
+	uint64_t seed;
+
+	for (seed = 1; seed <= MUTANT_SEEDS; seed++) {
+		walk(b, seed, mutants[_i].guard);
+		if (b->violation)
+			break;
+	}
+	ck_assert_msg(seed <= MUTANT_SEEDS, "nothing found without %s",
+		      mutants[_i].name);
+	printf("walk without=%s seed=%lu found=\"%s\"\n", mutants[_i].name,
+	       seed, b->violation);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("walk");
+	TCase *tc = tcase_create("walk");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tc, 0);
+	tcase_add_test(tc, no_rule_is_broken);
+	tcase_add_loop_test(tc, missing_guard_is_found, 0,
+			    sizeof(mutants) / sizeof(mutants[0]));
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
