--- /dev/null
+++ b/src/command.c
@@ -0,0 +1,23 @@
+/** @file command.c Options of subcommands. */
+#include "command.h"
+
+#include <stdio.h>
+
+bool command_options(int *argc, char ***argv, const char *usage,
+		     const char *summary, const GOptionEntry *entries)
+{
+	GOptionContext *context = g_option_context_new(usage);
+	GError *error = NULL;
+	bool ok;
+
+	g_option_context_set_summary(context, summary);
+	if (entries)
+		g_option_context_add_main_entries(context, entries, NULL);
+	ok = g_option_context_parse(context, argc, argv, &error);
+	if (!ok) {
+		fprintf(stderr, "%s\n", error->message);
+		g_error_free(error);
+	}
+	g_option_context_free(context);
+	return ok;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -13,6 +13,7 @@
 #define NUMBER_BYTES 24
 #define DOMAIN "hyssopmount"
 #define BATCH_BYTES 65536
+#define CLOSE_LIMIT (2 * G_TIME_SPAN_SECOND)
 
 struct log_queue {
 	GMutex lock;
@@ -22,6 +23,8 @@
 	uint64_t dropped;
 	uint64_t reported; /* of the dropped lines */
 	bool stopping;
+	bool ended; /* the thread wrote all */
+	GCond end;
 	int fd;
 	GThread *thread;
 };
@@ -108,6 +111,21 @@
 	g_date_time_unref(now);
 }
 
+/* A message of pairs already is taken over as it is, but on one line. */
+static void append_message(GString *line, const char *message)
+{
+	size_t at = line->len + 1;
+
+	if (!g_str_has_prefix(message, "event=")) {
+		append_pair(line, "message", message);
+		return;
+	}
+	g_string_append_printf(line, " %s", message);
+	for (; at < line->len; at++)
+		if ((unsigned char)line->str[at] < ' ')
+			line->str[at] = ' ';
+}
+
 /* GLib's own fields of a record; ours have lower-case keys. */
 static bool is_own_field(const char *key)
 {
@@ -126,7 +144,7 @@
 		if (is_own_field(fields[i].key))
 			append_pair(line, fields[i].key, fields[i].value);
 		else if (!strcmp(fields[i].key, "MESSAGE"))
-			append_pair(line, "message", fields[i].value);
+			append_message(line, fields[i].value);
 	}
 	g_string_append_c(line, '\n');
 	return g_string_free(line, FALSE);
@@ -218,6 +236,10 @@
 		write_all(queue.fd, batch->str, batch->len);
 	}
 	g_string_free(batch, TRUE);
+	g_mutex_lock(&queue.lock);
+	queue.ended = true;
+	g_cond_signal(&queue.end);
+	g_mutex_unlock(&queue.lock);
 	return NULL;
 }
 
@@ -233,19 +255,28 @@
 		return;
 	queue.fd = fd;
 	queue.stopping = false;
+	queue.ended = false;
 	queue.thread = g_thread_new("log", write_lines, NULL);
 	atomic_store(&threshold, (unsigned int)level_of(level));
 }
 
 void log_close(void)
 {
+	gint64 until = g_get_monotonic_time() + CLOSE_LIMIT;
+	bool waiting = true, ended;
+
 	if (!queue.thread)
 		return;
 	atomic_store(&threshold, 0);
 	g_mutex_lock(&queue.lock);
 	queue.stopping = true;
 	g_cond_signal(&queue.filled);
+	while (!queue.ended && waiting)
+		waiting = g_cond_wait_until(&queue.end, &queue.lock, until);
+	ended = queue.ended;
 	g_mutex_unlock(&queue.lock);
+	if (!ended)
+		return; /* nobody reads the lines: the stop goes on */
 	g_thread_join(queue.thread);
 	queue.thread = NULL;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -18,7 +18,7 @@
  * @param level "error", "warning", "info" or "debug"
  */
 void log_open(const char *level, int fd);
-/** Writes what is queued and stops. */
+/** Writes what is queued, unless nobody takes it for 2 s, and stops. */
 void log_close(void);
 /** Whether lines of @a level are written. */
 bool log_enabled(GLogLevelFlags level);
--- a/src/main.c
+++ b/src/main.c
@@ -2,14 +2,44 @@
 #include <stdio.h>
 #include <string.h>
 
-#define VERSION "0.1.0"
+#include "command.h"
+
+static const struct command commands[] = {
+	{ "serve", cli_serve, "serve callers until told to stop" },
+	{ "check", cli_check, "check files of settings and contracts" },
+	{ "status", cli_status, "print the status of an instance" },
+};
+
+static void print_usage(FILE *out)
+{
+	size_t i;
+
+	fprintf(out, "usage: hyssopmount COMMAND [OPTION...]\n"
+		     "       hyssopmount --version\n\ncommands:\n");
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		fprintf(out, "  %-10s %s\n", commands[i].name,
+			commands[i].help);
+	fprintf(out, "\nhyssopmount COMMAND --help tells its options.\n"
+		     "exit codes: 0 done, 1 wrong command line, 2 invalid "
+		     "input,\n  3 conflict, 4 no answer, 5 not in force yet\n");
+}
 
 int main(int argc, char **argv)
 {
-	if (argc == 2 && !strcmp(argv[1], "--version")) {
+	const char *word = argc > 1 ? argv[1] : "";
+	size_t i;
+
+	if (!strcmp(word, "--version")) {
 		printf("hyssopmount %s\n", VERSION);
-		return 0;
+		return CLI_OK;
+	}
+	if (!strcmp(word, "--help") || !strcmp(word, "-h")) {
+		print_usage(stdout);
+		return CLI_OK;
 	}
-	fprintf(stderr, "usage: hyssopmount --version\n");
-	return 2;
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (!strcmp(word, commands[i].name))
+			return commands[i].run(argc - 1, argv + 1);
+	print_usage(stderr);
+	return CLI_USAGE;
 }
--- /dev/null
+++ b/tests/test_log.c
@@ -0,0 +1,169 @@
+/** @file test_log.c Log lines: form, quoting, levels, counted losses. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../src/log.h"
+
+#define LINES 2000
+#define QUEUE 16
+#define TEXT_BYTES (1024 * 1024)
+
+/* Runs @a body with the log going into a file; all that was written. */
+static char *logged(const char *level, void (*body)(void))
+{
+	char *text = g_malloc0(TEXT_BYTES);
+	FILE *file = tmpfile();
+
+	ck_assert_ptr_nonnull(file);
+	log_open(level, fileno(file));
+	body();
+	log_close();
+	rewind(file);
+	ck_assert_uint_lt(fread(text, 1, TEXT_BYTES, file), TEXT_BYTES);
+	fclose(file);
+	return text;
+}
+
+static void one_event(void)
+{
+	log_event(G_LOG_LEVEL_INFO, "start", "instance", "a b", "empty", "",
+		  "none", NULL, "quote", "say \"x\"\n", NULL);
+	log_event(G_LOG_LEVEL_DEBUG, "hidden", NULL);
+	g_warning("event=peer address=%s", "127.0.0.1:1");
+	g_warning("plain words");
+}
+
+/* Text after the time of line @a index. */
+static char *line_of(const char *text, guint index)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	char *line, *rest;
+
+	ck_assert_uint_lt(index, g_strv_length(lines));
+	line = lines[index];
+	ck_assert(g_str_has_prefix(line, "time=20"));
+	rest = strchr(line, ' ');
+	ck_assert_ptr_nonnull(rest);
+	rest = g_strdup(rest + 1);
+	g_strfreev(lines);
+	return rest;
+}
+
+static void assert_line(const char *text, guint index, const char *want)
+{
+	char *line = line_of(text, index);
+
+	ck_assert_str_eq(line, want);
+	g_free(line);
+}
+
+START_TEST(line_form)
+{
+	char *text = logged("info", one_event);
+
+	assert_line(text, 0,
+		    "level=info event=start instance=\"a b\" empty=\"\" "
+		    "quote=\"say \\\"x\\\"\\n\"");
+	assert_line(text, 1, "level=warning event=peer address=127.0.0.1:1");
+	assert_line(text, 2, "level=warning message=\"plain words\"");
+	ck_assert_ptr_null(strstr(text, "hidden"));
+	g_free(text);
+}
+END_TEST
+
+static void one_decision(void)
+{
+	struct names *names = names_new();
+	struct decision d = { .what = "route",
+			      .reason = "replica_fresh",
+			      .request = { 1, 26 },
+			      .account = name_id("payroll"),
+			      .database = name_id("rota"),
+			      .endpoint = name_id("rota-1"),
+			      .peer = 0xabc,
+			      .at = { 3, 100 } };
+
+	names_learn(names, "payroll");
+	names_learn(names, "rota");
+	names_learn(names, "rota-1");
+	log_decision(&d, names);
+	names_free(names);
+}
+
+START_TEST(decision_form)
+{
+	char *text = logged("info", one_decision);
+
+	assert_line(text, 0,
+		    "level=info event=route reason=replica_fresh "
+		    "request=0000000000000001-1a account=payroll "
+		    "database=rota endpoint=rota-1 "
+		    "peer=0000000000000abc term=3 pos=100");
+	g_free(text);
+	text = logged("warning", one_decision);
+	ck_assert_str_eq(text, "");
+	g_free(text);
+}
+END_TEST
+
+static void many_events(void)
+{
+	int i;
+
+	for (i = 0; i < LINES; i++)
+		log_event(G_LOG_LEVEL_INFO, "flood", NULL);
+}
+
+/* Sum of the lines that are there and of those that are told as lost. */
+static guint64 accounted(const char *text)
+{
+	char **lines = g_strsplit(text, "\n", -1);
+	guint64 sum = 0;
+	char *lost;
+	guint i;
+
+	for (i = 0; lines[i]; i++) {
+		lost = strstr(lines[i], "event=log_dropped lines=");
+		if (lost)
+			sum += g_ascii_strtoull(strrchr(lost, '=') + 1, NULL,
+						10);
+		else if (strstr(lines[i], "event=flood"))
+			sum++;
+	}
+	g_strfreev(lines);
+	return sum;
+}
+
+START_TEST(lost_lines_are_counted)
+{
+	uint64_t before = log_dropped();
+	char *text;
+
+	log_queue_limit(QUEUE);
+	text = logged("info", many_events);
+	ck_assert_uint_eq(accounted(text), LINES);
+	ck_assert_uint_le(log_dropped() - before, LINES);
+	log_queue_limit(LINES);
+	g_free(text);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("log");
+	TCase *tc = tcase_create("log");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, line_form);
+	tcase_add_test(tc, decision_form);
+	tcase_add_test(tc, lost_lines_are_counted);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
