Commands of operators for contracts and keys

A granted key is shown once; the platform holds its hash. A contract without keys field has no keys, and applying a file without it leaves the granted keys alone.

--- a/src/object_api.c
+++ b/src/object_api.c
@@ -202,8 +202,8 @@
 }
 
 /* A lost answer to a read is no more than an unavailable platform. */
-static enum api_outcome read_json(struct object_api *api, const char *path,
-				  hm_time until, json_t **json)
+enum api_outcome object_api_read(struct object_api *api, const char *path,
+				 hm_time until, json_t **json)
 {
 	enum api_outcome o = call_json(api, "GET", path, NULL, until, json);
 
@@ -219,7 +219,7 @@
 	enum api_outcome outcome;
 	json_t *json;
 
-	outcome = read_json(api, path, until, &json);
+	outcome = object_api_read(api, path, until, &json);
 	if (outcome == API_OK && !object_parse(json, out, fault))
 		outcome = API_INVALID;
 	json_decref(json);
@@ -234,7 +234,7 @@
 	enum api_outcome outcome;
 	json_t *json;
 
-	outcome = read_json(api, path, until, &json);
+	outcome = object_api_read(api, path, until, &json);
 	if (outcome == API_OK && !object_list_parse(json, out, fault))
 		outcome = API_INVALID;
 	json_decref(json);
@@ -341,7 +341,7 @@
 	enum api_outcome outcome;
 	json_t *json, *items;
 
-	outcome = read_json(api, "/instances", until, &json);
+	outcome = object_api_read(api, "/instances", until, &json);
 	items = json_object_get(json, "items");
 	if (outcome == API_OK && !json_is_array(items))
 		outcome = API_INVALID;
--- a/src/object_api.h
+++ b/src/object_api.h
@@ -49,6 +49,9 @@
 				   const char *name, uint64_t if_version,
 				   const json_t *value, hm_time until,
 				   uint64_t *version);
+/** JSON answer to GET @a path, a new reference or NULL. */
+enum api_outcome object_api_read(struct object_api *api, const char *path,
+				 hm_time until, json_t **json);
 /** Items of the instance list, a new reference. */
 enum api_outcome object_api_instances(struct object_api *api, hm_time until,
 				      json_t **out);
--- a/src/spec.c
+++ b/src/spec.c
@@ -228,6 +228,8 @@
 	const json_t *keys = json_object_get(value, "keys");
 	size_t i;
 
+	if (!keys)
+		return true;
 	if (!json_is_array(keys))
 		return fail(fault, "keys: found %s, allowed is an array",
 			    type_name(keys));
--- /dev/null
+++ b/tests/test_cli.c
@@ -0,0 +1,277 @@
+/** @file test_cli.c Commands of operators against the stand-in platform. */
+#include <arpa/inet.h>
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../src/cli_options.h"
+#include "../src/names.h"
+#include "../src/platform.h"
+#include "../standin/store.h"
+#include "script.h"
+
+#define ADDRESS "127.0.0.1:25030"
+#define STATUS_PORT 25031
+#define WORDS_MAX 32
+#define KEY_DIGITS 64
+#define HASH_DIGITS 32
+
+/** What the commands of a script work on. */
+struct bench {
+	struct store *store;
+	char *directory; /**< of files that the script writes */
+	char *hash;	 /**< of the key granted last */
+};
+
+/** Answers every request with one status. */
+struct status_server {
+	int fd;
+	GThread *thread;
+	GMutex lock;
+	char *body;
+};
+
+static struct status_server server;
+
+static void answer_one(int fd)
+{
+	char request[4096], *reply;
+	ssize_t got = read(fd, request, sizeof(request));
+
+	g_mutex_lock(&server.lock);
+	reply = g_strdup_printf("HTTP/1.1 200 OK\r\nconnection: close\r\n"
+				"content-length: %zu\r\n\r\n%s",
+				strlen(server.body), server.body);
+	g_mutex_unlock(&server.lock);
+	if (got > 0)
+		got = write(fd, reply, strlen(reply));
+	g_free(reply);
+}
+
+static gpointer serve(gpointer unused)
+{
+	int fd;
+
+	while ((fd = accept(server.fd, NULL, NULL)) >= 0) {
+		answer_one(fd);
+		close(fd);
+	}
+	return unused;
+}
+
+static void set_status(const char *body)
+{
+	g_mutex_lock(&server.lock);
+	g_free(server.body);
+	server.body = g_strdup(body);
+	g_mutex_unlock(&server.lock);
+}
+
+static void start_server(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+				   .sin_port = htons(STATUS_PORT) };
+	int one = 1;
+
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	set_status("{}");
+	server.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(server.fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ck_assert(!bind(server.fd, (struct sockaddr *)&sin, sizeof(sin)));
+	ck_assert(!listen(server.fd, 16));
+	server.thread = g_thread_new("status", serve, NULL);
+}
+
+static void stop_server(void)
+{
+	shutdown(server.fd, SHUT_RDWR);
+	g_thread_join(server.thread);
+	close(server.fd);
+	g_free(server.body);
+	server.body = NULL;
+}
+
+/* Replaces the digits after @a word by the name of what they are. */
+static char *mask(GString *out, const char *word, size_t digits,
+		  const char *name)
+{
+	char *at = strstr(out->str, word);
+	char *value;
+
+	if (!at)
+		return NULL;
+	at += strlen(word);
+	value = g_strndup(at, digits);
+	ck_assert_uint_eq(strspn(value, "0123456789abcdef"), digits);
+	g_string_erase(out, at - out->str, (gssize)digits);
+	g_string_insert(out, at - out->str, name);
+	return value;
+}
+
+/* A granted key is random: its hash must be that of the key. */
+static void mask_key(struct bench *b, GString *out)
+{
+	char *key = mask(out, "key: ", KEY_DIGITS, "KEY");
+	char *hash = mask(out, "\nhash: ", HASH_DIGITS, "HASH");
+	char text[33];
+
+	if (key) {
+		key_text(key_hash(key, KEY_DIGITS), text);
+		ck_assert_str_eq(text, hash);
+		g_free(b->hash);
+		b->hash = g_strdup(hash);
+	}
+	g_free(key);
+	g_free(hash);
+}
+
+/* Words with DIR/ and HASH replaced, and the platform's address. */
+static int split(const struct bench *b, const char *line, char **argv)
+{
+	char **words = g_strsplit(line, " ", WORDS_MAX - 3);
+	int argc;
+
+	for (argc = 0; words[argc]; argc++) {
+		if (g_str_has_prefix(words[argc], "DIR/"))
+			argv[argc] = g_build_filename(b->directory,
+						      words[argc] + 4, NULL);
+		else
+			argv[argc] = g_strdup(!strcmp(words[argc], "HASH")
+						      ? b->hash
+						      : words[argc]);
+	}
+	argv[argc++] = g_strdup("--platform");
+	argv[argc++] = g_strdup(ADDRESS);
+	g_strfreev(words);
+	return argc;
+}
+
+static void run_command(struct bench *b, const char *line, GString *out)
+{
+	bool key = g_str_has_prefix(line, "key");
+	char *argv[WORDS_MAX] = { 0 };
+	int argc = split(b, line, argv);
+	enum cli_exit code;
+	char *at;
+	int i;
+
+	code = cli_dispatch(argc, argv, key ? "key" : "contract",
+			    key ? cli_key_actions : cli_contract_actions, out);
+	mask_key(b, out);
+	while ((at = strstr(out->str, b->directory))) {
+		g_string_erase(out, at - out->str,
+			       (gssize)strlen(b->directory));
+		g_string_insert(out, at - out->str, "DIR");
+	}
+	g_string_append_printf(out, "exit %d\n", (int)code);
+	for (i = 0; i < argc; i++)
+		g_free(argv[i]);
+}
+
+static void write_file(const struct bench *b, const char *line)
+{
+	char **words = g_strsplit(line, " ", 3);
+	char *path = g_build_filename(b->directory, words[1], NULL);
+
+	ck_assert(g_file_set_contents(path, words[2], -1, NULL));
+	g_free(path);
+	g_strfreev(words);
+}
+
+static void set_fault(const struct bench *b, const char *line)
+{
+	struct store_faults faults = {
+		.down = strstr(line, "down") != NULL,
+		.lose_answer = strstr(line, "lose_answer") != NULL,
+		.stale_reads = strstr(line, "stale_reads") != NULL,
+	};
+
+	store_fault(b->store, &faults);
+}
+
+static void perform(void *context, const char *line, GString *out)
+{
+	struct bench *b = context;
+	char **words = g_strsplit(line, " ", 3);
+
+	if (!strcmp(words[0], "file"))
+		write_file(b, line);
+	else if (!strcmp(words[0], "fault"))
+		set_fault(b, line);
+	else if (!strcmp(words[0], "put"))
+		ck_assert(
+			store_put(b->store, KIND_CONTRACT, words[1], words[2]));
+	else if (!strcmp(words[0], "refuse"))
+		ck_assert(store_put(b->store, KIND_STATUS, words[1], words[2]));
+	else if (!strcmp(words[0], "status"))
+		set_status(line + strlen("status "));
+	else
+		run_command(b, line, out);
+	g_strfreev(words);
+}
+
+static void remove_files(const char *directory)
+{
+	GDir *dir = g_dir_open(directory, 0, NULL);
+	const char *name;
+
+	while ((name = g_dir_read_name(dir))) {
+		char *path = g_build_filename(directory, name, NULL);
+
+		unlink(path);
+		g_free(path);
+	}
+	g_dir_close(dir);
+	rmdir(directory);
+}
+
+static void run_script(const char *file)
+{
+	struct bench b = { .store = store_new(ADDRESS),
+			   .directory = g_dir_make_tmp(NULL, NULL) };
+	char *fault;
+
+	ck_assert_ptr_nonnull(b.store);
+	store_start(b.store);
+	start_server();
+	fault = script_run(file, perform, &b);
+	ck_assert_msg(!fault, "%s", fault);
+	stop_server();
+	store_free(b.store);
+	remove_files(b.directory);
+	g_free(b.directory);
+	g_free(b.hash);
+}
+
+START_TEST(contract_commands)
+{
+	run_script("tests/scripts/cli_contract.txt");
+}
+END_TEST
+
+START_TEST(key_commands)
+{
+	run_script("tests/scripts/cli_key.txt");
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("cli");
+	TCase *tc = tcase_create("cli");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, contract_commands);
+	tcase_add_test(tc, key_commands);
+	tcase_set_timeout(tc, 60);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
