--- /dev/null
+++ b/tests/test_home_script.c
@@ -0,0 +1,242 @@
+/** @file test_home_script.c Scripted runs of the home of one endpoint. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../core/home.h"
+#include "script.h"
+
+#define LIFE 9
+
+struct run {
+	struct core_options options;
+	struct contracts *contracts;
+	struct home *home;
+	struct endpoint_spec spec;
+	struct actions actions;
+	uint64_t next_conn;
+	uint64_t version;
+	hm_time now;
+};
+
+static const char *const ops[] = { "read", "write", "begin", "commit",
+				   "rollback" };
+static const char *const dones[] = { "ok", "rejected", "refused", "not_sent",
+				     "lost" };
+
+static int index_of(const char *const *words, int count, const char *line,
+		    const char *name)
+{
+	char *word = script_arg(line, name);
+	int i, found = 0;
+
+	for (i = 0; word && i < count; i++)
+		if (!strcmp(words[i], word))
+			found = i;
+	g_free(word);
+	return found;
+}
+
+static void grant(struct run *r, hm_id account, bool withdrawn,
+		  uint32_t transactions)
+{
+	struct contract c = { .account = account,
+			      .version = ++r->version,
+			      .withdrawn = withdrawn,
+			      .rate = 100,
+			      .burst = 100,
+			      .weight = 1,
+			      .transactions = transactions,
+			      .database_count = 1,
+			      .key_count = 1 };
+	const char *fault;
+
+	c.databases[0].database = 1;
+	c.keys[0] = (struct key_id){ account, 1 };
+	contracts_apply(r->contracts, &c, &fault);
+}
+
+static void submit(struct run *r, const char *line)
+{
+	struct statement s = { .database = 1 };
+
+	s.id = (struct rid){ LIFE, (uint64_t)script_int(line, "id", 0) };
+	s.account = (hm_id)script_int(line, "account", 1);
+	s.key = (struct key_id){ s.account, 1 };
+	s.op = (enum op)index_of(ops, 5, line, "op");
+	s.deadline = r->now + script_int(line, "within", 1000) * HM_MS;
+	s.tx.id.seq = (uint64_t)script_int(line, "tx", 0);
+	s.tx.id.life = s.tx.id.seq ? LIFE : 0;
+	home_submit(r->home, &s, 5, r->now, &r->actions);
+}
+
+static void event(struct run *r, const char *line, enum event_kind kind)
+{
+	struct event e = { .kind = kind };
+	uint64_t conn = (uint64_t)script_int(line, "conn", 0);
+
+	if (kind == EV_DONE) {
+		e.done.conn = conn;
+		e.done.id.seq = (uint64_t)script_int(line, "id", 0);
+		e.done.id.life = e.done.id.seq ? LIFE : 0;
+		e.done.done = (enum done)index_of(dones, 5, line, "done");
+		e.done.open_tx = script_int(line, "open", 0);
+	} else {
+		e.conn.conn = conn;
+	}
+	home_event(r->home, &e, r->now, &r->actions);
+}
+
+static void print_actions(struct run *r, GString *out)
+{
+	static const char *const names[] = {
+		[ACT_CONNECT] = "connect", [ACT_EXECUTE] = "execute",
+		[ACT_CANCEL] = "cancel",   [ACT_RESET] = "reset",
+		[ACT_CLOSE] = "close",
+	};
+	size_t i;
+
+	for (i = 0; i < r->actions.count; i++) {
+		const struct action *act = &r->actions.list[i];
+
+		g_string_append_printf(out, "%s conn=%d", names[act->kind],
+				       (int)act->conn.conn);
+		if (act->kind == ACT_EXECUTE)
+			g_string_append_printf(out, " id=%d",
+					       (int)act->conn.statement.id.seq);
+		g_string_append_c(out, '\n');
+	}
+	actions_clear(&r->actions);
+}
+
+static void print_ended(struct run *r, GString *out)
+{
+	struct home_ended e;
+
+	while (home_next_ended(r->home, &e)) {
+		g_string_append_printf(out, "ended id=%d %s, %s",
+				       (int)e.statement.id.seq,
+				       error_answer(e.error)->code,
+				       execution_name(e.execution));
+		if (e.tx.id.seq)
+			g_string_append_printf(out, " tx=%d", (int)e.tx.id.seq);
+		if (e.retry_at)
+			g_string_append_printf(
+				out, " retry_in=%d",
+				(int)((e.retry_at - r->now) / HM_MS));
+		g_string_append_c(out, '\n');
+	}
+}
+
+static void print_load(struct run *r, GString *out)
+{
+	struct home_load l;
+
+	home_load(r->home, r->now, &l);
+	g_string_append_printf(out,
+			       "queued=%u running=%u connections=%u "
+			       "transactions=%u\n",
+			       l.queued, l.running, l.connections,
+			       l.transactions);
+}
+
+static void change(struct run *r, const char *line)
+{
+	hm_id account = (hm_id)script_int(line, "account", 1);
+
+	grant(r, account, g_str_has_prefix(line, "withdraw"),
+	      (uint32_t)script_int(line, "transactions", 2));
+}
+
+static void leave(struct run *r)
+{
+	r->spec.leaving = true;
+	home_spec(r->home, &r->spec);
+}
+
+static void command(void *context, const char *line, GString *out)
+{
+	struct run *r = context;
+
+	r->now += script_int(line, "after", 0) * HM_MS;
+	if (g_str_has_prefix(line, "submit"))
+		submit(r, line);
+	else if (g_str_has_prefix(line, "connected"))
+		event(r, line, EV_CONNECTED);
+	else if (g_str_has_prefix(line, "closed"))
+		event(r, line, EV_CLOSED);
+	else if (g_str_has_prefix(line, "done"))
+		event(r, line, EV_DONE);
+	else if (g_str_has_prefix(line, "tick"))
+		home_tick(r->home, r->now, &r->actions);
+	else if (g_str_has_prefix(line, "abandon"))
+		home_abandon(r->home,
+			     (struct rid){ LIFE, (uint64_t)script_int(
+							 line, "id", 0) },
+			     r->now, &r->actions);
+	else if (g_str_has_prefix(line, "hold"))
+		home_hold_writes(r->home, script_int(line, "on", 1));
+	else if (g_str_has_prefix(line, "leaving"))
+		leave(r);
+	else if (g_str_has_prefix(line, "close"))
+		home_close(r->home, r->now, &r->actions);
+	else if (g_str_has_prefix(line, "load"))
+		print_load(r, out);
+	else
+		change(r, line);
+	print_actions(r, out);
+	print_ended(r, out);
+}
+
+static void run_file(const char *file)
+{
+	struct run r = {
+		.options = { .life = LIFE,
+			     .idle_transaction = HM_SEC,
+			     .statement_limit = 5 * HM_SEC,
+			     .queue_limit = 4 },
+		.spec = { .endpoint = 2, .slots = 2, .connections = 8 },
+	};
+	struct database_spec d = { .database = 1 };
+	char *fault;
+
+	r.contracts = contracts_new();
+	grant(&r, 1, false, 2);
+	grant(&r, 2, false, 2);
+	r.home =
+		home_new(&r.options, r.contracts, &d, &r.spec, &r.next_conn, 0);
+	fault = script_run(file, command, &r);
+	ck_assert_msg(!fault, "%s", fault);
+	home_free(r.home);
+	contracts_free(r.contracts);
+	actions_free(&r.actions);
+}
+
+static const char *const files[] = {
+	"tests/scripts/home_transactions.txt",
+	"tests/scripts/home_keys.txt",
+	"tests/scripts/home_deadlines.txt",
+	"tests/scripts/home_queue.txt",
+};
+
+START_TEST(scripted)
+{
+	run_file(files[_i]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("home_script");
+	TCase *tc = tcase_create("home_script");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tc, scripted, 0, (int)G_N_ELEMENTS(files));
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
