Hold a connection until its cancel arrived; take rows one at a time

A cancel names a server process, so one that came late hit whatever ran next, perhaps of another caller. The outcome is now delivered once the cancel was answered, at the latest after the control limit; then the connection is given up.

Answers were held as a whole before the row limit was looked at. Rows are now delivered one by one and dropped from the limit on.

--- a/src/driver_pg.c
+++ b/src/driver_pg.c
@@ -29,6 +29,7 @@
 	bool ended; /* the outcome below is known */
 	enum done done;
 	uint64_t body;
+	struct pg_rows rows;
 	struct endpoint_state before;
 	struct endpoint_state after;
 };
@@ -36,12 +37,14 @@
 struct pg_conn {
 	struct driver_state *driver;
 	uint64_t number;
-	hm_id database;
 	char database_name[NAME_BYTES];
 	struct endpoint_spec endpoint;
 	struct pg_link *link;
 	bool was_ready;
 	bool reset_wanted;
+	bool answered;	 /* all answers came, a cancel is on its way */
+	bool cancelling; /* nothing new may run until it arrived */
+	bool unsure;	 /* a cancel may still arrive: not to be used again */
 	struct running running;
 };
 
@@ -76,6 +79,7 @@
 	struct pg_conn *c = conn;
 
 	pg_link_free(c->link);
+	pg_rows_clear(&c->running.rows);
 	g_free(c);
 }
 
@@ -151,7 +155,9 @@
 	e.done.body = c->running.body;
 	fill_marks(&c->running, &e);
 	e.done.open_tx = pg_link_in_transaction(c->link);
+	pg_rows_clear(&c->running.rows);
 	memset(&c->running, 0, sizeof(c->running));
+	c->answered = false;
 	sink_event(&c->driver->host.sink, &e);
 }
 
@@ -165,21 +171,29 @@
 	sink_event(&c->driver->host.sink, &e);
 }
 
+static void close_conn(struct pg_conn *c)
+{
+	struct driver_state *d = c->driver;
+	struct event e = { .kind = EV_CLOSED };
+
+	e.conn.conn = c->number;
+	e.conn.failed = !c->was_ready;
+	g_hash_table_remove(d->conns, &e.conn.conn);
+	sink_event(&d->host.sink, &e);
+}
+
 static void on_broken(void *arg)
 {
 	struct pg_conn *c = arg;
 	struct driver_state *d = c->driver;
-	struct event e = { .kind = EV_CLOSED };
 	uint64_t number = c->number;
 
-	e.conn.conn = number;
-	e.conn.failed = !c->was_ready;
-	if (c->running.busy)
+	if (c->running.busy && c->answered)
+		end_running(c, c->running.done);
+	else if (c->running.busy)
 		end_running(c, c->running.sent ? DONE_LOST : DONE_NOT_SENT);
-	if (!find(d, number))
-		return;
-	g_hash_table_remove(d->conns, &number);
-	sink_event(&d->host.sink, &e);
+	if (find(d, number))
+		close_conn(c);
 }
 
 /* Errors by which a server says that it did not run a statement. */
@@ -214,10 +228,17 @@
 		    pg_body_failure(r));
 }
 
-static void take_rows(struct pg_conn *c, const PGresult *r)
+static struct pg_rows_limit limit_of(const struct pg_conn *c)
 {
 	const struct driver_host *host = &c->driver->host;
-	GBytes *body = pg_body_rows(r, host->rows_limit, host->answer_bytes);
+	struct pg_rows_limit limit = { host->rows_limit, host->answer_bytes };
+
+	return limit;
+}
+
+static void take_last_rows(struct pg_conn *c, const PGresult *r)
+{
+	GBytes *body = pg_rows_end(&c->running.rows, r, limit_of(c));
 
 	if (body)
 		set_outcome(c, DONE_OK, body);
@@ -237,6 +258,9 @@
 static void take_statement(struct pg_conn *c, const PGresult *r)
 {
 	switch (PQresultStatus(r)) {
+	case PGRES_SINGLE_TUPLE:
+		pg_rows_add(&c->running.rows, r, limit_of(c));
+		return;
 	case PGRES_TUPLES_OK:
 	case PGRES_COMMAND_OK:
 	case PGRES_EMPTY_QUERY:
@@ -245,7 +269,7 @@
 				    pg_body_error("40000", "the transaction "
 							   "was rolled back"));
 		else
-			take_rows(c, r);
+			take_last_rows(c, r);
 		return;
 	case PGRES_FATAL_ERROR:
 		take_failure(c, r);
@@ -288,8 +312,8 @@
 	r->parts[r->count++] = part;
 	if (q)
 		return pg_link_query(c->link, q->sql, q->count,
-				     (const char *const *)q->params);
-	return pg_link_query(c->link, sql, 0, NULL);
+				     (const char *const *)q->params, true);
+	return pg_link_query(c->link, sql, 0, NULL, false);
 }
 
 static void send_reset(struct pg_conn *c)
@@ -306,21 +330,48 @@
 		pg_link_sync(c->link);
 }
 
-/* All answers are there. */
-static void on_idle(void *arg)
+/* Delivers the outcome; what follows depends on who waited meanwhile. */
+static void finish(struct pg_conn *c)
 {
-	struct pg_conn *c = arg;
 	struct driver_state *d = c->driver;
 	uint64_t number = c->number;
 
-	if (!c->running.busy)
-		return;
 	end_running(c, c->running.ended ? c->running.done : DONE_LOST);
 	c = find(d, number);
-	if (c && c->reset_wanted && !c->running.busy)
+	if (!c || c->running.busy)
+		return;
+	if (c->unsure)
+		close_conn(c);
+	else if (c->reset_wanted)
 		send_reset(c);
 }
 
+/* All answers are there. */
+static void on_idle(void *arg)
+{
+	struct pg_conn *c = arg;
+
+	if (!c->running.busy)
+		return;
+	c->answered = c->running.ended;
+	if (!c->cancelling)
+		finish(c);
+}
+
+/* A cancel hits what runs when it arrives, so the next one had to wait. */
+static void on_cancel_ended(void *arg, uint64_t conn, bool answered)
+{
+	struct driver_state *d = arg;
+	struct pg_conn *c = find(d, conn);
+
+	if (!c)
+		return;
+	c->cancelling = false;
+	c->unsure |= !answered;
+	if (c->running.busy && pg_link_idle(c->link))
+		finish(c);
+}
+
 static const struct pg_link_events link_events = { on_ready, on_result, on_idle,
 						   on_broken };
 
@@ -334,7 +385,6 @@
 
 	c->driver = d;
 	c->number = conn;
-	c->database = database->database;
 	g_strlcpy(c->database_name, database->name, NAME_BYTES);
 	c->endpoint = *endpoint;
 	c->link = pg_link_new(d->host.loop, &target,
@@ -456,11 +506,15 @@
 static void pg_cancel(struct driver_state *d, uint64_t conn)
 {
 	struct pg_conn *c = find(d, conn);
+	struct pg_cancel cancel = { .conn = conn };
 
-	if (!c || !c->running.sent)
+	if (!c || !c->running.sent || c->cancelling || c->answered)
 		return;
-	pg_control_cancel(d->control, c->database, c->database_name,
-			  &c->endpoint, pg_link_pid(c->link));
+	c->cancelling = true;
+	cancel.pid = pg_link_pid(c->link);
+	cancel.database = c->database_name;
+	cancel.endpoint = &c->endpoint;
+	pg_control_cancel(d->control, &cancel, on_cancel_ended, d);
 }
 
 static void pg_reset(struct driver_state *d, uint64_t conn)
--- a/src/pg_body.c
+++ b/src/pg_body.c
@@ -126,98 +126,156 @@
 	       type == TYPE_FLOAT4 || type == TYPE_FLOAT8;
 }
 
-static json_t *value_number(const char *text)
+static const char *skip_digits(const char *at)
 {
-	json_t *j = json_loads(text, JSON_DECODE_ANY, NULL);
+	return at + strspn(at, "0123456789");
+}
 
-	if (json_is_number(j))
-		return j;
-	json_decref(j);
-	return json_string(text);
+/* Whether a text is a number as JSON writes it. */
+static bool json_number(const char *text)
+{
+	const char *at = text + (*text == '-');
+	const char *end = skip_digits(at);
+
+	if (end == at || (*at == '0' && end > at + 1))
+		return false;
+	if (*end == '.') {
+		at = end + 1;
+		end = skip_digits(at);
+		if (end == at)
+			return false;
+	}
+	if (*end == 'e' || *end == 'E') {
+		at = end + 1;
+		at += *at == '-' || *at == '+';
+		end = skip_digits(at);
+		if (end == at)
+			return false;
+	}
+	return !*end;
 }
 
-static json_t *value_text(const char *text)
+static void append_char(GString *out, char c)
 {
-	json_t *j = json_string(text);
-	char *valid;
+	if (c == '"' || c == '\\') {
+		g_string_append_c(out, '\\');
+		g_string_append_c(out, c);
+	} else if ((unsigned char)c < ' ') {
+		g_string_append_printf(out, "\\u%04x", (unsigned)c);
+	} else {
+		g_string_append_c(out, c);
+	}
+}
 
-	if (j)
-		return j;
-	valid = g_utf8_make_valid(text, -1);
-	j = json_string(valid);
+static void append_text(GString *out, const char *text)
+{
+	char *valid = NULL;
+
+	if (!g_utf8_validate(text, -1, NULL))
+		text = valid = g_utf8_make_valid(text, -1);
+	g_string_append_c(out, '"');
+	for (; *text; text++)
+		append_char(out, *text);
+	g_string_append_c(out, '"');
 	g_free(valid);
-	return j;
 }
 
-static json_t *value(const PGresult *r, int row, int column)
+static void append_value(GString *out, const PGresult *r, int row, int column)
 {
 	const char *text = PQgetvalue(r, row, column);
 	Oid type = PQftype(r, column);
 
 	if (PQgetisnull(r, row, column))
-		return json_null();
-	if (numeric(type))
-		return value_number(text);
-	if (type == TYPE_BOOL)
-		return json_boolean(text[0] == 't');
-	return value_text(text);
+		g_string_append(out, "null");
+	else if (numeric(type) && json_number(text))
+		g_string_append(out, text);
+	else if (type == TYPE_BOOL)
+		g_string_append(out, text[0] == 't' ? "true" : "false");
+	else
+		append_text(out, text);
 }
 
-static json_t *row_json(const PGresult *r, int row)
+static void append_row(GString *out, const PGresult *r, int row)
 {
-	json_t *j = json_array();
 	int i;
 
-	for (i = 0; i < PQnfields(r); i++)
-		json_array_append_new(j, value(r, row, i));
-	return j;
+	g_string_append_c(out, '[');
+	for (i = 0; i < PQnfields(r); i++) {
+		if (i)
+			g_string_append_c(out, ',');
+		append_value(out, r, row, i);
+	}
+	g_string_append_c(out, ']');
 }
 
-static GBytes *dump(json_t *j)
+static void append_columns(GString *out, const PGresult *r)
 {
-	char *text = json_dumps(j, JSON_COMPACT);
+	int i;
 
-	json_decref(j);
-	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+	g_string_append(out, "{\"columns\":[");
+	for (i = 0; i < PQnfields(r); i++) {
+		if (i)
+			g_string_append_c(out, ',');
+		append_text(out, PQfname(r, i));
+	}
+	g_string_append(out, "],\"rows\":[");
+}
+
+static bool over_limit(const struct pg_rows *rows, struct pg_rows_limit limit)
+{
+	return (limit.rows && rows->rows > limit.rows) ||
+	       (limit.bytes && rows->text->len > limit.bytes);
 }
 
-static json_t *rows_json(const PGresult *r)
+void pg_rows_add(struct pg_rows *rows, const PGresult *r,
+		 struct pg_rows_limit limit)
 {
-	json_t *columns = json_array();
-	json_t *rows = json_array();
-	gint64 affected = g_ascii_strtoll(PQcmdTuples((PGresult *)r), NULL, 10);
 	int i;
 
-	for (i = 0; i < PQnfields(r); i++)
-		json_array_append_new(columns, value_text(PQfname(r, i)));
-	for (i = 0; i < PQntuples(r); i++)
-		json_array_append_new(rows, row_json(r, i));
-	return json_pack("{s:o, s:o, s:I}", "columns", columns, "rows", rows,
-			 "affected", (json_int_t)affected);
+	if (!rows->text) {
+		rows->text = g_string_new(NULL);
+		append_columns(rows->text, r);
+	}
+	for (i = 0; i < PQntuples(r) && !rows->over; i++) {
+		if (rows->rows++)
+			g_string_append_c(rows->text, ',');
+		append_row(rows->text, r, i);
+		rows->over = over_limit(rows, limit);
+	}
 }
 
-GBytes *pg_body_rows(const PGresult *r, uint32_t rows, uint32_t bytes)
+GBytes *pg_rows_end(struct pg_rows *rows, const PGresult *last,
+		    struct pg_rows_limit limit)
 {
-	GBytes *body;
+	const char *affected = PQcmdTuples((PGresult *)last);
+	GString *text;
 
-	if (rows && (uint32_t)PQntuples(r) > rows)
-		return NULL;
-	if (bytes && PQresultMemorySize(r) / 4 > bytes)
+	pg_rows_add(rows, last, limit);
+	if (rows->over)
 		return NULL;
-	body = dump(rows_json(r));
-	if (!bytes || g_bytes_get_size(body) <= bytes)
-		return body;
-	g_bytes_unref(body);
-	return NULL;
+	text = rows->text;
+	rows->text = NULL;
+	g_string_append_printf(text, "],\"affected\":%s}",
+			       *affected ? affected : "0");
+	return g_string_free_to_bytes(text);
+}
+
+void pg_rows_clear(struct pg_rows *rows)
+{
+	if (rows->text)
+		g_string_free(rows->text, true);
+	memset(rows, 0, sizeof(*rows));
 }
 
 GBytes *pg_body_error(const char *sqlstate, const char *message)
 {
-	json_t *j = json_object();
+	GString *text = g_string_new("{\"sqlstate\":");
 
-	json_object_set_new(j, "sqlstate", value_text(sqlstate));
-	json_object_set_new(j, "message", value_text(message));
-	return dump(j);
+	append_text(text, sqlstate);
+	g_string_append(text, ",\"message\":");
+	append_text(text, message);
+	g_string_append_c(text, '}');
+	return g_string_free_to_bytes(text);
 }
 
 GBytes *pg_body_failure(const PGresult *r)
--- a/src/pg_body.h
+++ b/src/pg_body.h
@@ -27,8 +27,26 @@
  */
 bool pg_query_allowed(const char *sql);
 
-/** JSON answer of a result; NULL when it is larger than the limits. */
-GBytes *pg_body_rows(const PGresult *r, uint32_t rows, uint32_t bytes);
+/** JSON answer that grows by results; over its limits rows are dropped. */
+struct pg_rows {
+	GString *text; /**< NULL before the first result */
+	uint32_t rows;
+	bool over; /**< a limit was passed */
+};
+
+/** Limits of an answer; 0 for none. */
+struct pg_rows_limit {
+	uint32_t rows;
+	uint32_t bytes;
+};
+
+/** Adds the columns, once, and the rows of a result. */
+void pg_rows_add(struct pg_rows *rows, const PGresult *r,
+		 struct pg_rows_limit limit);
+/** Adds the last result and ends the answer; NULL when it was too large. */
+GBytes *pg_rows_end(struct pg_rows *rows, const PGresult *last,
+		    struct pg_rows_limit limit);
+void pg_rows_clear(struct pg_rows *rows);
 /** JSON error body. */
 GBytes *pg_body_error(const char *sqlstate, const char *message);
 /** JSON error body of a failed result. */
--- a/src/pg_control.c
+++ b/src/pg_control.c
@@ -13,7 +13,9 @@
 	char sql[160];
 	hm_time deadline;
 	bool sent;
-	bool quiet; /* nobody waits for an EV_STATE */
+	pg_cancel_ended ended; /* of a cancel: in place of EV_STATE */
+	void *arg;
+	uint64_t conn;
 	uint32_t tries;
 };
 
@@ -74,8 +76,10 @@
 {
 	struct event e = { .kind = EV_STATE };
 
-	if (a->quiet)
+	if (a->ended) {
+		a->ended(a->arg, a->conn, state->reachable);
 		return;
+	}
 	e.state.nonce = a->step.nonce;
 	e.state.state = *state;
 	e.state.state.database = a->step.database;
@@ -146,6 +150,9 @@
 	lane->was_ready = false;
 	for (l = lane->asks.head; l; l = l->next) {
 		a = l->data;
+		/* It may still arrive, so a second one could hit too late. */
+		if (a->sent && a->ended)
+			a->tries = TRIES;
 		a->sent = false;
 	}
 }
@@ -248,7 +255,7 @@
 		a = l->data;
 		if (a->sent)
 			continue;
-		if (!pg_link_query(lane->link, a->sql, 0, NULL) ||
+		if (!pg_link_query(lane->link, a->sql, 0, NULL, false) ||
 		    !pg_link_sync(lane->link))
 			return;
 		a->sent = true;
@@ -356,17 +363,16 @@
 	enqueue(lane, a);
 }
 
-void pg_control_cancel(struct pg_control *c, hm_id database,
-		       const char *database_name,
-		       const struct endpoint_spec *endpoint, int pid)
+void pg_control_cancel(struct pg_control *c, const struct pg_cancel *cancel,
+		       pg_cancel_ended ended, void *arg)
 {
 	struct ask *a = g_new0(struct ask, 1);
 
-	a->step.database = database;
-	a->step.endpoint = endpoint->endpoint;
-	a->quiet = true;
-	g_snprintf(a->sql, sizeof(a->sql), "SELECT hm_cancel(%d)", pid);
-	enqueue(lane_for(c, database_name, endpoint), a);
+	a->ended = ended;
+	a->arg = arg;
+	a->conn = cancel->conn;
+	g_snprintf(a->sql, sizeof(a->sql), "SELECT hm_cancel(%d)", cancel->pid);
+	enqueue(lane_for(c, cancel->database, cancel->endpoint), a);
 }
 
 void pg_control_forget(struct pg_control *c, hm_id endpoint)
--- a/src/pg_link.c
+++ b/src/pg_link.c
@@ -9,7 +9,7 @@
 enum link_state { LINK_CONNECTING, LINK_READY, LINK_BROKEN };
 
 /* Entries of a pipeline. */
-enum entry { ENTRY_QUERY, ENTRY_SYNC };
+enum entry { ENTRY_QUERY, ENTRY_ROWS, ENTRY_SYNC };
 
 struct pg_link {
 	struct loop *loop;
@@ -134,10 +134,10 @@
 		watch_writable(link->watch, on_writable);
 }
 
-static bool at_sync(const struct pg_link *link)
+static bool at_entry(const struct pg_link *link, enum entry entry)
 {
 	return link->answered < link->sent->len &&
-	       link->sent->data[link->answered] == ENTRY_SYNC;
+	       link->sent->data[link->answered] == entry;
 }
 
 static void put_entry(struct pg_link *link, enum entry entry)
@@ -149,7 +149,7 @@
 
 static void end_query(struct pg_link *link)
 {
-	if (at_sync(link))
+	if (at_entry(link, ENTRY_SYNC))
 		return;
 	link->answered++;
 	link->query++;
@@ -166,11 +166,18 @@
 {
 	uint32_t query = link->query;
 
-	if (at_sync(link) && query)
+	if (at_entry(link, ENTRY_SYNC) && query)
 		query--;
 	link->events->result(link->arg, query, r);
 }
 
+/* Has to be asked for when the query is the next to be answered. */
+static void start_rows(struct pg_link *link)
+{
+	if (at_entry(link, ENTRY_ROWS))
+		PQsetSingleRowMode(link->conn);
+}
+
 /* Delivers one result; false when none is there. */
 static bool take_result(struct pg_link *link, bool *separator)
 {
@@ -182,6 +189,7 @@
 		/* One NULL ends a query, two mean that nothing is left. */
 		if (!again)
 			end_query(link);
+		start_rows(link);
 		return !again;
 	}
 	if (PQresultStatus(r) == PGRES_PIPELINE_SYNC)
@@ -189,6 +197,8 @@
 	else
 		deliver(link, r);
 	PQclear(r);
+	if (!link->freed)
+		start_rows(link);
 	return true;
 }
 
@@ -339,7 +349,7 @@
 }
 
 bool pg_link_query(struct pg_link *link, const char *sql, int count,
-		   const char *const *params)
+		   const char *const *params, bool by_row)
 {
 	if (link->state != LINK_READY ||
 	    !PQsendQueryParams(link->conn, sql, count, NULL, params, NULL, NULL,
@@ -347,7 +357,9 @@
 		fail(link);
 		return false;
 	}
-	put_entry(link, ENTRY_QUERY);
+	put_entry(link, by_row ? ENTRY_ROWS : ENTRY_QUERY);
+	if (link->sent->len == 1)
+		start_rows(link);
 	return true;
 }
 
--- a/src/pg_link.h
+++ b/src/pg_link.h
@@ -42,9 +42,12 @@
 bool pg_link_ready(const struct pg_link *link);
 /** Looks for an end of the connection that was not noticed yet. */
 bool pg_link_usable(struct pg_link *link);
-/** Puts a query with text parameters into the pipeline. */
+/**
+ * Puts a query with text parameters into the pipeline.
+ * @param by_row deliver a result for each row, so that none grows large
+ */
 bool pg_link_query(struct pg_link *link, const char *sql, int count,
-		   const char *const *params);
+		   const char *const *params, bool by_row);
 /** Ends a group of queries; a failed query fails the rest of its group. */
 bool pg_link_sync(struct pg_link *link);
 /** True when no answer is awaited. */
--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -18,6 +18,7 @@
 #define CONTROL_LIMIT (200 * HM_MS)
 #define CONNECT_LIMIT (200 * HM_MS)
 #define PATIENCE (5 * HM_SEC)
+#define SLOW_CONNECT (50 * HM_MS)
 #define ROWS_LIMIT 5
 #define ANSWER_BYTES 2000
 
@@ -155,6 +156,7 @@
 static void setup_slow(void)
 {
 	const struct member_options options = { .lag = 2 * HM_MS,
+						.connect_cost = SLOW_CONNECT,
 						.statement_cost = 30 * HM_MS };
 
 	setup_with(&options);
@@ -521,6 +523,38 @@
 }
 END_TEST
 
+/* A cancel that comes after its statement must not hit the next one. */
+START_TEST(late_cancel_hits_nothing)
+{
+	hm_time start;
+
+	open_conn(1, 0);
+	start = loop_now();
+	start_op(1, OP_READ, "{\"sql\": \"SELECT 1\"}");
+	on_conn(1, run_cancel);
+	await_event(EV_DONE);
+	ck_assert_int_eq(last.event.done.done, DONE_OK);
+	ck_assert_int_ge(loop_now() - start, SLOW_CONNECT);
+	expect(1, OP_READ, "{\"sql\": \"SELECT 2\"}", DONE_OK);
+	expect_body("[[2]]");
+}
+END_TEST
+
+/* Nobody knows when that cancel arrives: the connection is given up. */
+START_TEST(unanswered_cancel_ends_the_connection)
+{
+	open_conn(1, 0);
+	ck_assert(probe(0).reachable);
+	fault(0, (struct member_faults){ .silent = true });
+	open_conn(2, 0);
+	start_op(2, OP_READ, "{\"sql\": \"SELECT 1\"}");
+	on_conn(2, run_cancel);
+	await_event(EV_DONE);
+	ck_assert_int_eq(last.event.done.done, DONE_OK);
+	ck_assert_uint_eq(await_event(EV_CLOSED)->conn.conn, 2);
+}
+END_TEST
+
 START_TEST(closed_connections_say_nothing)
 {
 	open_conn(1, 0);
@@ -550,6 +584,32 @@
 }
 END_TEST
 
+static void expect_values(const char *json, const char *rows)
+{
+	expect(1, OP_READ, json, DONE_OK);
+	expect_body(rows);
+}
+
+START_TEST(values_keep_their_kind)
+{
+	open_conn(1, 0);
+	expect_values("{\"sql\": \"SELECT '007', 1e300, -3, 0.25, '1e', ''\"}",
+		      "[[\"007\",1.0e+300,-3,0.25,\"1e\",\"\"]]");
+	expect_values("{\"sql\": \"SELECT 1 AS v UNION ALL SELECT '007'\"}",
+		      "[[1],[\"007\"]]");
+	expect_values(
+		"{\"sql\": \"SELECT $1 AS v\", "
+		"\"params\": [\"tab\\t \\\"quoted\\\" \\\\\"]}",
+		"[[\"tab\\u0009 \\\"quoted\\\" \\\\\"]]");
+	expect_values(
+		"{\"sql\": \"SELECT $1, $2, $3, $4\", "
+		"\"params\": [true, 2.5, [1, 2], \"5\"]}",
+		"[[1,2.5,\"[1,2]\",5]]");
+	expect_values("{\"sql\": \"SELECT k FROM t\"}",
+		      "{\"columns\":[\"k\"],\"rows\":[],\"affected\":0}");
+}
+END_TEST
+
 START_TEST(lost_answer_is_lost)
 {
 	open_conn(1, 0);
@@ -755,11 +815,14 @@
 	tcase_add_test(tc, cancel_ends_a_wait);
 	tcase_add_test(tc, closed_connections_say_nothing);
 	tcase_add_test(tc, answers_are_limited);
+	tcase_add_test(tc, values_keep_their_kind);
 	tcase_add_test(tc, lost_answer_is_lost);
 	tcase_add_test(tc, late_answers_arrive);
 	suite_add_tcase(suite, tc);
 	tc = tcase_driver("slow", setup_slow);
 	tcase_add_test(tc, slow_statements_run_side_by_side);
+	tcase_add_test(tc, late_cancel_hits_nothing);
+	tcase_add_test(tc, unanswered_cancel_ends_the_connection);
 	suite_add_tcase(suite, tc);
 }
 
