--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -597,14 +597,12 @@
 		      "[[\"007\",1.0e+300,-3,0.25,\"1e\",\"\"]]");
 	expect_values("{\"sql\": \"SELECT 1 AS v UNION ALL SELECT '007'\"}",
 		      "[[1],[\"007\"]]");
-	expect_values(
-		"{\"sql\": \"SELECT $1 AS v\", "
-		"\"params\": [\"tab\\t \\\"quoted\\\" \\\\\"]}",
-		"[[\"tab\\u0009 \\\"quoted\\\" \\\\\"]]");
-	expect_values(
-		"{\"sql\": \"SELECT $1, $2, $3, $4\", "
-		"\"params\": [true, 2.5, [1, 2], \"5\"]}",
-		"[[1,2.5,\"[1,2]\",5]]");
+	expect_values("{\"sql\": \"SELECT $1 AS v\", "
+		      "\"params\": [\"tab\\t \\\"quoted\\\" \\\\\"]}",
+		      "[[\"tab\\u0009 \\\"quoted\\\" \\\\\"]]");
+	expect_values("{\"sql\": \"SELECT $1, $2, $3, $4\", "
+		      "\"params\": [true, 2.5, [1, 2], \"5\"]}",
+		      "[[1,2.5,\"[1,2]\",5]]");
 	expect_values("{\"sql\": \"SELECT k FROM t\"}",
 		      "{\"columns\":[\"k\"],\"rows\":[],\"affected\":0}");
 }
