Refuse writes routed under another term; hand out what a lost floor left

A write with a floor of a cut-off branch was refused without the mark that is left, and an entry behind the session's term could send it to a superseded primary.

--- a/core/entry.c
+++ b/core/entry.c
@@ -252,6 +252,21 @@
 	return VERDICT_WAIT;
 }
 
+/* What the session knew was cut off; its mark goes back to what is left. */
+static enum verdict refuse_lost(struct core *c, struct pending *p,
+				struct mark left, struct actions *actions)
+{
+	struct result r = { .error = ERR_WRITE_LOST,
+			    .execution = EXEC_NOT_RUN,
+			    .at = left,
+			    .reset_floor = true };
+
+	if (p->maybe_run)
+		return refuse(c, p, ERR_OUTCOME_UNKNOWN, 0, actions);
+	answer(c, p, &r, actions);
+	return VERDICT_DONE;
+}
+
 static enum verdict route(struct core *c, struct pending *p, hm_time now,
 			  struct actions *actions)
 {
@@ -266,7 +281,7 @@
 			      actions);
 	r = group_route(d->group, &p->statement, p->tried, now);
 	if (!r.endpoint && r.error == ERR_WRITE_LOST)
-		return refuse(c, p, r.error, 0, actions);
+		return refuse_lost(c, p, r.reset, actions);
 	if (!r.endpoint) {
 		p->tried = 0;
 		return wait_for_route(p, r.error, r.wait_until);
--- a/core/group.c
+++ b/core/group.c
@@ -88,6 +88,8 @@
 {
 	hm_time age = r->age ? r->age : m->report.age;
 
+	if (age == HM_NEVER)
+		age = 0;
 	m->age_grows = m->report.age && age > m->report.age;
 	m->report = *r;
 	m->report.age = age;
--- a/core/holder.c
+++ b/core/holder.c
@@ -93,6 +93,8 @@
 		return ERR_NO_ENDPOINT;
 	if (writes(s) && !is_primary(d, m, now))
 		return ERR_NO_PRIMARY;
+	if (writes(s) && order->term != group_term(d->group))
+		return ERR_NO_PRIMARY;
 	return ERR_NONE;
 }
 
--- a/core/message.h
+++ b/core/message.h
@@ -87,7 +87,7 @@
 	uint32_t queued; /**< statements waiting at the home */
 	uint32_t free_slots;
 	hm_time wait; /**< expected wait of a new statement */
-	hm_time age;  /**< bound on the age of its data, 0 when unknown */
+	hm_time age; /**< bound on the age of its data, 0 or HM_NEVER: unknown */
 };
 
 /** Asks for, or grants, requests of an account's rate. */
--- a/core/route.c
+++ b/core/route.c
@@ -105,6 +105,8 @@
 {
 	if (floor_lost(g, s->floor))
 		return lost_floor(g, s->floor, now);
+	if (s->floor.term > g->term)
+		return nowhere(ERR_NOT_CAUGHT_UP, "session_ahead", now);
 	if (primary_usable(g, tried, now))
 		return to_endpoint(g->primary, false, reason);
 	if (!group_primary(g, now) || group_superseded(g, g->term))
