Report a loss only on fresh proof; prefer the newest lineage in a failover

A loss, and an acknowledgement through a later term, now need a proof younger than the evidence limit, and the member chosen is the one whose lineage has the newest term, so that an empty newer term is not passed over.

--- a/core/failover_steps.c
+++ b/core/failover_steps.c
@@ -348,10 +348,18 @@
 
 /* Promotion */
 
+/* How far a log has come: a term counts before it has a record. */
+static struct mark progress(const struct candidate *c)
+{
+	uint64_t pos = c->state.at.pos;
+
+	return (struct mark){ lineage_term_at(&c->state.lineage, pos), pos };
+}
+
 static bool further(const struct failover *f, const struct candidate *a,
 		    const struct candidate *b)
 {
-	int order = mark_compare(a->state.at, b->state.at);
+	int order = mark_compare(progress(a), progress(b));
 
 	if (order)
 		return order > 0;
--- a/core/group.c
+++ b/core/group.c
@@ -3,6 +3,9 @@
 
 #include <stdlib.h>
 
+/** A route that still needs the proof asks again sooner than this. */
+#define PROOF_WANTED_FOR (100 * HM_MS)
+
 _Static_assert(SAMPLES_RECENT == SAMPLES_COARSE, "one kind of ring");
 
 struct group *group_new(const struct database_spec *spec, uint16_t zone,
@@ -201,14 +204,22 @@
 		.asked_at;
 }
 
+static void note_confirmed(struct group *g, hm_time asked_at, uint64_t term)
+{
+	if (term < g->confirmed ||
+	    (term == g->confirmed && asked_at < g->confirmed_at))
+		return;
+	g->confirmed = term;
+	g->confirmed_at = asked_at;
+}
+
 void group_sample(struct group *g, hm_time asked_at,
 		  const struct endpoint_state *primary)
 {
 	struct sample new = { asked_at, primary->at };
 
 	note_primary(g, primary);
-	if (lineage_term(&primary->lineage) > g->confirmed)
-		g->confirmed = lineage_term(&primary->lineage);
+	note_confirmed(g, asked_at, lineage_term(&primary->lineage));
 	samples_add(&g->recent, new);
 	if (!g->coarse.count ||
 	    asked_at - samples_last(&g->coarse) >= SAMPLES_COARSE_EVERY)
@@ -220,6 +231,23 @@
 	return g->term && g->confirmed == g->term;
 }
 
+void group_set_valid(struct group *g, hm_time evidence_valid)
+{
+	g->evidence_valid = evidence_valid;
+}
+
+hm_time group_stands_until(const struct group *g)
+{
+	if (!group_confirmed(g))
+		return 0;
+	return g->confirmed_at + g->evidence_valid;
+}
+
+bool group_wants_proof(const struct group *g, hm_time now)
+{
+	return g->wanted_at && now - g->wanted_at < PROOF_WANTED_FOR;
+}
+
 hm_time group_sampled(const struct group *g)
 {
 	return samples_last(&g->recent);
--- a/core/group.h
+++ b/core/group.h
@@ -52,8 +52,14 @@
  */
 void group_sample(struct group *g, hm_time asked_at,
 		  const struct endpoint_state *primary);
-/** Whether the newest term seen was proved by a sample. */
+/** Whether the newest term seen was ever proved by a sample. */
 bool group_confirmed(const struct group *g);
+/** How long after its question a proof rules out a later promotion. */
+void group_set_valid(struct group *g, hm_time evidence_valid);
+/** Until when no later term than the newest one seen can have a primary. */
+hm_time group_stands_until(const struct group *g);
+/** A route waits for a proof that the newest term stands. */
+bool group_wants_proof(const struct group *g, hm_time now);
 /** When the question of the newest sample was sent, 0 for never. */
 hm_time group_sampled(const struct group *g);
 
@@ -79,7 +85,7 @@
  * the request is to be answered at once: it was not run, and the answer
  * replaces the session mark by @a reset.
  */
-struct route group_route(const struct group *g, const struct statement *s,
+struct route group_route(struct group *g, const struct statement *s,
 			 endpoint_set tried, hm_time now);
 /** Bit of an endpoint for endpoint_set, 0 when it is no member. */
 endpoint_set group_bit(const struct group *g, hm_id endpoint);
--- a/core/group_members.h
+++ b/core/group_members.h
@@ -43,7 +43,10 @@
 	uint64_t term; /**< newest term that had a primary */
 	hm_id primary; /**< primary of that term */
 	struct lineage lineage;
-	uint64_t confirmed; /**< newest term proved by a sample */
+	uint64_t confirmed;   /**< newest term proved by a sample */
+	hm_time confirmed_at; /**< newest question of such a sample */
+	hm_time evidence_valid;
+	hm_time wanted_at; /**< a route missed a proof */
 	struct samples recent;
 	struct samples coarse;
 	struct member members[ENDPOINTS_MAX];
--- a/core/lineage.c
+++ b/core/lineage.c
@@ -24,6 +24,17 @@
 	return l->count ? l->begin[l->count - 1].term : 0;
 }
 
+uint64_t lineage_term_at(const struct lineage *l, uint64_t pos)
+{
+	uint64_t term = 0;
+	uint32_t i;
+
+	for (i = 0; i < l->count; i++)
+		if (!i || l->begin[i].pos <= pos)
+			term = l->begin[i].term;
+	return term;
+}
+
 bool lineage_holds(const struct lineage *l, struct mark at)
 {
 	uint32_t i = place_of(l, at.term);
--- a/core/lineage.h
+++ b/core/lineage.h
@@ -24,6 +24,11 @@
 
 /** Newest term of the lineage, 0 when it is empty. */
 uint64_t lineage_term(const struct lineage *l);
+/**
+ * Term of a log that ends at position @a pos, counting a term from its
+ * beginning, before it has a record.
+ */
+uint64_t lineage_term_at(const struct lineage *l, uint64_t pos);
 /** Whether @a at lies on the lineage, however long its log is. */
 bool lineage_holds(const struct lineage *l, struct mark at);
 /** What the lineage kept of a history that ended at @a lost. */
--- a/core/route.c
+++ b/core/route.c
@@ -87,21 +87,22 @@
 	return g->term && group_reach(g, &g->lineage, all, floor) == REACH_LOST;
 }
 
-static struct route lost_floor(const struct group *g, struct mark floor,
-			       hm_time now)
+static struct route lost_floor(struct group *g, struct mark floor, hm_time now)
 {
 	struct route r = nowhere(ERR_WRITE_LOST, "floor_lost", now);
 
-	if (!group_confirmed(g) || group_superseded(g, g->term))
+	if (now >= group_stands_until(g)) {
+		g->wanted_at = now;
 		return nowhere(ERR_NO_PRIMARY, "term_unproved", now);
+	}
 	r.wait_until = 0;
 	r.reset = lineage_kept(&g->lineage, floor);
 	return r;
 }
 
-static struct route route_primary(const struct group *g,
-				  const struct statement *s, endpoint_set tried,
-				  const char *reason, hm_time now)
+static struct route route_primary(struct group *g, const struct statement *s,
+				  endpoint_set tried, const char *reason,
+				  hm_time now)
 {
 	if (floor_lost(g, s->floor))
 		return lost_floor(g, s->floor, now);
@@ -160,7 +161,7 @@
 	return best;
 }
 
-static struct route route_aged(const struct group *g, const struct statement *s,
+static struct route route_aged(struct group *g, const struct statement *s,
 			       endpoint_set tried, hm_time now)
 {
 	uint32_t i, p;
@@ -178,7 +179,7 @@
 	return to_endpoint(g->spec.endpoints[i].endpoint, true, "replica");
 }
 
-struct route group_route(const struct group *g, const struct statement *s,
+struct route group_route(struct group *g, const struct statement *s,
 			 endpoint_set tried, hm_time now)
 {
 	if (s->tx.id.seq)
--- a/core/verify.c
+++ b/core/verify.c
@@ -33,6 +33,7 @@
 	const struct rule *rule;
 	hm_time age;
 	hm_time valid_until;
+	uint64_t proved_term;
 };
 
 struct verify {
@@ -67,6 +68,7 @@
 	v->group = group;
 	v->proof.life = options->life;
 	v->proof.group = group;
+	group_set_valid(group, options->evidence_valid);
 	return v;
 }
 
@@ -133,15 +135,18 @@
 
 /* A later term is proved: it kept the write, or has cut it off. */
 static enum verdict judge_by_successor(const struct verify *v,
-				       const struct waiting *w)
+				       struct waiting *w, hm_time now)
 {
 	struct mark at = w->ended.after;
 
-	if (!group_confirmed(v->group) || group_term(v->group) <= at.term)
+	if (now >= group_stands_until(v->group) ||
+	    group_term(v->group) <= at.term)
 		return VERDICT_WAIT;
-	if (lineage_holds(group_lineage(v->group), at))
-		return judge_kept(v, w);
-	return VERDICT_UNKNOWN;
+	if (!lineage_holds(group_lineage(v->group), at))
+		return VERDICT_UNKNOWN;
+	w->valid_until = group_stands_until(v->group);
+	w->proved_term = group_term(v->group);
+	return judge_kept(v, w);
 }
 
 /* A majority stood by the term, asked for after the commit and not long ago. */
@@ -154,6 +159,7 @@
 	if (stood < 0 || now - stood >= v->options->evidence_valid)
 		return false;
 	w->valid_until = stood + v->options->evidence_valid;
+	w->proved_term = w->ended.after.term;
 	return true;
 }
 
@@ -172,7 +178,7 @@
 		return judge_kept(v, w);
 	if (now >= e->statement.deadline - DEADLINE_MARGIN)
 		return VERDICT_UNKNOWN;
-	return judge_by_successor(v, w);
+	return judge_by_successor(v, w, now);
 }
 
 /* Read of the primary: its term stood after the read began. */
@@ -309,7 +315,8 @@
 	out = &v->ready[v->ready_count++];
 	*out = (struct verified){ .reply_to = e->reply_to,
 				  .attempt = e->statement.attempt,
-				  .valid_until = w->valid_until };
+				  .valid_until = w->valid_until,
+				  .proved_term = w->proved_term };
 	out->result.id = e->statement.id;
 	out->result.database = e->statement.database;
 	out->result.endpoint = e->endpoint;
@@ -433,9 +440,8 @@
 	hm_time after = ask_again_after(v, now);
 
 	judge_all(v, now);
-	if (group_term(v->group) && !group_confirmed(v->group) &&
-	    after > ASK_AGAIN_MOST)
-		after = ASK_AGAIN_MOST;
+	if (group_wants_proof(v->group, now))
+		after = ASK_AGAIN_LEAST;
 	if (!v->proof.seq || now - v->proof.asked_at >= after)
 		ask(v, now, actions);
 	else
--- a/core/verify.h
+++ b/core/verify.h
@@ -34,9 +34,10 @@
 	bool retry;	  /**< read not good enough: may be tried elsewhere */
 	/**
 	 * The acknowledgement must leave for the caller before this, or its
-	 * outcome is unknown; HM_NEVER when a replica holds the write.
+	 * outcome is unknown; HM_NEVER when a majority holds the write.
 	 */
 	hm_time valid_until;
+	uint64_t proved_term; /**< that stood, when valid_until is set */
 };
 bool verify_next(struct verify *v, struct verified *out);
 uint32_t verify_waiting(const struct verify *v);
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -315,7 +315,10 @@
 	if (m->down || m->home != bed_life(p->from))
 		return;
 	o.ended.before = model_at(m);
-	o.snapshot = o.write ? 0 : model_bits(m);
+	o.snapshot = model_bits(m);
+	o.floor_held =
+		model_reached(m, o.ended.statement.floor) ||
+		b->model.promoted > m->lineage.begin[m->lineage.count - 1].term;
 	if (o.write && (model_holds(m, o.write) || !model_write(m, o.write)))
 		return;
 	o.ended.after = model_at(m);
@@ -442,6 +445,8 @@
 	r = group_route(p->group, &o->ended.statement, 0, bed_local(b, proxy));
 	if (r.error == ERR_WRITE_LOST && !r.wait_until) {
 		o->verified.result.error = ERR_WRITE_LOST;
+		o->snapshot = model_bits(&b->model.newest);
+		o->floor_held = model_reached(&b->model.newest, s->floor);
 		o->verified.result.at = r.reset;
 		bed_session_answer(b, o);
 	}
--- a/tests/bed.h
+++ b/tests/bed.h
@@ -37,7 +37,8 @@
 	struct home_ended ended;
 	uint32_t session;
 	uint64_t write;	   /**< number of the write, 0 for a read */
-	uint64_t snapshot; /**< bits of the writes that a read saw */
+	uint64_t snapshot; /**< bits of the writes in the log it worked on */
+	bool floor_held;   /**< its floor was no lost one then */
 	uint64_t term;	   /**< that the entry takes as current */
 	uint64_t acked;	   /**< writes acknowledged when it was sent */
 	struct verified verified;
--- a/tests/bed_check.c
+++ b/tests/bed_check.c
@@ -34,7 +34,7 @@
 
 	b->acks++;
 	b->acks_limited += limited;
-	if (limited && b->model.promoted > term)
+	if (limited && b->model.promoted > o->verified.proved_term)
 		break_rule(b, "acknowledged by a superseded primary");
 	if (b->model.promoted > term && !(model_bits(&b->model.newest) & bit))
 		break_rule(b, "acknowledged a write that was cut off");
@@ -93,9 +93,9 @@
 	s->waits_for = 0;
 	if (r->error == ERR_WRITE_LOST) {
 		b->lost++;
-		if (model_reached(&b->model.newest, s->floor))
+		if (o->floor_held)
 			break_rule(b, "reported a loss that was none");
-		s->must_see &= model_bits(&b->model.newest);
+		s->must_see &= o->snapshot;
 		if (o->write && r->execution == EXEC_RUN)
 			s->must_see |= (uint64_t)1 << o->write;
 		s->floor = r->at;
@@ -103,7 +103,7 @@
 	}
 	if (r->error == ERR_NONE && o->write)
 		s->must_see |= (uint64_t)1 << o->write;
-	if (r->error == ERR_NONE)
+	if (r->error == ERR_NONE && !o->write)
 		s->must_see |= o->snapshot;
 	if (r->at.term)
 		s->floor = r->at;
