--- /dev/null
+++ b/tests/test_admit.c
@@ -0,0 +1,191 @@
+/**
+ * @file test_admit.c
+ * Scripted runs of one instance of zone 0 that draws tokens: lines, grants
+ * that are late or repeated, and when it may mint.
+ */
+#include <check.h>
+#include <stdlib.h>
+
+#include "../core/admit.h"
+#include "script.h"
+
+#define LIFE 9
+#define PEER_LIFE 200
+#define ACCOUNT 4 /* its first zone is 0 */
+
+struct run {
+	struct core_options options;
+	struct peers *peers;
+	struct rate *rate;
+	struct admit *admit;
+	struct actions actions;
+	uint64_t peer_seq;
+	uint64_t version;
+	hm_time now;
+};
+
+static void contract(struct run *r, const char *line)
+{
+	struct contract c = { .account = ACCOUNT, .version = ++r->version };
+
+	c.rate = (uint32_t)script_int(line, "rate", 100);
+	c.burst = (uint32_t)script_int(line, "burst", 100);
+	c.withdrawn = script_int(line, "withdrawn", 0);
+	rate_contract(r->rate, &c, r->now);
+}
+
+static void beat(struct run *r, const char *line)
+{
+	struct message m = { .kind = MSG_HEARTBEAT, .seq = ++r->peer_seq };
+
+	m.from = (uint64_t)script_int(line, "life", PEER_LIFE);
+	m.heartbeat.instance = m.from;
+	m.heartbeat.zone = (uint16_t)script_int(line, "zone", 1);
+	peers_message(r->peers, &m, r->now);
+}
+
+static void push(struct run *r, const char *line, GString *out)
+{
+	static const char *const names[] = { "pass", "wait", "refuse" };
+	struct statement s = { .account = ACCOUNT };
+	hm_time retry_at = 0;
+	enum admitted got;
+
+	s.id = (struct rid){ LIFE, (uint64_t)script_int(line, "id", 0) };
+	s.deadline = r->now + script_int(line, "within", 1000) * HM_MS;
+	got = admit_push(r->admit, &s, r->now, &retry_at, &r->actions);
+	g_string_append(out, names[got]);
+	if (retry_at)
+		g_string_append_printf(out, " retry_in=%d",
+				       (int)((retry_at - r->now) / HM_MS));
+	g_string_append_c(out, '\n');
+}
+
+static void rate_order(struct run *r, const char *line, enum message_kind kind)
+{
+	struct message m = { .kind = kind };
+
+	m.from = (uint64_t)script_int(line, "from", PEER_LIFE);
+	m.rate.account = ACCOUNT;
+	m.rate.nonce.seq = (uint64_t)script_int(line, "nonce", 1);
+	m.rate.nonce.life = kind == MSG_GRANT ? LIFE : m.from;
+	m.rate.tokens = (uint32_t)script_int(line, "tokens", 0);
+	m.rate.valid = script_int(line, "valid", 250) * HM_MS;
+	rate_message(r->rate, &m, r->now, &r->actions);
+}
+
+static void print_actions(struct run *r, GString *out)
+{
+	size_t i;
+
+	for (i = 0; i < r->actions.count; i++) {
+		const struct action *act = &r->actions.list[i];
+		const struct rate_order *o = &act->send.message.rate;
+
+		g_string_append_printf(
+			out, "%s to=%d nonce=%d tokens=%u\n",
+			act->send.message.kind == MSG_WANT ? "want" : "grant",
+			(int)act->send.to, (int)o->nonce.seq, o->tokens);
+	}
+	actions_clear(&r->actions);
+}
+
+static void print_left(struct run *r, GString *out)
+{
+	struct admit_left left;
+
+	while (admit_next(r->admit, r->now, &left))
+		g_string_append_printf(out, "%s id=%d\n",
+				       left.passed ? "passed" : "refused",
+				       (int)left.statement.id.seq);
+}
+
+static void tick(struct run *r)
+{
+	peers_tick(r->peers, r->now);
+	rate_tick(r->rate, r->now, &r->actions);
+	admit_tick(r->admit, r->now, &r->actions);
+}
+
+/* Ticks through a time without anything else happening. */
+static void pass_time(struct run *r, hm_time until)
+{
+	while (r->now < until) {
+		r->now += CORE_TICK;
+		tick(r);
+		actions_clear(&r->actions);
+	}
+}
+
+static void command(void *context, const char *line, GString *out)
+{
+	struct run *r = context;
+
+	pass_time(r, r->now + script_int(line, "after", 0) * HM_MS);
+	r->now += script_int(line, "paused", 0) * HM_MS;
+	if (g_str_has_prefix(line, "contract"))
+		contract(r, line);
+	else if (g_str_has_prefix(line, "beat"))
+		beat(r, line);
+	else if (g_str_has_prefix(line, "push"))
+		push(r, line, out);
+	else if (g_str_has_prefix(line, "want"))
+		rate_order(r, line, MSG_WANT);
+	else if (g_str_has_prefix(line, "grant"))
+		rate_order(r, line, MSG_GRANT);
+	else if (g_str_has_prefix(line, "tick"))
+		tick(r);
+	else if (g_str_has_prefix(line, "drop"))
+		admit_drop(r->admit,
+			   (struct rid){ LIFE,
+					 (uint64_t)script_int(line, "id", 0) });
+	print_actions(r, out);
+	print_left(r, out);
+}
+
+static void run_file(const char *file)
+{
+	struct run r = { .options = { .instance = 1,
+				      .life = LIFE,
+				      .zone_count = 2,
+				      .peer_silent = HM_SEC } };
+	char *fault;
+
+	r.peers = peers_new(&r.options, 0);
+	r.rate = rate_new(&r.options, r.peers, 0);
+	r.admit = admit_new(r.rate);
+	fault = script_run(file, command, &r);
+	ck_assert_msg(!fault, "%s", fault);
+	admit_free(r.admit);
+	rate_free(r.rate);
+	peers_free(r.peers);
+	actions_free(&r.actions);
+}
+
+static const char *const files[] = {
+	"tests/scripts/admit_lines.txt",
+	"tests/scripts/rate_grants.txt",
+	"tests/scripts/rate_owner.txt",
+};
+
+START_TEST(scripted)
+{
+	run_file(files[_i]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("admit");
+	TCase *tc = tcase_create("admit");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tc, scripted, 0, (int)G_N_ELEMENTS(files));
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
