--- a/src/cli_check.c
+++ b/src/cli_check.c
@@ -7,62 +7,114 @@
 #include "settings.h"
 #include "spec.h"
 
-/* A file with the member "contract" holds a contract, else settings. */
+/* A name in a member of the file; NULL with a line on standard error. */
+static const char *name_of(const char *file, const json_t *root,
+			   const char *member)
+{
+	const json_t *name = json_object_get(root, member);
+
+	if (!json_is_string(name))
+		fprintf(stderr, "%s: $.%s: found %s, allowed a name\n", file,
+			member, name ? "another type" : "nothing");
+	return json_string_value(name);
+}
+
+static bool told(const char *file, const char *kind, const char *name, bool ok,
+		 const char *fault)
+{
+	if (ok)
+		printf("%s: %s %s is valid\n", file, kind, name);
+	else
+		fprintf(stderr, "%s: %s\n", file, fault);
+	return ok;
+}
+
 static bool check_contract(const char *file, const json_t *root)
 {
-	const json_t *account = json_object_get(root, "account");
-	const json_t *value = json_object_get(root, "contract");
+	const char *name = name_of(file, root, "account");
 	char fault[SPEC_FAULT_BYTES];
 	struct contract contract;
+	bool ok;
 
-	if (!json_is_string(account)) {
-		fprintf(stderr, "%s: $.account: found %s, allowed a name\n",
-			file, account ? "another type" : "nothing");
+	if (!name)
+		return false;
+	ok = spec_contract(name, json_object_get(root, "contract"), 0,
+			   &contract, fault);
+	return told(file, "contract of account", name, ok, fault);
+}
+
+/* Zones come from the settings among the files. */
+static bool check_database(const char *file, const json_t *root,
+			   const struct settings *settings)
+{
+	const char *name = name_of(file, root, "database");
+	const char *zones[ZONES_MAX];
+	struct zone_names known = { zones, settings->zone_count };
+	char fault[SPEC_FAULT_BYTES];
+	struct database_spec spec;
+	bool ok;
+	uint16_t i;
+
+	if (!name)
+		return false;
+	if (!settings->zone_count) {
+		fprintf(stderr,
+			"%s: $.value: found zones that cannot be checked, "
+			"allowed together with a valid settings file\n",
+			file);
 		return false;
 	}
-	if (spec_contract(json_string_value(account), value, 0, &contract,
-			  fault)) {
-		printf("%s: contract of %s is valid\n", file, contract.name);
-		return true;
-	}
-	fprintf(stderr, "%s: %s\n", file, fault);
-	return false;
+	for (i = 0; i < settings->zone_count; i++)
+		zones[i] = settings->zones[i];
+	ok = spec_database(name, json_object_get(root, "value"), 0, known,
+			   &spec, fault);
+	return told(file, "database", name, ok, fault);
 }
 
-static bool check_settings(const char *file)
+static bool check_settings(const char *file, struct settings *settings)
 {
 	char fault[SETTINGS_FAULT_BYTES];
 	struct settings s;
 
-	if (settings_read(&s, file, fault)) {
-		printf("%s: settings of %s are valid\n", file, s.instance);
-		return true;
+	if (!settings_read(&s, file, fault)) {
+		fprintf(stderr, "%s\n", fault);
+		return false;
 	}
-	fprintf(stderr, "%s\n", fault);
-	return false;
+	*settings = s;
+	printf("%s: settings of instance %s are valid\n", file, s.instance);
+	return true;
 }
 
-static bool check_file(const char *file)
+/* Objects have a member "contract" or "value", all else are settings. */
+static bool check_file(const char *file, bool objects,
+		       struct settings *settings)
 {
 	json_t *root = json_load_file(file, JSON_REJECT_DUPLICATES, NULL);
-	bool ok;
+	bool contract = json_object_get(root, "contract") != NULL;
+	bool database = json_object_get(root, "value") != NULL;
+	bool ok = true;
 
-	if (json_object_get(root, "contract"))
+	if (objects && contract)
 		ok = check_contract(file, root);
-	else
-		ok = check_settings(file);
+	else if (objects && database)
+		ok = check_database(file, root, settings);
+	else if (!objects && !contract && !database)
+		ok = check_settings(file, settings);
 	json_decref(root);
 	return ok;
 }
 
 int cli_check(int argc, char **argv)
 {
-	int code = CLI_OK;
+	struct settings settings = { 0 };
+	bool ok = true;
 	int i;
 
 	if (!command_options(&argc, &argv, "FILE...",
-			     "Checks files of settings and contracts, one "
-			     "line for each; starts nothing.",
+			     "Checks files of settings, contracts and "
+			     "databases, one line for each; starts nothing. "
+			     "Zones of databases are checked against the "
+			     "settings given with them.",
 			     NULL))
 		return CLI_USAGE;
 	if (argc < 2) {
@@ -70,7 +122,8 @@
 		return CLI_USAGE;
 	}
 	for (i = 1; i < argc; i++)
-		if (!check_file(argv[i]))
-			code = CLI_INVALID;
-	return code;
+		ok &= check_file(argv[i], false, &settings);
+	for (i = 1; i < argc; i++)
+		ok &= check_file(argv[i], true, &settings);
+	return ok ? CLI_OK : CLI_INVALID;
 }
--- a/src/command.c
+++ b/src/command.c
@@ -8,8 +8,12 @@
 {
 	GOptionContext *context = g_option_context_new(usage);
 	GError *error = NULL;
+	char *name;
 	bool ok;
 
+	name = g_strdup_printf("hyssopmount %s", (*argv)[0]);
+	g_set_prgname(name);
+	g_free(name);
 	g_option_context_set_summary(context, summary);
 	if (entries)
 		g_option_context_add_main_entries(context, entries, NULL);
--- a/src/fields.h
+++ b/src/fields.h
@@ -41,6 +41,9 @@
 	char *text; /**< SETTINGS_FAULT_BYTES */
 };
 
+/** The fields of settings, for documentation and its test. */
+const struct field *settings_fields(size_t *count);
+
 /** Fills @a out; false with a line in @a fault. */
 bool fields_read(const struct field *fields, size_t count, const json_t *root,
 		 void *out, struct fault *fault);
--- a/src/front_key.c
+++ b/src/front_key.c
@@ -42,23 +42,38 @@
 	return key.lo;
 }
 
+/* Joins one token of the header; false when it is not valid here. */
+static bool join_token(struct exchange *x, const char *text, size_t bytes)
+{
+	struct token t;
+
+	return token_read(&t, x->front->settings->token_secret, text, bytes) &&
+	       t.binding == x->binding && token_join(&x->token, &t);
+}
+
 /*
- * Reads the session token. A key of no account gets none read: whatever
- * comes with it is refused by authentication.
+ * Reads the session tokens: several, parted by commas, are joined. With a
+ * key of no account none is read: authentication refuses such a request.
  */
-static bool take_token(struct exchange *x)
+static bool take_tokens(struct exchange *x)
 {
-	const uint8_t *secret = x->front->settings->token_secret;
 	h2o_iovec_t text;
+	const char *p, *end, *comma;
 
+	x->token.binding = x->binding;
 	if (!single_header(x->req, "session-token", &text))
 		return false;
-	if (!text.len || !x->binding) {
-		x->token.binding = x->binding;
+	if (!text.len || !x->binding)
 		return true;
+	end = text.base + text.len;
+	for (p = text.base; p; p = comma ? comma + 1 : NULL) {
+		while (p < end && *p == ' ')
+			p++;
+		comma = memchr(p, ',', (size_t)(end - p));
+		if (!join_token(x, p, (size_t)((comma ? comma : end) - p)))
+			return false;
 	}
-	return token_read(&x->token, secret, text.base, text.len) &&
-	       x->token.binding == x->binding;
+	return true;
 }
 
 bool exchange_credentials(struct exchange *x)
@@ -68,7 +83,7 @@
 		return false;
 	}
 	x->binding = binding_of(x->front, x->key);
-	if (take_token(x))
+	if (take_tokens(x))
 		return true;
 	x->binding = 0;
 	exchange_refuse(x, ERR_BAD_TOKEN, NULL);
--- a/src/main.c
+++ b/src/main.c
@@ -6,7 +6,7 @@
 
 static const struct command commands[] = {
 	{ "serve", cli_serve, "serve callers until told to stop" },
-	{ "check", cli_check, "check files of settings and contracts" },
+	{ "check", cli_check, "check files of settings, contracts, databases" },
 	{ "status", cli_status, "print the status of an instance" },
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -89,6 +89,12 @@
 
 #define FIELD_COUNT_ALL (sizeof(fields) / sizeof(fields[0]))
 
+const struct field *settings_fields(size_t *count)
+{
+	*count = FIELD_COUNT_ALL;
+	return fields;
+}
+
 static const char *const log_levels[] = { "error", "warning", "info", "debug" };
 
 void settings_default(struct settings *s)
--- a/src/token.c
+++ b/src/token.c
@@ -147,6 +147,24 @@
 	return e;
 }
 
+bool token_join(struct token *t, const struct token *other)
+{
+	const struct token_entry *from;
+	struct token_entry *e;
+	uint32_t i;
+
+	for (i = 0; i < other->count; i++) {
+		from = &other->entries[i];
+		e = entry_of(t, from->database);
+		if (!e)
+			return false;
+		if (mark_compare(from->floor, e->floor) > 0)
+			e->floor = from->floor;
+		e->unsure |= from->unsure;
+	}
+	return true;
+}
+
 static void merge_floor(struct token_entry *e, const struct result *result)
 {
 	if (result->reset_floor || mark_compare(result->at, e->floor) > 0)
--- a/src/token.h
+++ b/src/token.h
@@ -32,6 +32,8 @@
 		const char *text, size_t bytes);
 /** Entry of a database, NULL when none. */
 const struct token_entry *token_find(const struct token *t, hm_id database);
+/** Adds what @a other knows; false when there is no room for it. */
+bool token_join(struct token *t, const struct token *other);
 /** Whether a mark of @a database can be kept. */
 bool token_has_room(const struct token *t, hm_id database);
 /**
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -19,6 +19,7 @@
 	struct world *world;
 	bool brief; /**< answers are shown as code and text only */
 	char *token;
+	char *kept; /* an older token */
 	char *tx;
 	uint32_t seen;
 };
@@ -206,6 +207,11 @@
 
 	if (token && !strcmp(token, "last"))
 		c.token = run->token;
+	if (token && !strcmp(token, "both")) {
+		g_free(token);
+		token = g_strjoin(", ", run->kept, run->token, NULL);
+		c.token = token;
+	}
 	if (g_str_has_prefix(line, "post"))
 		c.method = "POST";
 	c.operators = script_int(line, "operators", 0);
@@ -220,12 +226,20 @@
 	g_free(body);
 }
 
+static void run_keep(struct run *run)
+{
+	g_free(run->kept);
+	run->kept = g_strdup(run->token);
+}
+
 static void command(void *context, const char *line, GString *out)
 {
 	struct run *run = context;
 
 	if (g_str_has_prefix(line, "plan"))
 		run_plan(run, line);
+	else if (g_str_has_prefix(line, "keep"))
+		run_keep(run);
 	else if (g_str_has_prefix(line, "account"))
 		world_account(run->world, (hm_id)script_int(line, "id", 0));
 	else
@@ -244,6 +258,7 @@
 	ck_assert_msg(!fault, "%s", fault);
 	world_free(run.world);
 	g_free(run.token);
+	g_free(run.kept);
 	g_free(run.tx);
 }
 
--- /dev/null
+++ b/tests/test_key.c
@@ -0,0 +1,150 @@
+/**
+ * @file test_key.c
+ * A caller's key shows up nowhere: not in log, metrics, status, answers, nor
+ * in what goes on to endpoints.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../src/log.h"
+#include "front_world.h"
+
+#define KEY "k7Zq-secret-Wx93"
+#define TEXT_BYTES (4 * 1024 * 1024)
+#define BODY "{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"read\"}"
+
+static const struct {
+	const char *path;
+	const char *body;
+	const char *token;
+	bool http2;
+} calls[] = {
+	{ "/v1/statement", BODY, NULL, false },
+	{ "/v1/statement", BODY, NULL, true },
+	{ "/v1/statement", BODY, "forged", false },
+	{ "/v1/statement", "{", NULL, false },
+	{ "/v1/statement", "{\"colour\":1}", NULL, false },
+	{ "/v1/transaction", "{\"database\":\"rota\"}", NULL, false },
+	{ "/v1/transaction/1-2-3-4/commit", "", NULL, false },
+	{ "/v1/transaction/x/commit", "", NULL, false },
+	{ "/v1/nothing", BODY, NULL, false },
+	{ "/health", NULL, NULL, false },
+	{ "/v1/api", NULL, NULL, false },
+};
+
+/* Calls that carry the key in a wrong place may be told so, no one else. */
+static const struct {
+	const char *path;
+	const char *body;
+	const char *token;
+} misplaced[] = {
+	{ "/v1/statement",
+	  "{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"" KEY "\"}", NULL },
+	{ "/v1/statement", "{\"" KEY "\":1}", NULL },
+	{ "/v1/statement", KEY, NULL },
+	{ "/v1/statement", BODY, KEY },
+	{ "/v1/transaction/" KEY "/commit", "", NULL },
+	{ "/v1/" KEY, BODY, NULL },
+	{ "/health?key=" KEY, NULL, NULL },
+};
+
+static void assert_absent(const char *text, const char *where)
+{
+	ck_assert_msg(!strstr(text, KEY), "%s: %s", where, text);
+}
+
+static void good_calls(struct world *w)
+{
+	size_t i;
+	char *body;
+
+	for (i = 0; i < G_N_ELEMENTS(calls); i++) {
+		struct call c = { .path = calls[i].path,
+				  .key = KEY,
+				  .body = calls[i].body,
+				  .token = calls[i].token,
+				  .http2 = calls[i].http2 };
+
+		world_call(w, &c);
+		ck_assert_int_ne(c.status, 0);
+		assert_absent(c.answer->str, c.path);
+		assert_absent(c.headers->str, c.path);
+		call_clear(&c);
+	}
+	body = world_body(w);
+	assert_absent(body, "body of the statement");
+	g_free(body);
+}
+
+static void bad_calls(struct world *w)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(misplaced); i++) {
+		struct call c = { .path = misplaced[i].path,
+				  .key = KEY,
+				  .body = misplaced[i].body,
+				  .token = misplaced[i].token };
+
+		world_call(w, &c);
+		ck_assert_int_ne(c.status, 0);
+		call_clear(&c);
+	}
+}
+
+static void operators_calls(struct world *w)
+{
+	struct call metrics = { .path = "/metrics", .operators = true };
+	struct call status = { .path = "/status", .operators = true };
+
+	world_call(w, &metrics);
+	ck_assert_int_eq(metrics.status, 200);
+	assert_absent(metrics.answer->str, "metrics");
+	world_call(w, &status);
+	ck_assert_int_eq(status.status, 200);
+	assert_absent(status.answer->str, "status");
+	call_clear(&metrics);
+	call_clear(&status);
+}
+
+START_TEST(key_is_shown_nowhere)
+{
+	char *text = g_malloc0(TEXT_BYTES);
+	FILE *file = tmpfile();
+	struct settings s;
+	struct world *w;
+
+	log_open("debug", fileno(file));
+	world_settings(&s);
+	w = world_new(&s);
+	good_calls(w);
+	bad_calls(w);
+	operators_calls(w);
+	world_free(w);
+	log_close();
+	rewind(file);
+	ck_assert_uint_lt(fread(text, 1, TEXT_BYTES, file), TEXT_BYTES);
+	ck_assert_ptr_nonnull(strstr(text, "event=answer"));
+	assert_absent(text, "log");
+	fclose(file);
+	g_free(text);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("key");
+	TCase *tc = tcase_create("key");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, key_is_shown_nowhere);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
