--- /dev/null
+++ b/tests/test_tls.c
@@ -0,0 +1,135 @@
+/** @file test_tls.c Callers over TLS, with the protocol chosen by ALPN. */
+#include <check.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front_world.h"
+#include "tls_files.h"
+
+#define BODY "{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"read\"}"
+
+/** Settings with a certificate in a directory of their own. */
+struct files {
+	struct settings settings;
+	char *directory;
+};
+
+static void files_make(struct files *f)
+{
+	world_settings(&f->settings);
+	f->directory = g_dir_make_tmp("tls-XXXXXX", NULL);
+	ck_assert_ptr_nonnull(f->directory);
+	g_snprintf(f->settings.tls_certificate, PATH_BYTES, "%s/c.pem",
+		   f->directory);
+	g_snprintf(f->settings.tls_key, PATH_BYTES, "%s/k.pem", f->directory);
+	ck_assert(tls_files_write(f->settings.tls_certificate,
+				  f->settings.tls_key));
+}
+
+static void files_remove(struct files *f)
+{
+	g_remove(f->settings.tls_certificate);
+	g_remove(f->settings.tls_key);
+	g_rmdir(f->directory);
+	g_free(f->directory);
+}
+
+static void assert_served(struct world *w, bool http2)
+{
+	struct call c = { .path = "/v1/statement",
+			  .key = "k",
+			  .body = BODY,
+			  .tls = true,
+			  .http2 = http2 };
+
+	world_call(w, &c);
+	ck_assert_int_eq(c.status, 200);
+	ck_assert(g_str_has_prefix(c.headers->str,
+				   http2 ? "HTTP/2" : "HTTP/1.1"));
+	call_clear(&c);
+}
+
+START_TEST(serves_both_protocols)
+{
+	struct call clear = { .path = "/health" };
+	struct files f;
+	struct world *w;
+
+	files_make(&f);
+	w = world_new(&f.settings);
+	assert_served(w, false);
+	assert_served(w, true);
+	world_call(w, &clear);
+	ck_assert_int_eq(clear.status, 0);
+	call_clear(&clear);
+	world_free(w);
+	files_remove(&f);
+}
+END_TEST
+
+static char *start_fault(const struct settings *s)
+{
+	char fault[SETTINGS_FAULT_BYTES] = "";
+	struct front_hooks hooks = { 0 };
+	struct loop *loop = loop_new();
+	struct bodies *bodies = bodies_new();
+	struct front *f = front_new(loop, s, bodies, &hooks, fault);
+
+	ck_assert_ptr_null(f);
+	bodies_free(bodies);
+	loop_free(loop);
+	return g_strdup(fault);
+}
+
+START_TEST(bad_files_are_told)
+{
+	struct files f;
+	char *fault;
+
+	files_make(&f);
+	strcpy(f.settings.tls_key, f.settings.tls_certificate);
+	fault = start_fault(&f.settings);
+	ck_assert_msg(strstr(fault, "allowed a PEM certificate") != NULL, "%s",
+		      fault);
+	g_free(fault);
+	g_snprintf(f.settings.tls_key, PATH_BYTES, "%s/k.pem", f.directory);
+	files_remove(&f);
+}
+END_TEST
+
+START_TEST(taken_address_is_told)
+{
+	struct settings s;
+	struct world *w;
+	char *fault;
+
+	world_settings(&s);
+	w = world_new(&s);
+	strcpy(s.listen_callers, world_address(w, false));
+	fault = start_fault(&s);
+	ck_assert_msg(g_str_has_prefix(fault, "$.listen.callers: 127.0.0.1:"),
+		      "%s", fault);
+	g_free(fault);
+	world_free(w);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("tls");
+	TCase *tc = tcase_create("tls");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tc, 30);
+	tcase_add_test(tc, serves_both_protocols);
+	tcase_add_test(tc, bad_files_are_told);
+	tcase_add_test(tc, taken_address_is_told);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
