--- a/src/main.c
+++ b/src/main.c
@@ -8,6 +8,8 @@
 	{ "serve", cli_serve, "serve callers until told to stop" },
 	{ "check", cli_check, "check files of settings, contracts, databases" },
 	{ "status", cli_status, "print the status of an instance" },
+	{ "contract", cli_contract, "list, show, apply or withdraw contracts" },
+	{ "key", cli_key, "grant or withdraw a key of an account" },
 };
 
 static void print_usage(FILE *out)
