--- /dev/null
+++ b/tests/member_rig.h
@@ -0,0 +1,45 @@
+/**
+ * @file member_rig.h
+ * A set of three stand-in members on free ports, reached by plain libpq.
+ */
+#ifndef MEMBER_RIG_H
+#define MEMBER_RIG_H
+
+#include <glib.h>
+#include <libpq-fe.h>
+
+#include "../standin/member.h"
+
+#define LAG (2 * HM_MS)
+
+extern struct database_spec spec;
+extern struct members *members;
+
+void member_setup(void);
+void member_setup_with(const struct member_options *options);
+void member_teardown(void);
+
+hm_id member_id(uint32_t i);
+/** A connection, open or failed. */
+PGconn *member_try_open(uint32_t i, const char *application);
+PGconn *member_open_as(uint32_t i, const char *application);
+PGconn *member_open(uint32_t i);
+
+/** Runs a statement; its SQLSTATE, "" when it ran, "LOST" without answer. */
+const char *member_run(PGconn *c, const char *sql);
+/** First column of the first row; "none" when there is no row. */
+const char *member_one(PGconn *c, const char *sql);
+/** Whether that column holds @a part. */
+bool member_says(PGconn *c, const char *sql, const char *part);
+
+struct endpoint_state member_state(uint32_t i);
+void member_await_at(uint32_t i, uint64_t term, uint64_t pos);
+void member_fault(uint32_t i, struct member_faults f);
+/** Creates table t (k, v) at the first member. */
+void member_make_table(void);
+/** Runs a control function that must be accepted. */
+void member_order(uint32_t i, const char *sql);
+/** Makes a member follow another under term 2. */
+void member_order_follow(uint32_t i, uint32_t target);
+
+#endif
--- /dev/null
+++ b/tests/test_member_faults.c
@@ -0,0 +1,203 @@
+/** @file test_member_faults.c Faults of stand-in members. */
+#include <check.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../src/loop.h"
+#include "member_rig.h"
+
+START_TEST(lost_answer_leaves_the_effect)
+{
+	PGconn *c = member_open(0);
+
+	member_make_table();
+	member_fault(0, (struct member_faults){ .lose_answer = true });
+	ck_assert_str_eq(member_run(c, "INSERT INTO t VALUES (1, 'a')"),
+			 "LOST");
+	PQfinish(c);
+	c = member_open(0);
+	ck_assert(member_says(c, "SELECT hm_state()", "\"at\":[1,2]"));
+	PQfinish(c);
+	c = member_open(0);
+	ck_assert_str_eq(member_run(c, "SELECT hm_fence(2, 'aa')"), "LOST");
+	ck_assert_uint_eq(member_state(0).promised, 2);
+	member_fault(0, (struct member_faults){ 0 });
+	PQfinish(c);
+	c = member_open(0);
+	ck_assert_str_eq(member_one(c, "SELECT v FROM t"), "a");
+	PQfinish(c);
+}
+END_TEST
+
+static bool readable(PGconn *c, int ms)
+{
+	struct pollfd p = { .fd = PQsocket(c), .events = POLLIN };
+
+	return poll(&p, 1, ms) == 1;
+}
+
+START_TEST(late_answers_come_late)
+{
+	PGconn *c = member_open(0);
+	hm_time start = loop_now();
+
+	member_fault(0, (struct member_faults){ .late = 50 * HM_MS });
+	ck_assert_str_eq(member_one(c, "SELECT 1"), "1");
+	ck_assert_int_ge(loop_now() - start, 50 * HM_MS);
+	PQfinish(c);
+}
+END_TEST
+
+START_TEST(silent_connections_stay_silent)
+{
+	PGconn *old = member_open(0), *new;
+
+	member_fault(0, (struct member_faults){ .silent = true });
+	ck_assert(PQsendQuery(old, "SELECT 1"));
+	new = member_open(0);
+	ck_assert_str_eq(member_one(new, "SELECT 1"), "1");
+	member_fault(0, (struct member_faults){ 0 });
+	ck_assert_str_eq(member_one(new, "SELECT 2"), "2");
+	ck_assert(!readable(old, 50));
+	PQfinish(old);
+	PQfinish(new);
+}
+END_TEST
+
+/* The lock of a silent connection is freed by the keepalive. */
+START_TEST(silent_transaction_ends)
+{
+	PGconn *old = member_open(0), *new;
+
+	member_make_table();
+	ck_assert_str_eq(member_run(old, "BEGIN"), "");
+	ck_assert_str_eq(member_run(old, "INSERT INTO t VALUES (1, 'a')"), "");
+	member_fault(0, (struct member_faults){ .silent = true });
+	new = member_open(0);
+	ck_assert_str_eq(member_run(new, "INSERT INTO t VALUES (1, 'b')"), "");
+	ck_assert_str_eq(member_one(new, "SELECT v FROM t"), "b");
+	PQfinish(old);
+	PQfinish(new);
+}
+END_TEST
+
+START_TEST(paused_member_moves_later)
+{
+	PGconn *c = member_open(0);
+
+	member_make_table();
+	member_fault(0, (struct member_faults){ .paused = true });
+	ck_assert(PQsendQuery(c, "INSERT INTO t VALUES (1, 'a')"));
+	ck_assert(!readable(c, 50));
+	ck_assert_uint_eq(member_state(0).at.pos, 1);
+	member_fault(0, (struct member_faults){ 0 });
+	ck_assert(readable(c, 5000));
+	PQclear(PQgetResult(c));
+	ck_assert_uint_eq(member_state(0).at.pos, 2);
+	PQfinish(c);
+}
+END_TEST
+
+START_TEST(pause_does_not_count_as_idle_home)
+{
+	PGconn *c = member_open_as(0, "hyssopmount/aa");
+
+	ck_assert(member_says(c, "SELECT hm_home('aa', '0')",
+			      "\"refused\":false"));
+	member_fault(0, (struct member_faults){ .paused = true });
+	g_usleep(60 * 1000);
+	member_fault(0, (struct member_faults){ 0 });
+	ck_assert_int_lt(member_state(0).home_idle, 50 * HM_MS);
+	PQfinish(c);
+}
+END_TEST
+
+START_TEST(cut_member_drops_and_refuses)
+{
+	PGconn *c = member_open(0), *new;
+
+	member_make_table();
+	ck_assert_str_eq(member_run(c, "BEGIN"), "");
+	ck_assert_str_eq(member_run(c, "INSERT INTO t VALUES (1, 'a')"), "");
+	member_fault(0, (struct member_faults){ .cut_all = true });
+	ck_assert_str_eq(member_run(c, "COMMIT"), "LOST");
+	new = member_try_open(0, "test");
+	ck_assert_int_eq(PQstatus(new), CONNECTION_BAD);
+	PQfinish(new);
+	member_fault(0, (struct member_faults){ 0 });
+	new = member_open(0);
+	ck_assert_str_eq(member_one(new, "SELECT count(*) FROM t"), "0");
+	PQfinish(c);
+	PQfinish(new);
+}
+END_TEST
+
+START_TEST(killed_member_keeps_its_log_and_promise)
+{
+	PGconn *c = member_open_as(1, "hyssopmount/aa");
+
+	member_make_table();
+	member_await_at(1, 1, 1);
+	ck_assert(member_says(c, "SELECT hm_home('aa', '0')",
+			      "\"refused\":false"));
+	member_order(1, "SELECT hm_fence(4, 'cc')");
+	member_fault(1, (struct member_faults){ .dead = true });
+	ck_assert_str_eq(member_run(c, "SELECT 1"), "LOST");
+	ck_assert(members_sql(members, member_id(0),
+			      "INSERT INTO t VALUES (1, 'a')"));
+	member_fault(1, (struct member_faults){ 0 });
+	ck_assert_uint_eq(member_state(1).promised, 4);
+	ck_assert_uint_eq(member_state(1).at.pos, 1);
+	ck_assert_uint_eq(member_state(1).home, 0);
+	PQfinish(c);
+}
+END_TEST
+
+static void setup_short_keepalive(void)
+{
+	const struct member_options options = { .lag = LAG,
+						.keepalive = 50 * HM_MS };
+
+	member_setup_with(&options);
+}
+
+static TCase *tcase_members(const char *name, SFun begin)
+{
+	TCase *tc = tcase_create(name);
+
+	tcase_add_checked_fixture(tc, begin, member_teardown);
+	tcase_set_timeout(tc, 30);
+	return tc;
+}
+
+static void add_faults(Suite *suite)
+{
+	TCase *tc = tcase_members("faults", member_setup);
+
+	tcase_add_test(tc, lost_answer_leaves_the_effect);
+	tcase_add_test(tc, late_answers_come_late);
+	tcase_add_test(tc, silent_connections_stay_silent);
+	tcase_add_test(tc, paused_member_moves_later);
+	tcase_add_test(tc, pause_does_not_count_as_idle_home);
+	tcase_add_test(tc, cut_member_drops_and_refuses);
+	tcase_add_test(tc, killed_member_keeps_its_log_and_promise);
+	suite_add_tcase(suite, tc);
+	tc = tcase_members("keepalive", setup_short_keepalive);
+	tcase_add_test(tc, silent_transaction_ends);
+	suite_add_tcase(suite, tc);
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("member faults");
+	SRunner *runner;
+	int failed;
+
+	add_faults(suite);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
