--- a/core/proof.h
+++ b/core/proof.h
@@ -27,9 +27,9 @@
 	struct proof_round rounds[PROOF_ROUNDS];
 };
 
-/** Which answers count: those of members besides @a endpoint, asked since. */
+/** Which answers count: those asked for since, besides those of endpoint. */
 struct proof_query {
-	hm_id endpoint;
+	hm_id endpoint; /**< left out, 0 for none */
 	hm_time since;
 };
 
--- a/core/verify.c
+++ b/core/verify.c
@@ -149,12 +149,15 @@
 	return judge_kept(v, w);
 }
 
-/* A majority stood by the term, asked for after the commit and not long ago. */
+/*
+ * A majority stood by the term, asked after the commit and not long ago, so
+ * that no later one was promoted yet.
+ */
 static bool term_stands(const struct verify *v, struct waiting *w, hm_time now)
 {
-	struct proof_query q = { w->ended.endpoint, w->ended.ended_at };
+	struct proof_query q = { .since = w->ended.ended_at };
 	hm_time stood = proof_stood_at(&v->proof, q, w->ended.after.term,
-				       others_needed(v));
+				       group_majority(v->group));
 
 	if (stood < 0 || now - stood >= v->options->evidence_valid)
 		return false;
@@ -181,18 +184,21 @@
 	return judge_by_successor(v, w, now);
 }
 
-/* Read of the primary: its term stood after the read began. */
+/*
+ * Read of the primary: its term stood after the read began. The primary has
+ * to answer like the others: it may have been fenced before the read.
+ */
 static enum verdict judge_read(const struct verify *v, struct waiting *w,
 			       hm_time now)
 {
 	const struct home_ended *e = &w->ended;
-	struct proof_query q = { e->endpoint, e->started_at };
+	struct proof_query q = { .since = e->started_at };
 	uint64_t term = lineage_term(&e->lineage);
 
 	if (guard_off(v, GUARD_EVIDENCE))
 		return judge_floor(v, w);
-	if (group_is_primary(v->group, q.endpoint, term) &&
-	    proof_stood_at(&v->proof, q, term, others_needed(v)) >= 0)
+	if (group_is_primary(v->group, e->endpoint, term) &&
+	    proof_stood_at(&v->proof, q, term, group_majority(v->group)) >= 0)
 		return judge_floor(v, w);
 	if (group_superseded(v->group, term))
 		return VERDICT_RETRY;
