--- a/core/failover.c
+++ b/core/failover.c
@@ -100,7 +100,8 @@
 static void note_promise(struct failover *f, const struct endpoint_state *s,
 			 hm_time now)
 {
-	if (!s->reachable || s->promised <= f->promised_seen)
+	if (!s->reachable || s->promised <= f->promised_seen ||
+	    s->promised <= group_term(f->group))
 		return;
 	f->promised_seen = s->promised;
 	if (s->promised_by != f->options->life &&
--- a/core/failover_steps.c
+++ b/core/failover_steps.c
@@ -45,9 +45,12 @@
 void failover_back_off(struct failover *f, hm_time now, const char *reason,
 		       struct actions *actions)
 {
-	log_step(f, actions, "failover_abandoned", reason);
-	f->not_before = now + BACKOFF_LEAST +
+	hm_time again = now + BACKOFF_LEAST +
 			(hm_time)rng_below(&f->rng, BACKOFF_RANDOM);
+
+	log_step(f, actions, "failover_abandoned", reason);
+	if (f->not_before < again)
+		f->not_before = again;
 	f->suspect_since = 0;
 	enter(f, PHASE_IDLE, now);
 }
@@ -192,6 +195,10 @@
 				  actions);
 		return;
 	}
+	if (now < f->not_before) {
+		failover_back_off(f, now, "other_orderer", actions);
+		return;
+	}
 	if (primary_decided(f, now) &&
 	    reached_count(f) >= group_majority(f->group)) {
 		start_fence(f, now, actions);
@@ -262,6 +269,21 @@
 			send_step(f, &f->candidates[i], CONTROL_FENCE, actions);
 }
 
+/*
+ * Another orderer was first. If it has the same term, neither may get a
+ * majority, and the first to come back takes a newer one.
+ */
+static void lose_fence(struct failover *f, const struct state_report *r,
+		       hm_time now, struct actions *actions)
+{
+	bool split = r->state.promised == f->term;
+
+	if (split)
+		f->not_before = 0;
+	failover_back_off(f, now, split ? "split_fence" : "newer_term",
+			  actions);
+}
+
 static void tick_fence(struct failover *f, hm_time now, struct actions *actions)
 {
 	if (elapsed(f, FENCE_LIMIT, now))
@@ -277,7 +299,7 @@
 	if (!r->state.reachable)
 		return;
 	if (!take_fence(f, c, r)) {
-		failover_back_off(f, now, "newer_term", actions);
+		lose_fence(f, r, now, actions);
 		return;
 	}
 	if (!fence_complete(f))
@@ -335,7 +357,7 @@
 		return;
 	if (c == from) {
 		if (!take_fence(f, c, r))
-			failover_back_off(f, now, "newer_term", actions);
+			lose_fence(f, r, now, actions);
 		return;
 	}
 	c->answered = true;
@@ -407,7 +429,7 @@
 			struct actions *actions)
 {
 	if (r->state.reachable && !take_fence(f, c, r))
-		failover_back_off(f, now, "newer_term", actions);
+		lose_fence(f, r, now, actions);
 }
 
 static void announce(struct failover *f, const struct endpoint_state *s,
--- a/core/proof.h
+++ b/core/proof.h
@@ -27,7 +27,7 @@
 	struct proof_round rounds[PROOF_ROUNDS];
 };
 
-/** Which answers count: those asked for since, besides those of endpoint. */
+/** Which answers count: those asked for since, besides those of @a endpoint. */
 struct proof_query {
 	hm_id endpoint; /**< left out, 0 for none */
 	hm_time since;
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -29,6 +29,7 @@
 	if (b->bag_count == BED_PACKETS)
 		bed_drop(b, (uint32_t)rng_below(&b->rng, BED_PACKETS));
 	p = &b->bag[b->bag_count++];
+	p->number = ++b->packets;
 	p->kind = kind;
 	p->from = from;
 	p->to = to;
@@ -203,8 +204,9 @@
 {
 	if (b->log)
 		g_string_append_printf(
-			b->log, "proxy=%u %s reason=%s term=%u\n", proxy,
-			d->what, d->reason, (unsigned int)d->at.term);
+			b->log, "t=%d proxy=%u %s reason=%s term=%u\n",
+			(int)((b->now - b->begun_at) / HM_MS), proxy, d->what,
+			d->reason, (unsigned int)d->at.term);
 	if (!strcmp(d->what, "failover_promoted"))
 		b->promotions++;
 }
@@ -267,8 +269,16 @@
 		b->proxies[p->from].holds[p->to - BED_PROXIES] = false;
 		return;
 	}
+	if (b->block[p->step.op][p->to - BED_PROXIES])
+		return;
 	r.state = model_control(&b->model, &p->step);
 	bed_check_promotion(b);
+	if (b->twice[p->step.op])
+		r.state = model_control(&b->model, &p->step);
+	if (b->lose[p->step.op]) {
+		b->lose[p->step.op]--;
+		return;
+	}
 	put(b, PACKET_STATE, p->to, p->from)->report = r;
 }
 
@@ -441,6 +451,7 @@
 	uint64_t home;
 
 	o->ended.statement.floor = s->floor;
+	o->ended.statement.unsure = s->unsure;
 	s->waits_for = o->ended.statement.id.seq;
 	r = group_route(p->group, &o->ended.statement, 0, bed_local(b, proxy));
 	if (r.error == ERR_WRITE_LOST && !r.wait_until) {
@@ -448,6 +459,7 @@
 		o->snapshot = model_bits(&b->model.newest);
 		o->floor_held = model_reached(&b->model.newest, s->floor);
 		o->verified.result.at = r.reset;
+		bed_log_answer(b, o);
 		bed_session_answer(b, o);
 	}
 	home = r.endpoint ? group_home(p->group, r.endpoint) : 0;
--- a/tests/bed.h
+++ b/tests/bed.h
@@ -46,7 +46,8 @@
 
 struct packet {
 	enum packet_kind kind;
-	uint32_t from; /**< node: proxies first, then members */
+	uint64_t number; /**< grows with each packet sent */
+	uint32_t from;	 /**< node: proxies first, then members */
 	uint32_t to;
 	union {
 		struct control step;
@@ -74,7 +75,8 @@
 /** A caller that roams. */
 struct session {
 	struct mark floor;
-	uint64_t must_see;  /**< bits of writes acknowledged or shown to it */
+	uint64_t must_see; /**< bits of writes acknowledged or shown to it */
+	bool unsure;
 	uint64_t waits_for; /**< statement that it has out, 0 for none */
 };
 
@@ -87,6 +89,7 @@
 	struct packet bag[BED_PACKETS];
 	uint32_t bag_count;
 	struct session sessions[BED_SESSIONS];
+	uint64_t packets;
 	uint64_t statements;
 	uint64_t writes;
 	uint64_t acked;	  /**< bits of acknowledged writes not lost since */
@@ -102,7 +105,11 @@
 	uint64_t unknown;
 	uint64_t promotions;
 	struct actions actions;
-	GString *log; /**< decisions, when set */
+	hm_time begun_at;		  /**< origin of the times in the log */
+	GString *log;			  /**< decisions, when set */
+	uint32_t lose[CONTROL_FRESH + 1]; /**< answers to lose, by step */
+	bool twice[CONTROL_FRESH + 1];	  /**< steps arrive twice */
+	bool block[CONTROL_FRESH + 1][MODEL_MEMBERS]; /**< steps get lost */
 };
 
 void bed_init(struct bed *b, uint64_t seed, uint32_t guards_off);
@@ -131,7 +138,8 @@
 void bed_check_read(struct bed *b, const struct order *o);
 /** What the caller learns from an answer. */
 void bed_session_answer(struct bed *b, const struct order *o);
-/** An answer leaves  proxy for the caller. */
+/** An answer leaves @a proxy for the caller. */
+void bed_log_answer(struct bed *b, const struct order *o);
 void bed_take_answer(struct bed *b, uint32_t proxy, struct order *o);
 
 #endif
--- a/tests/bed_check.c
+++ b/tests/bed_check.c
@@ -109,6 +109,29 @@
 		s->floor = r->at;
 }
 
+void bed_log_answer(struct bed *b, const struct order *o)
+{
+	const struct result *r = &o->verified.result;
+	bool limited = o->verified.valid_until != HM_NEVER;
+
+	if (!b->log)
+		return;
+	g_string_append_printf(b->log, "t=%d answer session=%u %s",
+			       (int)((b->now - b->begun_at) / HM_MS),
+			       o->session, error_answer(r->error)->code);
+	if (o->write)
+		g_string_append_printf(b->log, " write=%u", (guint)o->write);
+	if (r->error == ERR_NONE && o->write)
+		g_string_append_printf(b->log, " by=%s",
+				       limited ? "majority" : "replica");
+	if (!o->write && r->error == ERR_NONE)
+		g_string_append_printf(b->log, " from=%u age=%d",
+				       (guint)(r->endpoint - model_endpoint(0)),
+				       (int)(r->age_bound / HM_MS));
+	g_string_append_printf(b->log, " mark=%u:%u\n", (guint)r->at.term,
+			       (guint)r->at.pos);
+}
+
 void bed_take_answer(struct bed *b, uint32_t proxy, struct order *o)
 {
 	struct result *r = &o->verified.result;
@@ -118,6 +141,7 @@
 		r->error = ERR_OUTCOME_UNKNOWN;
 		r->execution = EXEC_UNKNOWN;
 	}
+	bed_log_answer(b, o);
 	b->answered++;
 	b->unknown += r->error == ERR_OUTCOME_UNKNOWN;
 	if (r->error == ERR_NONE && o->write)
--- a/tests/model.c
+++ b/tests/model.c
@@ -108,7 +108,9 @@
 	struct endpoint_state s = { .database = step->database,
 				    .endpoint = step->endpoint };
 
-	if (e->down)
+	if (step->op == CONTROL_FRESH)
+		e->silent = false;
+	if (e->down || e->silent)
 		return s;
 	if (step->op == CONTROL_FENCE)
 		s.refused = !fence(e, step);
--- a/tests/model.h
+++ b/tests/model.h
@@ -14,6 +14,7 @@
 struct model_member {
 	hm_id endpoint;
 	bool down;
+	bool silent; /**< answers on new connections only */
 	enum endpoint_role role;
 	uint64_t promised;
 	uint64_t promised_by;
