turns: leave the last slot to others that fill one

An account whose long statements held all busy slots also took the last one, and all others waited for it.

--- a/core/home_dispatch.c
+++ b/core/home_dispatch.c
@@ -29,6 +29,13 @@
 	home_act(h, ACT_EXECUTE, conn, actions);
 }
 
+static uint32_t slots_free(const struct home *h)
+{
+	uint32_t used = conns_slots_used(&h->conns);
+
+	return used < home_slots(h) ? home_slots(h) - used : 0;
+}
+
 static void start_resets(struct home *h, hm_time now, struct actions *actions)
 {
 	uint32_t i;
@@ -38,7 +45,7 @@
 
 		if (conn->state != CONN_RESET_DUE)
 			continue;
-		if (conns_slots_used(&h->conns) >= home_slots(h))
+		if (!slots_free(h))
 			return;
 		conn->state = CONN_RESETTING;
 		conn->until = now + RESET_LIMIT;
@@ -147,8 +154,8 @@
 	struct turn turn;
 
 	start_resets(h, now, actions);
-	while (conns_slots_used(&h->conns) < home_slots(h) &&
-	       turns_pop(h->turns, allowed_classes(h), now, &turn))
+	while (slots_free(h) && turns_pop(h->turns, allowed_classes(h),
+					  slots_free(h) == 1, now, &turn))
 		run_turn(h, &turn, now, actions);
 	open_conns(h, now, actions);
 }
--- a/core/turns.c
+++ b/core/turns.c
@@ -10,6 +10,7 @@
 #define COST_MEMORY 8	       /* statements that an average looks back on */
 #define USE_SPAN HM_SEC	       /* memory of the slot time used lately */
 #define USE_SCALE 1024
+#define LONG_COST (50 * HM_MS) /* statements that others feel the wait of */
 
 struct place {
 	struct turn turn;
@@ -28,6 +29,7 @@
 	hm_id account;
 	uint32_t weight;
 	uint32_t count;
+	uint32_t running;
 	int64_t virtual_time; /* slot time charged, over the weight */
 	hm_time recent;	      /* slot time of late, decays over USE_SPAN */
 	hm_time recent_at;
@@ -41,6 +43,7 @@
 	struct table by_account;
 	int64_t virtual_time; /* of the account that was served last */
 	uint32_t count;
+	uint32_t running;
 	uint32_t class_count[TURN_CLASSES];
 };
 
@@ -204,15 +207,35 @@
 	return best;
 }
 
-static struct flow *next_flow(const struct turns *t, uint32_t allowed)
+/*
+ * An account that holds all busy slots leaves the last one free while the
+ * others fill a slot's worth: else all of them wait for its long statements.
+ */
+static bool leaves_last_slot(const struct turns *t, const struct flow *f,
+			     const struct queue *q, hm_time now)
+{
+	hm_time others = 0;
+	uint32_t i;
+
+	if (!f->running || f->running < t->running || q->cost < LONG_COST)
+		return false;
+	for (i = 0; i < t->flow_count; i++)
+		if (t->flows[i] != f)
+			others += recent_use(t->flows[i], now);
+	return others >= USE_SPAN;
+}
+
+static struct flow *next_flow(const struct turns *t, uint32_t allowed,
+			      bool last, hm_time now)
 {
 	struct flow *best = NULL;
 	uint32_t i;
 
 	for (i = 0; i < t->flow_count; i++) {
 		struct flow *f = t->flows[i];
+		const struct queue *q = next_queue(f, allowed);
 
-		if (!f->count || !next_queue(f, allowed))
+		if (!q || (last && leaves_last_slot(t, f, q, now)))
 			continue;
 		if (!best || f->virtual_time < best->virtual_time)
 			best = f;
@@ -220,9 +243,10 @@
 	return best;
 }
 
-bool turns_pop(struct turns *t, uint32_t allowed, hm_time now, struct turn *out)
+bool turns_pop(struct turns *t, uint32_t allowed, bool last, hm_time now,
+	       struct turn *out)
 {
-	struct flow *f = t->count ? next_flow(t, allowed) : NULL;
+	struct flow *f = t->count ? next_flow(t, allowed, last, now) : NULL;
 	struct queue *q;
 
 	if (!f)
@@ -231,6 +255,8 @@
 	if (f->virtual_time > t->virtual_time)
 		t->virtual_time = f->virtual_time;
 	take_place(t, f, q, &q->first, out);
+	f->running++;
+	t->running++;
 	charge(f, out, q->cost, now);
 	return true;
 }
@@ -247,8 +273,11 @@
 {
 	struct flow *f = find(t, turn->statement.account);
 
-	if (f)
-		charge(f, turn, -turn->charged, now);
+	if (!f)
+		return;
+	f->running--;
+	t->running--;
+	charge(f, turn, -turn->charged, now);
 }
 
 void turns_ended(struct turns *t, struct turn *turn, hm_time used, hm_time now)
@@ -259,6 +288,8 @@
 	if (!f)
 		return;
 	q = &f->queues[turn->class];
+	f->running--;
+	t->running--;
 	charge(f, turn, used - turn->charged, now);
 	q->cost += (used - q->cost) / COST_MEMORY;
 	if (q->cost < 1)
--- a/core/turns.h
+++ b/core/turns.h
@@ -36,9 +36,11 @@
 void turns_push(struct turns *t, const struct turn *turn);
 /**
  * Takes the next statement of the classes in @a allowed (a bit per class)
- * and charges the account with its expected slot time.
+ * and charges the account with its expected slot time. @a last: it would get
+ * the last free slot, which no account with long statements may add to all
+ * the others while other accounts fill a slot on the mean.
  */
-bool turns_pop(struct turns *t, uint32_t allowed, hm_time now,
+bool turns_pop(struct turns *t, uint32_t allowed, bool last, hm_time now,
 	       struct turn *out);
 /** Charges a running statement for the slot time it has used by now. */
 void turns_used(struct turns *t, struct turn *turn, hm_time used, hm_time now);
