--- a/src/spec.c
+++ b/src/spec.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "../core/contracts.h"
+#include "address.h"
 #include "names.h"
 #include "object.h"
 
@@ -343,6 +344,7 @@
 					      NULL };
 	char path[32], name_path[48];
 	const char *name, *address;
+	struct sockaddr_storage parsed;
 
 	snprintf(path, sizeof(path), "endpoints[%zu]", index);
 	snprintf(name_path, sizeof(name_path), "%s.name", path);
@@ -358,6 +360,9 @@
 			&out->connections) ||
 	    !read_flag(fault, path, value, "leaving", &out->leaving))
 		return false;
+	if (!address_parse(address, &parsed))
+		return fail(fault, "%s.address: found %s, allowed is IP:port",
+			    path, address);
 	memcpy(out->address, address, strlen(address) + 1);
 	out->endpoint = name_id(out->name);
 	return true;
--- a/standin/store.c
+++ b/standin/store.c
@@ -1,7 +1,6 @@
 /** @file store.c The stand-in platform over HTTP/1.1 on h2o. */
 #include "store.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <h2o.h>
 #include <h2o/http1.h>
@@ -10,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../src/address.h"
 #include "../src/loop.h"
 #include "objects.h"
 
@@ -358,26 +358,21 @@
 /* Descriptor that listens on "IP:port", -1 when it cannot. */
 static int listen_on(const char *address)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	char **parts = g_strsplit(address, ":", 2);
-	int one = 1, fd = -1;
+	struct sockaddr_storage ss;
+	int one = 1, fd;
 
-	if (g_strv_length(parts) != 2 ||
-	    inet_pton(AF_INET, parts[0], &sin.sin_addr) != 1)
-		goto done;
-	sin.sin_port = htons((uint16_t)g_ascii_strtoull(parts[1], NULL, 10));
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (!address_parse(address, &ss))
+		return -1;
+	fd = socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
+		    0);
 	if (fd < 0)
-		goto done;
+		return -1;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (!bind(fd, (struct sockaddr *)&sin, sizeof(sin)) &&
+	if (!bind(fd, (struct sockaddr *)&ss, address_bytes(&ss)) &&
 	    !listen(fd, LISTEN_BACKLOG))
-		goto done;
+		return fd;
 	close(fd);
-	fd = -1;
-done:
-	g_strfreev(parts);
-	return fd;
+	return -1;
 }
 
 static void open_listener(struct store *s, int fd)
@@ -474,6 +469,8 @@
 
 void store_free(struct store *s)
 {
+	h2o_multithread_queue_t *queue;
+
 	if (!s)
 		return;
 	if (!s->thread)
@@ -481,7 +478,11 @@
 	loop_post(s->loop, begin_stop, s);
 	g_thread_join(s->thread);
 	timer_free(s->stop);
+	queue = s->context.queue;
 	h2o_context_dispose(&s->context);
+#if H2O_VERSION_MAJOR == 2 && H2O_VERSION_MINOR == 2
+	free(queue); /* left over by h2o_multithread_destroy_queue() */
+#endif
 	h2o_config_dispose(&s->config);
 	loop_free(s->loop);
 	objects_free(s->objects);
