--- a/src/front_exchange.c
+++ b/src/front_exchange.c
@@ -38,6 +38,7 @@
 	x->req = NULL;
 	req->res.status = status;
 	req->res.reason = "";
+	req->res.content_length = bytes;
 	add_header(req, "content-type", type);
 	add_header(req, "cache-control", "no-store");
 	add_header(req, "request-id", rid_text(x->id, id));
--- a/tests/front_world.c
+++ b/tests/front_world.c
@@ -7,12 +7,19 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "../core/rng.h"
 #include "../src/address.h"
 
 #define WAIT_LIMIT (5 * G_TIME_SPAN_SECOND)
 #define POLL_US 1000
 #define CALL_LIMIT_S 20L
 
+/** A statement without an answer, and its body. */
+struct held {
+	struct rid id;
+	char *body;
+};
+
 struct world {
 	struct settings settings;
 	struct loop *loop;
@@ -27,6 +34,9 @@
 	bool hold;
 	struct statement last;
 	char *last_body;
+	GArray *held; /* of struct held */
+	uint64_t echo_seed;
+	size_t echo_padding;
 	uint32_t seen;
 	uint32_t gone;
 	uint32_t tasks; /* posted to the loop and done */
@@ -65,6 +75,13 @@
 	g_mutex_lock(&w->lock);
 }
 
+static void hold(struct world *w, struct rid id)
+{
+	struct held h = { id, g_strdup(w->last_body) };
+
+	g_array_append_val(w->held, h);
+}
+
 static void on_statement(void *owner, const struct statement *s)
 {
 	struct world *w = owner;
@@ -77,7 +94,9 @@
 					g_bytes_get_size(body))
 			    : g_strdup("");
 	w->seen++;
-	if (!w->hold)
+	if (w->hold)
+		hold(w, s->id);
+	else
 		answer_last(w);
 	g_mutex_unlock(&w->lock);
 }
@@ -147,6 +166,7 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	w->settings = *settings;
+	w->held = g_array_new(FALSE, FALSE, sizeof(struct held));
 	w->account = 5;
 	w->loop = loop_new();
 	w->bodies = bodies_new();
@@ -160,9 +180,14 @@
 
 void world_free(struct world *w)
 {
+	guint i;
+
 	loop_stop(w->loop);
 	g_thread_join(w->thread);
 	g_free(w->plan_body);
+	for (i = 0; i < w->held->len; i++)
+		g_free(g_array_index(w->held, struct held, i).body);
+	g_array_free(w->held, TRUE);
 	g_free(w->last_body);
 	g_free(w);
 }
@@ -250,6 +275,39 @@
 	task_done(w);
 }
 
+/* Rows are one text: padding, then the body of the statement. */
+static void echo(struct world *w, const struct held *h)
+{
+	struct result r = { .id = h->id, .execution = EXEC_RUN };
+	char *padding = g_strnfill(w->echo_padding, '.');
+	char *quoted = g_strescape(h->body, NULL);
+	char *text = g_strdup_printf("[\"%s%s\"]", padding, quoted);
+	GBytes *body = g_bytes_new_take(text, strlen(text));
+
+	r.body = bodies_put(w->bodies, body, loop_now() + HM_SEC);
+	front_answer(w->front, &r);
+	g_bytes_unref(body);
+	g_free(quoted);
+	g_free(padding);
+}
+
+static void run_echo(void *arg)
+{
+	struct world *w = arg;
+	struct rng rng = { w->echo_seed };
+	struct held *h;
+	guint at;
+
+	while (w->held->len > 0) {
+		at = (guint)rng_below(&rng, w->held->len);
+		h = &g_array_index(w->held, struct held, at);
+		echo(w, h);
+		g_free(h->body);
+		g_array_remove_index(w->held, at);
+	}
+	task_done(w);
+}
+
 static void run_stop(void *arg)
 {
 	struct world *w = arg;
@@ -275,6 +333,13 @@
 	run_there(w, run_release);
 }
 
+void world_echo(struct world *w, uint64_t seed, size_t padding)
+{
+	w->echo_seed = seed;
+	w->echo_padding = padding;
+	run_there(w, run_echo);
+}
+
 void world_stop_front(struct world *w)
 {
 	run_there(w, run_stop);
--- a/tests/front_world.h
+++ b/tests/front_world.h
@@ -21,6 +21,11 @@
 void world_hold(struct world *w);
 /** Answers the newest statement now by the plan. */
 void world_release(struct world *w);
+/**
+ * Answers all held statements in an order by @a seed, each with its own body
+ * as the rows, after @a padding bytes.
+ */
+void world_echo(struct world *w, uint64_t seed, size_t padding);
 /** Newest statement; false when none came yet. */
 bool world_last(struct world *w, struct statement *out);
 /** Body of the newest statement, a new string. */
--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -1,6 +1,5 @@
 /** @file test_tls.c Callers over TLS, with the protocol chosen by ALPN. */
 #include <check.h>
-#include <glib/gstdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,32 +8,6 @@
 
 #define BODY "{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"read\"}"
 
-/** Settings with a certificate in a directory of their own. */
-struct files {
-	struct settings settings;
-	char *directory;
-};
-
-static void files_make(struct files *f)
-{
-	world_settings(&f->settings);
-	f->directory = g_dir_make_tmp("tls-XXXXXX", NULL);
-	ck_assert_ptr_nonnull(f->directory);
-	g_snprintf(f->settings.tls_certificate, PATH_BYTES, "%s/c.pem",
-		   f->directory);
-	g_snprintf(f->settings.tls_key, PATH_BYTES, "%s/k.pem", f->directory);
-	ck_assert(tls_files_write(f->settings.tls_certificate,
-				  f->settings.tls_key));
-}
-
-static void files_remove(struct files *f)
-{
-	g_remove(f->settings.tls_certificate);
-	g_remove(f->settings.tls_key);
-	g_rmdir(f->directory);
-	g_free(f->directory);
-}
-
 static void assert_served(struct world *w, bool http2)
 {
 	struct call c = { .path = "/v1/statement",
@@ -53,18 +26,19 @@
 START_TEST(serves_both_protocols)
 {
 	struct call clear = { .path = "/health" };
-	struct files f;
+	struct settings s;
 	struct world *w;
 
-	files_make(&f);
-	w = world_new(&f.settings);
+	world_settings(&s);
+	tls_files_make(&s);
+	w = world_new(&s);
 	assert_served(w, false);
 	assert_served(w, true);
 	world_call(w, &clear);
 	ck_assert_int_eq(clear.status, 0);
 	call_clear(&clear);
 	world_free(w);
-	files_remove(&f);
+	tls_files_remove(&s);
 }
 END_TEST
 
@@ -84,17 +58,18 @@
 
 START_TEST(bad_files_are_told)
 {
-	struct files f;
+	struct settings good, s;
 	char *fault;
 
-	files_make(&f);
-	strcpy(f.settings.tls_key, f.settings.tls_certificate);
-	fault = start_fault(&f.settings);
+	world_settings(&good);
+	tls_files_make(&good);
+	s = good;
+	strcpy(s.tls_key, s.tls_certificate);
+	fault = start_fault(&s);
 	ck_assert_msg(strstr(fault, "allowed a PEM certificate") != NULL, "%s",
 		      fault);
 	g_free(fault);
-	g_snprintf(f.settings.tls_key, PATH_BYTES, "%s/k.pem", f.directory);
-	files_remove(&f);
+	tls_files_remove(&good);
 }
 END_TEST
 
--- a/tests/tls_files.c
+++ b/tests/tls_files.c
@@ -1,6 +1,8 @@
 /** @file tls_files.c Makes a certificate. */
 #include "tls_files.h"
 
+#include <check.h>
+#include <glib/gstdio.h>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
 #include <openssl/x509.h>
@@ -25,7 +27,7 @@
 	return x;
 }
 
-bool tls_files_write(const char *certificate, const char *key)
+static bool write_files(const char *certificate, const char *key)
 {
 	EVP_PKEY *pair = EVP_EC_gen("P-256");
 	X509 *x = certificate_of(pair);
@@ -43,3 +45,24 @@
 	EVP_PKEY_free(pair);
 	return ok;
 }
+
+void tls_files_make(struct settings *s)
+{
+	char *directory = g_dir_make_tmp("tls-XXXXXX", NULL);
+
+	ck_assert_ptr_nonnull(directory);
+	g_snprintf(s->tls_certificate, PATH_BYTES, "%s/c.pem", directory);
+	g_snprintf(s->tls_key, PATH_BYTES, "%s/k.pem", directory);
+	ck_assert(write_files(s->tls_certificate, s->tls_key));
+	g_free(directory);
+}
+
+void tls_files_remove(const struct settings *s)
+{
+	char *directory = g_path_get_dirname(s->tls_key);
+
+	g_remove(s->tls_certificate);
+	g_remove(s->tls_key);
+	g_rmdir(directory);
+	g_free(directory);
+}
--- a/tests/tls_files.h
+++ b/tests/tls_files.h
@@ -2,9 +2,12 @@
 #ifndef TLS_FILES_H
 #define TLS_FILES_H
 
-#include <stdbool.h>
-
-/** Writes a key and a certificate signed by itself, PEM. */
-bool tls_files_write(const char *certificate, const char *key);
+#include "../src/settings.h"
+/**
+ * Writes a key and a certificate signed by itself into a new directory and
+ * names them in @a s.
+ */
+void tls_files_make(struct settings *s);
+void tls_files_remove(const struct settings *s);
 
 #endif
