Ignore SIGPIPE wherever a front runs

A write to a connection that its caller had ended stopped the whole process (two test programs ended with signal 13 once answers state their length).

--- a/src/cli_serve.c
+++ b/src/cli_serve.c
@@ -54,7 +54,6 @@
 	pthread_t waiter;
 	sigset_t set;
 
-	signal(SIGPIPE, SIG_IGN);
 	signals_of_serve(&set);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	log_open(s->log_level, STDERR_FILENO);
--- a/src/front.c
+++ b/src/front.c
@@ -3,6 +3,7 @@
 #include "front_internal.h"
 
 #include <poll.h>
+#include <signal.h>
 #include <stdio.h>
 
 #include "log.h"
@@ -127,6 +128,8 @@
 	struct front *f = g_new0(struct front, 1);
 	size_t routes;
 
+	/* h2o writes to connections whose other side may be gone. */
+	signal(SIGPIPE, SIG_IGN);
 	front_routes(&routes);
 	f->loop = loop;
 	f->settings = settings;
