Run the composed core: endpoint of ended statements, ages, proof limits

The home names its endpoint in what ended, so that a verified answer finds its order; broadcasts carry the age that the home measured; writes are held at a primary whose term is not proved; the time limit of a proof travels with the result and an entry instance that was paused answers unknown.

--- a/core/entry.c
+++ b/core/entry.c
@@ -11,6 +11,8 @@
 /* An instance that knows no contracts yet cannot tell keys apart. */
 #define STARTUP_GRACE (3 * HM_SEC)
 #define ATTEMPTS_MAX 8
+/* Longer between two steps, and the instance was paused. */
+#define PAUSE_LIMIT (5 * CORE_TICK)
 #define BACKOFF_FIRST (5 * HM_MS)
 #define BACKOFF_SHIFT_MAX 5
 
@@ -413,10 +415,23 @@
 		c->figures.reads_replica++;
 }
 
+/*
+ * Proof of a term holds for a short time only. An instance that was paused
+ * cannot tell how long a message waited for it.
+ */
+static bool is_expired(const struct core *c, const struct result *r,
+		       hm_time now)
+{
+	if (!r->valid_until || r->valid_until == HM_NEVER)
+		return false;
+	return now >= r->valid_until || now - c->stepped_at > PAUSE_LIMIT;
+}
+
 void entry_result(struct core *c, const struct result *r, uint64_t from,
 		  hm_time now, struct actions *actions)
 {
 	struct pending *p = pending_find(c->entry, r->id);
+	struct result unproved;
 	struct database *d;
 
 	if (!p || r->id.life != c->options.life)
@@ -428,6 +443,13 @@
 		group_attempt(d->group, p->endpoint,
 			      r->error == ERR_NONE || r->error == ERR_STATEMENT,
 			      now);
+	if (r->error == ERR_NONE && is_expired(c, r, now)) {
+		unproved = *r;
+		unproved.error = ERR_OUTCOME_UNKNOWN;
+		unproved.execution = EXEC_UNKNOWN;
+		unproved.body = 0;
+		r = &unproved;
+	}
 	if (is_worth_retry(p, r)) {
 		retry(c, p, r, now, actions);
 		return;
--- a/core/holder.c
+++ b/core/holder.c
@@ -267,14 +267,14 @@
 	msg->state.queued = load.queued;
 	msg->state.free_slots = load.free_slots;
 	msg->state.wait = load.wait;
+	msg->state.age = group_age(d->group, state->at, now);
 	(void)c;
-	(void)d;
 }
 
 /* The same report, with the question's number, for this instance. */
-static void report_here(struct core *c, struct member *m, struct rid nonce,
-			const struct endpoint_state *state, hm_time now,
-			struct actions *actions)
+static void report_here(struct core *c, struct database *d, struct member *m,
+			struct rid nonce, const struct endpoint_state *state,
+			hm_time now, struct actions *actions)
 {
 	struct state_report r = { 0 };
 	struct home_load load = { 0 };
@@ -286,6 +286,7 @@
 	r.queued = load.queued;
 	r.free_slots = load.free_slots;
 	r.wait = load.wait;
+	r.age = group_age(d->group, state->at, now);
 	databases_report(c, &r, c->options.life, now, actions);
 }
 
@@ -306,7 +307,7 @@
 	}
 	m->reachable = state->reachable;
 	report(c, d, m, state, now, actions);
-	report_here(c, m, nonce, state, now, actions);
+	report_here(c, d, m, nonce, state, now, actions);
 }
 
 static void candidate_state(struct core *c, struct database *d,
@@ -340,7 +341,7 @@
 		return;
 	}
 	if (!rid_equal(nonce, m->asked)) {
-		report_here(c, m, nonce, state, now, actions);
+		report_here(c, d, m, nonce, state, now, actions);
 		return;
 	}
 	m->asked_at = 0;
@@ -416,8 +417,11 @@
 static void member_tick(struct core *c, struct database *d, struct member *m,
 			hm_time now, struct actions *actions)
 {
-	if (m->home)
+	if (m->home) {
+		home_hold_writes(m->home, verify_stalled(d->verify, now) &&
+						  is_primary(d, m, now));
 		home_tick(m->home, now, actions);
+	}
 	if (m->home && c->stopping && !entry_count(c))
 		drain(c, d, m, now, actions);
 	if (!m->handed)
@@ -492,6 +496,7 @@
 	struct served *s;
 
 	while (verify_next(d->verify, &v)) {
+		v.result.valid_until = v.valid_until;
 		s = served_find(&c->holder->served, v.result.id, v.attempt,
 				v.result.endpoint);
 		if (s)
--- a/core/home_state.c
+++ b/core/home_state.c
@@ -52,6 +52,7 @@
 	}
 	e = &h->ended[h->ended_count++];
 	*e = (struct home_ended){ .statement = turn->statement,
+				  .endpoint = h->spec.endpoint,
 				  .reply_to = turn->reply_to,
 				  .ended_at = now };
 	return e;
--- a/core/message.h
+++ b/core/message.h
@@ -36,7 +36,8 @@
 	struct rid id;
 	enum error error;
 	enum execution execution;
-	hm_time retry_at; /**< when to come back, 0 if not applicable */
+	hm_time retry_at;    /**< when to come back, 0 if not applicable */
+	hm_time valid_until; /**< acknowledge before this; HM_NEVER: always */
 	hm_id database;
 	hm_id endpoint;
 	struct mark at;	   /**< session mark to hand out, term 0 for none */
--- a/core/options.c
+++ b/core/options.c
@@ -14,7 +14,7 @@
 	o->probe_every = 100 * HM_MS;
 	o->probe_silent = 400 * HM_MS;
 	o->evidence_valid = 300 * HM_MS;
-	o->replica_wait = 250 * HM_MS;
+	o->replica_wait = 2 * HM_SEC;
 	o->isolated_grace = 5 * HM_SEC;
 	o->idle_transaction = 10 * HM_SEC;
 	o->statement_limit = 10 * HM_SEC;
--- a/src/wire.c
+++ b/src/wire.c
@@ -255,6 +255,7 @@
 	CODE_ENUM(c, r->error, ERR_COUNT);
 	CODE_ENUM(c, r->execution, EXEC_UNKNOWN + 1);
 	code_deadline(c, &r->retry_at);
+	code_deadline(c, &r->valid_until);
 	code_u64(c, &r->database);
 	code_u64(c, &r->endpoint);
 	code_mark(c, &r->at);
@@ -305,6 +306,7 @@
 	code_u32(c, &r->queued);
 	code_u32(c, &r->free_slots);
 	code_span(c, &r->wait);
+	code_span(c, &r->age);
 }
 
 static void code_rate(struct codec *c, struct rate_order *r)
