Model both deployments in virtual time, beside a naive version

Change: instances run the real decisions through core/core.h; endpoints, network, platform and callers are modelled; naive.c does the same work the plain way.

--- /dev/null
+++ b/src/bench.c
@@ -0,0 +1,186 @@
+/** @file bench.c Experiments on the model. */
+#include "bench.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define SEEDS_MAX 64
+#define FAULT_AT (10 * HM_SEC)
+#define FAULT_UNTIL (20 * HM_SEC)
+#define SKEW_PERCENT 90
+#define OVERLOAD_TIMES 5
+
+const struct bench_case bench_cases[] = {
+	{ "steady", FAULT_NONE, 0, false, false },
+	{ "lag 500 ms", FAULT_NONE, 500 * HM_MS, false, false },
+	{ "skewed 90/10", FAULT_NONE, 0, true, false },
+	{ "one at five times", FAULT_NONE, 0, false, true },
+	{ "primary dead", FAULT_PRIMARY_DEAD, 0, false, false },
+	{ "primary cut off", FAULT_PRIMARY_CUT, 0, false, false },
+	{ "zone cut off", FAULT_ZONE_CUT, 0, false, false },
+	{ "instance dead", FAULT_INSTANCE_DEAD, 0, true, false },
+	{ "instance paused", FAULT_INSTANCE_PAUSED, 0, false, false },
+	{ "replica behind", FAULT_REPLICA_BEHIND, 0, false, false },
+	{ "platform down", FAULT_PLATFORM_DOWN, 0, true, false },
+};
+const size_t bench_case_count = G_N_ELEMENTS(bench_cases);
+
+uint64_t bench_violations(const struct model_figures *f)
+{
+	return f->stale_session + f->stale_age + f->acked_superseded +
+	       f->untrue_not_run + f->run_twice + f->over_rate + f->over_slots +
+	       f->over_connections;
+}
+
+static void fill_plan(const struct bench_case *c, const struct model_site *site,
+		      const struct model_server *server, hm_time duration,
+		      struct model_plan *plan)
+{
+	struct model_account *first = &plan->site.accounts[0];
+
+	memset(plan, 0, sizeof(*plan));
+	plan->site = *site;
+	plan->server = server;
+	plan->duration = duration;
+	if (c->lag)
+		plan->site.lag = c->lag;
+	if (c->skewed)
+		plan->site.skew_percent = SKEW_PERCENT;
+	if (c->overloaded)
+		first->offered = first->rate * OVERLOAD_TIMES;
+	if (c->fault == FAULT_NONE)
+		return;
+	plan->fault_count = 1;
+	plan->faults[0].kind = c->fault;
+	plan->faults[0].at = FAULT_AT;
+	plan->faults[0].until = FAULT_UNTIL;
+}
+
+static double per_ten_thousand(uint64_t part, uint64_t whole)
+{
+	return whole ? 10000.0 * (double)part / (double)whole : 0;
+}
+
+static gint compare_times(gconstpointer a, gconstpointer b)
+{
+	hm_time s = *(const hm_time *)a, t = *(const hm_time *)b;
+
+	return s < t ? -1 : s > t;
+}
+
+/* Adds the counts of one seed to the sums of a row. */
+static void add_seed(struct bench_row *row, const struct model_figures *f)
+{
+	struct model_figures *sum = &row->last;
+	uint32_t i;
+
+	sum->requests += f->requests;
+	sum->inside_rate += f->inside_rate;
+	sum->refused_wrongly += f->refused_wrongly;
+	sum->unknown += f->unknown;
+	sum->no_answer += f->no_answer;
+	sum->reads_aged += f->reads_aged;
+	sum->reads_aged_replica += f->reads_aged_replica;
+	sum->stale_session += f->stale_session;
+	sum->stale_age += f->stale_age;
+	sum->acked_superseded += f->acked_superseded;
+	sum->acked_lost += f->acked_lost;
+	sum->untrue_not_run += f->untrue_not_run;
+	sum->run_twice += f->run_twice;
+	sum->over_rate += f->over_rate;
+	sum->over_slots += f->over_slots;
+	sum->over_connections += f->over_connections;
+	for (i = 0; i < ERR_COUNT; i++)
+		sum->refused_by[i] += f->refused_by[i];
+	row->violations += bench_violations(f);
+	row->worst_share = MIN(row->worst_share, f->worst_share);
+	row->worst_p99 = MAX(row->worst_p99, f->worst_p99);
+	row->p50 = MAX(row->p50, f->p50);
+	row->p99 = MAX(row->p99, f->p99);
+}
+
+void bench_run(const struct bench_case *c, const struct model_site *site,
+	       const struct model_server *server, uint64_t seed, uint32_t seeds,
+	       hm_time duration, struct bench_row *out)
+{
+	hm_time gaps[SEEDS_MAX];
+	struct model_figures f;
+	struct model_plan plan;
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->site = site->name;
+	out->name = c->name;
+	out->server = server->name;
+	out->seeds = MIN(seeds, SEEDS_MAX);
+	out->worst_share = 1;
+	for (i = 0; i < out->seeds; i++) {
+		fill_plan(c, site, server, duration, &plan);
+		plan.seed = seed + i;
+		model_run(&plan, &f);
+		gaps[i] = f.write_gap_worst;
+		add_seed(out, &f);
+	}
+	qsort(gaps, out->seeds, sizeof(gaps[0]), compare_times);
+	out->gap_median = gaps[out->seeds / 2];
+	out->gap_worst = gaps[out->seeds - 1];
+	out->replica_share = out->last.reads_aged
+				     ? (double)out->last.reads_aged_replica /
+					       (double)out->last.reads_aged
+				     : 0;
+	out->wrongful = per_ten_thousand(out->last.refused_wrongly,
+					 out->last.inside_rate);
+	out->unknown = per_ten_thousand(out->last.unknown, out->last.requests);
+}
+
+void bench_watch(const struct bench_case *c, const struct model_site *site,
+		 uint64_t seed, hm_time duration,
+		 void (*decision)(hm_time at, uint32_t instance,
+				  const struct decision *d))
+{
+	struct model_figures f;
+	struct model_plan plan;
+
+	fill_plan(c, site, &model_core, duration, &plan);
+	plan.seed = seed;
+	plan.decision = decision;
+	model_run(&plan, &f);
+}
+
+static json_t *refusals_json(const struct model_figures *f)
+{
+	json_t *all = json_object();
+	uint32_t i;
+
+	for (i = 1; i < ERR_COUNT; i++)
+		if (f->refused_by[i])
+			json_object_set_new(
+				all, error_answer((enum error)i)->code,
+				json_integer((json_int_t)f->refused_by[i]));
+	return all;
+}
+
+json_t *bench_json(const struct bench_row *r)
+{
+	const struct model_figures *f = &r->last;
+
+	return json_pack(
+		"{s:s,s:s,s:s,s:i,s:f,s:I,s:I,s:f,s:I,s:f,s:f,s:I,s:I,"
+		"s:o,s:{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}}",
+		"site", r->site, "case", r->name, "server", r->server, "seeds",
+		(int)r->seeds, "replica_share", r->replica_share,
+		"gap_median_us", (json_int_t)r->gap_median, "gap_worst_us",
+		(json_int_t)r->gap_worst, "worst_account_share", r->worst_share,
+		"worst_account_p99_us", (json_int_t)r->worst_p99,
+		"wrongful_per_10000", r->wrongful, "unknown_per_10000",
+		r->unknown, "p50_us", (json_int_t)r->p50, "p99_us",
+		(json_int_t)r->p99, "refusals", refusals_json(f),
+		"must_be_zero", "stale_session", (json_int_t)f->stale_session,
+		"stale_age", (json_int_t)f->stale_age, "acked_superseded",
+		(json_int_t)f->acked_superseded, "acked_lost",
+		(json_int_t)f->acked_lost, "untrue_not_run",
+		(json_int_t)f->untrue_not_run, "run_twice",
+		(json_int_t)f->run_twice, "over_rate", (json_int_t)f->over_rate,
+		"over_slots", (json_int_t)f->over_slots, "over_connections",
+		(json_int_t)f->over_connections);
+}
--- /dev/null
+++ b/src/cli_bench.c
@@ -0,0 +1,181 @@
+/** @file cli_bench.c Prints the measures for both deployments. */
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "bench.h"
+#include "cli_embedded.h"
+
+static gboolean as_json;
+static gboolean decisions;
+static int seeds = 5;
+static int seed = 1;
+static int seconds = 30;
+static char *only_case;
+static char *only_site;
+
+static GOptionEntry entries[] = {
+	{ "json", 0, 0, G_OPTION_ARG_NONE, &as_json, "print JSON", NULL },
+	{ "decisions", 0, 0, G_OPTION_ARG_NONE, &decisions,
+	  "print the decisions of the first seed instead", NULL },
+	{ "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "runs of each case, 1 to 64",
+	  "N" },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
+	{ "seconds", 0, 0, G_OPTION_ARG_INT, &seconds,
+	  "virtual time of a run, from 5", "N" },
+	{ "case", 0, 0, G_OPTION_ARG_STRING, &only_case, "one case alone",
+	  "NAME" },
+	{ "site", 0, 0, G_OPTION_ARG_STRING, &only_site,
+	  "library or tangle alone", "NAME" },
+	{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+};
+
+static const struct {
+	const char *name;
+	void (*fill)(struct model_site *site);
+} sites[] = {
+	{ "library", model_site_library },
+	{ "tangle", model_site_tangle },
+};
+
+static const struct model_server *const servers[] = { &model_core,
+						      &model_naive };
+
+static void print_head(void)
+{
+	printf("%-17s %-18s %-12s %8s %8s %8s %7s %8s %9s %8s %7s %7s %5s\n",
+	       "site", "case", "server", "replica", "gap med", "gap max",
+	       "worst", "its p99", "wrongful", "unknown", "p50", "p99", "must");
+	printf("%-17s %-18s %-12s %8s %8s %8s %7s %8s %9s %8s %7s %7s %5s\n",
+	       "", "", "", "reads %", "s", "s", "share", "ms", "/10,000",
+	       "/10,000", "ms", "ms", "be 0");
+}
+
+static void print_row(const struct bench_row *r)
+{
+	printf("%-17s %-18s %-12s %8.1f %8.2f %8.2f %7.3f %8.1f %9.2f %8.2f "
+	       "%7.1f %7.1f %5llu\n",
+	       r->site, r->name, r->server, 100 * r->replica_share,
+	       (double)r->gap_median / HM_SEC, (double)r->gap_worst / HM_SEC,
+	       r->worst_share, (double)r->worst_p99 / HM_MS, r->wrongful,
+	       r->unknown, (double)r->p50 / HM_MS, (double)r->p99 / HM_MS,
+	       (unsigned long long)r->violations);
+	fflush(stdout);
+}
+
+/* No queue and no fault: delays and mean slot time alone. */
+static void print_limits(const struct model_site *s)
+{
+	hm_time near = 2 * s->client_delay;
+
+	printf("%-17s physical limits: read %.1f ms at a replica of the zone, "
+	       "write %.1f ms at another zone's primary; writes need a log "
+	       "record at a replica: %.1f ms\n",
+	       s->name, (double)(near + s->read_cost) / HM_MS,
+	       (double)(near + s->write_cost + 2 * s->zone_delay) / HM_MS,
+	       (double)(near + s->write_cost + 2 * s->zone_delay + s->lag) /
+		       HM_MS);
+}
+
+static void progress(const struct model_site *site, const struct bench_case *c,
+		     const struct model_server *server)
+{
+	if (isatty(STDERR_FILENO))
+		fprintf(stderr, "\r%s, %s, %s ...          \r", site->name,
+			c->name, server->name);
+}
+
+static void run_case(const struct bench_case *c, const struct model_site *site,
+		     json_t *rows)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(servers); i++) {
+		struct bench_row row;
+
+		progress(site, c, servers[i]);
+		bench_run(c, site, servers[i], (uint64_t)seed, (uint32_t)seeds,
+			  seconds * HM_SEC, &row);
+		if (as_json)
+			json_array_append_new(rows, bench_json(&row));
+		else
+			print_row(&row);
+	}
+}
+
+static void print_decision(hm_time at, uint32_t instance,
+			   const struct decision *d)
+{
+	printf("t=%.3f instance=%u decision=%s reason=\"%s\" "
+	       "request=%" G_GUINT64_FORMAT " endpoint=%016" G_GINT64_MODIFIER
+	       "x peer=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT
+	       " pos=%" G_GUINT64_FORMAT "\n",
+	       (double)at / HM_SEC, instance, d->what, d->reason,
+	       d->request.seq, d->endpoint, d->peer >> 32, d->at.term,
+	       d->at.pos);
+}
+
+static void run_site(const struct model_site *site, json_t *rows)
+{
+	size_t i;
+
+	if (!as_json && !decisions)
+		print_limits(site);
+	for (i = 0; i < bench_case_count; i++) {
+		const struct bench_case *c = &bench_cases[i];
+
+		if (only_case && strcmp(only_case, c->name) != 0)
+			continue;
+		if (decisions)
+			bench_watch(c, site, (uint64_t)seed, seconds * HM_SEC,
+				    print_decision);
+		else
+			run_case(c, site, rows);
+	}
+}
+
+static int run_model(void)
+{
+	json_t *rows = json_array();
+	struct model_site site;
+	char *text;
+	size_t i;
+
+	if (!as_json && !decisions)
+		print_head();
+	for (i = 0; i < G_N_ELEMENTS(sites); i++) {
+		if (only_site && strcmp(only_site, sites[i].name) != 0)
+			continue;
+		sites[i].fill(&site);
+		run_site(&site, rows);
+	}
+	if (as_json) {
+		text = json_dumps(rows,
+				  JSON_INDENT(1) | JSON_REAL_PRECISION(6));
+		printf("%s\n", text);
+		g_free(text);
+	}
+	json_decref(rows);
+	return 0;
+}
+
+int cli_bench(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+	int code = 1;
+
+	g_option_context_set_summary(context, "Measures a model of both "
+					      "deployments, case by case.");
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error))
+		fprintf(stderr, "%s\n", error->message);
+	else if (seeds < 1 || seeds > 64 || seconds < 5)
+		fprintf(stderr, "--seeds takes 1 to 64, --seconds from 5\n");
+	else
+		code = run_model();
+	g_clear_error(&error);
+	g_option_context_free(context);
+	return code;
+}
--- /dev/null
+++ b/src/model_load.c
@@ -0,0 +1,505 @@
+/** @file model_load.c Callers with sessions, and what they measure. */
+#include <string.h>
+
+#include "model_world.h"
+
+#define SESSIONS 200 /* of each account */
+/* A balancer goes on sending to a dead instance for this long. */
+#define BALANCER_LAG (500 * HM_MS)
+#define WARM_UP (3 * HM_SEC)
+
+/* What a session knows of one database. */
+struct session {
+	struct mark floor;
+	bool unsure;
+	uint64_t own_write; /* last acknowledged, 0 for none */
+	uint64_t own_pos;
+};
+
+struct model_request {
+	bool used;
+	bool ended;
+	uint32_t account;
+	uint32_t session;
+	uint32_t group;
+	uint32_t instance;
+	uint32_t starts;
+	bool read;
+	bool inside_rate;
+	bool measured;
+	hm_time max_age;
+	hm_time sent_at;
+	hm_time arrive_at;
+	uint64_t must_write; /* the session's own, to be seen by a read */
+	uint64_t must_pos;
+	uint64_t aged_write; /* must be seen by the accepted age */
+	uint64_t aged_pos;
+	uint64_t write; /* committed under this request, 0 for none */
+	uint64_t write_pos;
+	uint32_t executions;
+	uint32_t commits;
+	struct statement statement;
+};
+
+/* An acknowledged write, in order of acknowledgement. */
+struct acked {
+	hm_time at;
+	uint64_t write;
+	uint64_t pos;
+};
+
+struct load {
+	struct world *world;
+	GPtrArray *requests; /* struct model_request; number is index + 1 */
+	struct session sessions[MODEL_ACCOUNTS_MAX][SESSIONS][4];
+	GArray *acked[4];		   /* struct acked, positions growing */
+	GArray *waits[MODEL_ACCOUNTS_MAX]; /* hm_time */
+	double bucket[MODEL_ACCOUNTS_MAX]; /* tokens of conforming arrivals */
+	double passed[MODEL_ACCOUNTS_MAX]; /* let through, as a leaky bucket */
+	hm_time bucket_at[MODEL_ACCOUNTS_MAX];
+	hm_time passed_at[MODEL_ACCOUNTS_MAX];
+	uint64_t entitled[MODEL_ACCOUNTS_MAX];
+	uint64_t served[MODEL_ACCOUNTS_MAX];
+	hm_time last_ack;
+	hm_time dead_since[MODEL_INSTANCES_MAX];
+};
+
+/* Body of a read's result: bit 0 own write seen, bit 1 age held. */
+#define BODY_SEEN 1
+#define BODY_FRESH 2
+#define BODY_SET 4
+
+static struct model_request *request_of(const struct load *l, uint64_t seq)
+{
+	if (!seq || seq > l->requests->len)
+		return NULL;
+	return g_ptr_array_index(l->requests, seq - 1);
+}
+
+/* Token bucket over arrivals: whether this one is inside the contract. */
+static bool conforms(struct load *l, uint32_t account, hm_time now)
+{
+	const struct model_account *a = &l->world->plan.site.accounts[account];
+	double add = (double)(now - l->bucket_at[account]) * a->rate / HM_SEC;
+
+	l->bucket[account] = MIN((double)a->burst, l->bucket[account] + add);
+	l->bucket_at[account] = now;
+	if (l->bucket[account] < 1)
+		return false;
+	l->bucket[account] -= 1;
+	return true;
+}
+
+/* The same over what was let through: beyond it is a breach. */
+static void count_passed(struct load *l, uint32_t account, hm_time now)
+{
+	const struct model_account *a = &l->world->plan.site.accounts[account];
+	double drain = (double)(now - l->passed_at[account]) * a->rate / HM_SEC;
+
+	l->passed[account] = MAX(0, l->passed[account] - drain) + 1;
+	l->passed_at[account] = now;
+	if (l->passed[account] > (double)a->burst + 1)
+		l->world->figures.over_rate++;
+}
+
+static uint32_t pick_instance(struct load *l)
+{
+	struct world *w = l->world;
+	const struct model_site *site = &w->plan.site;
+	uint32_t i = 0, tries;
+
+	for (tries = 0; tries < 20; tries++) {
+		i = 0;
+		if (rng_below(&w->rng, 100) >= site->skew_percent)
+			i = (uint32_t)rng_below(&w->rng, site->instances);
+		if (w->instances[i].server)
+			return i;
+		if (w->schedule.now < l->dead_since[i] + BALANCER_LAG)
+			return i;
+	}
+	return i;
+}
+
+static void fill_must(struct load *l, struct model_request *r)
+{
+	struct session *s = &l->sessions[r->account][r->session][r->group];
+	hm_time before = r->sent_at - r->max_age;
+	const GArray *acked = l->acked[r->group];
+	guint low = 0, high = acked->len;
+
+	r->statement.floor = s->floor;
+	r->statement.unsure = s->unsure;
+	r->must_write = s->own_write;
+	r->must_pos = s->own_pos;
+	while (low < high) {
+		guint middle = (low + high) / 2;
+
+		if (g_array_index(acked, struct acked, middle).at <= before)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	if (!low)
+		return;
+	r->aged_write = g_array_index(acked, struct acked, low - 1).write;
+	r->aged_pos = g_array_index(acked, struct acked, low - 1).pos;
+}
+
+static void finish(struct load *l, struct model_request *r)
+{
+	r->ended = true;
+	(void)l;
+}
+
+static void arrive(void *owner, void *arg)
+{
+	struct world *w = owner;
+	struct load *l = w->load;
+	struct model_request *r = arg;
+	struct model_instance *i = &w->instances[r->instance];
+	struct event e = { .kind = EV_REQUEST };
+
+	if (!i->server) {
+		w->figures.no_answer += r->measured;
+		finish(l, r);
+		return;
+	}
+	r->starts = i->starts;
+	r->arrive_at = w->schedule.now;
+	r->statement.id.life = i->options.life;
+	r->statement.deadline = w->schedule.now + w->plan.site.deadline;
+	e.request = r->statement;
+	world_event(w, r->instance, i->starts, &e);
+}
+
+static void send_request(struct load *l, uint32_t account)
+{
+	struct world *w = l->world;
+	const struct model_site *site = &w->plan.site;
+	struct model_request *r = g_new0(struct model_request, 1);
+
+	g_ptr_array_add(l->requests, r);
+	r->used = true;
+	r->account = account;
+	r->session = (uint32_t)rng_below(&w->rng, SESSIONS);
+	r->group = (uint32_t)rng_below(&w->rng, site->databases);
+	r->read = rng_below(&w->rng, 100) < site->read_percent;
+	if (r->read && rng_below(&w->rng, 100) < site->aged_percent)
+		r->max_age = site->max_age;
+	r->sent_at = w->schedule.now;
+	r->measured = r->sent_at >= WARM_UP;
+	r->inside_rate = conforms(l, account, r->sent_at);
+	r->instance = pick_instance(l);
+	r->statement.id.seq = l->requests->len;
+	r->statement.op = r->read ? OP_READ : OP_WRITE;
+	r->statement.key = w->contracts[account].keys[0];
+	r->statement.database = w->databases[r->group].database;
+	r->statement.max_age = r->max_age;
+	r->statement.body = l->requests->len;
+	fill_must(l, r);
+	w->figures.requests += r->measured;
+	if (r->measured && r->inside_rate) {
+		w->figures.inside_rate++;
+		l->entitled[account]++;
+	}
+	schedule_at(&w->schedule, w->schedule.now + site->client_delay, arrive,
+		    w, r);
+}
+
+static void next_request(void *owner, void *arg)
+{
+	struct world *w = owner;
+	uint32_t account = GPOINTER_TO_UINT(arg);
+	uint32_t offered = w->plan.site.accounts[account].offered;
+	hm_time wait;
+
+	if (!offered || w->schedule.now > w->plan.duration)
+		return;
+	send_request(w->load, account);
+	wait = world_exponential(w, HM_SEC / offered);
+	schedule_at(&w->schedule, w->schedule.now + wait, next_request, w, arg);
+}
+
+struct load *load_new(struct world *w)
+{
+	struct load *l = g_new0(struct load, 1);
+	uint32_t i;
+
+	l->world = w;
+	l->requests = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < 4; i++)
+		l->acked[i] = g_array_new(FALSE, FALSE, sizeof(struct acked));
+	for (i = 0; i < MODEL_ACCOUNTS_MAX; i++)
+		l->waits[i] = g_array_new(FALSE, FALSE, sizeof(hm_time));
+	for (i = 0; i < w->plan.site.account_count; i++) {
+		l->bucket[i] = w->plan.site.accounts[i].burst;
+		schedule_at(&w->schedule, HM_SEC, next_request, w,
+			    GUINT_TO_POINTER(i));
+	}
+	return l;
+}
+
+void load_free(struct load *l)
+{
+	uint32_t i;
+
+	for (i = 0; i < 4; i++)
+		g_array_free(l->acked[i], TRUE);
+	for (i = 0; i < MODEL_ACCOUNTS_MAX; i++)
+		g_array_free(l->waits[i], TRUE);
+	g_ptr_array_free(l->requests, TRUE);
+	g_free(l);
+}
+
+uint64_t load_executed(struct load *l, const struct statement *s,
+		       const struct model_member *m, uint64_t visible)
+{
+	struct model_request *r = request_of(l, s->body);
+	const struct model_member *primary;
+	uint64_t body = BODY_SET;
+	uint32_t newest;
+
+	if (!r)
+		return body;
+	r->executions++;
+	if (!r->must_write ||
+	    member_holds(m, r->must_pos, r->must_write, visible))
+		body |= BODY_SEEN;
+	newest = group_newest(l->world, m->group);
+	if (newest == NO_MEMBER)
+		return body | BODY_FRESH;
+	primary = &l->world->members[m->group][newest];
+	/* What a failover lost can be asked of nobody. */
+	if (!r->aged_write ||
+	    !member_holds(primary, r->aged_pos, r->aged_write,
+			  primary->log->len) ||
+	    member_holds(m, r->aged_pos, r->aged_write, visible))
+		body |= BODY_FRESH;
+	return body;
+}
+
+void load_committed(struct load *l, const struct statement *s, uint64_t write,
+		    uint64_t pos)
+{
+	struct model_request *r = request_of(l, s->body);
+
+	if (!r)
+		return;
+	r->commits++;
+	if (r->commits > 1)
+		l->world->figures.run_twice++;
+	r->write = write;
+	r->write_pos = pos;
+}
+
+static void check_superseded(struct load *l, const struct model_request *r)
+{
+	struct world *w = l->world;
+	uint32_t newest = group_newest(w, r->group);
+	const struct model_member *m;
+
+	if (newest == NO_MEMBER)
+		return;
+	m = &w->members[r->group][newest];
+	if (!member_holds(m, r->write_pos, r->write, m->log->len))
+		w->figures.acked_superseded++;
+}
+
+static void write_acked(struct load *l, struct model_request *r)
+{
+	struct world *w = l->world;
+	struct session *s = &l->sessions[r->account][r->session][r->group];
+	struct acked acked = { w->schedule.now, r->write, r->write_pos };
+	GArray *all = l->acked[r->group];
+
+	check_superseded(l, r);
+	s->own_write = r->write;
+	s->own_pos = r->write_pos;
+	if (!all->len ||
+	    g_array_index(all, struct acked, all->len - 1).pos < r->write_pos)
+		g_array_append_val(all, acked);
+	w->figures.writes_acked += r->measured;
+	if (r->group || w->schedule.now > w->plan.duration)
+		return;
+	if (l->last_ack >= WARM_UP)
+		w->figures.write_gap_worst = MAX(w->figures.write_gap_worst,
+						 w->schedule.now - l->last_ack);
+	l->last_ack = w->schedule.now;
+}
+
+static void read_answered(struct load *l, const struct model_request *r,
+			  const struct result *result)
+{
+	struct world *w = l->world;
+	uint32_t newest = group_newest(w, r->group);
+	bool replica =
+		newest == NO_MEMBER ||
+		w->members[r->group][newest].spec->endpoint != result->endpoint;
+
+	if (!(result->body & BODY_SEEN))
+		w->figures.stale_session++;
+	if (!(result->body & BODY_FRESH))
+		w->figures.stale_age++;
+	if (!r->measured || !r->max_age)
+		return;
+	w->figures.reads_aged++;
+	w->figures.reads_aged_replica += replica;
+}
+
+static void take_mark(struct session *s, const struct result *r)
+{
+	if (r->reset_floor) {
+		s->floor = r->at;
+		s->own_write = 0;
+	} else if (mark_compare(r->at, s->floor) > 0) {
+		s->floor = r->at;
+	}
+	if (r->unsure)
+		s->unsure = true;
+	else if (r->error == ERR_NONE)
+		s->unsure = false;
+}
+
+static void answered(struct load *l, struct model_request *r,
+		     const struct result *result)
+{
+	struct world *w = l->world;
+	hm_time wait = w->schedule.now + w->plan.site.client_delay - r->sent_at;
+
+	if (r->read)
+		read_answered(l, r, result);
+	else
+		write_acked(l, r);
+	count_passed(l, r->account, w->schedule.now);
+	if (w->plan.withdraw_at && r->account == 0 &&
+	    w->schedule.now > w->plan.withdraw_at)
+		w->figures.withdrawn_served =
+			w->schedule.now - w->plan.withdraw_at;
+	if (!r->measured)
+		return;
+	w->figures.answered++;
+	g_array_append_val(l->waits[r->account], wait);
+	if (r->inside_rate)
+		l->served[r->account]++;
+}
+
+static void refused(struct load *l, struct model_request *r,
+		    const struct result *result)
+{
+	struct model_figures *f = &l->world->figures;
+	bool ran = r->read ? r->executions > 0 : r->commits > 0;
+
+	if (result->execution == EXEC_NOT_RUN && ran)
+		f->untrue_not_run++;
+	if (!r->measured)
+		return;
+	f->refused_by[result->error]++;
+	if (result->execution == EXEC_UNKNOWN)
+		f->unknown++;
+	if (result->execution != EXEC_NOT_RUN)
+		return;
+	f->refused_not_run++;
+	if (r->inside_rate && result->error != ERR_UNAUTHENTICATED)
+		f->refused_wrongly++;
+}
+
+void load_answer(struct load *l, uint32_t instance, const struct result *result)
+{
+	struct model_request *r = request_of(l, result->id.seq);
+	struct session *s;
+
+	(void)instance;
+	if (!r || r->ended)
+		return;
+	finish(l, r);
+	s = &l->sessions[r->account][r->session][r->group];
+	if (result->error == ERR_NONE)
+		answered(l, r, result);
+	else
+		refused(l, r, result);
+	take_mark(s, result);
+}
+
+void load_instance_died(struct load *l, uint32_t instance)
+{
+	guint i;
+
+	l->dead_since[instance] = l->world->schedule.now;
+	for (i = 0; i < l->requests->len; i++) {
+		struct model_request *r = g_ptr_array_index(l->requests, i);
+
+		if (r->ended || r->instance != instance || !r->arrive_at)
+			continue;
+		l->world->figures.no_answer += r->measured;
+		finish(l, r);
+	}
+}
+
+static gint compare_times(gconstpointer a, gconstpointer b)
+{
+	hm_time s = *(const hm_time *)a, t = *(const hm_time *)b;
+
+	return s < t ? -1 : s > t;
+}
+
+static hm_time quantile(GArray *waits, uint32_t percent)
+{
+	if (!waits->len)
+		return 0;
+	g_array_sort(waits, compare_times);
+	return g_array_index(waits, hm_time, (waits->len - 1) * percent / 100);
+}
+
+static void finish_waits(struct load *l)
+{
+	struct world *w = l->world;
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(hm_time));
+	uint32_t i;
+
+	w->figures.worst_share = 1;
+	for (i = 0; i < w->plan.site.account_count; i++) {
+		const struct model_account *a = &w->plan.site.accounts[i];
+		GArray *waits = l->waits[i];
+
+		g_array_append_vals(all, waits->data, waits->len);
+		if (l->entitled[i])
+			w->figures.worst_share = MIN(
+				w->figures.worst_share,
+				(double)l->served[i] / (double)l->entitled[i]);
+		if (a->offered <= a->rate)
+			w->figures.worst_p99 =
+				MAX(w->figures.worst_p99, quantile(waits, 99));
+	}
+	w->figures.p50 = quantile(all, 50);
+	w->figures.p99 = quantile(all, 99);
+	g_array_free(all, TRUE);
+}
+
+static void finish_lost(struct load *l)
+{
+	struct world *w = l->world;
+	uint32_t g;
+	guint i;
+
+	for (g = 0; g < w->plan.site.databases; g++) {
+		uint32_t newest = group_newest(w, g);
+		const struct model_member *m;
+
+		if (newest == NO_MEMBER)
+			continue;
+		m = &w->members[g][newest];
+		for (i = 0; i < l->acked[g]->len; i++) {
+			const struct acked *a =
+				&g_array_index(l->acked[g], struct acked, i);
+
+			if (!member_holds(m, a->pos, a->write, m->log->len))
+				w->figures.acked_lost++;
+		}
+	}
+}
+
+void load_finish(struct load *l)
+{
+	finish_waits(l);
+	finish_lost(l);
+}
--- /dev/null
+++ b/src/schedule.h
@@ -0,0 +1,28 @@
+/**
+ * @file schedule.h
+ * Virtual time of the model: calls in order of time, then of insertion.
+ */
+#ifndef SCHEDULE_H
+#define SCHEDULE_H
+
+#include "../core/types.h"
+
+typedef void (*schedule_call)(void *owner, void *arg);
+
+/** Binary heap of calls. An all-zero schedule is empty and valid. */
+struct schedule {
+	struct planned *heap;
+	size_t count;
+	size_t room;
+	uint64_t next;
+	hm_time now;
+};
+
+void schedule_free(struct schedule *s);
+/** Plans a call; @a arg is passed on as it is. */
+void schedule_at(struct schedule *s, hm_time at, schedule_call call,
+		 void *owner, void *arg);
+/** Performs calls until @a until; now is @a until then. */
+void schedule_run(struct schedule *s, hm_time until);
+
+#endif
--- /dev/null
+++ b/tests/test_model.c
@@ -0,0 +1,113 @@
+/**
+ * @file test_model.c
+ * Both deployments under each single fault, on the real decisions: what must
+ * always hold, and the stated goals.
+ */
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+
+#include "../src/bench.h"
+
+#define SEED 1
+#define SECONDS (25 * HM_SEC)
+/* No single fault may keep writes waiting longer. */
+#define GAP_GOAL (3 * HM_SEC)
+#define SHARE_GOAL 0.95
+#define REPLICA_GOAL 0.95
+#define REPLICA_GOAL_LAG 0.80
+#define WRONGFUL_STEADY 1.0 /* per 10,000 */
+#define WRONGFUL_FAULT 10.0
+
+static void print_row(const struct bench_row *r)
+{
+	const struct model_figures *f = &r->last;
+
+	g_print("%s, %s: session %" G_GUINT64_FORMAT " age %" G_GUINT64_FORMAT
+		" superseded %" G_GUINT64_FORMAT " not-run %" G_GUINT64_FORMAT
+		" twice %" G_GUINT64_FORMAT " rate %" G_GUINT64_FORMAT
+		" slots %" G_GUINT64_FORMAT " connections %" G_GUINT64_FORMAT
+		"; replica %.3f gap %.2f s share %.3f wrongful %.2f\n",
+		r->site, r->name, f->stale_session, f->stale_age,
+		f->acked_superseded, f->untrue_not_run, f->run_twice,
+		f->over_rate, f->over_slots, f->over_connections,
+		r->replica_share, (double)r->gap_worst / HM_SEC, r->worst_share,
+		r->wrongful);
+}
+
+static void check_goals(const struct bench_case *c, const struct bench_row *r)
+{
+	bool steady = c->fault == FAULT_NONE;
+
+	ck_assert_uint_eq(r->violations, 0);
+	ck_assert_int_lt(r->gap_worst, GAP_GOAL);
+	ck_assert(r->wrongful < (steady ? WRONGFUL_STEADY : WRONGFUL_FAULT));
+	if (steady)
+		ck_assert(r->worst_share >= SHARE_GOAL);
+	if (steady)
+		ck_assert(r->replica_share >=
+			  (c->lag ? REPLICA_GOAL_LAG : REPLICA_GOAL));
+}
+
+static void run_all(const struct model_site *site)
+{
+	struct bench_row row;
+	size_t i;
+
+	for (i = 0; i < bench_case_count; i++) {
+		bench_run(&bench_cases[i], site, &model_core, SEED, 1, SECONDS,
+			  &row);
+		print_row(&row);
+		check_goals(&bench_cases[i], &row);
+	}
+}
+
+START_TEST(library_holds)
+{
+	struct model_site site;
+
+	model_site_library(&site);
+	run_all(&site);
+}
+END_TEST
+
+START_TEST(tangle_holds)
+{
+	struct model_site site;
+
+	model_site_tangle(&site);
+	run_all(&site);
+}
+END_TEST
+
+START_TEST(same_seed_same_figures)
+{
+	struct model_site site;
+	struct bench_row a, b;
+
+	model_site_library(&site);
+	bench_run(&bench_cases[4], &site, &model_core, 7, 1, 15 * HM_SEC, &a);
+	bench_run(&bench_cases[4], &site, &model_core, 7, 1, 15 * HM_SEC, &b);
+	ck_assert_mem_eq(&a.last, &b.last, sizeof(a.last));
+	ck_assert_int_eq(a.gap_worst, b.gap_worst);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("model");
+	TCase *tc = tcase_create("model");
+	SRunner *runner;
+	int failed;
+
+	tcase_set_timeout(tc, 300);
+	tcase_add_test(tc, library_holds);
+	tcase_add_test(tc, tangle_holds);
+	tcase_add_test(tc, same_seed_same_figures);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
