--- /dev/null
+++ b/standin/site.c
@@ -0,0 +1,319 @@
+/** @file site.c Stand-ins and instances of one process. */
+#include "site.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <string.h>
+
+#include "../src/instance.h"
+#include "../src/names.h"
+
+#define MEMBERS 3
+#define PORT_DEFAULT 8480
+
+static const char *const zone_names[SITE_ZONES] = { "a", "b", "c", "d" };
+
+struct site_instance {
+	struct settings settings;
+	struct instance *instance;
+	GThread *thread; /* NULL when ended */
+};
+
+struct site {
+	struct site_options options;
+	struct store *store;
+	struct members *members;
+	struct database_spec databases[SITE_DATABASES_MAX];
+	struct site_instance instances[SITE_INSTANCES_MAX];
+};
+
+void site_options_default(struct site_options *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->port = PORT_DEFAULT;
+	o->instances = 1;
+	o->databases = 1;
+	o->slots = 2;
+	o->connections = 16;
+	o->member.connect_cost = 10 * HM_MS;
+	o->member.statement_cost = 1 * HM_MS;
+	o->member.lag = 50 * HM_MS;
+	o->log_level = "warning";
+}
+
+static void address_at(const struct site *s, uint32_t offset,
+		       char out[ADDRESS_BYTES])
+{
+	g_snprintf(out, ADDRESS_BYTES, "127.0.0.1:%u",
+		   s->options.port + offset);
+}
+
+static void fill_endpoint(const struct site *s, uint32_t database,
+			  uint32_t member, struct endpoint_spec *e)
+{
+	g_snprintf(e->name, sizeof(e->name), "db%u-%c", database + 1,
+		   'a' + (int)member);
+	e->endpoint = name_id(e->name);
+	e->zone = (uint16_t)((database + member) % SITE_ZONES);
+	e->slots = s->options.slots;
+	e->connections = s->options.connections;
+	address_at(s, 1 + SITE_INSTANCES_MAX * 3 + database * MEMBERS + member,
+		   e->address);
+}
+
+static void fill_database(const struct site *s, uint32_t index,
+			  struct database_spec *d)
+{
+	uint32_t i;
+
+	g_snprintf(d->name, sizeof(d->name), "db%u", index + 1);
+	d->database = name_id(d->name);
+	d->version = 1;
+	d->endpoint_count = MEMBERS;
+	for (i = 0; i < MEMBERS; i++)
+		fill_endpoint(s, index, i, &d->endpoints[i]);
+}
+
+static bool put_json(struct site *s, const char *kind, const char *name,
+		     json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+	bool done = store_put(s->store, kind, name, text);
+
+	g_free(text);
+	json_decref(value);
+	return done;
+}
+
+static bool put_database(struct site *s, const struct database_spec *d)
+{
+	json_t *list = json_array();
+	uint32_t i;
+
+	for (i = 0; i < d->endpoint_count; i++) {
+		const struct endpoint_spec *e = &d->endpoints[i];
+
+		json_array_append_new(
+			list,
+			json_pack("{s:s,s:s,s:s,s:i,s:i}", "name", e->name,
+				  "zone", zone_names[e->zone], "address",
+				  e->address, "slots", (int)e->slots,
+				  "connections", (int)e->connections));
+	}
+	return put_json(s, "database", d->name,
+			json_pack("{s:o}", "endpoints", list));
+}
+
+static bool start_standins(struct site *s)
+{
+	char address[ADDRESS_BYTES];
+	uint32_t i;
+
+	address_at(s, 0, address);
+	s->store = store_new(address);
+	if (!s->store)
+		return false;
+	store_start(s->store);
+	for (i = 0; i < s->options.databases; i++) {
+		fill_database(s, i, &s->databases[i]);
+		if (!put_database(s, &s->databases[i]))
+			return false;
+	}
+	s->members = members_new(s->databases, s->options.databases,
+				 &s->options.member);
+	if (!s->members)
+		return false;
+	members_start(s->members);
+	return true;
+}
+
+/* Lists the instances that run, as the platform would. */
+static bool put_instances(struct site *s)
+{
+	json_t *items = json_array();
+	char *text;
+	bool done;
+	uint32_t i;
+
+	for (i = 0; i < s->options.instances; i++) {
+		const struct settings *t = &s->instances[i].settings;
+
+		if (i && !s->instances[i].thread)
+			continue;
+		json_array_append_new(items,
+				      json_pack("{s:s,s:s,s:s,s:s}", "name",
+						t->instance, "zone", t->zone,
+						"address", t->listen_peers,
+						"state", "live"));
+	}
+	text = json_dumps(items, JSON_COMPACT);
+	done = store_instances(s->store, text);
+	g_free(text);
+	json_decref(items);
+	return done;
+}
+
+static void fill_settings(const struct site *s, uint32_t index,
+			  struct settings *t)
+{
+	uint32_t i, first = 1 + index * 3;
+
+	settings_default(t);
+	g_snprintf(t->instance, sizeof(t->instance), "instance-%u", index + 1);
+	for (i = 0; i < SITE_ZONES; i++)
+		g_strlcpy(t->zones[i], zone_names[i], NAME_BYTES);
+	t->zone_count = SITE_ZONES;
+	t->core.zone = (uint16_t)(index % SITE_ZONES);
+	t->core.zone_count = SITE_ZONES;
+	t->core.life = random_id();
+	t->core.seed = random_id();
+	g_strlcpy(t->zone, zone_names[t->core.zone], NAME_BYTES);
+	address_at(s, first, t->listen_callers);
+	address_at(s, first + 1, t->listen_peers);
+	address_at(s, first + 2, t->listen_operators);
+	address_at(s, 0, t->platform);
+	memset(t->token_secret, 7, sizeof(t->token_secret));
+	g_strlcpy(t->log_level, s->options.log_level, sizeof(t->log_level));
+}
+
+static gpointer carry(gpointer data)
+{
+	instance_run(data);
+	return NULL;
+}
+
+static bool start_instance(struct site *s, uint32_t index,
+			   char fault[SETTINGS_FAULT_BYTES])
+{
+	struct site_instance *i = &s->instances[index];
+
+	i->instance = instance_new(&i->settings, fault);
+	if (!i->instance)
+		return false;
+	i->thread = g_thread_new(i->settings.instance, carry, i->instance);
+	return true;
+}
+
+struct site *site_new(const struct site_options *options,
+		      char fault[SETTINGS_FAULT_BYTES])
+{
+	struct site *s = g_new0(struct site, 1);
+	uint32_t i;
+
+	s->options = *options;
+	g_snprintf(fault, SETTINGS_FAULT_BYTES, "ports from %u on are in use",
+		   options->port);
+	if (!start_standins(s))
+		goto fail;
+	for (i = 0; i < options->instances; i++)
+		fill_settings(s, i, &s->instances[i].settings);
+	for (i = 0; i < options->instances; i++)
+		if (!start_instance(s, i, fault))
+			goto fail;
+	if (!put_instances(s))
+		goto fail;
+	return s;
+
+fail:
+	site_free(s);
+	return NULL;
+}
+
+static void end_instance(struct site_instance *i)
+{
+	if (i->thread)
+		g_thread_join(i->thread);
+	i->thread = NULL;
+	instance_free(i->instance);
+	i->instance = NULL;
+}
+
+void site_stop(struct site *s, uint32_t instance)
+{
+	instance_stop(s->instances[instance].instance);
+	end_instance(&s->instances[instance]);
+	put_instances(s);
+}
+
+void site_kill(struct site *s, uint32_t instance)
+{
+	instance_stop(s->instances[instance].instance);
+	instance_stop(s->instances[instance].instance);
+	end_instance(&s->instances[instance]);
+}
+
+void site_free(struct site *s)
+{
+	uint32_t i;
+
+	if (!s)
+		return;
+	for (i = 0; i < s->options.instances; i++)
+		if (s->instances[i].thread)
+			site_kill(s, i);
+	members_free(s->members);
+	store_free(s->store);
+	g_free(s);
+}
+
+struct store *site_store(struct site *s)
+{
+	return s->store;
+}
+
+struct members *site_members(struct site *s)
+{
+	return s->members;
+}
+
+const char *site_callers(const struct site *s, uint32_t instance)
+{
+	return s->instances[instance].settings.listen_callers;
+}
+
+const char *site_operators(const struct site *s, uint32_t instance)
+{
+	return s->instances[instance].settings.listen_operators;
+}
+
+const struct endpoint_spec *site_endpoint(const struct site *s,
+					  uint32_t database, uint32_t member)
+{
+	return &s->databases[database].endpoints[member];
+}
+
+static bool put_contract(struct site *s, const char *account, uint32_t rate,
+			 uint32_t burst, json_t *keys)
+{
+	json_t *databases = json_object();
+	uint32_t i;
+
+	for (i = 0; i < s->options.databases; i++)
+		json_object_set_new(databases, s->databases[i].name,
+				    json_pack("{s:i}", "max_age_ms", 60000));
+	return put_json(s, "contract", account,
+			json_pack("{s:i,s:i,s:i,s:i,s:b,s:o,s:o}", "rate_per_s",
+				  (int)rate, "burst", (int)burst, "weight", 1,
+				  "transactions", 4, "serve_isolated", 0,
+				  "databases", databases, "keys", keys));
+}
+
+bool site_contract(struct site *s, const char *account, uint32_t rate,
+		   uint32_t burst, char key[SITE_KEY_BYTES])
+{
+	uint8_t secret[SITE_KEY_BYTES / 2];
+	char hash[33];
+
+	randombytes_buf(secret, sizeof(secret));
+	sodium_bin2hex(key, SITE_KEY_BYTES, secret, sizeof(secret));
+	key_text(key_hash(key, strlen(key)), hash);
+	return put_contract(s, account, rate, burst,
+			    json_pack("[{s:s}]", "hash", hash));
+}
+
+bool site_contract_without_keys(struct site *s, const char *account,
+				uint32_t rate, uint32_t burst)
+{
+	return put_contract(s, account, rate, burst, json_array());
+}
--- /dev/null
+++ b/standin/site.h
@@ -0,0 +1,63 @@
+/**
+ * @file site.h
+ * A whole site in one process: stand-in platform, stand-in database groups
+ * and instances that serve, each a task on a thread of its own, all on
+ * loopback. For the first run, the demonstration and tests.
+ */
+#ifndef SITE_H
+#define SITE_H
+
+#include "../src/settings.h"
+#include "member.h"
+#include "store.h"
+
+#define SITE_INSTANCES_MAX 8
+#define SITE_DATABASES_MAX 3
+#define SITE_ZONES 4
+#define SITE_KEY_BYTES 65
+
+struct site;
+
+struct site_options {
+	uint16_t port;	    /**< first of SITE_PORTS in a row */
+	uint32_t instances; /**< in zones a, b, c, d, a, ... */
+	uint32_t databases; /**< named db1, db2, db3; three members each */
+	uint32_t slots;
+	uint32_t connections;
+	struct member_options member;
+	const char *log_level;
+};
+
+#define SITE_PORTS (1 + SITE_DATABASES_MAX * 3 + SITE_INSTANCES_MAX * 3)
+
+void site_options_default(struct site_options *o);
+/** Starts all; NULL with a line in @a fault when something cannot start. */
+struct site *site_new(const struct site_options *options,
+		      char fault[SETTINGS_FAULT_BYTES]);
+/** Stops what still runs, at once, and frees all. */
+void site_free(struct site *s);
+
+struct store *site_store(struct site *s);
+struct members *site_members(struct site *s);
+/** Address for callers, or for operators, of an instance. */
+const char *site_callers(const struct site *s, uint32_t instance);
+const char *site_operators(const struct site *s, uint32_t instance);
+/** Member @a member of database @a database. */
+const struct endpoint_spec *site_endpoint(const struct site *s,
+					  uint32_t database, uint32_t member);
+
+/**
+ * Puts a contract on all databases and gives it one fresh key.
+ * @param key receives the key as text
+ */
+bool site_contract(struct site *s, const char *account, uint32_t rate,
+		   uint32_t burst, char key[SITE_KEY_BYTES]);
+/** The contract without its keys. */
+bool site_contract_without_keys(struct site *s, const char *account,
+				uint32_t rate, uint32_t burst);
+/** Graceful shutdown of one instance; returns when it has ended. */
+void site_stop(struct site *s, uint32_t instance);
+/** Ends an instance at once, as if killed; its sockets close. */
+void site_kill(struct site *s, uint32_t instance);
+
+#endif
