Keep endpoints with instances of their zone; circuits only on failures

Change: endpoints of other zones are taken 1.5 s after the start at the earliest, and move to an instance of their zone after 5 s; answers without proof leave the circuit alone; a refusal at a home is logged.

--- a/core/entry.c
+++ b/core/entry.c
@@ -454,6 +454,16 @@
 	return now >= r->valid_until || now - c->stepped_at > PAUSE_LIMIT;
 }
 
+/* Feeds the circuit; an answer without proof says nothing against it. */
+static void note_attempt(struct database *d, hm_id endpoint, enum error error,
+			 hm_time now)
+{
+	if (error == ERR_NONE || error == ERR_STATEMENT)
+		group_attempt(d->group, endpoint, true, now);
+	else if (error == ERR_NO_ENDPOINT || error == ERR_OUTCOME_UNKNOWN)
+		group_attempt(d->group, endpoint, false, now);
+}
+
 void entry_result(struct core *c, const struct result *r, uint64_t from,
 		  hm_time now, struct actions *actions)
 {
@@ -467,9 +477,7 @@
 		return;
 	d = database_find(c, p->statement.database);
 	if (d)
-		group_attempt(d->group, p->endpoint,
-			      r->error == ERR_NONE || r->error == ERR_STATEMENT,
-			      now);
+		note_attempt(d, p->endpoint, r->error, now);
 	if (r->error == ERR_NONE && is_expired(c, r, now)) {
 		unproved = *r;
 		unproved.error = ERR_OUTCOME_UNKNOWN;
--- a/core/holder.c
+++ b/core/holder.c
@@ -10,6 +10,10 @@
 /* How long an ended order is remembered beyond its deadline. */
 #define REMEMBER_AFTER (5 * HM_SEC)
 #define EXPIRE_EVERY (500 * HM_MS)
+/* No endpoint of another zone is taken so soon after the start. */
+#define ZONE_GRACE (1500 * HM_MS)
+/* An endpoint moves to an instance of its own zone that stays that long. */
+#define MOVE_AFTER (5 * HM_SEC)
 /* Retry advice of an endpoint that is handed over or was lost. */
 #define RETRY_AFTER (50 * HM_MS)
 
@@ -55,11 +59,16 @@
 		   struct actions *actions)
 {
 	struct result r = { 0 };
+	struct decision *log;
 
 	r.error = error;
 	r.execution = EXEC_NOT_RUN;
 	r.endpoint = s->endpoint;
 	r.retry_at = now + RETRY_AFTER;
+	log = actions_log(actions, "refuse", error_answer(error)->code);
+	log->request = s->id;
+	log->endpoint = s->endpoint;
+	log->peer = s->reply_to;
 	finish(s, &r, now, actions);
 }
 
@@ -211,6 +220,8 @@
 	if (!m->home)
 		return;
 	m->draining = false;
+	m->handed = false;
+	m->misplaced_at = 0;
 	m->reachable = true;
 	m->probe_at = now;
 	log_member("home", "taken", d, m, c->options.life, actions);
@@ -247,9 +258,16 @@
 	       state->home_idle > c->options.peer_silent;
 }
 
-static bool is_owner(const struct core *c, const struct member *m)
+/* A new instance may not have heard yet of those in other zones. */
+static bool may_hold(const struct core *c, const struct member *m, hm_time now)
 {
-	return !c->stopping &&
+	return m->spec.zone == c->options.zone ||
+	       now - c->started_at > ZONE_GRACE;
+}
+
+static bool is_owner(const struct core *c, const struct member *m, hm_time now)
+{
+	return !c->stopping && may_hold(c, m, now) &&
 	       peers_owner(c->peers, m->spec.endpoint, m->spec.zone, true) ==
 		       c->options.life;
 }
@@ -320,7 +338,7 @@
 	m->holder = state->home;
 	if (state->home == c->options.life)
 		hold(c, d, m, now, actions);
-	else if (is_owner(c, m) && is_abandoned(c, state))
+	else if (is_owner(c, m, now) && is_abandoned(c, state))
 		take(c, d, m, state->home, now, actions);
 }
 
@@ -345,6 +363,7 @@
 		return;
 	}
 	m->asked_at = 0;
+	m->handed = false; /* ordered again unless it took effect */
 	if (m->home)
 		held_state(c, d, m, nonce, state, now, actions);
 	else
@@ -374,7 +393,7 @@
 		return;
 	if (m->home)
 		ask(c, d, m, CONTROL_PROBE, now, actions);
-	else if (!member_holder(c, m) && is_owner(c, m))
+	else if (!member_holder(c, m) && is_owner(c, m, now))
 		ask(c, d, m, CONTROL_PROBE, now, actions);
 }
 
@@ -414,6 +433,22 @@
 	hand_over(c, d, m, now, actions);
 }
 
+/* Held from another zone though an instance of its own zone could. */
+static bool is_misplaced(struct core *c, struct member *m, hm_time now)
+{
+	uint64_t owner =
+		peers_owner(c->peers, m->spec.endpoint, m->spec.zone, false);
+
+	if (m->spec.zone == c->options.zone || !owner) {
+		m->misplaced_at = 0;
+		m->draining = false;
+		return false;
+	}
+	if (!m->misplaced_at)
+		m->misplaced_at = now;
+	return now - m->misplaced_at > MOVE_AFTER;
+}
+
 static void member_tick(struct core *c, struct database *d, struct member *m,
 			hm_time now, struct actions *actions)
 {
@@ -422,7 +457,8 @@
 						  is_primary(d, m, now));
 		home_tick(m->home, now, actions);
 	}
-	if (m->home && c->stopping && !entry_count(c))
+	if (m->home &&
+	    (c->stopping ? !entry_count(c) : is_misplaced(c, m, now)))
 		drain(c, d, m, now, actions);
 	if (!m->handed)
 		probe(c, d, m, now, actions);
--- a/core/state.h
+++ b/core/state.h
@@ -24,9 +24,11 @@
 	bool rechecking;     /**< a probe over a new connection is out */
 	bool draining;	     /**< held here, takes nothing new */
 	bool handed;	     /**< its hand-over was ordered */
-	hm_time probe_at;    /**< next probe or take-over step */
-	hm_time asked_at;    /**< unanswered probe of ours, 0 for none */
-	struct rid asked;    /**< its nonce */
+	hm_time misplaced_at;
+	/**< another zone's instance should hold it */ /**< its hand-over was ordered */
+	hm_time probe_at; /**< next probe or take-over step */
+	hm_time asked_at; /**< unanswered probe of ours, 0 for none */
+	struct rid asked; /**< its nonce */
 };
 
 /** One database group. */
