Rewind members from copies of their database; replay the time of statements

A member that cut off a tail replayed its log from the start, on the thread of all members: 5002 records took 57.9 ms, which a failover would show as a gap of the stand-in's own making.

CURRENT_TIMESTAMP and 'now' were read anew by each replay, so members came to differ; they now show the time at which the statement ran first. With that time, or the check of copies against the cut, switched off, a test fails.

--- a/standin/engine.c
+++ b/standin/engine.c
@@ -9,6 +9,8 @@
 #define PROGRESS_STEPS 1000000
 #define PROGRESS_CHECKS 200
 
+#define VFS_NAME "member"
+
 #define TYPE_INT8 20
 #define TYPE_TEXT 25
 #define TYPE_FLOAT8 701
@@ -121,13 +123,47 @@
 	return ++e->checks > PROGRESS_CHECKS;
 }
 
+/* Replays must see the time of the statement, so it is not the real one. */
+static _Thread_local sqlite3_int64 shown_clock;
+
+static int show_clock(sqlite3_vfs *vfs, sqlite3_int64 *out)
+{
+	(void)vfs;
+	*out = shown_clock;
+	return SQLITE_OK;
+}
+
+static void *register_vfs(void *unused)
+{
+	static sqlite3_vfs vfs;
+
+	(void)unused;
+	vfs = *sqlite3_vfs_find(NULL);
+	vfs.zName = VFS_NAME;
+	vfs.pNext = NULL;
+	vfs.xCurrentTimeInt64 = show_clock;
+	sqlite3_vfs_register(&vfs, 0);
+	return NULL;
+}
+
+int64_t engine_clock(void)
+{
+	sqlite3_vfs *vfs = sqlite3_vfs_find(NULL);
+	sqlite3_int64 now = 0;
+
+	vfs->xCurrentTimeInt64(vfs, &now);
+	return now;
+}
+
 static sqlite3 *connection_new(struct engine *e)
 {
 	const int flags = SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE |
 			  SQLITE_OPEN_MEMORY | SQLITE_OPEN_NOMUTEX;
+	static GOnce once = G_ONCE_INIT;
 	sqlite3 *db = NULL;
 
-	if (sqlite3_open_v2(":memory:", &db, flags, NULL) != SQLITE_OK)
+	g_once(&once, register_vfs, NULL);
+	if (sqlite3_open_v2(":memory:", &db, flags, VFS_NAME) != SQLITE_OK)
 		goto fail;
 	sqlite3_extended_result_codes(db, 1);
 	if (sqlite3_exec(db, "PRAGMA foreign_keys = on", NULL, NULL, NULL) !=
@@ -316,20 +352,22 @@
 	return false;
 }
 
-bool engine_run(struct engine *e, bool writer, const char *sql,
-		char *const *params, uint32_t count, struct engine_result *out)
+bool engine_run(struct engine *e, bool writer, const struct memlog_statement *s,
+		struct engine_result *out)
 {
 	sqlite3 *db = connection(e, writer);
-	sqlite3_stmt *stmt = prepare(db, sql, out);
+	sqlite3_stmt *stmt = prepare(db, s->sql, out);
 	bool ok;
 
 	if (!stmt)
 		return false;
 	e->checks = 0;
+	shown_clock = s->clock;
 	out->rows = g_ptr_array_new();
 	out->wrote = !sqlite3_stmt_readonly(stmt);
 	take_columns(stmt, out);
-	ok = bind_all(stmt, params, count, out) && step_all(db, stmt, out);
+	ok = bind_all(stmt, s->params, s->count, out) &&
+	     step_all(db, stmt, out);
 	if (ok && out->wrote)
 		out->affected = (uint64_t)sqlite3_changes64(db);
 	sqlite3_finalize(stmt);
@@ -393,8 +431,7 @@
 
 	for (i = 0; ok && i < statements->len; i++) {
 		s = statements->pdata[i];
-		ok = engine_run(e, writer, s->sql, s->params, s->count,
-				&result);
+		ok = engine_run(e, writer, s, &result);
 		engine_result_clear(&result);
 	}
 	return ok;
@@ -417,3 +454,56 @@
 	engine_rollback(e);
 	return false;
 }
+
+struct engine_image {
+	unsigned char *bytes;
+	sqlite3_int64 count;
+};
+
+struct engine_image *engine_image_new(struct engine *e)
+{
+	struct engine_image *image = g_new0(struct engine_image, 1);
+
+	e->internal = true;
+	image->bytes = sqlite3_serialize(e->reader, "main", &image->count, 0);
+	e->internal = false;
+	if (image->bytes)
+		return image;
+	g_free(image);
+	return NULL;
+}
+
+void engine_image_free(struct engine_image *image)
+{
+	sqlite3_free(image->bytes);
+	g_free(image);
+}
+
+static bool load(sqlite3 *db, const struct engine_image *image)
+{
+	const unsigned flags =
+		SQLITE_DESERIALIZE_FREEONCLOSE | SQLITE_DESERIALIZE_RESIZEABLE;
+	unsigned char *copy = sqlite3_malloc64((sqlite3_uint64)image->count);
+
+	if (!copy)
+		return false;
+	memcpy(copy, image->bytes, (size_t)image->count);
+	return sqlite3_deserialize(db, "main", copy, image->count, image->count,
+				   flags) == SQLITE_OK;
+}
+
+struct engine *engine_from_image(const struct engine_image *image)
+{
+	struct engine *e = engine_new();
+	bool ok;
+
+	if (!e)
+		return NULL;
+	e->internal = true;
+	ok = load(e->writer, image) && load(e->reader, image);
+	e->internal = false;
+	if (ok)
+		return e;
+	engine_free(e);
+	return NULL;
+}
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -28,9 +28,17 @@
 
 enum engine_kind { ENGINE_READ, ENGINE_WRITE, ENGINE_FAULT };
 
+/** Content of a database; free it with engine_image_free(). */
+struct engine_image;
+
 /** An empty database; NULL when it cannot be opened. */
 struct engine *engine_new(void);
 void engine_free(struct engine *e);
+/** What all others see now; NULL when it cannot be copied. */
+struct engine_image *engine_image_new(struct engine *e);
+void engine_image_free(struct engine_image *image);
+/** A database with this content; NULL when it cannot be opened. */
+struct engine *engine_from_image(const struct engine_image *image);
 
 /**
  * Tells reads from writes. ENGINE_FAULT fills in the error of @a out.
@@ -38,9 +46,11 @@
  */
 enum engine_kind engine_kind(struct engine *e, bool writer, const char *sql,
 			     struct engine_result *out);
+/** The time that statements are to see, for memlog_statement. */
+int64_t engine_clock(void);
 /** Runs one statement; release @a out with engine_result_clear(). */
-bool engine_run(struct engine *e, bool writer, const char *sql,
-		char *const *params, uint32_t count, struct engine_result *out);
+bool engine_run(struct engine *e, bool writer, const struct memlog_statement *s,
+		struct engine_result *out);
 /** Fills in an error. */
 void engine_result_fail(struct engine_result *r, const char *sqlstate,
 			const char *message);
--- a/standin/memlog.c
+++ b/standin/memlog.c
@@ -5,13 +5,15 @@
 
 #define FIRST_TERM 1
 
-struct memlog_statement *
-memlog_statement_new(const char *sql, char *const *params, uint32_t count)
+struct memlog_statement *memlog_statement_new(const char *sql, int64_t clock,
+					      char *const *params,
+					      uint32_t count)
 {
 	struct memlog_statement *s = g_new0(struct memlog_statement, 1);
 	uint32_t i;
 
 	s->sql = g_strdup(sql);
+	s->clock = clock;
 	s->count = count;
 	s->params = g_new0(char *, count);
 	for (i = 0; i < count; i++)
--- a/standin/memlog.h
+++ b/standin/memlog.h
@@ -17,6 +17,7 @@
 /** One statement with its text parameters; NULL entries are SQL NULL. */
 struct memlog_statement {
 	char *sql;
+	int64_t clock; /**< time that it sees: Julian day in milliseconds */
 	uint32_t count;
 	char **params;
 };
@@ -39,8 +40,9 @@
 };
 
 /** Copies a statement. */
-struct memlog_statement *
-memlog_statement_new(const char *sql, char *const *params, uint32_t count);
+struct memlog_statement *memlog_statement_new(const char *sql, int64_t clock,
+					      char *const *params,
+					      uint32_t count);
 void memlog_statement_free(void *statement);
 
 /** An empty log of term 1. */
--- a/standin/node.c
+++ b/standin/node.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "replica.h"
 #include "session.h"
 
 #define BACKLOG 128
@@ -72,6 +73,7 @@
 	n->next_pid = 1;
 	n->sessions = g_ptr_array_new();
 	g_queue_init(&n->waiting);
+	g_queue_init(&n->checkpoints);
 	memlog_open(&n->log);
 	n->engine = engine_new();
 	n->listener = listen_on(spec->address);
@@ -117,6 +119,7 @@
 	g_ptr_array_unref(n->sessions);
 	if (n->listener >= 0)
 		close(n->listener);
+	replica_clear(n);
 	if (n->engine)
 		engine_free(n->engine);
 	memlog_close(&n->log);
@@ -140,7 +143,7 @@
 	g_ptr_array_add(n->sessions, session_new(n, fd, n->next_pid++));
 }
 
-static struct node *find_peer(const struct node *n, hm_id endpoint)
+struct node *node_peer(const struct node *n, hm_id endpoint)
 {
 	struct node *peer;
 	guint i;
@@ -153,88 +156,6 @@
 	return NULL;
 }
 
-static bool linked(const struct node *n)
-{
-	const struct member_faults *f = &n->faults;
-
-	return !f->cut_peers && !f->cut_all && !f->paused && !f->dead;
-}
-
-/* The member to replicate from, when its log may be taken over now. */
-static struct node *source_of(const struct node *n)
-{
-	struct node *from;
-
-	if (n->log.role != ROLE_REPLICA || !n->log.following)
-		return NULL;
-	from = find_peer(n, n->log.following);
-	if (!from || from == n || !linked(n) || !linked(from))
-		return NULL;
-	return memlog_accepts(&n->log, &from->log) ? from : NULL;
-}
-
-static hm_time arrival(const struct node *n, const struct memlog_record *r)
-{
-	hm_time lag = n->faults.lag ? n->faults.lag : n->options.lag;
-
-	return r->committed_at + lag;
-}
-
-static bool replay(struct node *n, const struct memlog_record *r)
-{
-	return engine_apply(n->engine, r->statements);
-}
-
-/* Replays the log into an empty database. */
-static void rebuild(struct node *n)
-{
-	guint i;
-
-	statement_doom(n, 0);
-	engine_free(n->engine);
-	n->engine = engine_new();
-	for (i = 0; n->engine && i < n->log.records->len; i++)
-		if (!replay(n, n->log.records->pdata[i]))
-			break;
-	if (!n->engine || i < n->log.records->len)
-		g_error("cannot replay the log of %s", n->spec.name);
-}
-
-/* Cuts off records that the log of @a from contradicts. */
-static void rewind_tail(struct node *n, const struct node *from)
-{
-	uint64_t branch = memlog_branch(&n->log, &from->log);
-
-	if (branch == n->log.records->len || branch == from->log.records->len)
-		return;
-	memlog_cut(&n->log, branch);
-	rebuild(n);
-}
-
-static void take_record(struct node *n, const struct node *from,
-			struct memlog_record *r)
-{
-	if (!replay(n, r))
-		g_error("cannot apply a record to %s", n->spec.name);
-	memlog_take(&n->log, r);
-	if (r->at.term <= n->log.promised)
-		return;
-	n->log.promised = r->at.term;
-	n->log.promised_by = from->log.promised_by;
-}
-
-static void replicate(struct node *n, hm_time now)
-{
-	struct node *from = source_of(n);
-	struct memlog_record *r;
-
-	if (!from)
-		return;
-	rewind_tail(n, from);
-	while ((r = memlog_next(&n->log, &from->log)) && arrival(n, r) <= now)
-		take_record(n, from, r);
-}
-
 void node_tick(struct node *n, hm_time now)
 {
 	guint i;
@@ -243,7 +164,8 @@
 	if (n->faults.paused)
 		return;
 	if (!n->faults.dead)
-		replicate(n, now);
+		replica_pull(n, now);
+	replica_checkpoint(n);
 	for (i = 0; i < n->sessions->len; i++)
 		session_work(n->sessions->pdata[i], now);
 	reap_sessions(n);
@@ -251,8 +173,6 @@
 
 hm_time node_due(const struct node *n, hm_time now)
 {
-	const struct memlog_record *r;
-	const struct node *from = source_of(n);
 	hm_time due = HM_NEVER;
 	guint i;
 
@@ -260,10 +180,7 @@
 		return HM_NEVER;
 	for (i = 0; i < n->sessions->len; i++)
 		due = MIN(due, session_due(n->sessions->pdata[i], now));
-	r = from ? memlog_next(&n->log, &from->log) : NULL;
-	if (r)
-		due = MIN(due, arrival(n, r));
-	return due;
+	return MIN(due, replica_due(n));
 }
 
 static void silence(struct node *n, hm_time now)
@@ -332,12 +249,12 @@
 bool node_follow(struct node *n, uint64_t term, uint64_t orderer, hm_id target,
 		 hm_time now)
 {
-	if (!find_peer(n, target) || target == n->spec.endpoint)
+	if (!node_peer(n, target) || target == n->spec.endpoint)
 		return false;
 	if (!memlog_follow(&n->log, term, orderer, target))
 		return false;
 	statement_doom(n, now);
-	replicate(n, now);
+	replica_pull(n, now);
 	return true;
 }
 
@@ -373,7 +290,8 @@
 	GPtrArray *list = g_ptr_array_new_with_free_func(memlog_statement_free);
 	bool ok = !n->writer && memlog_writable(&n->log);
 
-	g_ptr_array_add(list, memlog_statement_new(sql, NULL, 0));
+	g_ptr_array_add(list,
+			memlog_statement_new(sql, engine_clock(), NULL, 0));
 	ok = ok && engine_apply(n->engine, list);
 	if (ok)
 		memlog_append(&n->log, list, now);
--- a/standin/node.h
+++ b/standin/node.h
@@ -24,6 +24,7 @@
 
 	struct memlog log;
 	struct engine *engine;
+	GQueue checkpoints; /**< of struct checkpoint, oldest first */
 	uint64_t home;	    /**< life that holds the member, 0 for none */
 	hm_time home_heard; /**< when the holder was last heard */
 	hm_time paused_at;
@@ -62,6 +63,8 @@
 		 hm_time now);
 /** Sessions that count against the limit of connections. */
 uint32_t node_connections(const struct node *n);
+/** Member of the same group, NULL when there is none. */
+struct node *node_peer(const struct node *n, hm_id endpoint);
 /** Session by process number, NULL when there is none. */
 struct session *node_session(const struct node *n, uint32_t pid);
 /** Runs one SQL statement outside any session, for seeding. */
--- a/standin/statement.c
+++ b/standin/statement.c
@@ -50,12 +50,12 @@
 	return g_ptr_array_new_with_free_func(memlog_statement_free);
 }
 
-static void remember(struct session *s)
+/* Keeps a write for the log. */
+static void remember(struct session *s, struct memlog_statement *write)
 {
 	if (!s->statements)
 		s->statements = statements_new();
-	g_ptr_array_add(s->statements, memlog_statement_new(s->sql, s->params,
-							    s->param_count));
+	g_ptr_array_add(s->statements, write);
 }
 
 static void forget(struct session *s)
@@ -287,20 +287,25 @@
 {
 	struct node *n = s->node;
 	struct engine_result r = { 0 };
+	struct memlog_statement *statement = memlog_statement_new(
+		s->sql, engine_clock(), s->params, s->param_count);
 
-	if (!engine_run(n->engine, n->writer == s, s->sql, s->params,
-			s->param_count, &r)) {
+	if (!engine_run(n->engine, n->writer == s, statement, &r)) {
 		session_error(s, r.sqlstate, r.message, now);
 		goto out;
 	}
-	if (s->writes)
-		remember(s);
+	if (s->writes) {
+		remember(s, statement);
+		statement = NULL;
+	}
 	s->implicit = s->tx == TX_IDLE && n->writer == s;
 	if (s->simple && !statement_sync(s, now))
 		goto out;
 	answer_rows(s, &r);
 	session_answered(s, !s->implicit, now);
 out:
+	if (statement)
+		memlog_statement_free(statement);
 	engine_result_clear(&r);
 }
 
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -259,6 +259,64 @@
 }
 END_TEST
 
+static void insert_many(int from, int to)
+{
+	char sql[64];
+	int i;
+
+	for (i = from; i < to; i++) {
+		g_snprintf(sql, sizeof(sql), "INSERT INTO t VALUES (%d, 'a')",
+			   i);
+		ck_assert(members_sql(members, member_id(0), sql));
+	}
+}
+
+/* Long enough for copies of the database on both sides of the branch. */
+START_TEST(long_tail_is_rewound)
+{
+	PGconn *old = member_open(0);
+
+	member_make_table();
+	insert_many(0, 1200);
+	member_await_at(1, 1, 1201);
+	member_fault(0, (struct member_faults){ .cut_peers = true });
+	insert_many(1200, 2400);
+	ck_assert_str_eq(member_run(old, "DELETE FROM t WHERE k < 1000"), "");
+	ck_assert_str_eq(member_one(old, "SELECT count(*) FROM t"), "1400");
+	member_order(1, "SELECT hm_fence(2, 'aa')");
+	member_order(1, "SELECT hm_promote(2, 'aa')");
+	member_order_follow(0, 1);
+	member_fault(0, (struct member_faults){ 0 });
+	member_await_at(0, 2, 1202);
+	ck_assert_str_eq(member_one(old, "SELECT count(*) FROM t"), "1200");
+	ck_assert_str_eq(member_one(old, "SELECT max(k) FROM t"), "1199");
+	PQfinish(old);
+}
+END_TEST
+
+/* Replicas and readers see the time at which the statement ran. */
+START_TEST(time_is_replayed)
+{
+	const char *now = "strftime('%f', 'now') || CURRENT_TIMESTAMP";
+	PGconn *c = member_open(0), *replica = member_open(1);
+	char sql[128], *seen;
+
+	member_make_table();
+	g_snprintf(sql, sizeof(sql), "INSERT INTO t VALUES (1, %s) RETURNING v",
+		   now);
+	seen = g_strdup(member_one(c, sql));
+	ck_assert_uint_gt(strlen(seen), 20);
+	ck_assert_str_eq(member_one(c, "SELECT v FROM t"), seen);
+	member_await_at(1, 1, 2);
+	ck_assert_str_eq(member_one(replica, "SELECT v FROM t"), seen);
+	ck_assert_str_eq(member_one(c, "SELECT julianday('now') > 2460000"),
+			 "1");
+	g_free(seen);
+	PQfinish(c);
+	PQfinish(replica);
+}
+END_TEST
+
 START_TEST(primary_of_a_term_does_not_follow_in_it)
 {
 	PGconn *c = member_open(0);
@@ -417,6 +475,8 @@
 	tcase_add_test(tc, promotion_is_idempotent);
 	tcase_add_test(tc, promotion_needs_the_promise);
 	tcase_add_test(tc, divergent_tail_is_rewound);
+	tcase_add_test(tc, long_tail_is_rewound);
+	tcase_add_test(tc, time_is_replayed);
 	tcase_add_test(tc, primary_of_a_term_does_not_follow_in_it);
 	tcase_add_test(tc, home_is_compare_and_set);
 	tcase_add_test(tc, statements_of_another_life_are_refused);
