Send all answers before connections end; limit connections of callers

Cause: front_free() shut the reading side before HTTP/2 answers were written, so that a caller whose request was open at the end got none (free_answers_what_is_open over HTTP/2: status 0 in place of 504). Now the loop runs until h2o holds no request, for 2 s at most; after: 504. Connections beyond limits.connections wait in the backlog, as before an accept without free descriptors would have turned the loop into a spin.

--- a/src/cli_serve.c
+++ b/src/cli_serve.c
@@ -2,6 +2,7 @@
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include "command.h"
@@ -48,6 +49,17 @@
 	fflush(stdout);
 }
 
+/* One descriptor for each connection, as many as are permitted. */
+static void raise_descriptors(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 static int serve(const struct settings *s)
 {
 	char fault[SETTINGS_FAULT_BYTES];
@@ -55,6 +67,7 @@
 	pthread_t waiter;
 	sigset_t set;
 
+	raise_descriptors();
 	signals_of_serve(&set);
 	pthread_sigmask(SIG_BLOCK, &set, NULL);
 	log_open(s->log_level, STDERR_FILENO);
--- a/src/front.c
+++ b/src/front.c
@@ -13,6 +13,7 @@
 #define CALLERS_HOST "callers"
 #define OPERATORS_HOST "operators"
 #define HOST_PORT 65535
+#define OPERATORS_CONNECTIONS 64
 /* A larger entity is refused by h2o itself, before it is read. */
 #define ENTITY_MARGIN 65536
 
@@ -66,6 +67,8 @@
 			return false;
 		f->callers.accept.ssl_ctx = f->ssl;
 	}
+	f->callers.limit = s->connection_limit;
+	f->operators.limit = OPERATORS_CONNECTIONS;
 	return listener_open(&f->callers, f, "$.listen.callers",
 			     s->listen_callers, fault) &&
 	       listener_open(&f->operators, f, "$.listen.operators",
--- a/src/front_exchange.c
+++ b/src/front_exchange.c
@@ -155,6 +155,7 @@
 {
 	struct exchange *x = data;
 
+	x->front->unsent--;
 	if (!g_hash_table_contains(x->front->exchanges, &x->id.seq))
 		return;
 	g_hash_table_remove(x->front->exchanges, &x->id.seq);
@@ -169,6 +170,7 @@
 
 	memset(x, 0, sizeof(*x));
 	x->front = f;
+	f->unsent++;
 	x->req = req;
 	x->id.life = f->settings->core.life;
 	x->id.seq = ++f->seq;
--- a/src/front_internal.h
+++ b/src/front_internal.h
@@ -17,6 +17,9 @@
 	h2o_socket_t *socket; /**< NULL when closed */
 	h2o_hostconf_t *hosts[2];
 	h2o_accept_ctx_t accept;
+	uint32_t count; /**< open connections */
+	uint32_t limit;
+	bool full; /**< accepts nothing until a connection ends */
 	char address[ADDRESS_BYTES];
 };
 
@@ -32,6 +35,7 @@
 	struct listener operators;
 	GQueue connections;    /**< of struct connection, owned */
 	GHashTable *exchanges; /**< open requests by number */
+	uint32_t unsent;       /**< requests that h2o still holds */
 	struct timer *hangup;  /**< looks for callers that went away */
 	uint64_t seq;	       /**< of the last request */
 	bool stopping;
--- a/src/front_listen.c
+++ b/src/front_listen.c
@@ -8,49 +8,66 @@
 
 #include "address.h"
 
-#define FLUSH_LIMIT (500 * HM_MS)
+#define FLUSH_LIMIT (2 * HM_SEC)
 #define CLOSE_LIMIT (500 * HM_MS)
 #define RUN_WAIT_MS 10
 
 /** An accepted connection. */
 struct connection {
-	struct front *front;
+	struct listener *listener;
 	int fd; /**< of its h2o socket */
 };
 
+static void on_accept(h2o_socket_t *socket, const char *err);
+
 static void on_connection_closed(void *data)
 {
 	struct connection *c = data;
+	struct listener *l = c->listener;
 
-	g_queue_remove(&c->front->connections, c);
+	g_queue_remove(&l->front->connections, c);
 	g_free(c);
+	l->count--;
+	if (l->full && l->socket)
+		h2o_socket_read_start(l->socket, on_accept);
+	l->full = false;
 }
 
-static void track(struct front *f, h2o_socket_t *socket)
+static void track(struct listener *l, h2o_socket_t *socket)
 {
 	struct connection *c = g_new(struct connection, 1);
 
-	c->front = f;
+	c->listener = l;
 	c->fd = h2o_socket_get_fd(socket);
 	socket->on_close.cb = on_connection_closed;
 	socket->on_close.data = c;
-	g_queue_push_tail(&f->connections, c);
+	g_queue_push_tail(&l->front->connections, c);
+	l->count++;
 }
 
+/* The rest waits in the backlog when the limit is reached. */
 static void accept_all(struct listener *l)
 {
 	h2o_socket_t *socket;
 
-	while ((socket = h2o_evloop_socket_accept(l->socket))) {
-		track(l->front, socket);
+	while (l->count < l->limit &&
+	       (socket = h2o_evloop_socket_accept(l->socket))) {
+		track(l, socket);
 		h2o_accept(&l->accept, socket);
 	}
 }
 
 static void on_accept(h2o_socket_t *socket, const char *err)
 {
-	if (!err)
-		accept_all(socket->data);
+	struct listener *l = socket->data;
+
+	if (err)
+		return;
+	accept_all(l);
+	if (l->count < l->limit)
+		return;
+	l->full = true;
+	h2o_socket_read_stop(l->socket);
 }
 
 static int bind_socket(const struct sockaddr_storage *ss)
@@ -157,18 +174,18 @@
 		shutdown(((struct connection *)i->data)->fd, how);
 }
 
-static void run_until_closed(struct front *f, hm_time deadline)
+/* Runs the loop until @a left is 0, within a limit. */
+static void run_until_none(struct front *f, const uint32_t *left,
+			   hm_time deadline)
 {
-	while (f->connections.length && loop_now() < deadline)
+	while (*left && loop_now() < deadline)
 		h2o_evloop_run(loop_h2o(f->loop), RUN_WAIT_MS);
 }
 
 bool connections_end(struct front *f)
 {
-	/* Idle connections end now, others once their answer is sent. */
-	shut_all(f, SHUT_RD);
-	run_until_closed(f, loop_now() + FLUSH_LIMIT);
+	run_until_none(f, &f->unsent, loop_now() + FLUSH_LIMIT);
 	shut_all(f, SHUT_RDWR);
-	run_until_closed(f, loop_now() + CLOSE_LIMIT);
+	run_until_none(f, &f->connections.length, loop_now() + CLOSE_LIMIT);
 	return f->connections.length == 0;
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -62,6 +62,7 @@
 	  .most = SECRET_BYTES },
 	TEXT("trace", trace),
 	TEXT("log_level", log_level),
+	COUNT("limits.connections", connection_limit, 1, 1000000),
 	COUNT("limits.body_bytes", body_limit, 1024, 4194304),
 	COUNT("limits.header_bytes", header_limit, 1024, 65536),
 	COUNT("limits.parameters", parameter_limit, 0, 32767),
@@ -104,6 +105,7 @@
 	s->core.life = random_id();
 	s->core.seed = random_id();
 	snprintf(s->log_level, sizeof(s->log_level), "info");
+	s->connection_limit = 4096;
 	s->body_limit = 256 * 1024;
 	s->header_limit = 16 * 1024;
 	s->parameter_limit = 1000;
--- a/src/settings.h
+++ b/src/settings.h
@@ -29,9 +29,10 @@
 	uint8_t token_secret[SECRET_BYTES]; /**< same at all instances */
 	char trace[PATH_BYTES];		    /**< recorder, empty for none */
 	char log_level[16];
-	uint32_t body_limit;	  /**< bytes of a request body */
-	uint32_t header_limit;	  /**< bytes of all request headers */
-	uint32_t parameter_limit; /**< parameters of a statement */
+	uint32_t body_limit;	   /**< bytes of a request body */
+	uint32_t connection_limit; /**< connections of callers */
+	uint32_t header_limit;	   /**< bytes of all request headers */
+	uint32_t parameter_limit;  /**< parameters of a statement */
 	uint32_t rows_limit;
 	uint32_t answer_limit;	  /**< bytes */
 	hm_time deadline_default; /**< of a request, from its arrival */
--- a/tests/front_world.c
+++ b/tests/front_world.c
@@ -258,6 +258,16 @@
 	return wait_count(w, &w->seen, count);
 }
 
+uint32_t world_count(struct world *w)
+{
+	uint32_t seen;
+
+	g_mutex_lock(&w->lock);
+	seen = w->seen;
+	g_mutex_unlock(&w->lock);
+	return seen;
+}
+
 static void task_done(struct world *w)
 {
 	g_mutex_lock(&w->lock);
--- a/tests/front_world.h
+++ b/tests/front_world.h
@@ -34,6 +34,8 @@
 bool world_gone(struct world *w, uint32_t count);
 /** Waits for @a count statements in all; false after 5 s. */
 bool world_seen(struct world *w, uint32_t count);
+/** Statements so far. */
+uint32_t world_count(struct world *w);
 void world_stop_front(struct world *w);
 /** Account of all keys, 0 for none. */
 void world_account(struct world *w, hm_id account);
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -6,7 +6,7 @@
 #include "../src/fields.h"
 #include "../src/reply.h"
 
-static char *document(const char *file)
+G_GNUC_NO_INLINE static char *document(const char *file)
 {
 	char *text = NULL;
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -294,17 +294,30 @@
 }
 END_TEST
 
-static gpointer call_thread(gpointer arg)
+static int call_status(struct world *w, bool http2)
 {
-	struct call c = { .path = "/v1/statement", .key = "k", .body = BODY };
-	long status;
+	struct call c = { .path = "/v1/statement",
+			  .key = "k",
+			  .body = BODY,
+			  .http2 = http2 };
 
-	world_call(arg, &c);
-	status = c.status;
+	world_call(w, &c);
 	call_clear(&c);
-	return GINT_TO_POINTER((int)status);
+	return (int)c.status;
 }
 
+static gpointer call_http1(gpointer arg)
+{
+	return GINT_TO_POINTER(call_status(arg, false));
+}
+
+static gpointer call_http2(gpointer arg)
+{
+	return GINT_TO_POINTER(call_status(arg, true));
+}
+
+static const GThreadFunc callers[] = { call_http1, call_http2 };
+
 START_TEST(stop_finishes_open_requests)
 {
 	struct result plan = { .execution = EXEC_RUN };
@@ -317,7 +330,7 @@
 	w = world_new(&s);
 	world_plan(w, &plan, NULL);
 	world_hold(w);
-	caller = g_thread_new("caller", call_thread, w);
+	caller = g_thread_new("caller", callers[_i], w);
 	ck_assert(world_seen(w, 1));
 	world_stop_front(w);
 	world_call(w, &late);
@@ -338,7 +351,7 @@
 	world_settings(&s);
 	w = world_new(&s);
 	world_hold(w);
-	caller = g_thread_new("caller", call_thread, w);
+	caller = g_thread_new("caller", callers[_i], w);
 	ck_assert(world_seen(w, 1));
 	world_free(w);
 	ck_assert_int_eq(GPOINTER_TO_INT(g_thread_join(caller)), 504);
@@ -376,17 +389,6 @@
 }
 END_TEST
 
-static gpointer call_http2(gpointer arg)
-{
-	struct call c = {
-		.path = "/v1/statement", .key = "k", .body = BODY, .http2 = true
-	};
-
-	world_call(arg, &c);
-	call_clear(&c);
-	return NULL;
-}
-
 /* Answers of requests on one connection keep to their own streams. */
 START_TEST(late_answer_of_gone_caller_is_dropped)
 {
@@ -414,6 +416,35 @@
 }
 END_TEST
 
+/* Beyond the limit a connection waits until another one ends. */
+START_TEST(connections_are_limited)
+{
+	struct call status = { .path = "/status", .operators = true };
+	struct settings s;
+	struct world *w;
+	int first, second;
+
+	world_settings(&s);
+	s.connection_limit = 1;
+	w = world_new(&s);
+	first = world_connect(w);
+	send_raw(first);
+	ck_assert(world_seen(w, 1));
+	second = world_connect(w);
+	send_raw(second);
+	world_call(w, &status);
+	ck_assert_int_eq(status.status, 200);
+	call_clear(&status);
+	send_raw(first);
+	ck_assert(world_seen(w, 2));
+	ck_assert_int_eq(world_count(w), 2);
+	close(first);
+	ck_assert(world_seen(w, 3));
+	close(second);
+	world_free(w);
+}
+END_TEST
+
 static void open_routes(struct world *w)
 {
 	struct call health = { .path = "/health" };
@@ -452,7 +483,7 @@
 	world_settings(&s);
 	w = world_new(&s);
 	for (i = 0; i < CALLS; i++)
-		ck_assert_int_eq(GPOINTER_TO_INT(call_thread(w)), 200);
+		ck_assert_int_eq(call_status(w, false), 200);
 	open_routes(w);
 	world_free(w);
 }
@@ -469,10 +500,11 @@
 	tcase_add_test(tc, statements);
 	tcase_add_test(tc, refusals);
 	tcase_add_test(tc, http2_prior_knowledge);
-	tcase_add_test(tc, stop_finishes_open_requests);
-	tcase_add_test(tc, free_answers_what_is_open);
+	tcase_add_loop_test(tc, stop_finishes_open_requests, 0, 2);
+	tcase_add_loop_test(tc, free_answers_what_is_open, 0, 2);
 	tcase_add_test(tc, tells_that_caller_is_gone);
 	tcase_add_test(tc, late_answer_of_gone_caller_is_dropped);
+	tcase_add_test(tc, connections_are_limited);
 	tcase_add_test(tc, open_and_operators_routes);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
