--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 
 #include "../core/admit.h"
+#include "../core/rng.h"
 #include "script.h"
 
 #define LIFE 9
@@ -174,6 +175,33 @@
 }
 END_TEST
 
+START_TEST(parts_sum_exactly)
+{
+	struct rng rng = { 3 };
+	uint32_t i;
+
+	for (i = 0; i < 5000; i++) {
+		struct contract c = { .account = rng_next(&rng) };
+		uint16_t zones = (uint16_t)(1 + rng_below(&rng, 8));
+		uint64_t rate = 0, burst = 0;
+		uint16_t z;
+
+		c.rate = (uint32_t)(1 + rng_below(&rng, 300));
+		c.burst = (uint32_t)(1 + rng_below(&rng, 300));
+		for (z = 0; z < zones; z++) {
+			struct rate_part p;
+
+			rate_part_of(&c, z, zones, &p);
+			ck_assert(!p.rate == !p.burst);
+			rate += p.rate;
+			burst += p.burst;
+		}
+		ck_assert_uint_eq(rate, c.rate);
+		ck_assert_uint_eq(burst, c.burst);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("admit");
@@ -182,6 +210,7 @@
 	int failed;
 
 	tcase_add_loop_test(tc, scripted, 0, (int)G_N_ELEMENTS(files));
+	tcase_add_test(tc, parts_sum_exactly);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
