home: a silent connection takes those with it that were idle since before

Something between the two ends that loses track of connections loses all of the idle ones. Before, each cost one statement its deadline; now the first one that is overdue has the others opened anew (scripted run).

--- a/core/conns.h
+++ b/core/conns.h
@@ -31,9 +31,10 @@
 struct conn {
 	uint64_t number;
 	enum conn_state state;
-	hm_time until;	/**< when the state is overdue or over */
-	bool cancelled; /**< the running statement was cancelled */
-	bool had_slot;	/**< closed while it used a slot */
+	hm_time until;	  /**< when the state is overdue or over */
+	bool cancelled;	  /**< the running statement was cancelled */
+	bool had_slot;	  /**< closed while it used a slot */
+	hm_time heard_at; /**< the endpoint last spoke on it */
 	hm_time started_at;
 	struct turn turn; /**< running statement */
 	struct conn_tx tx;
--- a/core/home.c
+++ b/core/home.c
@@ -243,6 +243,24 @@
 	}
 }
 
+/*
+ * What made one connection silent may have hit those that have been idle
+ * since before: better opened anew than found out one statement at a time.
+ */
+static void close_stale(struct home *h, hm_time since, hm_time now,
+			struct actions *actions)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->conns.count; i++) {
+		struct conn *conn = &h->conns.list[i];
+
+		if (conn->state == CONN_IDLE && !conn->tx.id.seq &&
+		    conn->heard_at < since)
+			home_close_conn(h, conn, now, actions);
+	}
+}
+
 static void check_running(struct home *h, struct conn *conn, hm_time now,
 			  struct actions *actions)
 {
@@ -255,6 +273,7 @@
 	}
 	home_act(h, ACT_CLOSE, conn, actions);
 	home_end_lost(h, conn, now);
+	close_stale(h, conn->started_at, now, actions);
 }
 
 static void check_conns(struct home *h, hm_time now, struct actions *actions)
--- a/core/home_events.c
+++ b/core/home_events.c
@@ -70,6 +70,7 @@
 static void on_done(struct home *h, struct conn *conn, const struct event *e,
 		    hm_time now, struct actions *actions)
 {
+	conn->heard_at = now;
 	if (conn->state == CONN_RESETTING && !e->done.id.seq) {
 		if (e->done.done == DONE_OK && !e->done.open_tx)
 			conn->state = CONN_IDLE;
@@ -116,11 +117,12 @@
 	notice_down(h, now);
 }
 
-static void on_connected(struct home *h, struct conn *conn)
+static void on_connected(struct home *h, struct conn *conn, hm_time now)
 {
 	if (conn->state != CONN_CONNECTING)
 		return;
 	conn->state = CONN_IDLE;
+	conn->heard_at = now;
 	h->connect_pause = 0;
 	h->down = false;
 }
@@ -138,7 +140,7 @@
 	else if (e->kind == EV_CLOSED)
 		on_closed(h, conn, now);
 	else if (e->kind == EV_CONNECTED)
-		on_connected(h, conn);
+		on_connected(h, conn, now);
 	home_dispatch(h, now, actions);
 	return true;
 }
--- a/tests/test_home_script.c
+++ b/tests/test_home_script.c
@@ -217,6 +217,7 @@
 	"tests/scripts/home_keys.txt",
 	"tests/scripts/home_deadlines.txt",
 	"tests/scripts/home_queue.txt",
+	"tests/scripts/home_silent.txt",
 };
 
 START_TEST(scripted)
