Replace a primary whose log reaches no replica any more

Cause: a primary cut off from its members alone, with its home and theirs answering, kept its term; each write waited 2 s for a replica that could not come further and was then acknowledged with one copy. Change: when replicas that advanced under this term stand still for 1 s while the primary is ahead, the others are fenced without it and the furthest is promoted; not where a majority suffices before that is over. Ruled out: shortening the wait for a replica instead, which would acknowledge single copies in ordinary lag.

--- a/core/failover.c
+++ b/core/failover.c
@@ -121,6 +121,7 @@
 	if (r->state.reachable)
 		c->reached_at = now;
 	note_promise(f, &r->state, now);
+	suspect_report(f, c, &r->state, now);
 	if (r->nonce.life == f->options->life && r->nonce.seq == f->seq)
 		failover_phases[f->phase].answer(f, c, r, now, actions);
 }
--- a/core/failover_state.h
+++ b/core/failover_state.h
@@ -28,6 +28,9 @@
 	struct endpoint_state state;
 	hm_time reached_at; /**< last report that it can be reached */
 	hm_time repaired_at;
+	uint64_t pos;		/**< last reported position of its log */
+	hm_time advanced_at;	/**< when that position changed */
+	uint64_t advanced_term; /**< under which term, 0 for never */
 };
 
 struct failover {
@@ -45,6 +48,7 @@
 	const char *cause;
 	hm_time not_before; /**< backoff, or another orderer's turn */
 	hm_time suspect_since;
+	hm_time ahead_since; /**< no replica has all of the primary's log */
 	uint64_t promised_seen;
 	bool leave;
 	uint64_t promotions;
@@ -68,6 +72,11 @@
 		       struct actions *actions);
 /** Member by endpoint, NULL when it is none. */
 struct candidate *failover_candidate(struct failover *f, hm_id endpoint);
+/** Notes how far the logs have come. */
+void suspect_report(struct failover *f, struct candidate *c,
+		    const struct endpoint_state *s, hm_time now);
+/** Whether the cause is a primary whose log reaches no replica. */
+bool suspect_is_stalled(const char *cause);
 /** Life to ask about a member, 0 when nobody is known to hold it. */
 uint64_t failover_asked(const struct failover *f, const struct candidate *c);
 /** Whether the configuration says that an endpoint is leaving. */
--- a/core/failover_steps.c
+++ b/core/failover_steps.c
@@ -168,6 +168,8 @@
 
 	if (!suspect_cause(f, now))
 		return true;
+	if (suspect_is_stalled(f->cause))
+		return false;
 	return c && c->answered && c->state.reachable &&
 	       c->state.role == ROLE_PRIMARY &&
 	       suspect_promised(f) <= group_term(f->group) &&
@@ -257,6 +259,17 @@
 	return fenced_count(f) >= needed;
 }
 
+/*
+ * A stalled primary is furthest along with what nobody else has, so it is
+ * left out: all that was acknowledged as held is with the others.
+ */
+static bool is_left_out(const struct failover *f, const struct candidate *c,
+			hm_time now)
+{
+	return suspect_is_stalled(f->cause) &&
+	       c->endpoint == group_primary(f->group, now);
+}
+
 static void send_fences(struct failover *f, hm_time now,
 			struct actions *actions)
 {
@@ -265,7 +278,8 @@
 	if (!send_due(f, now))
 		return;
 	for (i = 0; i < f->count; i++)
-		if (!f->candidates[i].fenced)
+		if (!f->candidates[i].fenced &&
+		    !is_left_out(f, &f->candidates[i], now))
 			send_step(f, &f->candidates[i], CONTROL_FENCE, actions);
 }
 
--- a/core/suspect.c
+++ b/core/suspect.c
@@ -3,9 +3,18 @@
 
 /** A primary whose reports stop is suspected after so many probes. */
 #define SILENT_PROBES 3
+/** A log that no replica comes further with for this long is stalled. */
+#define STALL_LIMIT HM_SEC
+/**
+ * The change must be over before a write that only the primary has may be
+ * acknowledged, so it is not tried where that is allowed early.
+ */
+#define STALL_REPLICA_WAIT (STALL_LIMIT + 800 * HM_MS)
 /** Time for a first report of every member after the start. */
 #define UNHEARD_LIMIT (3 * HM_SEC)
 
+static const char cause_stalled[] = "stalled";
+
 uint64_t suspect_promised(const struct failover *f)
 {
 	uint64_t term = 0;
@@ -54,6 +63,80 @@
 	return false;
 }
 
+/* Largest position of a replica; *newest is when one last came further. */
+static uint64_t replicas_pos(const struct failover *f, hm_id primary,
+			     hm_time *newest)
+{
+	uint64_t term = group_term(f->group);
+	uint64_t most = 0;
+	uint32_t i;
+
+	*newest = 0;
+	for (i = 0; i < f->count; i++) {
+		const struct candidate *c = &f->candidates[i];
+
+		if (c->endpoint == primary)
+			continue;
+		if (c->pos > most)
+			most = c->pos;
+		if (c->advanced_term == term && c->advanced_at > *newest)
+			*newest = c->advanced_at;
+	}
+	return most;
+}
+
+void suspect_report(struct failover *f, struct candidate *c,
+		    const struct endpoint_state *s, hm_time now)
+{
+	hm_id primary = group_primary(f->group, now);
+	const struct candidate *p = failover_candidate(f, primary);
+	hm_time newest;
+
+	if (!s->reachable)
+		return;
+	if (c->pos && c->pos != s->at.pos) {
+		c->advanced_at = now;
+		c->advanced_term = lineage_term(&s->lineage);
+	}
+	c->pos = s->at.pos;
+	if (!p || p->pos <= replicas_pos(f, primary, &newest))
+		f->ahead_since = 0;
+	else if (!f->ahead_since)
+		f->ahead_since = now;
+}
+
+/*
+ * The log of the primary reaches no replica any more, though it did under
+ * this term: writes cannot be kept there. A replica that merely lags goes on
+ * advancing.
+ */
+static bool is_stalled(const struct failover *f, hm_id primary, hm_time now)
+{
+	uint32_t others = 0;
+	uint32_t i;
+	hm_time newest;
+
+	if (f->options->replica_wait < STALL_REPLICA_WAIT)
+		return false;
+	replicas_pos(f, primary, &newest);
+	if (!f->ahead_since || now - f->ahead_since < STALL_LIMIT || !newest ||
+	    now - newest < STALL_LIMIT)
+		return false;
+	for (i = 0; i < f->count; i++) {
+		const struct endpoint_state *s =
+			group_state(f->group, f->candidates[i].endpoint);
+
+		others += s && s->reachable &&
+			  f->candidates[i].endpoint != primary;
+	}
+	return others >= group_majority(f->group);
+}
+
+bool suspect_is_stalled(const char *cause)
+{
+	return cause == cause_stalled;
+}
+
 const char *suspect_cause(struct failover *f, hm_time now)
 {
 	hm_id primary = group_primary(f->group, now);
@@ -71,6 +154,8 @@
 		return "silent";
 	if (failover_leaving(f, primary) && has_successor(f))
 		return "leaving";
+	if (is_stalled(f, primary, now))
+		return cause_stalled;
 	return NULL;
 }
 
--- a/tests/bed_script.c
+++ b/tests/bed_script.c
@@ -224,6 +224,17 @@
 	bed_take_over(b, index_arg(line, "proxy"), index_arg(line, "member"));
 }
 
+/* Writes wait this long for a replica before a majority suffices. */
+static void do_patience(struct bed *b, const char *line, GString *out)
+{
+	uint32_t i;
+
+	(void)out;
+	for (i = 0; i < BED_PROXIES; i++)
+		b->proxies[i].options.replica_wait =
+			script_int(line, "ms", 0) * HM_MS;
+}
+
 static void do_leave(struct bed *b, const char *line, GString *out)
 {
 	struct database_spec spec = *group_database(b->proxies[0].group);
@@ -269,10 +280,10 @@
 	{ "resume", do_resume }, { "lag", do_lag },
 	{ "ship", do_ship },	 { "lose", do_lose },
 	{ "repeat", do_repeat }, { "take", do_take },
-	{ "leave", do_leave },	 { "state", do_state },
-	{ "truth", do_truth },	 { "silent", do_silent },
-	{ "block", do_block },	 { "rewind", do_rewind },
-	{ "token", do_token },
+	{ "leave", do_leave },	 { "patience", do_patience },
+	{ "state", do_state },	 { "truth", do_truth },
+	{ "silent", do_silent }, { "block", do_block },
+	{ "rewind", do_rewind }, { "token", do_token },
 };
 
 static void command(void *context, const char *line, GString *out)
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -14,15 +14,26 @@
 #define CALLER_PATIENCE 10
 
 static const char *const scripts[] = {
-	"primary_lost",	       "zone_cut",
-	"silent_connection",   "orderer_lost",
-	"two_orderers",	       "lost_answers",
-	"during_failover",     "divergent_return",
-	"minority_only",       "paused_and_cut",
-	"leaving_primary",     "home_lost",
-	"cut_and_lost_answer", "twice",
-	"hung_primary",	       "fence_reached_one",
-	"long_tail",	       "flap",
+	"primary_lost",
+	"zone_cut",
+	"silent_connection",
+	"orderer_lost",
+	"two_orderers",
+	"lost_answers",
+	"during_failover",
+	"divergent_return",
+	"minority_only",
+	"paused_and_cut",
+	"leaving_primary",
+	"home_lost",
+	"cut_and_lost_answer",
+	"twice",
+	"hung_primary",
+	"fence_reached_one",
+	"long_tail",
+	"flap",
+	"stalled",
+	"stalled_early",
 };
 
 START_TEST(runs_as_expected)
