--- a/standin/memlog.c
+++ b/standin/memlog.c
@@ -33,7 +33,7 @@
 	g_free(s);
 }
 
-static void record_unref(void *record)
+void memlog_record_unref(void *record)
 {
 	struct memlog_record *r = record;
 
@@ -49,7 +49,7 @@
 
 	memset(l, 0, sizeof(*l));
 	l->promised = FIRST_TERM;
-	l->records = g_ptr_array_new_with_free_func(record_unref);
+	l->records = g_ptr_array_new_with_free_func(memlog_record_unref);
 	l->begin = g_array_new(false, false, sizeof(struct mark));
 	g_array_append_val(l->begin, first);
 }
@@ -88,7 +88,7 @@
 	return l->role == ROLE_PRIMARY && l->promised == memlog_at(l).term;
 }
 
-void memlog_take(struct memlog *l, struct memlog_record *record)
+static void add(struct memlog *l, struct memlog_record *record)
 {
 	struct mark begin = { record->at.term, l->records->len };
 
@@ -107,7 +107,7 @@
 	r->at.pos = l->records->len + 1;
 	r->committed_at = now;
 	r->statements = statements;
-	memlog_take(l, r);
+	add(l, r);
 }
 
 void memlog_append(struct memlog *l, GPtrArray *statements, hm_time now)
@@ -162,7 +162,8 @@
 	return l->role == ROLE_REPLICA && memlog_at(from).term >= l->promised;
 }
 
-uint64_t memlog_branch(const struct memlog *l, const struct memlog *from)
+/* Last position that both logs hold alike. */
+static uint64_t branch_of(const struct memlog *l, const struct memlog *from)
 {
 	uint64_t pos = MIN(l->records->len, from->records->len);
 
@@ -172,7 +173,7 @@
 	return pos;
 }
 
-void memlog_cut(struct memlog *l, uint64_t pos)
+static void cut(struct memlog *l, uint64_t pos)
 {
 	struct mark *last;
 
@@ -192,3 +193,23 @@
 		return NULL;
 	return record_at(from, l->records->len + 1);
 }
+
+bool memlog_rewind(struct memlog *l, const struct memlog *from)
+{
+	uint64_t branch = branch_of(l, from);
+
+	if (branch == l->records->len || branch == from->records->len)
+		return false;
+	cut(l, branch);
+	return true;
+}
+
+void memlog_take(struct memlog *l, struct memlog_record *record)
+{
+	add(l, record);
+	if (record->at.term <= l->promised)
+		return;
+	l->promised = record->at.term;
+	/* Whoever ordered this term has promoted another member. */
+	l->promised_by = 0;
+}
--- a/standin/memlog.h
+++ b/standin/memlog.h
@@ -30,6 +30,9 @@
 	GPtrArray *statements; /**< of struct memlog_statement */
 };
 
+/** Gives up one reference. */
+void memlog_record_unref(void *record);
+
 struct memlog {
 	enum endpoint_role role;
 	uint64_t promised;
@@ -69,14 +72,15 @@
 
 /** True when records of @a from may be taken over. */
 bool memlog_accepts(const struct memlog *l, const struct memlog *from);
-/** Last position that both logs hold alike. */
-uint64_t memlog_branch(const struct memlog *l, const struct memlog *from);
-/** Cuts off what lies beyond @a pos. */
-void memlog_cut(struct memlog *l, uint64_t pos);
 /** Next record to be taken from @a from, NULL when there is none. */
 struct memlog_record *memlog_next(const struct memlog *l,
 				  const struct memlog *from);
-/** Appends a record of another log. */
+/**
+ * Cuts off the tail that the log of @a from contradicts.
+ * @return whether there was one
+ */
+bool memlog_rewind(struct memlog *l, const struct memlog *from);
+/** Appends a record of another log, and promises its term to nobody. */
 void memlog_take(struct memlog *l, struct memlog_record *record);
 
 #endif
--- a/standin/replica.c
+++ b/standin/replica.c
@@ -104,27 +104,11 @@
 		g_error("cannot replay the log of %s", n->spec.name);
 }
 
-/* Cuts off records that the log of @a from contradicts. */
-static void rewind_tail(struct node *n, const struct node *from)
-{
-	uint64_t branch = memlog_branch(&n->log, &from->log);
-
-	if (branch == n->log.records->len || branch == from->log.records->len)
-		return;
-	memlog_cut(&n->log, branch);
-	rebuild(n);
-}
-
-static void take_record(struct node *n, const struct node *from,
-			struct memlog_record *r)
+static void take_record(struct node *n, struct memlog_record *r)
 {
 	if (!replay(n, r))
 		g_error("cannot apply a record to %s", n->spec.name);
 	memlog_take(&n->log, r);
-	if (r->at.term <= n->log.promised)
-		return;
-	n->log.promised = r->at.term;
-	n->log.promised_by = from->log.promised_by;
 }
 
 void replica_pull(struct node *n, hm_time now)
@@ -134,9 +118,10 @@
 
 	if (!from)
 		return;
-	rewind_tail(n, from);
+	if (memlog_rewind(&n->log, &from->log))
+		rebuild(n);
 	while ((r = memlog_next(&n->log, &from->log)) && arrival(n, r) <= now)
-		take_record(n, from, r);
+		take_record(n, r);
 }
 
 hm_time replica_due(const struct node *n)
