--- a/tests/bed.c
+++ b/tests/bed.c
@@ -18,7 +18,7 @@
 
 static uint32_t node_of(hm_id endpoint)
 {
-	return BED_PROXIES + (uint32_t)(endpoint - model_endpoint(0));
+	return BED_PROXIES + (uint32_t)(endpoint - fake_endpoint(0));
 }
 
 static struct packet *put(struct bed *b, enum packet_kind kind, uint32_t from,
@@ -43,9 +43,9 @@
 
 	memset(spec, 0, sizeof(*spec));
 	spec->database = DATABASE;
-	spec->endpoint_count = MODEL_MEMBERS;
-	for (i = 0; i < MODEL_MEMBERS; i++) {
-		spec->endpoints[i].endpoint = model_endpoint(i);
+	spec->endpoint_count = FAKE_MEMBERS;
+	for (i = 0; i < FAKE_MEMBERS; i++) {
+		spec->endpoints[i].endpoint = fake_endpoint(i);
 		spec->endpoints[i].zone = (uint16_t)i;
 	}
 }
@@ -90,7 +90,7 @@
 	p->failover =
 		failover_new(&p->options, p->peers, p->group, bed_local(b, i));
 	p->holds[i] = true;
-	b->model.members[i].home = bed_life(i);
+	b->fakes.members[i].home = bed_life(i);
 }
 
 void bed_init(struct bed *b, uint64_t seed, uint32_t guards_off,
@@ -102,8 +102,8 @@
 	memset(&b->cut, 0, sizeof(*b) - offsetof(struct bed, cut));
 	b->rng.state = seed;
 	b->now = HM_SEC;
-	model_init(&b->model);
-	b->promoted = b->model.promoted;
+	fake_init(&b->fakes);
+	b->promoted = b->fakes.promoted;
 	for (i = 0; i < BED_PROXIES; i++) {
 		struct proxy *p = &b->proxies[i];
 
@@ -283,7 +283,7 @@
 
 static void deliver_step(struct bed *b, const struct packet *p)
 {
-	struct model_member *m = model_member(&b->model, p->step.endpoint);
+	struct fake_member *m = fake_member(&b->fakes, p->step.endpoint);
 	struct state_report r = { .nonce = p->step.nonce };
 
 	if (!m->down && m->home != bed_life(p->from)) {
@@ -292,10 +292,10 @@
 	}
 	if (b->block[p->step.op][p->to - BED_PROXIES])
 		return;
-	r.state = model_control(&b->model, &p->step);
+	r.state = fake_control(&b->fakes, &p->step);
 	bed_check_promotion(b);
 	if (b->twice[p->step.op])
-		r.state = model_control(&b->model, &p->step);
+		r.state = fake_control(&b->fakes, &p->step);
 	if (b->lose[p->step.op]) {
 		b->lose[p->step.op]--;
 		return;
@@ -359,20 +359,19 @@
 
 static void deliver_execute(struct bed *b, const struct packet *p)
 {
-	struct model_member *m =
-		model_member(&b->model, p->order.ended.endpoint);
+	struct fake_member *m = fake_member(&b->fakes, p->order.ended.endpoint);
 	struct order o = p->order;
 
 	if (m->down || m->home != bed_life(p->from))
 		return;
-	o.ended.before = model_at(m);
-	o.snapshot = model_bits(m);
+	o.ended.before = fake_at(m);
+	o.snapshot = fake_bits(m);
 	o.floor_held =
-		model_reached(m, o.ended.statement.floor) ||
-		b->model.promoted > m->lineage.begin[m->lineage.count - 1].term;
-	if (o.write && (model_holds(m, o.write) || !model_write(m, o.write)))
+		fake_reached(m, o.ended.statement.floor) ||
+		b->fakes.promoted > m->lineage.begin[m->lineage.count - 1].term;
+	if (o.write && (fake_holds(m, o.write) || !fake_write(m, o.write)))
 		return;
-	o.ended.after = model_at(m);
+	o.ended.after = fake_at(m);
 	o.ended.lineage = m->lineage;
 	put(b, PACKET_DONE, p->to, p->from)->order = o;
 }
@@ -457,12 +456,12 @@
 	if (bed_local(b, proxy) < p->probe_at)
 		return;
 	p->probe_at = bed_local(b, proxy) + p->options.probe_every;
-	for (i = 0; i < MODEL_MEMBERS; i++) {
+	for (i = 0; i < FAKE_MEMBERS; i++) {
 		if (!p->holds[i])
 			continue;
 		step.nonce.life = bed_life(proxy);
 		step.nonce.seq = NONCE_HOLDER + ++p->nonce;
-		step.endpoint = model_endpoint(i);
+		step.endpoint = fake_endpoint(i);
 		ask_member(b, proxy, &step);
 	}
 }
@@ -497,8 +496,8 @@
 	r = group_route(p->group, &o->ended.statement, 0, bed_local(b, proxy));
 	if (r.error == ERR_WRITE_LOST && !r.wait_until) {
 		o->verified.result.error = ERR_WRITE_LOST;
-		o->snapshot = model_bits(&b->model.newest);
-		o->floor_held = model_reached(&b->model.newest, s->floor);
+		o->snapshot = fake_bits(&b->fakes.newest);
+		o->floor_held = fake_reached(&b->fakes.newest, s->floor);
 		o->verified.result.at = r.reset;
 		bed_log_answer(b, o);
 		bed_session_answer(b, o);
@@ -563,7 +562,7 @@
 void bed_take_over(struct bed *b, uint32_t proxy, uint32_t member)
 {
 	struct proxy *p = &b->proxies[proxy];
-	struct model_member *m = &b->model.members[member];
+	struct fake_member *m = &b->fakes.members[member];
 
 	if (p->paused || m->down ||
 	    !bed_linked(b, proxy, BED_PROXIES + member) ||
--- a/tests/bed.h
+++ b/tests/bed.h
@@ -12,10 +12,10 @@
 #include "../core/failover.h"
 #include "../core/rng.h"
 #include "../core/verify.h"
-#include "model.h"
+#include "fakes.h"
 
 #define BED_PROXIES 3
-#define BED_NODES (BED_PROXIES + MODEL_MEMBERS)
+#define BED_NODES (BED_PROXIES + FAKE_MEMBERS)
 #define BED_PACKETS 96
 #define BED_SESSIONS 6
 #define BED_WRITES 60
@@ -65,8 +65,8 @@
 	struct failover *failover;
 	hm_time skew; /**< of its clock */
 	bool paused;
-	bool holds[MODEL_MEMBERS];
-	bool rechecking[MODEL_MEMBERS];
+	bool holds[FAKE_MEMBERS];
+	bool rechecking[FAKE_MEMBERS];
 	hm_time probe_at;
 	uint64_t seq;
 	uint64_t nonce;
@@ -85,7 +85,7 @@
 struct bed {
 	struct rng rng;
 	hm_time now;
-	struct model model;
+	struct fakes fakes;
 	struct proxy proxies[BED_PROXIES];
 	bool cut[BED_NODES][BED_NODES];
 	struct packet bag[BED_PACKETS];
@@ -110,10 +110,10 @@
 	hm_time begun_at;		  /**< origin of the times in the log */
 	GString *log;			  /**< decisions, when set */
 	uint32_t lose[CONTROL_FRESH + 1]; /**< answers to lose, by step */
-	bool hangs;		  /**< lost endpoints use up the time limit */
-	bool lags[MODEL_MEMBERS]; /**< ships no log to this member */
-	bool twice[CONTROL_FRESH + 1];		      /**< steps arrive twice */
-	bool block[CONTROL_FRESH + 1][MODEL_MEMBERS]; /**< steps get lost */
+	bool hangs;		 /**< lost endpoints use up the time limit */
+	bool lags[FAKE_MEMBERS]; /**< ships no log to this member */
+	bool twice[CONTROL_FRESH + 1];		     /**< steps arrive twice */
+	bool block[CONTROL_FRESH + 1][FAKE_MEMBERS]; /**< steps get lost */
 };
 
 /** @a limits NULL: short ones, so that a walk gets far in few steps. */
--- a/tests/bed_check.c
+++ b/tests/bed_check.c
@@ -17,10 +17,10 @@
 {
 	uint64_t bits;
 
-	if (b->model.promoted == b->promoted)
+	if (b->fakes.promoted == b->promoted)
 		return;
-	b->promoted = b->model.promoted;
-	bits = model_bits(&b->model.newest);
+	b->promoted = b->fakes.promoted;
+	bits = fake_bits(&b->fakes.newest);
 	if (b->durable & ~bits)
 		break_rule(b, "a promotion lost a write held by a replica");
 	b->acked &= bits;
@@ -34,11 +34,11 @@
 
 	b->acks++;
 	b->acks_limited += limited;
-	if (limited && b->model.promoted > o->verified.proved_term)
+	if (limited && b->fakes.promoted > o->verified.proved_term)
 		break_rule(b, "acknowledged by a superseded primary");
-	if (b->model.promoted > term && !(model_bits(&b->model.newest) & bit))
+	if (b->fakes.promoted > term && !(fake_bits(&b->fakes.newest) & bit))
 		break_rule(b, "acknowledged a write that was cut off");
-	if (!limited && b->model.promoted == term)
+	if (!limited && b->fakes.promoted == term)
 		b->durable |= bit;
 	if (!(b->acked & bit))
 		b->acked_at[o->write] = b->now;
@@ -126,7 +126,7 @@
 				       limited ? "majority" : "replica");
 	if (!o->write && r->error == ERR_NONE)
 		g_string_append_printf(b->log, " from=%u age=%d",
-				       (guint)(r->endpoint - model_endpoint(0)),
+				       (guint)(r->endpoint - fake_endpoint(0)),
 				       (int)(r->age_bound / HM_MS));
 	g_string_append_printf(b->log, " mark=%u:%u\n", (guint)r->at.term,
 			       (guint)r->at.pos);
--- a/tests/bed_script.c
+++ b/tests/bed_script.c
@@ -44,13 +44,13 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < MODEL_MEMBERS; i++) {
-		struct model_member *m = &b->model.members[i];
-		uint32_t from = (uint32_t)(m->target - model_endpoint(0));
+	for (i = 0; i < FAKE_MEMBERS; i++) {
+		struct fake_member *m = &b->fakes.members[i];
+		uint32_t from = (uint32_t)(m->target - fake_endpoint(0));
 
 		if (m->target && !b->lags[i] &&
 		    bed_linked(b, BED_PROXIES + i, BED_PROXIES + from))
-			model_replicate(&b->model, m, MODEL_LOG);
+			fake_replicate(&b->fakes, m, FAKE_LOG);
 	}
 }
 
@@ -143,19 +143,19 @@
 static void do_down(struct bed *b, const char *line, GString *out)
 {
 	(void)out;
-	b->model.members[index_arg(line, "member")].down = true;
+	b->fakes.members[index_arg(line, "member")].down = true;
 }
 
 static void do_up(struct bed *b, const char *line, GString *out)
 {
 	(void)out;
-	b->model.members[index_arg(line, "member")].down = false;
+	b->fakes.members[index_arg(line, "member")].down = false;
 }
 
 static void do_silent(struct bed *b, const char *line, GString *out)
 {
 	(void)out;
-	b->model.members[index_arg(line, "member")].silent = true;
+	b->fakes.members[index_arg(line, "member")].silent = true;
 }
 
 static void do_pause(struct bed *b, const char *line, GString *out)
@@ -191,7 +191,7 @@
 static void do_rewind(struct bed *b, const char *line, GString *out)
 {
 	(void)out;
-	b->model.members[index_arg(line, "member")].pos =
+	b->fakes.members[index_arg(line, "member")].pos =
 		(uint64_t)script_int(line, "pos", 0);
 }
 
@@ -251,9 +251,9 @@
 	uint32_t i;
 
 	(void)line;
-	for (i = 0; i < MODEL_MEMBERS; i++) {
-		const struct model_member *m = &b->model.members[i];
-		struct mark at = model_at(m);
+	for (i = 0; i < FAKE_MEMBERS; i++) {
+		const struct fake_member *m = &b->fakes.members[i];
+		struct mark at = fake_at(m);
 
 		g_string_append_printf(
 			out, "member=%u %s promised=%u at=%u:%u\n", i,
--- a/tests/model.c
+++ b/tests/fakes.c
@@ -1,39 +1,39 @@
-/** @file model.c Members of one database group in memory. */
-#include "model.h"
+/** @file fakes.c Members of one database group in memory. */
+#include "fakes.h"
 
 #include <string.h>
 
-hm_id model_endpoint(uint32_t index)
+hm_id fake_endpoint(uint32_t index)
 {
 	return 101 + index;
 }
 
-struct model_member *model_member(struct model *m, hm_id endpoint)
+struct fake_member *fake_member(struct fakes *m, hm_id endpoint)
 {
-	return &m->members[endpoint - model_endpoint(0)];
+	return &m->members[endpoint - fake_endpoint(0)];
 }
 
-void model_init(struct model *m)
+void fake_init(struct fakes *m)
 {
 	uint32_t i;
 
 	memset(m, 0, sizeof(*m));
-	for (i = 0; i < MODEL_MEMBERS; i++) {
-		struct model_member *e = &m->members[i];
+	for (i = 0; i < FAKE_MEMBERS; i++) {
+		struct fake_member *e = &m->members[i];
 
-		e->endpoint = model_endpoint(i);
+		e->endpoint = fake_endpoint(i);
 		e->role = i ? ROLE_REPLICA : ROLE_PRIMARY;
 		e->promised = 1;
 		e->lineage.count = 1;
 		e->lineage.begin[0] = (struct mark){ 1, 0 };
-		e->target = i ? model_endpoint(0) : 0;
+		e->target = i ? fake_endpoint(0) : 0;
 		e->follow_term = 1;
 	}
 	m->promoted = 1;
 	m->newest = m->members[0];
 }
 
-struct mark model_at(const struct model_member *m)
+struct mark fake_at(const struct fake_member *m)
 {
 	struct mark at = { 1, m->pos };
 
@@ -42,12 +42,12 @@
 	return at;
 }
 
-static uint64_t last_term(const struct model_member *m)
+static uint64_t last_term(const struct fake_member *m)
 {
 	return m->lineage.begin[m->lineage.count - 1].term;
 }
 
-static bool fence(struct model_member *e, const struct control *step)
+static bool fence(struct fake_member *e, const struct control *step)
 {
 	if (step->term == e->promised && step->orderer == e->promised_by)
 		return true;
@@ -70,7 +70,7 @@
 	l->begin[l->count++] = begin;
 }
 
-static bool promote(struct model *m, struct model_member *e,
+static bool promote(struct fakes *m, struct fake_member *e,
 		    const struct control *step)
 {
 	if (step->term != e->promised || step->orderer != e->promised_by)
@@ -87,7 +87,7 @@
 	return true;
 }
 
-static bool follow(struct model_member *e, const struct control *step)
+static bool follow(struct fake_member *e, const struct control *step)
 {
 	if (step->term < e->promised || step->target == e->endpoint ||
 	    (e->role == ROLE_PRIMARY && last_term(e) == step->term))
@@ -102,9 +102,9 @@
 	return true;
 }
 
-struct endpoint_state model_control(struct model *m, const struct control *step)
+struct endpoint_state fake_control(struct fakes *m, const struct control *step)
 {
-	struct model_member *e = model_member(m, step->endpoint);
+	struct fake_member *e = fake_member(m, step->endpoint);
 	struct endpoint_state s = { .database = step->database,
 				    .endpoint = step->endpoint };
 
@@ -122,23 +122,23 @@
 	s.role = e->role;
 	s.promised = e->promised;
 	s.promised_by = e->promised_by;
-	s.at = model_at(e);
+	s.at = fake_at(e);
 	s.lineage = e->lineage;
 	s.home = e->home;
 	return s;
 }
 
-bool model_write(struct model_member *m, uint64_t write)
+bool fake_write(struct fake_member *m, uint64_t write)
 {
-	if (m->down || m->role != ROLE_PRIMARY || m->pos == MODEL_LOG)
+	if (m->down || m->role != ROLE_PRIMARY || m->pos == FAKE_LOG)
 		return false;
 	m->terms[m->pos] = last_term(m);
 	m->writes[m->pos++] = write;
 	return true;
 }
 
-static uint64_t common_prefix(const struct model_member *a,
-			      const struct model_member *b)
+static uint64_t common_prefix(const struct fake_member *a,
+			      const struct fake_member *b)
 {
 	uint64_t pos = 0;
 
@@ -149,8 +149,7 @@
 }
 
 /* The terms of the source that the shorter log has come to. */
-static void copy_lineage(struct model_member *to,
-			 const struct model_member *from)
+static void copy_lineage(struct fake_member *to, const struct fake_member *from)
 {
 	uint32_t i;
 
@@ -161,13 +160,13 @@
 				from->lineage.begin[i];
 }
 
-bool model_replicate(struct model *m, struct model_member *to, uint32_t records)
+bool fake_replicate(struct fakes *m, struct fake_member *to, uint32_t records)
 {
-	const struct model_member *from;
+	const struct fake_member *from;
 
 	if (!to->target || to->down || to->follow_term < to->promised)
 		return false;
-	from = model_member(m, to->target);
+	from = fake_member(m, to->target);
 	if (from->down || last_term(from) != to->follow_term || from->target)
 		return false;
 	to->pos = common_prefix(to, from);
@@ -180,7 +179,7 @@
 	return true;
 }
 
-bool model_holds(const struct model_member *m, uint64_t write)
+bool fake_holds(const struct fake_member *m, uint64_t write)
 {
 	uint64_t i;
 
@@ -190,14 +189,14 @@
 	return false;
 }
 
-bool model_reached(const struct model_member *m, struct mark at)
+bool fake_reached(const struct fake_member *m, struct mark at)
 {
 	if (!at.pos)
 		return true;
 	return at.pos <= m->pos && m->terms[at.pos - 1] == at.term;
 }
 
-uint64_t model_bits(const struct model_member *m)
+uint64_t fake_bits(const struct fake_member *m)
 {
 	uint64_t bits = 0;
 	uint64_t i;
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -75,13 +75,13 @@
 
 static void refuse(struct bed *b)
 {
-	b->model.members[0].down = true;
+	b->fakes.members[0].down = true;
 }
 
 static void hang(struct bed *b)
 {
 	b->hangs = true;
-	b->model.members[0].down = true;
+	b->fakes.members[0].down = true;
 }
 
 static void cut(struct bed *b)
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -17,13 +17,13 @@
 #include <string.h>
 
 #include "../core/group.h"
-#include "model.h"
+#include "fakes.h"
 #include "script.h"
 
 struct view {
 	struct group *group;
 	hm_time now;
-	struct state_report last[MODEL_MEMBERS];
+	struct state_report last[FAKE_MEMBERS];
 };
 
 static struct mark mark_of(const char *text)
@@ -67,7 +67,7 @@
 
 	(void)out;
 	memset(r, 0, sizeof(*r));
-	r->state.endpoint = model_endpoint(i);
+	r->state.endpoint = fake_endpoint(i);
 	r->state.reachable = !strstr(line, " gone");
 	r->state.role = strstr(line, " primary") ? ROLE_PRIMARY : ROLE_REPLICA;
 	r->state.promised = (uint64_t)script_int(line, "promised", 1);
@@ -96,7 +96,7 @@
 	uint32_t i = (uint32_t)script_int(line, "member", 0);
 
 	(void)out;
-	group_attempt(v->group, model_endpoint(i), script_int(line, "ok", 0),
+	group_attempt(v->group, fake_endpoint(i), script_int(line, "ok", 0),
 		      v->now);
 }
 
@@ -122,7 +122,7 @@
 			(endpoint_set)script_int(line, "tried", 0), v->now);
 	if (r.endpoint)
 		g_string_append_printf(out, "member=%u reason=%s\n",
-				       (guint)(r.endpoint - model_endpoint(0)),
+				       (guint)(r.endpoint - fake_endpoint(0)),
 				       r.reason);
 	else
 		g_string_append_printf(out, "nowhere error=%s reason=%s%s\n",
@@ -182,13 +182,13 @@
 
 static char *run(const char *file)
 {
-	struct database_spec spec = { .endpoint_count = MODEL_MEMBERS };
+	struct database_spec spec = { .endpoint_count = FAKE_MEMBERS };
 	struct view v = { .now = HM_SEC };
 	char *fault;
 	uint32_t i;
 
-	for (i = 0; i < MODEL_MEMBERS; i++) {
-		spec.endpoints[i].endpoint = model_endpoint(i);
+	for (i = 0; i < FAKE_MEMBERS; i++) {
+		spec.endpoints[i].endpoint = fake_endpoint(i);
 		spec.endpoints[i].zone = (uint16_t)i;
 	}
 	v.group = group_new(&spec, 1, 0);
--- a/tests/test_walk.c
+++ b/tests/test_walk.c
@@ -64,13 +64,13 @@
 
 static void some_replication(struct bed *b)
 {
-	uint32_t i = pick(b, MODEL_MEMBERS);
-	struct model_member *m = &b->model.members[i];
+	uint32_t i = pick(b, FAKE_MEMBERS);
+	struct fake_member *m = &b->fakes.members[i];
 
 	if (m->target &&
 	    bed_linked(b, BED_PROXIES + i,
-		       BED_PROXIES + (uint32_t)(m->target - model_endpoint(0))))
-		model_replicate(&b->model, m, 1 + pick(b, 3));
+		       BED_PROXIES + (uint32_t)(m->target - fake_endpoint(0))))
+		fake_replicate(&b->fakes, m, 1 + pick(b, 3));
 }
 
 /* A zone is a proxy and its member. */
@@ -118,13 +118,13 @@
 		heal(b);
 		break;
 	case 5:
-		b->model.members[i].down = !b->model.members[i].down;
+		b->fakes.members[i].down = !b->fakes.members[i].down;
 		break;
 	case 6:
 		b->proxies[i].paused = !b->proxies[i].paused;
 		break;
 	default:
-		bed_take_over(b, i, pick(b, MODEL_MEMBERS));
+		bed_take_over(b, i, pick(b, FAKE_MEMBERS));
 	}
 }
 
