Count answers and latency by account; a lost write makes its session unsure

The worst-served account could not be told from the metrics. A write whose instance ended before its outcome was known now marks the session token, as one of unknown outcome does elsewhere.

--- a/src/front.c
+++ b/src/front.c
@@ -118,7 +118,7 @@
 	}
 	for (i = gone; i; i = i->next) {
 		exchange_drop(i->data);
-		exchange_refuse(i->data, ERR_OUTCOME_UNKNOWN, NULL);
+		exchange_lose(i->data);
 	}
 	g_slist_free(gone);
 	timer_set(f->hangup, loop_now() + HANGUP_CHECK_EVERY);
@@ -129,19 +129,16 @@
 			char fault[SETTINGS_FAULT_BYTES])
 {
 	struct front *f = g_new0(struct front, 1);
-	size_t routes;
 
 	/* h2o writes to connections whose other side may be gone. */
 	signal(SIGPIPE, SIG_IGN);
-	front_routes(&routes);
 	f->loop = loop;
 	f->settings = settings;
 	f->bodies = bodies;
 	f->hooks = *hooks;
 	g_queue_init(&f->connections);
 	f->exchanges = g_hash_table_new(g_int64_hash, g_int64_equal);
-	f->latency = g_new0(struct histogram, routes);
-	f->answers = g_new0(uint64_t, routes * ERR_COUNT);
+	f->counts = front_counts_new();
 	f->hangup = timer_new(loop, check_hangups, f);
 	timer_set(f->hangup, loop_now() + HANGUP_CHECK_EVERY);
 	configure(f);
@@ -159,7 +156,7 @@
 
 	g_hash_table_remove_all(f->exchanges);
 	for (i = list; i; i = i->next)
-		exchange_refuse(i->data, ERR_OUTCOME_UNKNOWN, NULL);
+		exchange_lose(i->data);
 	g_list_free(list);
 }
 
@@ -192,8 +189,7 @@
 	h2o_config_dispose(&f->config);
 	SSL_CTX_free(f->ssl);
 	g_hash_table_destroy(f->exchanges);
-	g_free(f->latency);
-	g_free(f->answers);
+	front_counts_free(f->counts);
 	g_free(f);
 }
 
--- a/src/front_exchange.c
+++ b/src/front_exchange.c
@@ -17,18 +17,6 @@
 			      1, NULL, copy.base, copy.len);
 }
 
-static void count(const struct exchange *x, enum error error)
-{
-	struct front *f = x->front;
-	size_t index, routes;
-
-	if (!x->route)
-		return;
-	index = (size_t)(x->route - front_routes(&routes));
-	f->answers[index * ERR_COUNT + error]++;
-	histogram_add(&f->latency[index], loop_now() - x->arrived_at);
-}
-
 void exchange_send(struct exchange *x, int status, const char *type,
 		   const char *text, size_t bytes)
 {
@@ -72,6 +60,13 @@
 	add_header(x->req, "session-token", text);
 }
 
+static const char *name_of(const struct front *f, hm_id id)
+{
+	if (!id || !f->hooks.name)
+		return NULL;
+	return f->hooks.name(f->hooks.owner, id);
+}
+
 static void log_answer(const struct exchange *x, const struct result *result,
 		       int status)
 {
@@ -83,8 +78,11 @@
 	snprintf(spent, sizeof(spent), "%lld",
 		 (long long)(loop_now() - x->arrived_at));
 	log_event(G_LOG_LEVEL_INFO, "answer", "request", rid_text(x->id, id),
-		  "route", x->route ? x->route->path : NULL, "status", code,
-		  "code", error_answer(result->error)->code, "execution",
+		  "route", x->route ? x->route->path : NULL, "account",
+		  name_of(x->front, x->binding), "database",
+		  name_of(x->front, x->database), "endpoint",
+		  name_of(x->front, result->endpoint), "status", code, "code",
+		  error_answer(result->error)->code, "execution",
 		  execution_name(result->execution), "micros", spent, NULL);
 }
 
@@ -102,13 +100,6 @@
 	return body;
 }
 
-static const char *endpoint_name(const struct front *f, hm_id endpoint)
-{
-	if (!endpoint || !f->hooks.name)
-		return NULL;
-	return f->hooks.name(f->hooks.owner, endpoint);
-}
-
 void exchange_answer(struct exchange *x, const struct result *result,
 		     const char *text)
 {
@@ -117,7 +108,7 @@
 	struct reply reply = {
 		.result = result,
 		.text = text,
-		.endpoint = endpoint_name(f, result->endpoint),
+		.endpoint = name_of(f, result->endpoint),
 		.body = take_body(f, result),
 		.tx_database = x->database,
 		.now = loop_now(),
@@ -131,7 +122,7 @@
 		add_retry_after(x, result, reply.now);
 	if (result->error == ERR_UNAUTHENTICATED)
 		add_header(x->req, "www-authenticate", "Bearer");
-	count(x, result->error);
+	front_counts_add(f->counts, x, result->error);
 	log_answer(x, result, status);
 	exchange_send(x, status, JSON_TYPE, json->str, json->len);
 	g_string_free(json, TRUE);
@@ -150,6 +141,19 @@
 	exchange_answer(x, &result, text);
 }
 
+void exchange_lose(struct exchange *x)
+{
+	struct result result = {
+		.id = x->id,
+		.error = ERR_OUTCOME_UNKNOWN,
+		.execution = EXEC_UNKNOWN,
+		.database = x->database,
+		.unsure = x->op != OP_READ,
+	};
+
+	exchange_answer(x, &result, NULL);
+}
+
 /* h2o frees the request: answered, or the caller went away. */
 static void on_request_freed(void *data)
 {
--- a/src/front_internal.h
+++ b/src/front_internal.h
@@ -10,6 +10,7 @@
 #include "token.h"
 
 struct route_entry;
+struct front_counts;
 
 /** One listening socket and the connections that came from it. */
 struct listener {
@@ -39,9 +40,8 @@
 	struct timer *hangup;  /**< looks for callers that went away */
 	uint64_t seq;	       /**< of the last request */
 	bool stopping;
-	bool ended;		   /**< takes no request any more */
-	struct histogram *latency; /**< by route */
-	uint64_t *answers;	   /**< by route and error kind */
+	bool ended; /**< takes no request any more */
+	struct front_counts *counts;
 };
 
 /** A request of a caller, from its arrival to its answer. */
@@ -91,12 +91,20 @@
 bool exchange_credentials(struct exchange *x);
 /** Sends an answer of the front itself. */
 void exchange_refuse(struct exchange *x, enum error error, const char *text);
+/** Answers a statement that nobody can tell the outcome of. */
+void exchange_lose(struct exchange *x);
 /** Sends the result of a statement. */
 void exchange_answer(struct exchange *x, const struct result *result,
 		     const char *text);
 /** Sends any text. */
 void exchange_send(struct exchange *x, int status, const char *type,
 		   const char *text, size_t bytes);
+/** Counters of answers, by route and by account. */
+struct front_counts *front_counts_new(void);
+void front_counts_free(struct front_counts *c);
+/** Counts the answer to @a x, which ends now. */
+void front_counts_add(struct front_counts *c, const struct exchange *x,
+		      enum error error);
 /** Metrics of the front. */
 void front_metrics(const struct front *f, GString *out);
 
--- a/src/front_routes.c
+++ b/src/front_routes.c
@@ -11,7 +11,6 @@
 
 #define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4"
-#define LABELS_BYTES 128
 
 static void fill_statement(const struct exchange *x, const struct request *r,
 			   struct statement *s)
@@ -214,48 +213,3 @@
 	*count = G_N_ELEMENTS(routes);
 	return routes;
 }
-
-static void append_answers(const struct front *f, GString *out)
-{
-	char labels[LABELS_BYTES];
-	size_t i, kind;
-	uint64_t n;
-
-	metrics_family(out, "hyssopmount_front_answers_total", "counter",
-		       "Answers to callers, by route and error kind.");
-	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
-		for (kind = 0; kind < ERR_COUNT; kind++) {
-			n = f->answers[i * ERR_COUNT + kind];
-			if (!n)
-				continue;
-			g_snprintf(labels, sizeof(labels),
-				   "route=\"%s\",code=\"%s\"", routes[i].path,
-				   error_answer((enum error)kind)->code);
-			metrics_value(out, "hyssopmount_front_answers_total",
-				      labels, n);
-		}
-	}
-}
-
-void front_metrics(const struct front *f, GString *out)
-{
-	char labels[LABELS_BYTES];
-	size_t i;
-
-	metrics_single(out, "hyssopmount_front_requests_open", "gauge",
-		       "Requests without an answer.", front_open(f));
-	metrics_single(out, "hyssopmount_front_connections", "gauge",
-		       "Connections of callers and operators.",
-		       f->connections.length);
-	append_answers(f, out);
-	metrics_family(out, "hyssopmount_front_latency_seconds", "histogram",
-		       "Time from arrival to answer, by route.");
-	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
-		if (!f->latency[i].count)
-			continue;
-		g_snprintf(labels, sizeof(labels), "route=\"%s\"",
-			   routes[i].path);
-		metrics_histogram(out, "hyssopmount_front_latency_seconds",
-				  labels, &f->latency[i]);
-	}
-}
--- a/tests/front_world.c
+++ b/tests/front_world.c
@@ -11,6 +11,7 @@
 #include "../src/address.h"
 
 #define WAIT_LIMIT (5 * G_TIME_SPAN_SECOND)
+#define WORLD_ACCOUNT 5
 #define POLL_US 1000
 #define CALL_LIMIT_S 20L
 
@@ -126,6 +127,8 @@
 static const char *on_name(void *owner, hm_id id)
 {
 	(void)owner;
+	if (id == WORLD_ACCOUNT)
+		return "payroll";
 	return id == 9 ? "north" : NULL;
 }
 
@@ -167,7 +170,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	w->settings = *settings;
 	w->held = g_array_new(FALSE, FALSE, sizeof(struct held));
-	w->account = 5;
+	w->account = WORLD_ACCOUNT;
 	w->loop = loop_new();
 	w->bodies = bodies_new();
 	w->front = front_new(w->loop, &w->settings, w->bodies, &hooks, fault);
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -459,13 +459,18 @@
 	ck_assert_ptr_null(strstr(api.answer->str, "/metrics"));
 	world_call(w, &metrics);
 	ck_assert(g_str_has_prefix(metrics.answer->str, "instance_metric 1\n"));
-	ck_assert_ptr_nonnull(strstr(
-		metrics.answer->str,
-		"hyssopmount_front_answers_total{route=\"/v1/statement\","
-		"code=\"ok\"} 50\n"));
 	ck_assert_ptr_nonnull(strstr(metrics.answer->str,
-				     "hyssopmount_front_latency_seconds_count"
-				     "{route=\"/v1/statement\"} 50\n"));
+				     "hyssopmount_front_answers_total{listener="
+				     "\"callers\",route=\"/v1/statement\","
+				     "code=\"ok\"} 50\n"));
+	ck_assert_ptr_nonnull(
+		strstr(metrics.answer->str,
+		       "hyssopmount_front_latency_seconds_count"
+		       "{listener=\"callers\",route=\"/v1/statement\"} 50\n"));
+	ck_assert_ptr_nonnull(
+		strstr(metrics.answer->str,
+		       "hyssopmount_account_answers_total{account="
+		       "\"payroll\",code=\"ok\"} 50\n"));
 	world_call(w, &status);
 	ck_assert_str_eq(status.answer->str, "{\"instance\":\"a\"}");
 	call_clear(&health);
