--- a/core/peers.c
+++ b/core/peers.c
@@ -143,6 +143,7 @@
 {
 	member->told_leaving |= h->leaving;
 	member->stopped = h->stopped;
+	member->peer.gave_up = member->told_leaving || member->stopped;
 	member->peer.platform_ok = h->platform_ok;
 	member->peer.config_version = h->config_version;
 	member->peer.config_digest = h->config_digest;
--- a/core/peers.h
+++ b/core/peers.h
@@ -29,6 +29,7 @@
 	uint16_t zone;
 	bool alive;   /**< heard within the limit and not stopped */
 	bool leaving; /**< told by itself or by the list: route no work there */
+	bool gave_up; /**< said itself that it is leaving or has stopped */
 	hm_time heard_at;
 	uint64_t seq;
 	bool platform_ok;
--- a/core/rate.c
+++ b/core/rate.c
@@ -16,6 +16,7 @@
 #define PACE_SPAN (200 * HM_MS) /* memory of the measured pace */
 #define LINE_OLD (300 * HM_MS)	/* after this the pace tells the drain rate */
 #define HELD_MAX 16
+#define TAKEOVER_SILENCES 2 /* wait of a new owner, in peer_silent */
 
 /* Tokens of one grant. */
 struct held {
@@ -38,6 +39,7 @@
 	uint32_t rate;
 	struct rate_part part; /* minted by this zone */
 	uint64_t generation;   /* of the peers when ownership was decided */
+	uint64_t owner;	       /* last one known, 0 for none */
 	bool owned;
 	int64_t level;
 	hm_time filled_at;
@@ -63,6 +65,15 @@
 	hm_time mint_after; /* this instance owns nothing before */
 };
 
+/*
+ * Two instances that do not hear each other because a link went silent hear
+ * each other again, over a new link, before either mints for the other.
+ */
+static hm_time takeover_wait(const struct rate *r)
+{
+	return r->options->peer_silent * TAKEOVER_SILENCES;
+}
+
 struct rate *rate_new(const struct core_options *options,
 		      const struct peers *peers, hm_time now)
 {
@@ -73,7 +84,7 @@
 	r->options = options;
 	r->peers = peers;
 	r->last_at = now;
-	r->mint_after = now + options->peer_silent;
+	r->mint_after = now + takeover_wait(r);
 	return r;
 }
 
@@ -181,7 +192,7 @@
 	uint32_t i;
 
 	if (now - r->last_at > r->options->peer_silent / 2) {
-		r->mint_after = now + r->options->peer_silent;
+		r->mint_after = now + takeover_wait(r);
 		for (i = 0; i < r->count; i++) {
 			r->list[i].owned = false;
 			r->list[i].generation = UINT64_MAX;
@@ -191,16 +202,26 @@
 		r->last_at = now;
 }
 
+/* Whether the last owner may still mint without knowing of this one. */
+static bool may_have_rival(const struct rate *r, uint64_t owner)
+{
+	const struct peer *peer = peers_find(r->peers, owner);
+
+	if (!owner || owner == r->options->life)
+		return false;
+	return !peer || !peer->gave_up;
+}
+
 static void decide_ownership(const struct rate *r, struct quota *q, hm_time now)
 {
 	uint64_t generation = peers_generation(r->peers);
-	uint64_t owner;
+	uint64_t last = q->owner;
 
 	if (q->generation == generation)
 		return;
 	q->generation = generation;
-	owner = peers_owner(r->peers, q->account, r->options->zone, false);
-	if (owner != r->options->life) {
+	q->owner = peers_owner(r->peers, q->account, r->options->zone, false);
+	if (q->owner != r->options->life) {
 		q->owned = false;
 		return;
 	}
@@ -209,6 +230,8 @@
 	q->owned = true;
 	q->level = 0;
 	q->filled_at = now > r->mint_after ? now : r->mint_after;
+	if (may_have_rival(r, last) && q->filled_at < now + takeover_wait(r))
+		q->filled_at = now + takeover_wait(r);
 }
 
 /* Brings ownership and level up to now; true when tokens may be minted. */
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -42,6 +42,7 @@
 	m.from = (uint64_t)script_int(line, "life", PEER_LIFE);
 	m.heartbeat.instance = m.from;
 	m.heartbeat.zone = (uint16_t)script_int(line, "zone", 1);
+	m.heartbeat.leaving = script_int(line, "leaving", 0);
 	peers_message(r->peers, &m, r->now);
 }
 
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -73,6 +73,8 @@
 	hm_time now;
 	uint64_t lives;
 	uint32_t cut; /* zones that hear only themselves, by bit */
+	uint32_t mute_from, mute_to; /* a link that went silent */
+	hm_time mute_until;
 	uint32_t loss_percent;
 	hm_time step;
 	hm_time far_delay; /* between zones */
@@ -158,6 +160,8 @@
 {
 	uint16_t za = zone_of(a), zb = zone_of(b);
 
+	if (f->now < f->mute_until && f->mute_from == a && f->mute_to == b)
+		return false;
 	return za == zb || !((f->cut >> za | f->cut >> zb) & 1);
 }
 
@@ -335,11 +339,21 @@
 	deliver_due(f);
 }
 
+/* One direction of a link in a zone; it is replaced within 1.5 s. */
+static void mute(struct fleet *f)
+{
+	if (f->now < f->mute_until + 2 * HM_SEC)
+		return;
+	f->mute_from = (uint32_t)rng_below(&f->rng, INSTANCES - 1);
+	f->mute_to = f->mute_from ^ 1;
+	f->mute_until = f->now + 1500 * HM_MS;
+}
+
 static void random_fault(struct fleet *f)
 {
 	struct node *n = &f->nodes[rng_below(&f->rng, INSTANCES)];
 
-	switch (rng_below(&f->rng, 6)) {
+	switch (rng_below(&f->rng, 7)) {
 	case 0:
 		n->paused_until =
 			f->now + (hm_time)rng_below(&f->rng, 5 * HM_SEC);
@@ -359,6 +373,9 @@
 	case 4:
 		f->cut = 0;
 		break;
+	case 6:
+		mute(f);
+		break;
 	case 5:
 		if (n->up)
 			peers_leave(n->peers);
