Clear sessions between users of a connection

A write can leave settings, session locks or temporary tables behind, which the next caller on the connection would have met at a real server. DISCARD ALL now follows in the same pipeline whenever no transaction is left open; when it fails the connection is closed. The stand-in has no such state, so the test counts statements.

--- a/src/driver_pg.c
+++ b/src/driver_pg.c
@@ -11,11 +11,19 @@
 #include "pg_link.h"
 
 #define BODY_KEEP (60 * HM_SEC)
-#define QUERIES_MAX 5
+#define QUERIES_MAX 6
 #define STATE_SQL "SELECT hm_state()"
+#define CLEAR_SQL "DISCARD ALL"
 
 /* What a query of the pipeline is for. */
-enum part { PART_BEFORE, PART_BEGIN, PART_STATEMENT, PART_END, PART_AFTER };
+enum part {
+	PART_BEFORE,
+	PART_BEGIN,
+	PART_STATEMENT,
+	PART_END,
+	PART_AFTER,
+	PART_CLEAR
+};
 
 /* A statement on its way; zeroed when the connection is free. */
 struct running {
@@ -44,7 +52,7 @@
 	bool reset_wanted;
 	bool answered;	 /* all answers came, a cancel is on its way */
 	bool cancelling; /* nothing new may run until it arrived */
-	bool unsure;	 /* a cancel may still arrive: not to be used again */
+	bool unsure;	 /* a cancel may still come, or state was left */
 	struct running running;
 };
 
@@ -301,6 +309,9 @@
 		if (PQresultStatus(r) == PGRES_FATAL_ERROR && !run->ended)
 			take_failure(c, r);
 		break;
+	case PART_CLEAR:
+		c->unsure |= PQresultStatus(r) != PGRES_COMMAND_OK;
+		break;
 	}
 }
 
@@ -326,7 +337,7 @@
 		return;
 	c->running.sent = true;
 	if (add_query(c, PART_END, "ROLLBACK", NULL) && pg_link_sync(c->link) &&
-	    add_query(c, PART_STATEMENT, "DISCARD ALL", NULL))
+	    add_query(c, PART_STATEMENT, CLEAR_SQL, NULL))
 		pg_link_sync(c->link);
 }
 
@@ -440,11 +451,22 @@
 	       pg_link_sync(c->link);
 }
 
+/* Nothing of a session may be left for its next user. */
+static bool leaves_free(const struct running *r)
+{
+	if (r->op == OP_COMMIT || r->op == OP_ROLLBACK)
+		return true;
+	return r->op != OP_BEGIN && !r->in_transaction;
+}
+
 static void send_pipeline(struct pg_conn *c, const struct pg_query *q)
 {
-	if (add_query(c, PART_BEFORE, STATE_SQL, NULL) &&
-	    pg_link_sync(c->link) && send_statement(c, q) &&
-	    add_query(c, PART_AFTER, STATE_SQL, NULL))
+	if (!add_query(c, PART_BEFORE, STATE_SQL, NULL) ||
+	    !pg_link_sync(c->link) || !send_statement(c, q) ||
+	    !add_query(c, PART_AFTER, STATE_SQL, NULL) ||
+	    !pg_link_sync(c->link) || !leaves_free(&c->running))
+		return;
+	if (add_query(c, PART_CLEAR, CLEAR_SQL, NULL))
 		pg_link_sync(c->link);
 }
 
--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -140,6 +140,33 @@
 }
 END_TEST
 
+static uint64_t statements_run(void)
+{
+	struct member_figures f;
+
+	members_figures(rig.members, rig.spec.endpoints[0].endpoint, &f);
+	return f.statements;
+}
+
+/* Whatever ends a transaction is followed by DISCARD ALL. */
+START_TEST(sessions_are_cleared_between_users)
+{
+	uint64_t before;
+
+	rig_open_conn(1, 0);
+	before = statements_run();
+	rig_expect(1, OP_WRITE, "{\"sql\": \"DELETE FROM t\"}", DONE_OK);
+	ck_assert_uint_eq(statements_run() - before, 4);
+	rig_expect(1, OP_READ, "{\"sql\": \"SELECT 1\"}", DONE_OK);
+	ck_assert_uint_eq(statements_run() - before, 10);
+	rig_expect(1, OP_BEGIN, NULL, DONE_OK);
+	rig_expect(1, OP_WRITE, "{\"sql\": \"DELETE FROM t\"}", DONE_OK);
+	ck_assert_uint_eq(statements_run() - before, 16);
+	rig_expect(1, OP_COMMIT, NULL, DONE_OK);
+	ck_assert_uint_eq(statements_run() - before, 20);
+}
+END_TEST
+
 START_TEST(reset_clears_the_connection)
 {
 	rig_open_conn(1, 0);
@@ -354,6 +381,7 @@
 	tcase_add_test(tc, commit_of_a_failed_transaction);
 	tcase_add_test(tc, failed_commit_is_rejected);
 	tcase_add_test(tc, fenced_commit_is_refused);
+	tcase_add_test(tc, sessions_are_cleared_between_users);
 	tcase_add_test(tc, reset_clears_the_connection);
 	tcase_add_test(tc, cancel_ends_a_wait);
 	tcase_add_test(tc, closed_connections_say_nothing);
