Take the pipeline of a statement out of the driver; send nothing on a given-up link

A statement that was started from inside the event of one whose cancel was not answered went out on the connection, and could be hit by that cancel. It ends as not sent now; the new case fails without the check.

--- a/src/driver_pg.c
+++ b/src/driver_pg.c
@@ -1,7 +1,7 @@
 /**
  * @file driver_pg.c
- * Driver for PostgreSQL through libpq. A statement goes out in one pipeline:
- * the state, the statement, the state again, so that its marks enclose it.
+ * Driver for PostgreSQL through libpq: the connections of an instance, and
+ * which events they lead to.
  */
 #include <string.h>
 
@@ -9,38 +9,9 @@
 #include "pg_body.h"
 #include "pg_control.h"
 #include "pg_link.h"
+#include "pg_statement.h"
 
 #define BODY_KEEP (60 * HM_SEC)
-#define QUERIES_MAX 6
-#define STATE_SQL "SELECT hm_state()"
-#define CLEAR_SQL "DISCARD ALL"
-
-/* What a query of the pipeline is for. */
-enum part {
-	PART_BEFORE,
-	PART_BEGIN,
-	PART_STATEMENT,
-	PART_END,
-	PART_AFTER,
-	PART_CLEAR
-};
-
-/* A statement on its way; zeroed when the connection is free. */
-struct running {
-	bool busy;
-	bool sent;
-	struct rid id;
-	enum op op;
-	bool in_transaction;
-	uint32_t count;
-	enum part parts[QUERIES_MAX];
-	bool ended; /* the outcome below is known */
-	enum done done;
-	uint64_t body;
-	struct pg_rows rows;
-	struct endpoint_state before;
-	struct endpoint_state after;
-};
 
 struct pg_conn {
 	struct driver_state *driver;
@@ -52,8 +23,8 @@
 	bool reset_wanted;
 	bool answered;	 /* all answers came, a cancel is on its way */
 	bool cancelling; /* nothing new may run until it arrived */
-	bool unsure;	 /* a cancel may still come, or state was left */
-	struct running running;
+	bool unsure;	 /* a cancel may still come, so not to be used again */
+	struct pg_statement running;
 };
 
 struct driver_state {
@@ -87,7 +58,7 @@
 	struct pg_conn *c = conn;
 
 	pg_link_free(c->link);
-	pg_rows_clear(&c->running.rows);
+	pg_statement_clear(&c->running);
 	g_free(c);
 }
 
@@ -128,30 +99,6 @@
 	return id;
 }
 
-/* The mark before counts only if the log after still holds it. */
-static bool still_holds(const struct endpoint_state *after, struct mark m)
-{
-	uint32_t i;
-
-	if (mark_compare(after->at, m) < 0)
-		return false;
-	for (i = 0; i < after->lineage.count; i++)
-		if (after->lineage.begin[i].term > m.term)
-			return m.pos <= after->lineage.begin[i].pos;
-	return true;
-}
-
-static void fill_marks(const struct running *r, struct event *e)
-{
-	e->done.lineage =
-		r->after.reachable ? r->after.lineage : r->before.lineage;
-	if (!r->after.reachable)
-		return;
-	e->done.after = r->after.at;
-	if (r->before.reachable && still_holds(&r->after, r->before.at))
-		e->done.before = r->before.at;
-}
-
 /* Tells how the statement at hand ended; the connection may be gone then. */
 static void end_running(struct pg_conn *c, enum done done)
 {
@@ -160,11 +107,11 @@
 	e.done.conn = c->number;
 	e.done.id = c->running.id;
 	e.done.done = done;
-	e.done.body = c->running.body;
-	fill_marks(&c->running, &e);
+	if (c->running.body && done != DONE_LOST)
+		e.done.body = put_body(c->driver, g_bytes_ref(c->running.body));
+	pg_statement_marks(&c->running, &e);
 	e.done.open_tx = pg_link_in_transaction(c->link);
-	pg_rows_clear(&c->running.rows);
-	memset(&c->running, 0, sizeof(c->running));
+	pg_statement_clear(&c->running);
 	c->answered = false;
 	sink_event(&c->driver->host.sink, &e);
 }
@@ -190,155 +137,40 @@
 	sink_event(&d->host.sink, &e);
 }
 
-static void on_broken(void *arg)
+static void on_result(void *arg, uint32_t query, const PGresult *r)
 {
 	struct pg_conn *c = arg;
-	struct driver_state *d = c->driver;
-	uint64_t number = c->number;
-
-	if (c->running.busy && c->answered)
-		end_running(c, c->running.done);
-	else if (c->running.busy)
-		end_running(c, c->running.sent ? DONE_LOST : DONE_NOT_SENT);
-	if (find(d, number))
-		close_conn(c);
-}
-
-/* Errors by which a server says that it did not run a statement. */
-static bool says_not_run(const struct running *r, const char *sqlstate)
-{
-	/* A read that tries to write meets its own read-only transaction. */
-	if (!g_strcmp0(sqlstate, "25006"))
-		return r->op != OP_READ || r->in_transaction;
-	return !g_strcmp0(sqlstate, "53300") || !g_strcmp0(sqlstate, "57P03");
-}
-
-static void set_outcome(struct pg_conn *c, enum done done, GBytes *body)
-{
-	c->running.ended = true;
-	c->running.done = done;
-	bodies_drop(c->driver->host.bodies, c->running.body);
-	c->running.body = 0;
-	if (body)
-		c->running.body = put_body(c->driver, body);
-}
-
-static void take_failure(struct pg_conn *c, const PGresult *r)
-{
-	const char *sqlstate = PQresultErrorField(r, PG_DIAG_SQLSTATE);
-
-	/* What became of the statement is open then. */
-	if (pg_ends_connection(r))
-		return;
-	set_outcome(c,
-		    says_not_run(&c->running, sqlstate) ? DONE_REFUSED
-							: DONE_REJECTED,
-		    pg_body_failure(r));
-}
-
-static struct pg_rows_limit limit_of(const struct pg_conn *c)
-{
 	const struct driver_host *host = &c->driver->host;
 	struct pg_rows_limit limit = { host->rows_limit, host->answer_bytes };
 
-	return limit;
+	pg_statement_result(&c->running, query, r, limit);
 }
 
-static void take_last_rows(struct pg_conn *c, const PGresult *r)
+static void send_reset(struct pg_conn *c)
 {
-	GBytes *body = pg_rows_end(&c->running.rows, r, limit_of(c));
+	const struct rid none = { 0 };
 
-	if (body)
-		set_outcome(c, DONE_OK, body);
-	else
-		set_outcome(c, DONE_REJECTED,
-			    pg_body_error("54000", "the statement was run; its "
-						   "answer is over the limit"));
-}
-
-/* A server answers the COMMIT of a failed transaction with ROLLBACK. */
-static bool rolled_back(const struct pg_conn *c, const PGresult *r)
-{
-	return c->running.op == OP_COMMIT &&
-	       strcmp(PQcmdStatus((PGresult *)r), "COMMIT") != 0;
+	pg_statement_begin(&c->running, none, OP_ROLLBACK);
+	c->reset_wanted = false;
+	if (!c->unsure && pg_link_usable(c->link))
+		pg_statement_send_reset(&c->running, c->link);
 }
 
-static void take_statement(struct pg_conn *c, const PGresult *r)
+static enum done unanswered(const struct pg_conn *c)
 {
-	switch (PQresultStatus(r)) {
-	case PGRES_SINGLE_TUPLE:
-		pg_rows_add(&c->running.rows, r, limit_of(c));
-		return;
-	case PGRES_TUPLES_OK:
-	case PGRES_COMMAND_OK:
-	case PGRES_EMPTY_QUERY:
-		if (rolled_back(c, r))
-			set_outcome(c, DONE_REJECTED,
-				    pg_body_error("40000", "the transaction "
-							   "was rolled back"));
-		else
-			take_last_rows(c, r);
-		return;
-	case PGRES_FATAL_ERROR:
-		take_failure(c, r);
-		return;
-	default:
-		return;
-	}
+	return c->running.sent ? DONE_LOST : DONE_NOT_SENT;
 }
 
-static void on_result(void *arg, uint32_t query, const PGresult *r)
+/* Ends the connection and what was started on it meanwhile. */
+static void retire(struct pg_conn *c)
 {
-	struct pg_conn *c = arg;
-	struct running *run = &c->running;
-
-	if (!run->busy || query >= run->count)
-		return;
-	switch (run->parts[query]) {
-	case PART_BEFORE:
-		pg_state_parse(r, &run->before);
-		break;
-	case PART_AFTER:
-		pg_state_parse(r, &run->after);
-		break;
-	case PART_STATEMENT:
-		take_statement(c, r);
-		break;
-	case PART_BEGIN:
-	case PART_END:
-		if (PQresultStatus(r) == PGRES_FATAL_ERROR && !run->ended)
-			take_failure(c, r);
-		break;
-	case PART_CLEAR:
-		c->unsure |= PQresultStatus(r) != PGRES_COMMAND_OK;
-		break;
-	}
-}
-
-static bool add_query(struct pg_conn *c, enum part part, const char *sql,
-		      const struct pg_query *q)
-{
-	struct running *r = &c->running;
-
-	r->parts[r->count++] = part;
-	if (q)
-		return pg_link_query(c->link, q->sql, q->count,
-				     (const char *const *)q->params, true);
-	return pg_link_query(c->link, sql, 0, NULL, false);
-}
+	struct driver_state *d = c->driver;
+	uint64_t number = c->number;
 
-static void send_reset(struct pg_conn *c)
-{
-	memset(&c->running, 0, sizeof(c->running));
-	c->running.busy = true;
-	c->running.op = OP_ROLLBACK;
-	c->reset_wanted = false;
-	if (!pg_link_usable(c->link))
-		return;
-	c->running.sent = true;
-	if (add_query(c, PART_END, "ROLLBACK", NULL) && pg_link_sync(c->link) &&
-	    add_query(c, PART_STATEMENT, CLEAR_SQL, NULL))
-		pg_link_sync(c->link);
+	if (c->running.busy)
+		end_running(c, unanswered(c));
+	if (find(d, number))
+		close_conn(c);
 }
 
 /* Delivers the outcome; what follows depends on who waited meanwhile. */
@@ -347,16 +179,28 @@
 	struct driver_state *d = c->driver;
 	uint64_t number = c->number;
 
+	c->unsure |= c->running.dirty;
 	end_running(c, c->running.ended ? c->running.done : DONE_LOST);
 	c = find(d, number);
-	if (!c || c->running.busy)
+	if (!c)
 		return;
 	if (c->unsure)
-		close_conn(c);
-	else if (c->reset_wanted)
+		retire(c);
+	else if (c->reset_wanted && !c->running.busy)
 		send_reset(c);
 }
 
+static void on_broken(void *arg)
+{
+	struct pg_conn *c = arg;
+
+	c->unsure = true;
+	if (c->answered)
+		finish(c);
+	else
+		retire(c);
+}
+
 /* All answers are there. */
 static void on_idle(void *arg)
 {
@@ -420,69 +264,13 @@
 	later(d, &e);
 }
 
-/* SQL of an operation that carries none of its own. */
-static const char *operation_sql(enum op op)
-{
-	switch (op) {
-	case OP_BEGIN:
-		return "BEGIN";
-	case OP_COMMIT:
-		return "COMMIT";
-	case OP_ROLLBACK:
-		return "ROLLBACK";
-	default:
-		return NULL;
-	}
-}
-
-/* The statement, inside a read-only transaction of its own for a read. */
-static bool send_statement(struct pg_conn *c, const struct pg_query *q)
-{
-	bool alone = c->running.op == OP_READ && !c->running.in_transaction;
-
-	if (alone && !add_query(c, PART_BEGIN, "BEGIN READ ONLY", NULL))
-		return false;
-	if (!add_query(c, PART_STATEMENT, operation_sql(c->running.op), q) ||
-	    !pg_link_sync(c->link))
-		return false;
-	if (!alone)
-		return true;
-	return add_query(c, PART_END, "ROLLBACK", NULL) &&
-	       pg_link_sync(c->link);
-}
-
-/* Nothing of a session may be left for its next user. */
-static bool leaves_free(const struct running *r)
-{
-	if (r->op == OP_COMMIT || r->op == OP_ROLLBACK)
-		return true;
-	return r->op != OP_BEGIN && !r->in_transaction;
-}
-
-static void send_pipeline(struct pg_conn *c, const struct pg_query *q)
-{
-	if (!add_query(c, PART_BEFORE, STATE_SQL, NULL) ||
-	    !pg_link_sync(c->link) || !send_statement(c, q) ||
-	    !add_query(c, PART_AFTER, STATE_SQL, NULL) ||
-	    !pg_link_sync(c->link) || !leaves_free(&c->running))
-		return;
-	if (add_query(c, PART_CLEAR, CLEAR_SQL, NULL))
-		pg_link_sync(c->link);
-}
-
+/* A broken link says so by its event. */
 static void start(struct pg_conn *c, const struct statement *s,
 		  const struct pg_query *q)
 {
-	memset(&c->running, 0, sizeof(c->running));
-	c->running.busy = true;
-	c->running.id = s->id;
-	c->running.op = s->op;
-	/* A broken link says so by its event. */
-	if (!pg_link_usable(c->link))
-		return;
-	c->running.in_transaction = pg_link_in_transaction(c->link);
-	c->running.sent = true;
-	send_pipeline(c, q);
+	pg_statement_begin(&c->running, s->id, s->op);
+	if (!c->unsure && pg_link_usable(c->link))
+		pg_statement_send(&c->running, c->link, q);
 }
 
 static bool parse_statement(struct driver_state *d, const struct statement *s,
@@ -512,7 +300,7 @@
 		end_unsent(d, conn, s, DONE_NOT_SENT, NULL);
 		return;
 	}
-	if (operation_sql(s->op)) {
+	if (pg_statement_sql(s->op)) {
 		start(c, s, NULL);
 		return;
 	}
--- a/tests/driver_rig.c
+++ b/tests/driver_rig.c
@@ -16,6 +16,7 @@
 {
 	struct seen *s = g_new0(struct seen, 1);
 	GBytes *body = NULL;
+	struct call *reply = rig.reply;
 
 	(void)owner;
 	s->event = *e;
@@ -25,6 +26,10 @@
 		s->body = g_strndup(g_bytes_get_data(body, NULL),
 				    g_bytes_get_size(body));
 	g_async_queue_push(rig.events, s);
+	if (e->kind == EV_DONE && reply) {
+		rig.reply = NULL;
+		reply->run(reply);
+	}
 }
 
 static void run_call(void *arg)
@@ -202,7 +207,7 @@
 	ck_assert_uint_eq(rig_await_event(EV_CONNECTED)->conn.conn, conn);
 }
 
-static void run_execute(struct call *c)
+void rig_run_execute(struct call *c)
 {
 	GBytes *body;
 
@@ -218,7 +223,7 @@
 void rig_start_op(uint64_t conn, enum op op, const char *json)
 {
 	static uint64_t seq;
-	struct call c = { .run = run_execute, .conn = conn, .json = json };
+	struct call c = { .run = rig_run_execute, .conn = conn, .json = json };
 
 	c.statement.id.life = LIFE;
 	c.statement.id.seq = ++seq;
--- a/tests/driver_rig.h
+++ b/tests/driver_rig.h
@@ -37,6 +37,7 @@
 	GAsyncQueue *events;  /**< of struct seen */
 	GAsyncQueue *returns; /**< of calls that were run on the loop */
 	struct seen last;     /**< what was awaited last */
+	struct call *reply;   /**< run on the loop at the next EV_DONE, once */
 };
 
 extern struct rig rig;
@@ -61,6 +62,7 @@
 void rig_perform(struct call *c);
 void rig_run_open(struct call *c);
 void rig_run_shut(struct call *c);
+void rig_run_execute(struct call *c);
 void rig_run_cancel(struct call *c);
 void rig_run_reset(struct call *c);
 void rig_run_close(struct call *c);
--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -223,14 +223,21 @@
 /* Nobody knows when that cancel arrives: the connection is given up. */
 START_TEST(unanswered_cancel_ends_the_connection)
 {
+	struct call next = { .run = rig_run_execute,
+			     .conn = 2,
+			     .json = "{\"sql\": \"SELECT 2\"}" };
+
 	rig_open_conn(1, 0);
 	ck_assert(rig_probe(0).reachable);
 	rig_fault(0, (struct member_faults){ .silent = true });
 	rig_open_conn(2, 0);
 	rig_start_op(2, OP_READ, "{\"sql\": \"SELECT 1\"}");
+	rig.reply = &next;
 	rig_on_conn(2, rig_run_cancel);
 	rig_await_event(EV_DONE);
 	ck_assert_int_eq(rig.last.event.done.done, DONE_OK);
+	rig_await_event(EV_DONE);
+	ck_assert_int_eq(rig.last.event.done.done, DONE_NOT_SENT);
 	ck_assert_uint_eq(rig_await_event(EV_CLOSED)->conn.conn, 2);
 }
 END_TEST
