--- a/core/group.c
+++ b/core/group.c
@@ -43,11 +43,26 @@
 	return i < ENDPOINTS_MAX ? &g->members[i] : NULL;
 }
 
+static bool same_members(const struct database_spec *a,
+			 const struct database_spec *b)
+{
+	uint32_t i;
+
+	if (a->endpoint_count != b->endpoint_count)
+		return false;
+	for (i = 0; i < a->endpoint_count; i++)
+		if (a->endpoints[i].endpoint != b->endpoints[i].endpoint)
+			return false;
+	return true;
+}
+
 void group_spec(struct group *g, const struct database_spec *spec)
 {
 	struct group old = *g;
 	uint32_t i, j;
 
+	if (!same_members(&old.spec, spec))
+		g->generation++;
 	g->spec = *spec;
 	for (i = 0; i < spec->endpoint_count; i++) {
 		j = group_index(&old, spec->endpoints[i].endpoint);
@@ -135,6 +150,11 @@
 	return g->primary;
 }
 
+uint32_t group_generation(const struct group *g)
+{
+	return g->generation;
+}
+
 uint64_t group_term(const struct group *g)
 {
 	return g->term;
--- a/core/group.h
+++ b/core/group.h
@@ -21,6 +21,8 @@
 /** Takes a changed configuration; known states of kept members stay. */
 void group_spec(struct group *g, const struct database_spec *spec);
 const struct database_spec *group_database(const struct group *g);
+/** Grows when the members change, and with them their indices. */
+uint32_t group_generation(const struct group *g);
 
 /**
  * Takes a report of an endpoint. @a asked_at is the local time before which
--- a/core/group_members.h
+++ b/core/group_members.h
@@ -40,8 +40,9 @@
 	struct database_spec spec;
 	uint16_t zone;
 	uint32_t guards_off;
-	uint64_t term; /**< newest term that had a primary */
-	hm_id primary; /**< primary of that term */
+	uint32_t generation; /**< of the set of members */
+	uint64_t term;	     /**< newest term that had a primary */
+	hm_id primary;	     /**< primary of that term */
 	struct lineage lineage;
 	uint64_t confirmed;   /**< newest term proved by a sample */
 	hm_time confirmed_at; /**< newest question of such a sample */
--- a/core/proof.c
+++ b/core/proof.c
@@ -25,6 +25,14 @@
 		actions_send(actions, home, MSG_CONTROL)->control = step;
 }
 
+void proof_sync(struct proof *p)
+{
+	if (p->generation == group_generation(p->group))
+		return;
+	p->generation = group_generation(p->group);
+	memset(p->rounds, 0, sizeof(p->rounds));
+}
+
 void proof_ask(struct proof *p, hm_time now, struct actions *actions)
 {
 	const struct database_spec *spec = group_database(p->group);
--- a/core/proof.h
+++ b/core/proof.h
@@ -21,6 +21,7 @@
 
 struct proof {
 	uint64_t life;
+	uint32_t generation; /**< of the members that were asked */
 	struct group *group; /**< borrowed; gets samples */
 	uint64_t seq;	     /**< of the newest round */
 	hm_time asked_at;    /**< of the newest round */
@@ -33,6 +34,8 @@
 	hm_time since;
 };
 
+/** Forgets all answers if the members have changed since. */
+void proof_sync(struct proof *p);
 /** Sends a question to every member whose home is known. */
 void proof_ask(struct proof *p, hm_time now, struct actions *actions);
 /** Takes an answer; false when it belongs to no round kept. */
--- a/core/verify.c
+++ b/core/verify.c
@@ -406,6 +406,7 @@
 {
 	struct waiting *w;
 
+	proof_sync(&v->proof);
 	v->waiting = grow(v->waiting, v->waiting_count, &v->waiting_room,
 			  sizeof(*v->waiting));
 	w = &v->waiting[v->waiting_count++];
@@ -448,6 +449,7 @@
 void verify_report(struct verify *v, const struct state_report *r, hm_time now,
 		   struct actions *actions)
 {
+	proof_sync(&v->proof);
 	if (!proof_report(&v->proof, r))
 		return;
 	judge_all(v, now);
@@ -483,6 +485,7 @@
 {
 	hm_time after = ask_again_after(v, now);
 
+	proof_sync(&v->proof);
 	judge_all(v, now);
 	if (group_wants_proof(v->group, now))
 		after = ASK_AGAIN_LEAST;
--- a/tests/bed_script.c
+++ b/tests/bed_script.c
@@ -246,6 +246,30 @@
 		group_spec(b->proxies[i].group, &spec);
 }
 
+static void do_stalled(struct bed *b, const char *line, GString *out)
+{
+	uint32_t i = index_arg(line, "proxy");
+
+	g_string_append(out,
+			verify_stalled(b->proxies[i].verify, bed_local(b, i))
+				? "stalled\n"
+				: "proved\n");
+}
+
+static void do_remove(struct bed *b, const char *line, GString *out)
+{
+	struct database_spec spec = *group_database(b->proxies[0].group);
+	uint32_t gone = index_arg(line, "member");
+	uint32_t i;
+
+	(void)out;
+	spec.endpoint_count--;
+	for (i = gone; i < spec.endpoint_count; i++)
+		spec.endpoints[i] = spec.endpoints[i + 1];
+	for (i = 0; i < BED_PROXIES; i++)
+		group_spec(b->proxies[i].group, &spec);
+}
+
 static void do_state(struct bed *b, const char *line, GString *out)
 {
 	uint32_t i;
@@ -283,7 +307,8 @@
 	{ "leave", do_leave },	 { "patience", do_patience },
 	{ "state", do_state },	 { "truth", do_truth },
 	{ "silent", do_silent }, { "block", do_block },
-	{ "rewind", do_rewind }, { "token", do_token },
+	{ "rewind", do_rewind }, { "stalled", do_stalled },
+	{ "remove", do_remove }, { "token", do_token },
 };
 
 static void command(void *context, const char *line, GString *out)
--- a/tests/bed_script.h
+++ b/tests/bed_script.h
@@ -14,6 +14,7 @@
  *	take proxy=N member=N		leave member=N		truth
  *	block step=OP member=N [on=0]
  *	rewind member=N pos=N		as by a restore of an old copy
+ *	stalled proxy=N			remove member=N		from the settings
  *	token session=N term=N pos=N [unsure=1]
  *
  * Nodes are p0..p2 for proxies and m0..m2 for members. "lose" drops the
--- a/tests/test_verify.c
+++ b/tests/test_verify.c
@@ -4,10 +4,10 @@
 
 #include "bed_script.h"
 
-static const char *const scripts[] = { "commit",   "late_evidence",
-				       "reads",	   "roaming",
-				       "idle_age", "future_token",
-				       "unsure" };
+static const char *const scripts[] = {
+	"commit",	"late_evidence", "reads",   "roaming",	     "idle_age",
+	"future_token", "unsure",	 "stalled", "members_change"
+};
 
 START_TEST(runs_as_expected)
 {
