Answer a commit of a transaction that is gone as unknown

A caller whose answer to a commit was lost and that commits again got "not run" with the advice to begin anew at once, although the first commit may have run; now unknown and check_first, and its session is unsure.

--- a/src/front_exchange.c
+++ b/src/front_exchange.c
@@ -100,8 +100,25 @@
 	return body;
 }
 
-void exchange_answer(struct exchange *x, const struct result *result,
-		     const char *text)
+/*
+ * A transaction that is gone may have been committed by an earlier request
+ * whose answer was lost, so that its commit did not certainly fail.
+ */
+static struct result truthful(const struct exchange *x,
+			      const struct result *result)
+{
+	struct result r = *result;
+
+	if (x->op == OP_COMMIT && r.error == ERR_TX_GONE) {
+		r.execution = EXEC_UNKNOWN;
+		r.database = x->database;
+		r.unsure = true;
+	}
+	return r;
+}
+
+static void send_result(struct exchange *x, const struct result *result,
+			const char *text)
 {
 	struct front *f = x->front;
 	int status = error_answer(result->error)->status;
@@ -130,6 +147,14 @@
 		g_bytes_unref(reply.body);
 }
 
+void exchange_answer(struct exchange *x, const struct result *result,
+		     const char *text)
+{
+	struct result r = truthful(x, result);
+
+	send_result(x, &r, text);
+}
+
 void exchange_refuse(struct exchange *x, enum error error, const char *text)
 {
 	struct result result = {
