turns: a class that is empty between statements keeps its turn

A class was set level with those that waited whenever its queue ran empty, so a caller that sends its next read after the last was answered lost its turn to long writes of the same account: reads got 5.5 of 60 s of a slot. It is now set level with the class served last, and gets half.

--- a/core/turns.c
+++ b/core/turns.c
@@ -31,6 +31,7 @@
 	uint32_t count;
 	uint32_t running;
 	int64_t virtual_time; /* slot time charged, over the weight */
+	hm_time class_time;   /* slot time of the class that was served last */
 	hm_time recent;	      /* slot time of late, decays over USE_SPAN */
 	hm_time recent_at;
 	struct queue queues[TURN_CLASSES];
@@ -114,20 +115,6 @@
 	return f;
 }
 
-/* A class that was empty starts level with those that waited. */
-static void level_class(struct flow *f, struct queue *q)
-{
-	const struct queue *least = NULL;
-	uint32_t k;
-
-	for (k = 0; k < TURN_CLASSES; k++)
-		if (f->queues[k].count &&
-		    (!least || f->queues[k].used < least->used))
-			least = &f->queues[k];
-	if (least && q->used < least->used)
-		q->used = least->used;
-}
-
 void turns_push(struct turns *t, const struct turn *turn)
 {
 	struct flow *f = find(t, turn->statement.account);
@@ -142,8 +129,9 @@
 	f->weight = turn->weight;
 	if (!f->count && f->virtual_time < t->virtual_time)
 		f->virtual_time = t->virtual_time;
-	if (!q->count)
-		level_class(f, q);
+	/* What was empty starts level: it saved nothing up meanwhile. */
+	if (!q->count && q->used < f->class_time)
+		q->used = f->class_time;
 	*p = (struct place){ .turn = *turn };
 	*q->last = p;
 	q->last = &p->next;
@@ -254,6 +242,8 @@
 	q = next_queue(f, allowed);
 	if (f->virtual_time > t->virtual_time)
 		t->virtual_time = f->virtual_time;
+	if (q != &f->queues[TURN_TX] && q->used > f->class_time)
+		f->class_time = q->used;
 	take_place(t, f, q, &q->first, out);
 	f->running++;
 	t->running++;
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -9,6 +9,7 @@
 
 #include "../core/home.h"
 #include "../core/rng.h"
+#include "../core/turns.h"
 
 #define LIFE 9
 #define SLOTS_MOST 3
@@ -328,6 +329,109 @@
 }
 END_TEST
 
+/* One slot that is never idle, for a minute; what each class got of it. */
+struct taken {
+	hm_time of_account[4];
+	hm_time of_class[TURN_CLASSES];
+};
+
+static void push_turn(struct turns *t, hm_id account, enum turn_class class,
+		      uint32_t weight)
+{
+	struct turn turn = { .class = class, .weight = weight };
+
+	turn.statement.account = account;
+	turns_push(t, &turn);
+}
+
+/* Serves one turn after another and puts each back into its queue. */
+static void serve(struct turns *t, hm_time (*cost)(const struct turn *turn),
+		  struct taken *out)
+{
+	struct turn turn;
+	hm_time now = 0;
+
+	while (now < 60 * HM_SEC && turns_pop(t, ~0U, true, now, &turn)) {
+		hm_time used = cost(&turn);
+
+		now += used;
+		turns_ended(t, &turn, used, now);
+		out->of_account[turn.statement.account] += used;
+		out->of_class[turn.class] += used;
+		push_turn(t, turn.statement.account, turn.class, turn.weight);
+	}
+}
+
+/* Longer statements the larger the account number. */
+static hm_time cost_by_account(const struct turn *turn)
+{
+	return (hm_time)turn->statement.account * 20 * HM_MS;
+}
+
+START_TEST(slot_time_follows_weights)
+{
+	struct turns *t = turns_new();
+	struct taken taken = { 0 };
+
+	push_turn(t, 1, TURN_READ, 1);
+	push_turn(t, 2, TURN_READ, 2);
+	push_turn(t, 3, TURN_READ, 1);
+	serve(t, cost_by_account, &taken);
+	ck_assert_int_gt(taken.of_account[1], 60 * HM_SEC / 4 * 95 / 100);
+	ck_assert_int_gt(taken.of_account[2], 60 * HM_SEC / 2 * 95 / 100);
+	ck_assert_int_gt(taken.of_account[3], 60 * HM_SEC / 4 * 95 / 100);
+	turns_free(t);
+}
+END_TEST
+
+static hm_time cost_by_class(const struct turn *turn)
+{
+	return turn->class == TURN_READ ? 5 * HM_MS : 100 * HM_MS;
+}
+
+START_TEST(writes_do_not_starve_reads)
+{
+	struct turns *t = turns_new();
+	struct taken taken = { 0 };
+
+	push_turn(t, 1, TURN_READ, 1);
+	push_turn(t, 1, TURN_WRITE, 1);
+	serve(t, cost_by_class, &taken);
+	ck_assert_int_gt(taken.of_class[TURN_READ], 60 * HM_SEC / 2 * 95 / 100);
+	ck_assert_int_gt(taken.of_class[TURN_WRITE],
+			 60 * HM_SEC / 2 * 95 / 100);
+	turns_free(t);
+}
+END_TEST
+
+/* An account that was away gets its share from now on, not what it missed. */
+START_TEST(absence_saves_nothing_up)
+{
+	struct turns *t = turns_new();
+	struct turn turn;
+	uint32_t first = 0;
+	uint32_t i;
+
+	push_turn(t, 1, TURN_READ, 1);
+	for (i = 0; i < 1000; i++) {
+		turns_pop(t, ~0U, false, i * HM_MS, &turn);
+		turns_ended(t, &turn, HM_MS, i * HM_MS);
+		push_turn(t, 1, TURN_READ, 1);
+	}
+	for (i = 0; i < 100; i++) {
+		push_turn(t, 1, TURN_READ, 1);
+		push_turn(t, 2, TURN_READ, 1);
+	}
+	for (i = 0; i < 100; i++) {
+		turns_pop(t, ~0U, false, HM_SEC, &turn);
+		turns_ended(t, &turn, HM_MS, HM_SEC);
+		first += turn.statement.account == 1;
+	}
+	ck_assert_uint_ge(first, 45);
+	turns_free(t);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("turns");
@@ -338,6 +442,9 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, large_account_does_not_crowd_out_small_ones, 2,
 			    SLOTS_MOST + 1);
+	tcase_add_test(tc, slot_time_follows_weights);
+	tcase_add_test(tc, writes_do_not_starve_reads);
+	tcase_add_test(tc, absence_saves_nothing_up);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_ENV);
