Tests of the platform listen on any port; changes arrive within 2 s

The stand-in takes port 0 and tells its address, so that test runs in several worktrees do not clash: with fixed ports a second run failed at once. A new test holds delivery of a change under 2 s with default timing, fault by fault.

--- a/standin/store.c
+++ b/standin/store.c
@@ -1,9 +1,11 @@
 /** @file store.c The stand-in platform over HTTP/1.1 on h2o. */
 #include "store.h"
 
+#include <arpa/inet.h>
 #include <glib.h>
 #include <h2o.h>
 #include <h2o/http1.h>
+#include <netdb.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -26,6 +28,7 @@
 };
 
 struct store {
+	char address[ADDRESS_BYTES];
 	struct loop *loop;
 	GThread *thread;
 	h2o_globalconf_t config;
@@ -375,6 +378,20 @@
 	return -1;
 }
 
+/* The address that the descriptor got, as text. */
+static void name_listener(int fd, char out[ADDRESS_BYTES])
+{
+	struct sockaddr_storage ss = { 0 };
+	socklen_t bytes = sizeof(ss);
+	char host[INET6_ADDRSTRLEN], port[8];
+
+	getsockname(fd, (struct sockaddr *)&ss, &bytes);
+	getnameinfo((struct sockaddr *)&ss, bytes, host, sizeof(host), port,
+		    sizeof(port), NI_NUMERICHOST | NI_NUMERICSERV);
+	g_snprintf(out, ADDRESS_BYTES,
+		   ss.ss_family == AF_INET6 ? "[%s]:%s" : "%s:%s", host, port);
+}
+
 static void open_listener(struct store *s, int fd)
 {
 	s->listener = h2o_evloop_socket_create(loop_h2o(s->loop), fd,
@@ -393,6 +410,7 @@
 	if (fd < 0)
 		return NULL;
 	s = g_new0(struct store, 1);
+	name_listener(fd, s->address);
 	s->loop = loop_new();
 	s->objects = objects_new();
 	s->instances = json_array();
@@ -412,6 +430,11 @@
 	return s;
 }
 
+const char *store_address(const struct store *s)
+{
+	return s->address;
+}
+
 static gpointer run(gpointer data)
 {
 	struct store *s = data;
--- a/standin/store.h
+++ b/standin/store.h
@@ -26,8 +26,10 @@
 	uint64_t refused;
 };
 
-/** @a address "IP:port"; NULL when it cannot listen. */
+/** @a address "IP:port", port 0 for any; NULL when it cannot listen. */
 struct store *store_new(const char *address);
+/** Where it listens, "IP:port". */
+const char *store_address(const struct store *s);
 void store_start(struct store *s);
 void store_free(struct store *s);
 /** The rest is callable from any thread. */
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -13,8 +13,7 @@
 #include "../standin/store.h"
 #include "script.h"
 
-#define ADDRESS "127.0.0.1:25030"
-#define STATUS_PORT 25031
+#define ANY_PORT "127.0.0.1:0"
 #define WORDS_MAX 32
 #define KEY_DIGITS 64
 #define HASH_DIGITS 32
@@ -29,6 +28,7 @@
 /** Answers every request with one status. */
 struct status_server {
 	int fd;
+	char *address;
 	GThread *thread;
 	GMutex lock;
 	char *body;
@@ -72,16 +72,16 @@
 
 static void start_server(void)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-				   .sin_port = htons(STATUS_PORT) };
-	int one = 1;
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t bytes = sizeof(sin);
 
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	set_status("{}");
 	server.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	setsockopt(server.fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	ck_assert(!bind(server.fd, (struct sockaddr *)&sin, sizeof(sin)));
 	ck_assert(!listen(server.fd, 16));
+	ck_assert(!getsockname(server.fd, (struct sockaddr *)&sin, &bytes));
+	server.address = g_strdup_printf("127.0.0.1:%u", ntohs(sin.sin_port));
 	server.thread = g_thread_new("status", serve, NULL);
 }
 
@@ -90,6 +90,7 @@
 	shutdown(server.fd, SHUT_RDWR);
 	g_thread_join(server.thread);
 	close(server.fd);
+	g_free(server.address);
 	g_free(server.body);
 	server.body = NULL;
 }
@@ -128,23 +129,27 @@
 	g_free(hash);
 }
 
-/* Words with DIR/ and HASH replaced, and the platform's address. */
+static char *expand(const struct bench *b, const char *word)
+{
+	if (g_str_has_prefix(word, "DIR/"))
+		return g_build_filename(b->directory, word + 4, NULL);
+	if (!strcmp(word, "HASH"))
+		return g_strdup(b->hash);
+	if (!strcmp(word, "INSTANCE"))
+		return g_strdup(server.address);
+	return g_strdup(word);
+}
+
+/* Words with placeholders replaced, and the platform's address. */
 static int split(const struct bench *b, const char *line, char **argv)
 {
 	char **words = g_strsplit(line, " ", WORDS_MAX - 3);
 	int argc;
 
-	for (argc = 0; words[argc]; argc++) {
-		if (g_str_has_prefix(words[argc], "DIR/"))
-			argv[argc] = g_build_filename(b->directory,
-						      words[argc] + 4, NULL);
-		else
-			argv[argc] = g_strdup(!strcmp(words[argc], "HASH")
-						      ? b->hash
-						      : words[argc]);
-	}
+	for (argc = 0; words[argc]; argc++)
+		argv[argc] = expand(b, words[argc]);
 	argv[argc++] = g_strdup("--platform");
-	argv[argc++] = g_strdup(ADDRESS);
+	argv[argc++] = g_strdup(store_address(b->store));
 	g_strfreev(words);
 	return argc;
 }
@@ -155,17 +160,13 @@
 	char *argv[WORDS_MAX] = { 0 };
 	int argc = split(b, line, argv);
 	enum cli_exit code;
-	char *at;
 	int i;
 
 	code = cli_dispatch(argc, argv, key ? "key" : "contract",
 			    key ? cli_key_actions : cli_contract_actions, out);
 	mask_key(b, out);
-	while ((at = strstr(out->str, b->directory))) {
-		g_string_erase(out, at - out->str,
-			       (gssize)strlen(b->directory));
-		g_string_insert(out, at - out->str, "DIR");
-	}
+	g_string_replace(out, b->directory, "DIR", 0);
+	g_string_replace(out, server.address, "INSTANCE", 0);
 	g_string_append_printf(out, "exit %d\n", (int)code);
 	for (i = 0; i < argc; i++)
 		g_free(argv[i]);
@@ -230,7 +231,7 @@
 
 static void run_script(const char *file)
 {
-	struct bench b = { .store = store_new(ADDRESS),
+	struct bench b = { .store = store_new(ANY_PORT),
 			   .directory = g_dir_make_tmp(NULL, NULL) };
 	char *fault;
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,16 +1,21 @@
 /** @file test_platform.c Client of the platform against the stand-in. */
 #include <check.h>
 #include <glib.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "../core/rng.h"
 #include "../src/loop.h"
 #include "../src/names.h"
 #include "../src/object_api.h"
 #include "../src/platform.h"
+#include "../src/settings.h"
 #include "../standin/store.h"
 
-#define ADDRESS "127.0.0.1:25020"
+#define ANY_PORT "127.0.0.1:0"
+#define DELIVERY_LIMIT (2 * HM_SEC)
+#define PHASES 4
 #define PATIENCE (10 * HM_SEC)
 #define POLL_EVERY_US 2000
 
@@ -135,8 +140,7 @@
 
 static void set_up(void)
 {
-	options = (struct platform_options){ .address = ADDRESS,
-					     .zones = zones,
+	options = (struct platform_options){ .zones = zones,
 					     .zone_count = 2,
 					     .call_limit = 300 * HM_MS,
 					     .watch_wait = 300 * HM_MS,
@@ -146,9 +150,10 @@
 					     .instances = on_instances };
 	deliveries = g_array_new(FALSE, TRUE, sizeof(struct delivery));
 	memset(peer_address, 0, sizeof(peer_address));
-	store = store_new(ADDRESS);
+	store = store_new(ANY_PORT);
 	ck_assert_ptr_nonnull(store);
 	store_start(store);
+	options.address = store_address(store);
 	loop = loop_new();
 }
 
@@ -225,7 +230,7 @@
 
 static void delete_object(const char *kind, const char *name)
 {
-	struct object_api *api = object_api_new(ADDRESS);
+	struct object_api *api = object_api_new(store_address(store));
 	hm_time until = loop_now() + PATIENCE;
 	struct object held;
 	uint64_t version;
@@ -323,7 +328,7 @@
 
 START_TEST(invalid_contract_is_reported_and_not_delivered)
 {
-	struct object_api *api = object_api_new(ADDRESS);
+	struct object_api *api = object_api_new(store_address(store));
 	struct object status = { 0 };
 	const json_t *version;
 
@@ -395,7 +400,7 @@
 
 START_TEST(older_term_does_not_replace_newer)
 {
-	struct object_api *api = object_api_new(ADDRESS);
+	struct object_api *api = object_api_new(store_address(store));
 	guint rounds;
 
 	start();
@@ -434,6 +439,60 @@
 }
 END_TEST
 
+/* Changes contract "a" to @a version; how long until that is delivered. */
+static hm_time delivery_delay(uint64_t version)
+{
+	hm_time begin = loop_now();
+
+	put("a", good);
+	EVENTUALLY(newest(EV_CONTRACT, "a").version >= version);
+	return newest(EV_CONTRACT, "a").at - begin;
+}
+
+/** Faults under which a change must still be delivered in time. */
+static const struct {
+	const char *name;
+	struct store_faults faults;
+} paced[] = {
+	{ "none", { 0 } },
+	{ "stale reads", { .stale_reads = true } },
+	{ "answers lost", { .lose_answer = true } },
+	{ "slow", { .slow = 300 * HM_MS } },
+	{ "silent watch", { .silent_watch = true } },
+};
+
+/* With default timing, for each fault at some phases of the pace. */
+START_TEST(changes_are_delivered_in_time)
+{
+	uint64_t version = 1;
+	struct rng rng = { 8 };
+	struct settings settings;
+	hm_time delay, worst;
+	size_t i;
+	int k;
+
+	settings_default(&settings);
+	options.call_limit = settings.platform_call_limit;
+	options.watch_wait = settings.platform_watch_wait;
+	options.list_every = settings.platform_list_every;
+	put("a", good);
+	start();
+	EVENTUALLY(newest(EV_CONTRACT, "a").version == version);
+	for (i = 0; i < G_N_ELEMENTS(paced); i++) {
+		fault(paced[i].faults);
+		for (k = 0, worst = 0; k < PHASES; k++) {
+			g_usleep((gulong)rng_below(&rng, 500 * HM_MS));
+			delay = delivery_delay(++version);
+			worst = MAX(worst, delay);
+		}
+		ck_assert_msg(worst < DELIVERY_LIMIT,
+			      "%s: %" G_GINT64_FORMAT " us", paced[i].name,
+			      worst);
+	}
+	check_forward();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform");
@@ -454,6 +513,7 @@
 	tcase_add_test(tc, unwatched_reads_contracts_once);
 	tcase_add_test(tc, older_term_does_not_replace_newer);
 	tcase_add_test(tc, ends_at_once_while_watching);
+	tcase_add_test(tc, changes_are_delivered_in_time);
 	tcase_set_timeout(tc, 120);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -8,7 +8,7 @@
 #include "../src/object_api.h"
 #include "../standin/store.h"
 
-#define ADDRESS "127.0.0.1:25010"
+#define ANY_PORT "127.0.0.1:0"
 #define CALL_LIMIT (2 * HM_SEC)
 #define SHORT_LIMIT (150 * HM_MS)
 
@@ -17,10 +17,10 @@
 
 static void set_up(void)
 {
-	store = store_new(ADDRESS);
+	store = store_new(ANY_PORT);
 	ck_assert_ptr_nonnull(store);
 	store_start(store);
-	api = object_api_new(ADDRESS);
+	api = object_api_new(store_address(store));
 }
 
 static void tear_down(void)
