Read the platform's lists every 1.5 s, watch for 5 s at most

Cause: with all watches silent a change waits for the next list, up to 2 s plus the call; a stale list beside a silent watch hides it until the watch ends, 22 s. Change: list every 1.5 s, watches wait 5 s (7 s with the call limit). Cost at 7 instances: 3 lists each in 1.5 s and 2 watches in 5 s, 17 calls/s of 2,000.

--- a/src/settings.c
+++ b/src/settings.c
@@ -117,8 +117,8 @@
 	s->connect_limit = 2 * HM_SEC;
 	s->control_limit = 250 * HM_MS;
 	s->platform_call_limit = 2 * HM_SEC;
-	s->platform_watch_wait = 20 * HM_SEC;
-	s->platform_list_every = 2 * HM_SEC;
+	s->platform_watch_wait = 5 * HM_SEC;
+	s->platform_list_every = 1500 * HM_MS;
 }
 
 static bool parse_zones(struct settings *s, const json_t *root,
