--- a/src/cli_bench.c
+++ b/src/cli_bench.c
@@ -7,9 +7,11 @@
 #include "bench.h"
 #include "cli_embedded.h"
 #include "command.h"
+#include "slopes.h"
 
 static gboolean as_json;
 static gboolean decisions;
+static gboolean slopes;
 static int seeds = 5;
 static int seed = 1;
 static int seconds = 30;
@@ -20,6 +22,8 @@
 	{ "json", 0, 0, G_OPTION_ARG_NONE, &as_json, "print JSON", NULL },
 	{ "decisions", 0, 0, G_OPTION_ARG_NONE, &decisions,
 	  "print the decisions of the first seed instead", NULL },
+	{ "slopes", 0, 0, G_OPTION_ARG_NONE, &slopes,
+	  "measure costs by size of the load instead", NULL },
 	{ "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "runs of each case, 1 to 64",
 	  "N" },
 	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
@@ -161,6 +165,37 @@
 	return 0;
 }
 
+static void print_slope(const struct slope *s)
+{
+	printf("%-28s %-8s %12.1f %14.0f %6.3f %6d %6d\n", s->what, s->unit,
+	       s->slope, s->base, s->fit, s->from, s->to);
+}
+
+static int run_slopes(void)
+{
+	struct slope all[SLOPES_MAX];
+	json_t *rows = json_array();
+	int count = slopes_measure(all);
+	char *text;
+	int i;
+
+	if (!as_json)
+		printf("%-28s %-8s %12s %14s %6s %6s %6s\n", "for each", "unit",
+		       "cost", "at none", "fit", "from", "to");
+	for (i = 0; i < count; i++) {
+		json_array_append_new(rows, slope_json(&all[i]));
+		if (!as_json)
+			print_slope(&all[i]);
+	}
+	if (as_json) {
+		text = json_dumps(rows, JSON_INDENT(1));
+		printf("%s\n", text);
+		g_free(text);
+	}
+	json_decref(rows);
+	return CLI_OK;
+}
+
 int cli_bench(int argc, char **argv)
 {
 	if (!command_options(&argc, &argv, NULL,
@@ -173,5 +208,5 @@
 				"from 5, and nothing else is allowed\n");
 		return CLI_USAGE;
 	}
-	return run_model();
+	return slopes ? run_slopes() : run_model();
 }
--- /dev/null
+++ b/src/slopes.c
@@ -0,0 +1,375 @@
+/** @file slopes.c Costs of decisions and messages by size of the load. */
+#include "slopes.h"
+
+#include <glib.h>
+#include <malloc.h>
+#include <string.h>
+#include <time.h>
+
+#include "../core/core.h"
+#include "wire.h"
+
+#define POINTS 5
+#define LIFE 1000
+#define TICKS 200
+#define CODEC_ROUNDS 20000
+#define STATEMENTS 2000
+
+/* A core that is fed alone, without endpoints or network. */
+struct rig {
+	struct core *core;
+	struct core_options options;
+	struct actions actions;
+	hm_time now;
+};
+
+static double now_ns(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+	return (double)ts.tv_sec * 1e9 + (double)ts.tv_nsec;
+}
+
+static double heap_bytes(void)
+{
+	struct mallinfo2 m = mallinfo2();
+
+	return (double)m.uordblks + (double)m.hblkhd;
+}
+
+static void rig_open(struct rig *r)
+{
+	memset(r, 0, sizeof(*r));
+	core_options_default(&r->options);
+	r->options.life = LIFE;
+	r->options.instance = 1;
+	r->options.zone_count = 4;
+	r->now = HM_SEC;
+	r->core = core_new(&r->options, r->now);
+}
+
+static void rig_close(struct rig *r)
+{
+	core_free(r->core);
+	actions_free(&r->actions);
+}
+
+static void rig_step(struct rig *r, const struct event *e)
+{
+	core_step(r->core, e, r->now, &r->actions);
+	actions_clear(&r->actions);
+}
+
+static void add_contract(struct rig *r, int i)
+{
+	struct contract c = { 0 };
+	struct event e = { .kind = EV_CONTRACT, .contract = &c };
+
+	c.account = (hm_id)i + 1;
+	g_snprintf(c.name, sizeof(c.name), "account-%d", i);
+	c.version = (uint64_t)i + 1;
+	c.rate = 100;
+	c.burst = 100;
+	c.weight = 1;
+	c.transactions = 4;
+	c.database_count = 1;
+	c.databases[0].database = 1;
+	c.databases[0].max_age = HM_SEC;
+	g_strlcpy(c.databases[0].name, "db1", NAME_BYTES);
+	c.key_count = 1;
+	c.keys[0].hi = (uint64_t)i + 1;
+	rig_step(r, &e);
+}
+
+static void add_peer(struct rig *r, int i)
+{
+	struct message m = { .kind = MSG_HEARTBEAT };
+	struct event e = { .kind = EV_MESSAGE, .message = &m };
+
+	m.from = (uint64_t)i + LIFE + 1;
+	m.seq = (uint64_t)r->now;
+	m.heartbeat.instance = (hm_id)i + 2;
+	m.heartbeat.zone = (uint16_t)(i % 4);
+	m.heartbeat.platform_ok = true;
+	rig_step(r, &e);
+}
+
+static hm_id endpoint_id(int database, uint32_t member)
+{
+	return (hm_id)database * ENDPOINTS_MAX + member + 1;
+}
+
+static void add_database(struct rig *r, int i)
+{
+	struct database_spec d = { 0 };
+	struct event e = { .kind = EV_DATABASE, .database = &d };
+	uint32_t k;
+
+	d.database = (hm_id)i + 1;
+	g_snprintf(d.name, sizeof(d.name), "db%d", i + 1);
+	d.version = 1;
+	d.endpoint_count = 3;
+	for (k = 0; k < 3; k++) {
+		d.endpoints[k].endpoint = endpoint_id(i, k);
+		d.endpoints[k].zone = (uint16_t)(k + 1);
+		d.endpoints[k].slots = 2;
+		d.endpoints[k].connections = 16;
+	}
+	rig_step(r, &e);
+}
+
+static void fill_report(struct message *m, int database, uint32_t member)
+{
+	struct endpoint_state *s = &m->state.state;
+
+	memset(m, 0, sizeof(*m));
+	m->kind = MSG_STATE;
+	m->from = LIFE + 1 + member;
+	s->database = (hm_id)database + 1;
+	s->endpoint = endpoint_id(database, member);
+	s->reachable = true;
+	s->role = member ? ROLE_REPLICA : ROLE_PRIMARY;
+	s->promised = 1;
+	s->at.term = 1;
+	s->at.pos = 1000;
+	s->lineage.count = 1;
+	s->lineage.begin[0].term = 1;
+	s->home = m->from;
+	m->state.age = HM_MS;
+}
+
+static void report_database(struct rig *r, int i)
+{
+	struct message m;
+	struct event e = { .kind = EV_MESSAGE, .message = &m };
+	uint32_t k;
+
+	for (k = 0; k < 3; k++) {
+		fill_report(&m, i, k);
+		m.seq = (uint64_t)r->now;
+		rig_step(r, &e);
+	}
+}
+
+typedef void (*rig_add)(struct rig *r, int i);
+
+static double cost_memory(rig_add add, int n)
+{
+	double before = heap_bytes(), bytes;
+	struct rig r;
+	int i;
+
+	rig_open(&r);
+	for (i = 0; i < n; i++)
+		add(&r, i);
+	bytes = heap_bytes() - before;
+	rig_close(&r);
+	return bytes;
+}
+
+/* Time to handle one round of n messages, after a first round. */
+static double cost_again(rig_add add, int n)
+{
+	struct rig r;
+	double began, spent;
+	int i, round;
+
+	rig_open(&r);
+	for (i = 0; i < n; i++)
+		add(&r, i);
+	began = now_ns();
+	for (round = 0; round < 10; round++) {
+		r.now += HM_MS;
+		for (i = 0; i < n; i++)
+			add(&r, i);
+	}
+	spent = (now_ns() - began) / 10;
+	rig_close(&r);
+	return spent;
+}
+
+static double cost_ticks(rig_add add, int n)
+{
+	struct event e = { .kind = EV_TICK };
+	struct rig r;
+	double began, spent;
+	int i;
+
+	rig_open(&r);
+	for (i = 0; i < n; i++)
+		add(&r, i);
+	began = now_ns();
+	for (i = 0; i < TICKS; i++) {
+		r.now += CORE_TICK;
+		rig_step(&r, &e);
+	}
+	spent = (now_ns() - began) / TICKS;
+	rig_close(&r);
+	return spent;
+}
+
+static void add_reported_database(struct rig *r, int i)
+{
+	add_database(r, i);
+	report_database(r, i);
+}
+
+/* Requests that wait for a primary: what each costs while it is held. */
+static void add_request(struct rig *r, int i)
+{
+	struct event e = { .kind = EV_REQUEST };
+
+	if (!i) {
+		add_contract(r, 0);
+		add_database(r, 0);
+	}
+	e.request.id.life = LIFE;
+	e.request.id.seq = (uint64_t)i + 1;
+	e.request.op = OP_READ;
+	e.request.key.hi = 1;
+	e.request.database = 1;
+	e.request.deadline = r->now + 3600 * HM_SEC;
+	rig_step(r, &e);
+}
+
+static void fit_line(struct slope *s, const double *x, const double *y)
+{
+	double sx = 0, sy = 0, sxx = 0, sxy = 0, syy = 0, var;
+	int i;
+
+	for (i = 0; i < POINTS; i++) {
+		sx += x[i];
+		sy += y[i];
+		sxx += x[i] * x[i];
+		sxy += x[i] * y[i];
+		syy += y[i] * y[i];
+	}
+	var = POINTS * sxx - sx * sx;
+	s->slope = (POINTS * sxy - sx * sy) / var;
+	s->base = (sy - s->slope * sx) / POINTS;
+	var *= POINTS * syy - sy * sy;
+	s->fit = var > 0 ? (POINTS * sxy - sx * sy) * (POINTS * sxy - sx * sy) /
+				   var
+			 : 1;
+}
+
+static const struct line {
+	const char *what;
+	const char *unit;
+	double (*cost)(rig_add add, int n);
+	rig_add add;
+	int step; /* of n from point to point */
+} lines[] = {
+	{ "contract held", "bytes", cost_memory, add_contract, 400 },
+	{ "peer known", "bytes", cost_memory, add_peer, 200 },
+	{ "database known", "bytes", cost_memory, add_reported_database, 100 },
+	{ "request waiting", "bytes", cost_memory, add_request, 400 },
+	{ "heartbeat taken", "ns", cost_again, add_peer, 200 },
+	{ "three state reports taken", "ns", cost_again, report_database, 100 },
+	{ "contract held", "ns/tick", cost_ticks, add_contract, 400 },
+	{ "peer known", "ns/tick", cost_ticks, add_peer, 200 },
+	{ "database known", "ns/tick", cost_ticks, add_reported_database, 100 },
+	{ "request waiting", "ns/tick", cost_ticks, add_request, 400 },
+};
+
+static void measure_line(const struct line *l, struct slope *s)
+{
+	double x[POINTS], y[POINTS];
+	int i;
+
+	memset(s, 0, sizeof(*s));
+	s->what = l->what;
+	s->unit = l->unit;
+	s->from = l->step;
+	s->to = l->step * POINTS;
+	l->cost(l->add, l->step); /* warms the allocator */
+	for (i = 0; i < POINTS; i++) {
+		x[i] = (double)l->step * (i + 1);
+		y[i] = l->cost(l->add, l->step * (i + 1));
+	}
+	fit_line(s, x, y);
+}
+
+static void fill_message(struct message *m, enum message_kind kind)
+{
+	memset(m, 0, sizeof(*m));
+	if (kind == MSG_STATE)
+		fill_report(m, 0, 0);
+	m->kind = kind;
+	m->from = UINT64_MAX / 3;
+	m->seq = 1000000;
+	if (kind == MSG_HEARTBEAT) {
+		m->heartbeat.instance = UINT64_MAX / 5;
+		m->heartbeat.config_digest = UINT64_MAX / 7;
+	} else if (kind == MSG_STATEMENT) {
+		m->statement.statement.id.life = UINT64_MAX / 3;
+		m->statement.statement.key.hi = UINT64_MAX / 3;
+		m->statement.statement.key.lo = UINT64_MAX / 5;
+	} else if (kind == MSG_WANT || kind == MSG_GRANT) {
+		m->rate.account = UINT64_MAX / 3;
+	}
+}
+
+/* Bytes on the wire, and time to write and read one message. */
+static void measure_message(enum message_kind kind, const char *what,
+			    struct slope *bytes, struct slope *time)
+{
+	struct bodies *bodies = bodies_new();
+	struct message m, copy;
+	double began;
+	int i;
+
+	fill_message(&m, kind);
+	memset(bytes, 0, sizeof(*bytes));
+	memset(time, 0, sizeof(*time));
+	bytes->what = time->what = what;
+	bytes->unit = "bytes";
+	time->unit = "ns";
+	bytes->fit = time->fit = 1;
+	time->from = time->to = CODEC_ROUNDS;
+	began = now_ns();
+	for (i = 0; i < CODEC_ROUNDS; i++) {
+		GBytes *packed = wire_write(&m, bodies, 1);
+
+		bytes->slope = (double)g_bytes_get_size(packed);
+		wire_read(g_bytes_get_data(packed, NULL),
+			  g_bytes_get_size(packed), &copy, bodies, 1);
+		g_bytes_unref(packed);
+	}
+	time->slope = (now_ns() - began) / CODEC_ROUNDS;
+	bodies_free(bodies);
+}
+
+int slopes_measure(struct slope out[SLOPES_MAX])
+{
+	static const struct {
+		enum message_kind kind;
+		const char *what;
+	} kinds[] = {
+		{ MSG_HEARTBEAT, "heartbeat message" },
+		{ MSG_STATE, "state report message" },
+		{ MSG_CONTROL, "control message" },
+		{ MSG_WANT, "rate message" },
+		{ MSG_STATEMENT, "statement message, no body" },
+		{ MSG_RESULT, "result message, no body" },
+	};
+	int count = 0;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(lines); i++)
+		measure_line(&lines[i], &out[count++]);
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		measure_message(kinds[i].kind, kinds[i].what, &out[count],
+				&out[count + 1]);
+		count += 2;
+	}
+	return count;
+}
+
+json_t *slope_json(const struct slope *s)
+{
+	return json_pack("{s:s,s:s,s:f,s:f,s:f,s:i,s:i}", "per", s->what,
+			 "unit", s->unit, "slope", s->slope, "base", s->base,
+			 "fit", s->fit, "from", s->from, "to", s->to);
+}
