Fault tests of whole sites over real sockets

Primary killed and cut off under writes, replica behind, instance killed in a transaction, key withdrawn in a transaction, silent connections, platform down, shutdown under load. Found by them: a statement of a transaction whose home died was answered outcome_unknown although the transaction cannot commit; it is transaction_gone now.

--- a/core/entry.c
+++ b/core/entry.c
@@ -509,15 +509,23 @@
 	conclude(c, p, r, now, actions);
 }
 
+/* An open transaction ends with its home; a commit may have gone through. */
+static enum error loss_of(const struct statement *s)
+{
+	if (s->tx.id.seq && s->op != OP_COMMIT)
+		return ERR_TX_GONE;
+	return ERR_OUTCOME_UNKNOWN;
+}
+
 static void await_tick(struct core *c, struct pending *p, hm_time now,
 		       struct actions *actions)
 {
 	struct result lost = { 0 };
 
 	if (p->holder != c->options.life && !peers_alive(c->peers, p->holder)) {
-		lost.error = ERR_OUTCOME_UNKNOWN;
+		lost.error = loss_of(&p->statement);
 		lost.execution = EXEC_UNKNOWN;
-		lost.unsure = true;
+		lost.unsure = lost.error == ERR_OUTCOME_UNKNOWN;
 		lost.id = p->statement.id;
 		entry_result(c, &lost, p->holder, now, actions);
 		return;
--- a/src/client.c
+++ b/src/client.c
@@ -126,6 +126,7 @@
 	char url[ADDRESS_BYTES + 256];
 	struct curl_slist *list = headers(c);
 	long status = 0;
+	CURLcode done;
 
 	memset(out, 0, sizeof(*out));
 	g_string_truncate(c->received, 0);
@@ -143,14 +144,18 @@
 		curl_easy_setopt(c->curl, CURLOPT_COPYPOSTFIELDS, body);
 	else
 		curl_easy_setopt(c->curl, CURLOPT_HTTPGET, 1L);
-	if (curl_easy_perform(c->curl) == CURLE_OK)
+	done = curl_easy_perform(c->curl);
+	if (done == CURLE_OK)
 		curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, &status);
 	curl_slist_free_all(list);
 	out->status = (int)status;
 	if (status)
 		parse_answer(c, out);
 	else
-		g_strlcpy(out->code, "no_answer", sizeof(out->code));
+		g_strlcpy(out->code,
+			  done == CURLE_COULDNT_CONNECT ? "no_connection"
+							: "no_answer",
+			  sizeof(out->code));
 }
 
 void client_post(struct client *c, const char *path, json_t *body,
--- a/src/client.h
+++ b/src/client.h
@@ -27,7 +27,7 @@
 	int status;   /**< HTTP status, 0 when no answer came */
 	json_t *body; /**< parsed JSON, NULL when there is none */
 	double retry_after_s;
-	char code[32];	    /**< error code, "ok", or "no_answer" */
+	char code[32]; /**< error code, "ok", "no_answer" or "no_connection" */
 	char execution[16]; /**< of an error */
 };
 
--- a/standin/site.c
+++ b/standin/site.c
@@ -254,8 +254,10 @@
 	for (i = 0; i < s->options.instances; i++)
 		if (s->instances[i].thread)
 			site_kill(s, i);
-	members_free(s->members);
-	store_free(s->store);
+	if (s->members)
+		members_free(s->members);
+	if (s->store)
+		store_free(s->store);
 	g_free(s);
 }
 
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,395 @@
+/**
+ * @file test_site.c
+ * Faults against whole sites over real sockets: instances, peers' links,
+ * driver, stand-in members and platform in one process. Waits are polls with
+ * a deadline.
+ */
+#include <check.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../src/client.h"
+#include "../src/loop.h"
+#include "../standin/site.h"
+
+#define PORT_FIRST 26100
+#define LIMIT (15 * HM_SEC)
+#define DEADLINE_MS 8000
+#define AGE_MS 20000
+#define TABLE_SQL "CREATE TABLE shifts (id INTEGER PRIMARY KEY, who TEXT)"
+#define INSERT_SQL "INSERT INTO shifts(who) VALUES ($1)"
+#define COUNT_SQL "SELECT count(*) FROM shifts"
+
+struct bench {
+	struct site *site;
+	struct client *client;
+	char key[SITE_KEY_BYTES];
+	json_int_t acked;
+	json_int_t unknown;
+};
+
+/* A failed test leaves its site running, which must not fail the next. */
+static uint16_t next_port = PORT_FIRST;
+
+static struct client_statement insert_statement(void)
+{
+	return (struct client_statement){ .database = "db1",
+					  .sql = INSERT_SQL,
+					  .mode = "write",
+					  .parameter = "Almaz",
+					  .deadline_ms = DEADLINE_MS };
+}
+
+/* One write; counts it by what its answer says. */
+static bool insert(struct bench *b)
+{
+	struct client_statement s = insert_statement();
+	struct client_answer a;
+	bool ok;
+
+	client_statement(b->client, &s, &a);
+	ok = a.status == 200;
+	b->acked += ok;
+	b->unknown += !ok && strcmp(a.execution, "not run") != 0;
+	client_answer_free(&a);
+	return ok;
+}
+
+static json_int_t count(struct bench *b, int max_age_ms, char *code)
+{
+	struct client_statement s = { .database = "db1",
+				      .sql = COUNT_SQL,
+				      .mode = "read",
+				      .max_age_ms = max_age_ms,
+				      .deadline_ms = DEADLINE_MS };
+	struct client_answer a;
+	json_int_t n;
+
+	client_statement(b->client, &s, &a);
+	n = client_number(&a, -1);
+	if (code)
+		g_strlcpy(code, a.code, sizeof(a.code));
+	client_answer_free(&a);
+	return n;
+}
+
+static void open_bench(struct bench *b, uint32_t instances)
+{
+	struct site_options options;
+	char fault[SETTINGS_FAULT_BYTES];
+	hm_time until = loop_now() + LIMIT;
+
+	memset(b, 0, sizeof(*b));
+	site_options_default(&options);
+	options.port = next_port;
+	next_port += SITE_PORTS;
+	options.instances = instances;
+	b->site = site_new(&options, fault);
+	ck_assert_msg(b->site != NULL, "%s", fault);
+	ck_assert(members_sql(site_members(b->site),
+			      site_endpoint(b->site, 0, 0)->endpoint,
+			      TABLE_SQL));
+	ck_assert(site_contract(b->site, "demo", 100000, 100000, b->key));
+	b->client = client_new(site_callers(b->site, 0), b->key);
+	while (!insert(b))
+		ck_assert_int_lt(loop_now(), until);
+	b->unknown = 0;
+}
+
+static void close_bench(struct bench *b)
+{
+	client_free(b->client);
+	site_free(b->site);
+}
+
+/* Every acknowledged write is there, and nothing ran twice. */
+static void check_rows(struct bench *b)
+{
+	json_int_t n = count(b, 0, NULL);
+
+	ck_assert_int_ge(n, b->acked);
+	ck_assert_int_le(n, b->acked + b->unknown);
+}
+
+static hm_id member(struct bench *b, uint32_t index)
+{
+	return site_endpoint(b->site, 0, index)->endpoint;
+}
+
+static void set_fault(struct bench *b, uint32_t index, struct member_faults f)
+{
+	members_fault(site_members(b->site), member(b, index), &f);
+}
+
+static uint64_t promised(struct bench *b, uint32_t index)
+{
+	struct member_figures f;
+
+	members_figures(site_members(b->site), member(b, index), &f);
+	return f.state.promised;
+}
+
+START_TEST(primary_killed_under_writes)
+{
+	struct bench b;
+	int i;
+
+	open_bench(&b, 3);
+	for (i = 0; i < 40; i++) {
+		if (i == 10)
+			set_fault(&b, 0,
+				  (struct member_faults){ .dead = true });
+		insert(&b);
+	}
+	ck_assert_int_gt(b.acked, 30);
+	check_rows(&b);
+	close_bench(&b);
+}
+END_TEST
+
+START_TEST(primary_cut_off_then_back)
+{
+	struct bench b;
+	int i;
+
+	open_bench(&b, 3);
+	for (i = 0; i < 10; i++)
+		insert(&b);
+	set_fault(&b, 0, (struct member_faults){ .cut_peers = true });
+	for (i = 0; i < 20; i++)
+		insert(&b);
+	set_fault(&b, 0, (struct member_faults){ 0 });
+	for (i = 0; i < 10; i++)
+		insert(&b);
+	ck_assert_int_gt(b.acked, 30);
+	check_rows(&b);
+	close_bench(&b);
+}
+END_TEST
+
+START_TEST(replica_behind_never_shows_less)
+{
+	struct bench b;
+	int i;
+
+	open_bench(&b, 3);
+	set_fault(&b, 1, (struct member_faults){ .lag = 60 * HM_SEC });
+	for (i = 0; i < 20; i++) {
+		ck_assert(insert(&b));
+		client_roam(b.client, site_callers(b.site, (uint32_t)i % 3));
+		ck_assert_int_eq(count(&b, AGE_MS, NULL), b.acked);
+	}
+	close_bench(&b);
+}
+END_TEST
+
+static char *begin(struct bench *b)
+{
+	struct client_answer a;
+	json_t *body = json_pack("{s:s}", "database", "db1");
+	const char *id;
+	char *copy;
+
+	client_post(b->client, "/v1/transaction", body, &a);
+	json_decref(body);
+	ck_assert_str_eq(a.code, "ok");
+	id = json_string_value(json_object_get(a.body, "transaction"));
+	ck_assert_ptr_nonnull(id);
+	copy = g_strdup(id);
+	client_answer_free(&a);
+	return copy;
+}
+
+static void insert_in(struct bench *b, const char *tx, char *code)
+{
+	struct client_statement s = insert_statement();
+	struct client_answer a;
+
+	s.transaction = tx;
+	client_statement(b->client, &s, &a);
+	g_strlcpy(code, a.code, sizeof(a.code));
+	client_answer_free(&a);
+}
+
+START_TEST(instance_killed_in_transaction)
+{
+	struct bench b;
+	char code[32];
+	hm_time until;
+	char *tx;
+
+	open_bench(&b, 3);
+	tx = begin(&b);
+	insert_in(&b, tx, code);
+	ck_assert_str_eq(code, "ok");
+	/* Instance 0 shares the zone of the primary, so it is its home. */
+	site_kill(b.site, 0);
+	client_roam(b.client, site_callers(b.site, 1));
+	insert_in(&b, tx, code);
+	ck_assert_str_eq(code, "transaction_gone");
+	until = loop_now() + LIMIT;
+	while (!insert(&b))
+		ck_assert_int_lt(loop_now(), until);
+	check_rows(&b);
+	g_free(tx);
+	close_bench(&b);
+}
+END_TEST
+
+START_TEST(withdrawn_key_ends_transaction)
+{
+	struct bench b;
+	char code[32];
+	hm_time until;
+	char *tx;
+
+	open_bench(&b, 3);
+	tx = begin(&b);
+	insert_in(&b, tx, code);
+	ck_assert_str_eq(code, "ok");
+	until = loop_now() + 2 * HM_SEC;
+	ck_assert(site_contract_without_keys(b.site, "demo", 100, 100));
+	do
+		insert_in(&b, tx, code);
+	while (strcmp(code, "unauthenticated") != 0 && loop_now() < until);
+	ck_assert_str_eq(code, "unauthenticated");
+	/* Its rows are rolled back: another key sees none of them. */
+	client_free(b.client);
+	ck_assert(site_contract(b.site, "other", 100, 100, b.key));
+	b.client = client_new(site_callers(b.site, 0), b.key);
+	until = loop_now() + LIMIT;
+	while (count(&b, 0, NULL) != b.acked)
+		ck_assert_int_lt(loop_now(), until);
+	g_free(tx);
+	close_bench(&b);
+}
+END_TEST
+
+START_TEST(silent_connections_are_no_failover)
+{
+	struct bench b;
+	int i;
+
+	open_bench(&b, 3);
+	for (i = 0; i < 20; i++) {
+		if (i == 5)
+			set_fault(&b, 0,
+				  (struct member_faults){ .silent = true });
+		if (i == 8)
+			set_fault(&b, 0, (struct member_faults){ 0 });
+		insert(&b);
+	}
+	ck_assert_int_gt(b.acked, 15);
+	ck_assert_uint_eq(promised(&b, 0), 1);
+	check_rows(&b);
+	close_bench(&b);
+}
+END_TEST
+
+START_TEST(platform_down_serves_on)
+{
+	struct store_faults down = { .down = true };
+	struct store_faults up = { .lose_answer = true };
+	struct bench b;
+	hm_time until;
+	int i;
+
+	open_bench(&b, 3);
+	store_fault(site_store(b.site), &down);
+	for (i = 0; i < 10; i++)
+		ck_assert(insert(&b));
+	set_fault(&b, 0, (struct member_faults){ .dead = true });
+	until = loop_now() + LIMIT;
+	while (!insert(&b))
+		ck_assert_int_lt(loop_now(), until);
+	check_rows(&b);
+	store_fault(site_store(b.site), &up);
+	for (i = 0; i < 10; i++)
+		insert(&b);
+	check_rows(&b);
+	close_bench(&b);
+}
+END_TEST
+
+struct load {
+	GThread *thread;
+	struct bench *bench;
+	struct client *client;
+	int acked;
+	int cut; /* requests that got no answer */
+};
+
+static gpointer write_until_closed(gpointer data)
+{
+	struct load *l = data;
+	struct client_statement s = insert_statement();
+	struct client_answer a;
+	char code[32];
+
+	do {
+		client_statement(l->client, &s, &a);
+		g_strlcpy(code, a.code, sizeof(code));
+		l->acked += a.status == 200;
+		l->cut += !strcmp(code, "no_answer");
+		client_answer_free(&a);
+	} while (strcmp(code, "no_connection") != 0 &&
+		 strcmp(code, "no_answer") != 0);
+	return NULL;
+}
+
+START_TEST(stop_under_load_cuts_nothing)
+{
+	struct load loads[4];
+	struct bench b;
+	int i, acked = 0;
+
+	open_bench(&b, 3);
+	for (i = 0; i < 4; i++) {
+		loads[i] = (struct load){ .bench = &b };
+		loads[i].client = client_new(site_callers(b.site, 0), b.key);
+		loads[i].thread =
+			g_thread_new("load", write_until_closed, &loads[i]);
+	}
+	for (i = 0; i < 20; i++)
+		insert(&b);
+	site_stop(b.site, 0);
+	for (i = 0; i < 4; i++) {
+		g_thread_join(loads[i].thread);
+		client_free(loads[i].client);
+		ck_assert_int_eq(loads[i].cut, 0);
+		acked += loads[i].acked;
+	}
+	ck_assert_int_gt(acked, 0);
+	b.acked += acked;
+	client_roam(b.client, site_callers(b.site, 1));
+	check_rows(&b);
+	close_bench(&b);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("site");
+	TCase *tc = tcase_create("site");
+	SRunner *runner;
+	int failed;
+
+	signal(SIGPIPE, SIG_IGN);
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, primary_killed_under_writes);
+	tcase_add_test(tc, primary_cut_off_then_back);
+	tcase_add_test(tc, replica_behind_never_shows_less);
+	tcase_add_test(tc, instance_killed_in_transaction);
+	tcase_add_test(tc, withdrawn_key_ends_transaction);
+	tcase_add_test(tc, silent_connections_are_no_failover);
+	tcase_add_test(tc, platform_down_serves_on);
+	tcase_add_test(tc, stop_under_load_cuts_nothing);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
