--- a/core/proof.h
+++ b/core/proof.h
@@ -14,9 +14,13 @@
 struct proof_round {
 	uint64_t seq; /**< 0: unused */
 	hm_time asked_at;
-	uint32_t answered; /**< bits of members that were reached */
-	bool sampled;
-	struct endpoint_state states[ENDPOINTS_MAX];
+};
+
+/** Newest answer of a member, by the time of its question. */
+struct proof_answer {
+	bool given;
+	hm_time asked_at;
+	struct endpoint_state state;
 };
 
 struct proof {
@@ -25,7 +29,9 @@
 	struct group *group; /**< borrowed; gets samples */
 	uint64_t seq;	     /**< of the newest round */
 	hm_time asked_at;    /**< of the newest round */
-	struct proof_round rounds[PROOF_ROUNDS];
+	hm_time sampled_at;  /**< of the newest sample */
+	struct proof_round asked[PROOF_ROUNDS];
+	struct proof_answer answers[ENDPOINTS_MAX]; /**< by index */
 };
 
 /** Which answers count: those asked for since, besides those of @a endpoint. */
