turns: judge the last moment by short statements, not by the mean

A short statement of an account that also runs long ones was refused when the mean of both exceeded what was left of its deadline (scripted run). The low estimate that replaces the mean here falls at once and rises slowly; statements cut short do not lower it.

--- a/core/home_dispatch.c
+++ b/core/home_dispatch.c
@@ -82,7 +82,7 @@
 
 	if (turn->class == TURN_TX || now - turn->queued_at < CORE_TICK)
 		return false;
-	return now + turns_cost(h->turns, s->account, turn->class) >
+	return now + turns_least_cost(h->turns, s->account, turn->class) >
 	       s->deadline;
 }
 
--- a/core/home_events.c
+++ b/core/home_events.c
@@ -50,7 +50,8 @@
 				      conn->cancelled);
 	struct home_ended *ended = home_add_ended(h, &conn->turn, now);
 
-	turns_ended(h->turns, &conn->turn, now - conn->started_at, now);
+	turns_ended(h->turns, &conn->turn, now - conn->started_at,
+		    !conn->cancelled, now);
 	ended->error = o.error;
 	ended->execution = o.execution;
 	ended->started_at = conn->started_at;
--- a/core/home_state.c
+++ b/core/home_state.c
@@ -147,7 +147,7 @@
 	struct outcome o = outcome_of(conn->turn.statement.op, DONE_LOST, in_tx,
 				      conn->cancelled);
 
-	turns_ended(h->turns, &conn->turn, now - conn->started_at, now);
+	turns_ended(h->turns, &conn->turn, now - conn->started_at, false, now);
 	e->error = o.error;
 	e->execution = o.execution;
 	e->started_at = conn->started_at;
--- a/core/turns.c
+++ b/core/turns.c
@@ -8,6 +8,7 @@
 #define WEIGHT_SCALE 1024
 #define COST_FIRST (5 * HM_MS) /* expected slot time before any was seen */
 #define COST_MEMORY 8	       /* statements that an average looks back on */
+#define LEAST_RISE 8	       /* a low estimate rises by this part of it */
 #define USE_SPAN HM_SEC	       /* memory of the slot time used lately */
 #define USE_SCALE 1024
 #define LONG_COST (50 * HM_MS) /* statements that others feel the wait of */
@@ -21,8 +22,9 @@
 	struct place *first;
 	struct place **last;
 	uint32_t count;
-	hm_time used; /* slot time charged to this class */
-	hm_time cost; /* expected slot time of one statement */
+	hm_time used;  /* slot time charged to this class */
+	hm_time cost;  /* expected slot time of one statement */
+	hm_time least; /* low estimate: falls at once, rises slowly */
 };
 
 struct flow {
@@ -270,7 +272,18 @@
 	charge(f, turn, -turn->charged, now);
 }
 
-void turns_ended(struct turns *t, struct turn *turn, hm_time used, hm_time now)
+static void learn_least(struct queue *q, hm_time used)
+{
+	hm_time most = q->least + q->least / LEAST_RISE + 1;
+
+	if (!q->least || used < most)
+		q->least = used;
+	else
+		q->least = most;
+}
+
+void turns_ended(struct turns *t, struct turn *turn, hm_time used, bool whole,
+		 hm_time now)
 {
 	struct flow *f = find(t, turn->statement.account);
 	struct queue *q;
@@ -281,9 +294,12 @@
 	f->running--;
 	t->running--;
 	charge(f, turn, used - turn->charged, now);
+	if (!whole && used <= q->cost)
+		return;
 	q->cost += (used - q->cost) / COST_MEMORY;
 	if (q->cost < 1)
 		q->cost = 1;
+	learn_least(q, used);
 }
 
 static bool remove_from(struct turns *t, struct flow *f, turn_match match,
@@ -410,11 +426,12 @@
 	return cost / (slots ? slots : 1);
 }
 
-hm_time turns_cost(const struct turns *t, hm_id account, enum turn_class class)
+hm_time turns_least_cost(const struct turns *t, hm_id account,
+			 enum turn_class class)
 {
 	const struct flow *f = find(t, account);
 
-	return f ? f->queues[class].cost : COST_FIRST;
+	return f ? f->queues[class].least : 0;
 }
 
 /* Slots that others leave to an account, at least its fair share, scaled. */
--- a/core/turns.h
+++ b/core/turns.h
@@ -46,8 +46,12 @@
 void turns_used(struct turns *t, struct turn *turn, hm_time used, hm_time now);
 /** The statement taken by turns_pop() is not sent after all. */
 void turns_refund(struct turns *t, struct turn *turn, hm_time now);
-/** The statement ended after @a used; corrects the charge, learns the cost. */
-void turns_ended(struct turns *t, struct turn *turn, hm_time used, hm_time now);
+/**
+ * The statement ended after @a used: corrects the charge. The cost of one that
+ * was cut short (not @a whole) is learned only when it exceeds what was expected.
+ */
+void turns_ended(struct turns *t, struct turn *turn, hm_time used, bool whole,
+		 hm_time now);
 
 /** Decides about a queued statement. */
 typedef bool (*turn_match)(const void *context, const struct turn *turn);
@@ -64,8 +68,9 @@
 
 uint32_t turns_count(const struct turns *t);
 uint32_t turns_count_class(const struct turns *t, enum turn_class class);
-/** Expected slot time of a statement. */
-hm_time turns_cost(const struct turns *t, hm_id account, enum turn_class class);
+/** Slot time that even a short statement of the account takes of late. */
+hm_time turns_least_cost(const struct turns *t, hm_id account,
+			 enum turn_class class);
 /**
  * Expected wait of a new statement of the account: its own queue, over the
  * slots that the use of others of late leaves to it.
--- a/tests/test_home_script.c
+++ b/tests/test_home_script.c
@@ -215,7 +215,7 @@
 static const char *const files[] = {
 	"tests/scripts/home_transactions.txt", "tests/scripts/home_keys.txt",
 	"tests/scripts/home_deadlines.txt",    "tests/scripts/home_queue.txt",
-	"tests/scripts/home_silent.txt",
+	"tests/scripts/home_silent.txt",       "tests/scripts/home_mixed.txt",
 };
 
 START_TEST(scripted)
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -355,7 +355,7 @@
 		hm_time used = cost(&turn);
 
 		now += used;
-		turns_ended(t, &turn, used, now);
+		turns_ended(t, &turn, used, true, now);
 		out->of_account[turn.statement.account] += used;
 		out->of_class[turn.class] += used;
 		push_turn(t, turn.statement.account, turn.class, turn.weight);
@@ -415,7 +415,7 @@
 	push_turn(t, 1, TURN_READ, 1);
 	for (i = 0; i < 1000; i++) {
 		turns_pop(t, ~0U, false, i * HM_MS, &turn);
-		turns_ended(t, &turn, HM_MS, i * HM_MS);
+		turns_ended(t, &turn, HM_MS, true, i * HM_MS);
 		push_turn(t, 1, TURN_READ, 1);
 	}
 	for (i = 0; i < 100; i++) {
@@ -424,7 +424,7 @@
 	}
 	for (i = 0; i < 100; i++) {
 		turns_pop(t, ~0U, false, HM_SEC, &turn);
-		turns_ended(t, &turn, HM_MS, HM_SEC);
+		turns_ended(t, &turn, HM_MS, true, HM_SEC);
 		first += turn.statement.account == 1;
 	}
 	ck_assert_uint_ge(first, 45);
