--- a/tests/driver_rig.c
+++ b/tests/driver_rig.c
@@ -290,7 +290,7 @@
 			  &rig.spec.endpoints[c->member]);
 }
 
-void rig_start_control(uint32_t member, struct control step)
+uint64_t rig_start_control(uint32_t member, struct control step)
 {
 	static uint64_t seq;
 	struct call c = { .run = run_control, .member = member, .step = step };
@@ -300,6 +300,7 @@
 	c.step.database = rig.spec.database;
 	c.step.endpoint = rig.spec.endpoints[member].endpoint;
 	rig_perform(&c);
+	return c.step.nonce.seq;
 }
 
 struct endpoint_state rig_control(uint32_t member, struct control step)
--- a/tests/driver_rig.h
+++ b/tests/driver_rig.h
@@ -85,7 +85,8 @@
 /** The body of the last event holds @a part. */
 void rig_expect_body(const char *part);
 
-void rig_start_control(uint32_t member, struct control step);
+/** Returns the number of the step, echoed in its answer. */
+uint64_t rig_start_control(uint32_t member, struct control step);
 struct endpoint_state rig_control(uint32_t member, struct control step);
 struct endpoint_state rig_probe(uint32_t member);
 void rig_fault(uint32_t member, struct member_faults f);
--- a/tests/test_driver_control.c
+++ b/tests/test_driver_control.c
@@ -3,8 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../core/rng.h"
 #include "driver_rig.h"
 
+#define STEPS 400
+#define SLACK (2 * HM_SEC) /* a busy machine may be this late */
+
 START_TEST(control_steps)
 {
 	struct endpoint_state s = rig_probe(0);
@@ -116,6 +120,78 @@
 }
 END_TEST
 
+static struct control any_step(struct rng *rng)
+{
+	static const enum control_op ops[] = { CONTROL_PROBE, CONTROL_FRESH,
+					       CONTROL_FENCE, CONTROL_HOME };
+	struct control step = { .orderer = LIFE };
+
+	step.op = ops[rng_below(rng, G_N_ELEMENTS(ops))];
+	step.term = 2 + rng_below(rng, 5);
+	return step;
+}
+
+static void any_fault(struct rng *rng, uint32_t member)
+{
+	struct member_faults f = { 0 };
+
+	if (rng_below(rng, 2)) {
+		f.paused = !rng_below(rng, 4);
+		f.silent = !rng_below(rng, 4);
+		f.lose_answer = !rng_below(rng, 3);
+		f.cut_all = !rng_below(rng, 4);
+		f.dead = !rng_below(rng, 5);
+		f.late = (hm_time)rng_below(rng, 3) * 5 * HM_MS;
+	}
+	rig_fault(member, f);
+}
+
+/* Notes an answer; each step has one, and in time. */
+static uint32_t take_answers(GHashTable *asked, hm_time wait)
+{
+	const struct event *e;
+	const hm_time *at;
+	uint32_t reached = 0;
+
+	while ((e = rig_next_event(wait))) {
+		ck_assert_int_eq(e->kind, EV_STATE);
+		at = g_hash_table_lookup(asked, &e->state.nonce.seq);
+		ck_assert_msg(at != NULL, "a second answer");
+		ck_assert_int_lt(loop_now() - *at, CONTROL_LIMIT + SLACK);
+		reached += e->state.state.reachable;
+		g_hash_table_remove(asked, &e->state.nonce.seq);
+	}
+	return reached;
+}
+
+START_TEST(each_step_ends_once)
+{
+	GHashTable *asked = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, g_free);
+	struct rng rng = { 5 };
+	uint32_t i, member, reached = 0;
+	uint64_t seq;
+	hm_time now;
+
+	for (i = 0; i < STEPS; i++) {
+		member = (uint32_t)rng_below(&rng, 3);
+		if (!rng_below(&rng, 5))
+			any_fault(&rng, member);
+		now = loop_now();
+		seq = rig_start_control(member, any_step(&rng));
+		g_hash_table_insert(asked, g_memdup2(&seq, sizeof(seq)),
+				    g_memdup2(&now, sizeof(now)));
+		reached += take_answers(asked,
+					(hm_time)rng_below(&rng, 4) * HM_MS);
+	}
+	reached += take_answers(asked, CONTROL_LIMIT + SLACK);
+	ck_assert_uint_eq(g_hash_table_size(asked), 0);
+	ck_assert_uint_gt(reached, STEPS / 10);
+	ck_assert_uint_lt(reached, STEPS);
+	g_hash_table_unref(asked);
+}
+END_TEST
+
 static TCase *tcase_driver(const char *name, SFun begin)
 {
 	TCase *tc = tcase_create(name);
@@ -134,6 +210,7 @@
 	tcase_add_test(tc, silent_control_connection);
 	tcase_add_test(tc, broken_control_connection);
 	tcase_add_test(tc, paused_member_is_unreachable);
+	tcase_add_test(tc, each_step_ends_once);
 	suite_add_tcase(suite, tc);
 }
 
--- a/tests/test_member_faults.c
+++ b/tests/test_member_faults.c
@@ -1,9 +1,13 @@
 /** @file test_member_faults.c Faults of stand-in members. */
+#include <arpa/inet.h>
 #include <check.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "../core/rng.h"
 #include "../src/loop.h"
 #include "member_rig.h"
 
@@ -154,6 +158,57 @@
 }
 END_TEST
 
+static int open_socket(uint32_t i)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	at.sin_port = htons(
+		(uint16_t)atoi(strrchr(spec.endpoints[i].address, ':') + 1));
+	inet_pton(AF_INET, "127.0.0.1", &at.sin_addr);
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	return fd;
+}
+
+/* A start and three messages, some of whose bytes are changed. */
+static void send_damaged(struct rng *rng, int fd)
+{
+	static const char valid[] = "\0\0\0\x0d\0\x03\0\0user\0"
+				    "P\0\0\0\x10\0SELECT 1\0\0\0"
+				    "B\0\0\0\x0c\0\0\0\0\0\0\0\0"
+				    "E\0\0\0\x09\0\0\0\0\0"
+				    "S\0\0\0\x04";
+	char bytes[sizeof(valid)];
+	uint32_t i, count = (uint32_t)rng_below(rng, 4);
+
+	memcpy(bytes, valid, sizeof(valid));
+	for (i = 0; i < count; i++)
+		bytes[rng_below(rng, sizeof(bytes))] = (char)rng_next(rng);
+	ck_assert_int_gt(send(fd, bytes, 1 + rng_below(rng, sizeof(bytes)), 0),
+			 0);
+}
+
+START_TEST(damaged_messages_do_no_harm)
+{
+	struct rng rng = { 11 };
+	char answer[256];
+	struct pollfd p;
+	PGconn *c;
+	int i;
+
+	for (i = 0; i < 400; i++) {
+		p = (struct pollfd){ .fd = open_socket(0), .events = POLLIN };
+		send_damaged(&rng, p.fd);
+		if (poll(&p, 1, 2) == 1)
+			recv(p.fd, answer, sizeof(answer), 0);
+		close(p.fd);
+	}
+	c = member_open(0);
+	ck_assert_str_eq(member_one(c, "SELECT 1"), "1");
+	PQfinish(c);
+}
+END_TEST
+
 static void setup_short_keepalive(void)
 {
 	const struct member_options options = { .lag = LAG,
@@ -182,6 +237,7 @@
 	tcase_add_test(tc, pause_does_not_count_as_idle_home);
 	tcase_add_test(tc, cut_member_drops_and_refuses);
 	tcase_add_test(tc, killed_member_keeps_its_log_and_promise);
+	tcase_add_test(tc, damaged_messages_do_no_harm);
 	suite_add_tcase(suite, tc);
 	tc = tcase_members("keepalive", setup_short_keepalive);
 	tcase_add_test(tc, silent_transaction_ends);
