Tests that fail when a guard of the front is taken out

Of 18 guards taken out one at a time on a scratch copy 7 went unseen: the reset of a floor, the end of an HTTP/2 stream, a full token, the cap of a deadline, idempotence within a transaction, answers of another life, and Connection: close (h2o adds that by itself).

--- a/tests/front_world.c
+++ b/tests/front_world.c
@@ -35,7 +35,9 @@
 	bool hold;
 	struct statement last;
 	char *last_body;
-	GArray *held; /* of struct held */
+	GArray *held;  /* of struct held */
+	uint64_t life; /* of the answer, 0 for that of the request */
+	uint32_t open;
 	uint64_t echo_seed;
 	size_t echo_padding;
 	uint32_t seen;
@@ -64,6 +66,10 @@
 	GBytes *body;
 
 	r.id = w->last.id;
+	if (w->life)
+		r.id.life = w->life;
+	if (!r.database)
+		r.database = w->last.database;
 	if (w->plan_body) {
 		body = g_bytes_new(w->plan_body, strlen(w->plan_body));
 		r.body = bodies_put(w->bodies, body, loop_now() + HM_SEC);
@@ -353,6 +359,27 @@
 	run_there(w, run_echo);
 }
 
+void world_answer_from(struct world *w, uint64_t life)
+{
+	w->life = life;
+	run_there(w, run_release);
+	w->life = 0;
+}
+
+static void run_open(void *arg)
+{
+	struct world *w = arg;
+
+	w->open = front_open(w->front);
+	task_done(w);
+}
+
+uint32_t world_open(struct world *w)
+{
+	run_there(w, run_open);
+	return w->open;
+}
+
 void world_stop_front(struct world *w)
 {
 	run_there(w, run_stop);
@@ -413,6 +440,8 @@
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT, CALL_LIMIT_S);
 	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	if (c->limit_ms)
+		curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, c->limit_ms);
 	if (c->body)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, c->body);
 	if (c->method)
--- a/tests/front_world.h
+++ b/tests/front_world.h
@@ -34,6 +34,10 @@
 bool world_gone(struct world *w, uint32_t count);
 /** Waits for @a count statements in all; false after 5 s. */
 bool world_seen(struct world *w, uint32_t count);
+/** Answers the newest statement, as if its request were of @a life. */
+void world_answer_from(struct world *w, uint64_t life);
+/** Requests without an answer. */
+uint32_t world_open(struct world *w);
 /** Statements so far. */
 uint32_t world_count(struct world *w);
 void world_stop_front(struct world *w);
@@ -51,7 +55,8 @@
 	bool operators;
 	bool http2;
 	bool tls;
-	long status; /**< 0 when no answer came */
+	long limit_ms; /**< the caller goes away then, 0 for never */
+	long status;   /**< 0 when no answer came */
 	GString *headers;
 	GString *answer;
 };
