--- a/standin/session.c
+++ b/standin/session.c
@@ -1,4 +1,4 @@
-/** @file session.c Bytes and protocol of a connection to a member. */
+/** @file session.c Bytes of a connection to a member, in and out. */
 #include "session.h"
 
 #include <errno.h>
@@ -11,9 +11,7 @@
 #include "pgproto.h"
 
 #define READ_BYTES 16384
-#define CONTROL_CONNECTIONS 16
 #define KEEPALIVE (5 * HM_SEC)
-#define APPLICATION "hyssopmount/"
 
 /* Bytes to be sent from a time on. */
 struct chunk {
@@ -52,7 +50,7 @@
 	s->fd = -1;
 }
 
-static void clear_params(struct session *s)
+void session_clear_params(struct session *s)
 {
 	uint32_t i;
 
@@ -69,7 +67,7 @@
 	g_byte_array_unref(s->in);
 	g_byte_array_unref(s->build);
 	g_queue_clear_full(&s->out, chunk_free);
-	clear_params(s);
+	session_clear_params(s);
 	g_free(s->sql);
 	g_free(s);
 }
@@ -89,7 +87,7 @@
 	statement_abandon(s, loop_now());
 }
 
-static void put_chunk(struct session *s, hm_time now)
+void session_put(struct session *s, hm_time now)
 {
 	struct chunk *c, *last = g_queue_peek_tail(&s->out);
 	hm_time at = now + s->node->faults.late;
@@ -141,7 +139,7 @@
 		return;
 	g_byte_array_set_size(s->build, 0);
 	pg_write_error(s->build, "FATAL", sqlstate, message);
-	put_chunk(s, 0);
+	session_put(s, 0);
 	flush(s, HM_NEVER);
 	session_close(s);
 }
@@ -161,7 +159,7 @@
 		pg_write_ready(s->build, (char)s->tx);
 	else
 		s->skipping = true;
-	put_chunk(s, now);
+	session_put(s, now);
 }
 
 void session_answered(struct session *s, bool effect, hm_time now)
@@ -174,296 +172,7 @@
 	}
 	if (s->simple)
 		pg_write_ready(s->build, (char)s->tx);
-	put_chunk(s, now);
-}
-
-static void take_application(struct session *s, const char *name)
-{
-	char *end;
-
-	if (!g_str_has_prefix(name, APPLICATION))
-		return;
-	s->life = g_ascii_strtoull(name + strlen(APPLICATION), &end, 16);
-	s->control = !strcmp(end, "/control");
-}
-
-static void take_options(struct session *s, struct pg_reader *r)
-{
-	const char *name, *value;
-
-	while (r->at < r->end && *r->at) {
-		name = pg_read_text(r);
-		value = pg_read_text(r);
-		if (r->broken)
-			return;
-		if (!strcmp(name, "application_name"))
-			take_application(s, value);
-	}
-}
-
-static uint32_t control_connections(const struct node *n)
-{
-	const struct session *s;
-	uint32_t i, count = 0;
-
-	for (i = 0; i < n->sessions->len; i++) {
-		s = n->sessions->pdata[i];
-		count += !s->closed && s->control;
-	}
-	return count;
-}
-
-static void start(struct session *s, struct pg_reader *r, hm_time now)
-{
-	struct node *n = s->node;
-	bool full;
-
-	take_options(s, r);
-	if (s->control)
-		full = control_connections(n) > CONTROL_CONNECTIONS;
-	else
-		full = node_connections(n) >= n->spec.connections;
-	if (full) {
-		session_fatal(s, "53300", "too many connections");
-		return;
-	}
-	if (s->life && !s->control && n->home && s->life != n->home) {
-		session_fatal(s, "57P03", "not the home of the member");
-		return;
-	}
-	s->stage = STAGE_ACCEPT;
-	s->due = now + n->options.connect_cost;
-	n->connections_most = MAX(n->connections_most, node_connections(n));
-}
-
-static void cancel(struct session *s, struct pg_reader *r, hm_time now)
-{
-	uint32_t pid = pg_read_u32(r);
-	uint32_t secret = pg_read_u32(r);
-	struct session *other = node_session(s->node, pid);
-
-	if (other && other->secret == secret) {
-		statement_cancel(other, now);
-		session_work(other, now);
-	}
-	session_close(s);
-}
-
-static void drop_input(struct session *s, uint32_t bytes)
-{
-	if (!s->closed)
-		g_byte_array_remove_range(s->in, 0, bytes);
-}
-
-static bool take_startup(struct session *s, hm_time now)
-{
-	struct pg_message m;
-	struct pg_reader r;
-	enum pg_next next = pg_next(s->in, true, &m);
-
-	if (next == PG_BROKEN)
-		session_close(s);
-	if (next != PG_MESSAGE)
-		return false;
-	r = pg_reader(&m);
-	switch (pg_read_u32(&r)) {
-	case PG_SSL:
-	case PG_GSSENC:
-		g_byte_array_append(s->build, (const guint8 *)"N", 1);
-		put_chunk(s, now);
-		break;
-	case PG_CANCEL:
-		cancel(s, &r, now);
-		break;
-	case PG_PROTOCOL:
-		start(s, &r, now);
-		break;
-	default:
-		session_fatal(s, "0A000", "unknown protocol version");
-	}
-	drop_input(s, m.whole);
-	return true;
-}
-
-static void welcome(struct session *s, hm_time now)
-{
-	s->stage = STAGE_IDLE;
-	pg_write_auth_ok(s->build);
-	pg_write_parameter(s->build, "server_version", "15.0");
-	pg_write_parameter(s->build, "server_encoding", "UTF8");
-	pg_write_parameter(s->build, "client_encoding", "UTF8");
-	pg_write_parameter(s->build, "standard_conforming_strings", "on");
-	pg_write_key(s->build, s->pid, s->secret);
-	pg_write_ready(s->build, (char)s->tx);
-	put_chunk(s, now);
-}
-
-static void set_sql(struct session *s, const char *sql)
-{
-	g_free(s->sql);
-	s->sql = g_strdup(sql);
-	s->described = false;
-	clear_params(s);
-}
-
-static void on_parse(struct session *s, struct pg_reader *r, hm_time now)
-{
-	const char *name = pg_read_text(r);
-	const char *sql = pg_read_text(r);
-
-	s->simple = false;
-	if (*name) {
-		session_error(s, "0A000", "named statements are absent", now);
-		return;
-	}
-	set_sql(s, sql);
-	pg_write_empty(s->build, '1');
-}
-
-static bool text_formats(struct pg_reader *r)
-{
-	uint16_t count = pg_read_u16(r);
-	bool text = true;
-
-	while (count-- && !r->broken)
-		text &= pg_read_u16(r) == 0;
-	return text;
-}
-
-static void take_params(struct session *s, struct pg_reader *r)
-{
-	uint32_t i, bytes;
-
-	clear_params(s);
-	s->param_count = pg_read_u16(r);
-	s->params = g_new0(char *, s->param_count + 1);
-	for (i = 0; i < s->param_count && !r->broken; i++) {
-		bytes = pg_read_u32(r);
-		if (bytes != UINT32_MAX)
-			s->params[i] = pg_read_bytes(r, bytes);
-	}
-}
-
-static void on_bind(struct session *s, struct pg_reader *r, hm_time now)
-{
-	bool text;
-
-	pg_read_text(r);
-	pg_read_text(r);
-	text = text_formats(r);
-	take_params(s, r);
-	text &= text_formats(r);
-	if (!text)
-		session_error(s, "0A000", "binary format is absent", now);
-	else
-		pg_write_empty(s->build, '2');
-}
-
-/* The description is sent with the rows: what they are is known then. */
-static void on_describe(struct session *s, struct pg_reader *r, hm_time now)
-{
-	if (r->at < r->end && *r->at == 'P')
-		s->described = true;
-	else
-		session_error(s, "0A000", "only portals are described", now);
-}
-
-static void on_execute(struct session *s, struct pg_reader *r, hm_time now)
-{
-	(void)r;
-	if (s->sql)
-		statement_start(s, now);
-	else
-		session_error(s, "26000", "nothing was parsed", now);
-}
-
-static void on_sync(struct session *s, struct pg_reader *r, hm_time now)
-{
-	bool wrote = s->implicit;
-
-	(void)r;
-	wrote = statement_sync(s, now) && wrote;
-	s->skipping = false;
-	s->simple = false;
-	pg_write_ready(s->build, (char)s->tx);
-	session_answered(s, wrote, now);
-}
-
-static void on_query(struct session *s, struct pg_reader *r, hm_time now)
-{
-	const char *sql = pg_read_text(r);
-
-	s->simple = true;
-	set_sql(s, sql);
-	s->described = true;
-	if (sql[strspn(sql, " \t\r\n;")]) {
-		statement_start(s, now);
-		return;
-	}
-	pg_write_empty(s->build, 'I');
-	session_answered(s, false, now);
-}
-
-static void on_close(struct session *s, struct pg_reader *r, hm_time now)
-{
-	(void)r;
-	(void)now;
-	pg_write_empty(s->build, '3');
-}
-
-static void on_flush(struct session *s, struct pg_reader *r, hm_time now)
-{
-	(void)r;
-	put_chunk(s, now);
-}
-
-static void on_terminate(struct session *s, struct pg_reader *r, hm_time now)
-{
-	(void)r;
-	(void)now;
-	session_close(s);
-}
-
-static const struct {
-	uint8_t type;
-	void (*handle)(struct session *s, struct pg_reader *r, hm_time now);
-} handlers[] = {
-	{ 'P', on_parse },   { 'B', on_bind },	{ 'D', on_describe },
-	{ 'E', on_execute }, { 'S', on_sync },	{ 'Q', on_query },
-	{ 'C', on_close },   { 'H', on_flush }, { 'X', on_terminate },
-};
-
-static void handle(struct session *s, const struct pg_message *m, hm_time now)
-{
-	struct pg_reader r = pg_reader(m);
-	size_t i;
-
-	if (s->skipping && m->type != 'S' && m->type != 'X')
-		return;
-	for (i = 0; i < G_N_ELEMENTS(handlers); i++)
-		if (handlers[i].type == m->type)
-			break;
-	if (i == G_N_ELEMENTS(handlers)) {
-		session_fatal(s, "08P01", "unknown message");
-		return;
-	}
-	handlers[i].handle(s, &r, now);
-	if (r.broken)
-		session_fatal(s, "08P01", "broken message");
-}
-
-static bool take_message(struct session *s, hm_time now)
-{
-	struct pg_message m;
-	enum pg_next next = pg_next(s->in, false, &m);
-
-	if (next == PG_BROKEN)
-		session_fatal(s, "08P01", "broken message");
-	if (next != PG_MESSAGE)
-		return false;
-	handle(s, &m, now);
-	drop_input(s, m.whole);
-	return true;
+	session_put(s, now);
 }
 
 /* One step; false when there is nothing to do now. */
@@ -471,14 +180,14 @@
 {
 	switch (s->stage) {
 	case STAGE_STARTUP:
-		return take_startup(s, now);
+		return session_startup(s, now);
 	case STAGE_ACCEPT:
 		if (now < s->due)
 			return false;
-		welcome(s, now);
+		session_welcome(s, now);
 		return true;
 	case STAGE_IDLE:
-		return take_message(s, now);
+		return session_message(s, now);
 	case STAGE_RUN:
 		if (now < s->due)
 			return false;
--- a/standin/session.h
+++ b/standin/session.h
@@ -1,7 +1,8 @@
 /**
  * @file session.h
- * One client connection of a stand-in member: bytes and protocol in
- * session.c, statements and transactions in statement.c.
+ * One client connection of a stand-in member: bytes in session.c, messages in
+ * messages.c, statements and transactions in statement.c, control functions in
+ * order.c.
  */
 #ifndef SESSION_H
 #define SESSION_H
@@ -74,6 +75,17 @@
 /** The answer to the statement at hand is complete. */
 void session_answered(struct session *s, bool effect, hm_time now);
 
+/** Hands what was built to the client, after the delay of answers. */
+void session_put(struct session *s, hm_time now);
+void session_clear_params(struct session *s);
+
+/** Takes the first message; false when it is not there yet. */
+bool session_startup(struct session *s, hm_time now);
+/** Lets the client in. */
+void session_welcome(struct session *s, hm_time now);
+/** Takes the next message; false when it is not there yet. */
+bool session_message(struct session *s, hm_time now);
+
 /** Starts the statement at hand. */
 void statement_start(struct session *s, hm_time now);
 /** The cost is paid, or the lock is free: performs it. */
