--- a/core/holder.c
+++ b/core/holder.c
@@ -130,7 +130,8 @@
 	struct served *known;
 	enum error fault;
 
-	known = served_find(served, s->id, s->attempt, order->endpoint);
+	served->forgetful = c->options.guards_off & GUARD_ONCE;
+	known = served_repeated(served, s->id, s->attempt, order->endpoint);
 	if (known && known->ended)
 		send_result(known, actions);
 	if (known)
--- a/core/served.c
+++ b/core/served.c
@@ -40,6 +40,14 @@
 	return &l->list[place];
 }
 
+struct served *served_repeated(struct served_list *l, struct rid id,
+			       uint32_t attempt, hm_id endpoint)
+{
+	if (l->forgetful)
+		return NULL;
+	return served_find(l, id, attempt, endpoint);
+}
+
 static bool grow(struct served_list *l)
 {
 	uint32_t room = l->room ? l->room * 2 : SERVED_ROOM_FIRST;
--- a/core/served.h
+++ b/core/served.h
@@ -29,12 +29,16 @@
 	uint32_t count;
 	uint32_t cursor; /**< where the last search for a free place ended */
 	struct table by_id;
+	bool forgetful; /**< mutation tests: GUARD_ONCE is off */
 };
 
 void served_free(struct served_list *l);
 /** NULL when the order was never taken, or is forgotten. */
 struct served *served_find(struct served_list *l, struct rid id,
 			   uint32_t attempt, hm_id endpoint);
+/** As served_find(), for an order that arrives: it must not run again. */
+struct served *served_repeated(struct served_list *l, struct rid id,
+			       uint32_t attempt, hm_id endpoint);
 /** NULL when SERVED_MAX orders are remembered. */
 struct served *served_add(struct served_list *l, struct rid id,
 			  uint32_t attempt, hm_id endpoint);
--- a/tests/bed.c
+++ b/tests/bed.c
@@ -3,10 +3,9 @@
 
 #include <string.h>
 
-#define DATABASE 77
 #define STATEMENT_LIMIT (2 * HM_SEC)
 
-static uint32_t proxy_of(uint64_t life)
+uint32_t bed_proxy_of(uint64_t life)
 {
 	return (uint32_t)(life - bed_life(0));
 }
@@ -16,8 +15,8 @@
 	return BED_PROXIES + (uint32_t)(endpoint - fake_endpoint(0));
 }
 
-static struct packet *put(struct bed *b, enum packet_kind kind, uint32_t from,
-			  uint32_t to)
+struct packet *bed_put(struct bed *b, enum packet_kind kind, uint32_t from,
+		       uint32_t to)
 {
 	struct packet *p;
 
@@ -37,7 +36,7 @@
 	uint32_t i;
 
 	memset(spec, 0, sizeof(*spec));
-	spec->database = DATABASE;
+	spec->database = BED_DATABASE;
 	spec->endpoint_count = FAKE_MEMBERS;
 	for (i = 0; i < FAKE_MEMBERS; i++) {
 		spec->endpoints[i].endpoint = fake_endpoint(i);
@@ -115,6 +114,7 @@
 	for (i = 0; i < BED_PROXIES; i++) {
 		struct proxy *p = &b->proxies[i];
 
+		served_free(&p->served);
 		failover_free(p->failover);
 		verify_free(p->verify);
 		group_free(p->group);
@@ -181,7 +181,7 @@
 static void send_report(struct bed *b, uint32_t from, uint32_t to,
 			const struct state_report *r)
 {
-	put(b, PACKET_REPORT, from, to)->report = *r;
+	bed_put(b, PACKET_REPORT, from, to)->report = *r;
 }
 
 static void broadcast(struct bed *b, uint32_t proxy,
@@ -199,8 +199,8 @@
 	const struct message *m = &a->send.message;
 
 	if (m->kind == MSG_CONTROL)
-		put(b, PACKET_QUESTION, proxy, proxy_of(a->send.to))->step =
-			m->control;
+		bed_put(b, PACKET_QUESTION, proxy, bed_proxy_of(a->send.to))
+			->step = m->control;
 	else if (m->kind == MSG_STATE)
 		broadcast(b, proxy, &m->state);
 }
@@ -226,7 +226,8 @@
 		if (a->kind == ACT_SEND)
 			perform_send(b, proxy, a);
 		else if (a->kind == ACT_CONTROL)
-			put(b, PACKET_STEP, proxy, node_of(a->control.endpoint))
+			bed_put(b, PACKET_STEP, proxy,
+				node_of(a->control.endpoint))
 				->step = a->control;
 		else if (a->kind == ACT_LOG)
 			perform_log(b, proxy, &a->decision);
@@ -241,7 +242,7 @@
 
 	while (verify_next(p->verify, &v)) {
 		struct order *o = &p->orders[v.result.id.seq];
-		uint32_t entry = proxy_of(o->ended.statement.id.life);
+		uint32_t entry = bed_proxy_of(o->ended.statement.id.life);
 
 		o->verified = v;
 		if (v.result.error == ERR_NONE && !o->write) {
@@ -249,9 +250,9 @@
 			b->reads_replica += o->ended.statement.max_age != 0;
 		}
 		if (entry == proxy)
-			put(b, PACKET_ANSWER, proxy, proxy)->order = *o;
+			bed_put(b, PACKET_ANSWER, proxy, proxy)->order = *o;
 		else
-			put(b, PACKET_RESULT, proxy, entry)->order = *o;
+			bed_put(b, PACKET_RESULT, proxy, entry)->order = *o;
 	}
 }
 
@@ -260,7 +261,7 @@
 static void ask_member(struct bed *b, uint32_t proxy,
 		       const struct control *step)
 {
-	put(b, PACKET_STEP, proxy, node_of(step->endpoint))->step = *step;
+	bed_put(b, PACKET_STEP, proxy, node_of(step->endpoint))->step = *step;
 }
 
 static void deliver_question(struct bed *b, const struct packet *p)
@@ -278,7 +279,7 @@
 
 	r.valid_until = p->order.verified.valid_until;
 	if (!verify_ageing(&r)) {
-		put(b, PACKET_ANSWER, p->to, p->to)->order = p->order;
+		bed_put(b, PACKET_ANSWER, p->to, p->to)->order = p->order;
 		return;
 	}
 	entry->orders[r.id.seq] = p->order;
@@ -294,7 +295,7 @@
 static void answer_step(struct bed *b, const struct packet *p,
 			const struct state_report *r)
 {
-	struct packet *answer = put(b, PACKET_STATE, p->from, p->from);
+	struct packet *answer = bed_put(b, PACKET_STATE, p->from, p->from);
 
 	answer->report = *r;
 	if (b->hangs && !r->state.reachable)
@@ -330,7 +331,7 @@
 	uint32_t member = node_of(p->report.state.endpoint) - BED_PROXIES;
 	struct control step = { .nonce = p->report.nonce,
 				.op = CONTROL_FRESH,
-				.database = DATABASE,
+				.database = BED_DATABASE,
 				.endpoint = p->report.state.endpoint };
 
 	home->rechecking[member] =
@@ -353,26 +354,42 @@
 	if (probe && recheck(b, p))
 		return;
 	if (r.nonce.life != bed_life(p->to))
-		send_report(b, p->to, proxy_of(r.nonce.life), &r);
+		send_report(b, p->to, bed_proxy_of(r.nonce.life), &r);
 	take_report(b, p->to, &r, p->to);
 	r.nonce = (struct rid){ 0 };
 	if (probe)
 		broadcast(b, p->to, &r);
 }
 
-/* An order that is repeated, of another term, or misdirected is refused. */
+static void refuse(struct bed *b, const struct order *o)
+{
+	struct session *s = &b->sessions[o->session];
+
+	if (s->waits_for == o->ended.statement.id.seq)
+		s->waits_for = 0;
+	if (o->write)
+		bed_check_refusal(b, o->write);
+}
+
+/* A repeated order is ignored; one of another term or misdirected refused. */
 static void deliver_order(struct bed *b, const struct packet *p)
 {
 	struct proxy *home = &b->proxies[p->to];
-	uint32_t node = node_of(p->order.ended.endpoint);
-	bool *seen = &home->seen[p->order.ended.statement.id.seq];
+	const struct statement *s = &p->order.ended.statement;
+	hm_id endpoint = p->order.ended.endpoint;
+	uint32_t node = node_of(endpoint);
 	struct packet *e;
 
-	if (!home->holds[node - BED_PROXIES] || *seen ||
-	    (p->order.write && p->order.term != group_term(home->group)))
+	home->served.forgetful = home->options.guards_off & GUARD_ONCE;
+	if (served_repeated(&home->served, s->id, s->attempt, endpoint))
 		return;
-	*seen = true;
-	e = put(b, PACKET_EXECUTE, p->to, node);
+	served_add(&home->served, s->id, s->attempt, endpoint);
+	if (!home->holds[node - BED_PROXIES] ||
+	    (p->order.write && p->order.term != group_term(home->group))) {
+		refuse(b, &p->order);
+		return;
+	}
+	e = bed_put(b, PACKET_EXECUTE, p->to, node);
 	e->order = p->order;
 	e->order.ended.started_at = bed_local(b, p->to);
 }
@@ -389,11 +406,13 @@
 	o.floor_held =
 		fake_reached(m, o.ended.statement.floor) ||
 		b->fakes.promoted > m->lineage.begin[m->lineage.count - 1].term;
-	if (o.write && (fake_holds(m, o.write) || !fake_write(m, o.write)))
+	if (o.write && !fake_write(m, o.write))
 		return;
+	if (o.write)
+		bed_check_run(b, o.write);
 	o.ended.after = fake_at(m);
 	o.ended.lineage = m->lineage;
-	put(b, PACKET_DONE, p->to, p->from)->order = o;
+	bed_put(b, PACKET_DONE, p->to, p->from)->order = o;
 }
 
 static void deliver_done(struct bed *b, const struct packet *p)
@@ -416,7 +435,7 @@
 
 	if (p->kind != PACKET_STEP)
 		return;
-	r.state.database = DATABASE;
+	r.state.database = BED_DATABASE;
 	r.state.endpoint = p->step.endpoint;
 	answer_step(b, p, &r);
 }
@@ -452,7 +471,7 @@
 
 	if (p.kind != PACKET_DONE && p.kind != PACKET_ANSWER &&
 	    p.kind != PACKET_EXECUTE && p.kind != PACKET_RESULT)
-		*put(b, p.kind, p.from, p.to) = p;
+		*bed_put(b, p.kind, p.from, p.to) = p;
 }
 
 void bed_deliver(struct bed *b, uint32_t index)
@@ -471,7 +490,7 @@
 static void probe(struct bed *b, uint32_t proxy)
 {
 	struct proxy *p = &b->proxies[proxy];
-	struct control step = { .database = DATABASE };
+	struct control step = { .database = BED_DATABASE };
 	uint32_t i;
 
 	if (bed_local(b, proxy) < p->probe_at)
@@ -501,95 +520,3 @@
 	perform(b, proxy);
 	flush(b, proxy);
 }
-
-/* Callers */
-
-static bool send_order(struct bed *b, uint32_t proxy, struct order *o)
-{
-	struct proxy *p = &b->proxies[proxy];
-	struct session *s = &b->sessions[o->session];
-	struct route r;
-	uint64_t home;
-
-	o->ended.statement.floor = s->floor;
-	o->ended.statement.unsure = s->unsure;
-	s->waits_for = o->ended.statement.id.seq;
-	r = group_route(p->group, &o->ended.statement, 0, bed_local(b, proxy));
-	if (r.error == ERR_WRITE_LOST && !r.wait_until) {
-		o->verified.result.error = ERR_WRITE_LOST;
-		o->snapshot = fake_bits(&b->fakes.newest);
-		o->floor_held = fake_reached(&b->fakes.newest, s->floor);
-		o->verified.result.at = r.reset;
-		bed_log_answer(b, o);
-		bed_session_answer(b, o);
-	}
-	home = r.endpoint ? group_home(p->group, r.endpoint) : 0;
-	if (!home) {
-		s->waits_for = 0;
-		return false;
-	}
-	o->ended.endpoint = r.endpoint;
-	o->acked = b->acked;
-	o->term = group_term(p->group);
-	put(b, PACKET_ORDER, proxy, proxy_of(home))->order = *o;
-	return true;
-}
-
-static void number(struct bed *b, struct order *o, uint32_t session,
-		   uint32_t proxy)
-{
-	memset(o, 0, sizeof(*o));
-	o->session = session;
-	o->ended.statement.id.life = bed_life(proxy);
-	o->ended.statement.id.seq = 1 + b->statements++ % (BED_STATEMENTS - 1);
-	o->ended.statement.database = DATABASE;
-}
-
-/* A caller has one statement out; now and then it gives up on it. */
-static bool caller_free(struct bed *b, uint32_t session, uint32_t proxy)
-{
-	if (b->proxies[proxy].paused)
-		return false;
-	return !b->sessions[session].waits_for || !rng_below(&b->rng, 16);
-}
-
-bool bed_write(struct bed *b, uint32_t session, uint32_t proxy)
-{
-	struct order o;
-
-	if (!caller_free(b, session, proxy) || b->writes == BED_WRITES)
-		return false;
-	number(b, &o, session, proxy);
-	o.write = b->writes + 1;
-	o.ended.statement.op = OP_WRITE;
-	if (!send_order(b, proxy, &o))
-		return false;
-	b->writes++;
-	return true;
-}
-
-bool bed_read(struct bed *b, uint32_t session, uint32_t proxy, hm_time max_age)
-{
-	struct order o;
-
-	if (!caller_free(b, session, proxy))
-		return false;
-	number(b, &o, session, proxy);
-	o.ended.statement.op = OP_READ;
-	o.ended.statement.max_age = max_age;
-	return send_order(b, proxy, &o);
-}
-
-void bed_take_over(struct bed *b, uint32_t proxy, uint32_t member)
-{
-	struct proxy *p = &b->proxies[proxy];
-	struct fake_member *m = &b->fakes.members[member];
-
-	if (p->paused || m->down ||
-	    !bed_linked(b, proxy, BED_PROXIES + member) ||
-	    peers_alive(p->peers, m->home))
-		return;
-	m->home = bed_life(proxy);
-	p->holds[member] = true;
-	p->probe_at = 0;
-}
--- a/tests/bed.h
+++ b/tests/bed.h
@@ -11,9 +11,11 @@
 
 #include "../core/failover.h"
 #include "../core/rng.h"
+#include "../core/served.h"
 #include "../core/verify.h"
 #include "fakes.h"
 
+#define BED_DATABASE 77
 #define BED_PROXIES 3
 #define BED_NODES (BED_PROXIES + FAKE_MEMBERS)
 #define BED_PACKETS 96
@@ -71,7 +73,7 @@
 	hm_time probe_at;
 	uint64_t seq;
 	uint64_t nonce;
-	bool seen[BED_STATEMENTS];	     /**< statements taken in */
+	struct served_list served;	     /**< orders taken as a home */
 	struct order orders[BED_STATEMENTS]; /**< by number of the statement */
 };
 
@@ -97,6 +99,8 @@
 	uint64_t writes;
 	uint64_t acked;	  /**< bits of acknowledged writes not lost since */
 	uint64_t durable; /**< bits of those that no failover may lose */
+	uint64_t ran;	  /**< bits of writes that a member has run */
+	uint64_t refused; /**< bits of those of which "not run" was said */
 	hm_time acked_at[BED_WRITES + 1];
 	uint64_t promoted;     /**< newest term already checked */
 	const char *violation; /**< first broken rule, NULL for none */
@@ -127,6 +131,9 @@
 void bed_tick(struct bed *b, uint32_t proxy);
 /** Delivers packet number @a index of the bag. */
 void bed_deliver(struct bed *b, uint32_t index);
+/** Sends a packet between nodes; the caller fills it in. */
+struct packet *bed_put(struct bed *b, enum packet_kind kind, uint32_t from,
+		       uint32_t to);
 void bed_drop(struct bed *b, uint32_t index);
 void bed_repeat(struct bed *b, uint32_t index);
 /** Cuts or heals the link between two nodes. */
@@ -138,9 +145,14 @@
 /** @a proxy takes over a member whose home it takes for dead. */
 void bed_take_over(struct bed *b, uint32_t proxy, uint32_t member);
 uint64_t bed_life(uint32_t proxy);
+uint32_t bed_proxy_of(uint64_t life);
 /** Time on the clock of a proxy. */
 hm_time bed_local(const struct bed *b, uint32_t proxy);
 
+/** A member is about to run a write. */
+void bed_check_run(struct bed *b, uint64_t write);
+/** A home says of a write that it was not run. */
+void bed_check_refusal(struct bed *b, uint64_t write);
 /** A member was promoted: nothing kept for good may be missing there. */
 void bed_check_promotion(struct bed *b);
 /** A read is about to be answered. */
--- a/tests/bed_check.c
+++ b/tests/bed_check.c
@@ -18,6 +18,26 @@
 }
 
 /* A newer primary must hold what was acknowledged for good. */
+void bed_check_run(struct bed *b, uint64_t write)
+{
+	uint64_t bit = (uint64_t)1 << write;
+
+	if (b->ran & bit)
+		break_rule(b, "a write ran twice");
+	if (b->refused & bit)
+		break_rule(b, "a write ran that was refused as not run");
+	b->ran |= bit;
+}
+
+void bed_check_refusal(struct bed *b, uint64_t write)
+{
+	uint64_t bit = (uint64_t)1 << write;
+
+	if (b->ran & bit)
+		break_rule(b, "a write was refused as not run, and had run");
+	b->refused |= bit;
+}
+
 void bed_check_promotion(struct bed *b)
 {
 	uint64_t bits;
--- a/tests/test_walk.c
+++ b/tests/test_walk.c
@@ -220,10 +220,9 @@
 	enum guard guard;
 	const char *name;
 } mutants[] = {
-	{ GUARD_FENCE, "fence" },
-	{ GUARD_RECHECK, "recheck" },
-	{ GUARD_LINEAGE, "lineage" },
-	{ GUARD_EVIDENCE, "evidence" },
+	{ GUARD_FENCE, "fence" },     { GUARD_RECHECK, "recheck" },
+	{ GUARD_LINEAGE, "lineage" }, { GUARD_EVIDENCE, "evidence" },
+	{ GUARD_ONCE, "once" },
 };
 
 START_TEST(missing_guard_is_found)
