rate: a new process waits for peer_silent only

Its links are new, so the peers of its zone hear it at once; twice the time is for links that were open before.

--- a/core/rate.c
+++ b/core/rate.c
@@ -67,7 +67,8 @@
 
 /*
  * Two instances that do not hear each other because a link went silent hear
- * each other again, over a new link, before either mints for the other.
+ * each other again, over a new link, before either mints for the other. The
+ * links of a new process are new: it waits for peer_silent only.
  */
 static hm_time takeover_wait(const struct rate *r)
 {
@@ -84,7 +85,7 @@
 	r->options = options;
 	r->peers = peers;
 	r->last_at = now;
-	r->mint_after = now + takeover_wait(r);
+	r->mint_after = now + options->peer_silent;
 	return r;
 }
 
