--- a/src/log.c
+++ b/src/log.c
@@ -6,13 +6,16 @@
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #define FIELDS_MAX 24
 #define QUEUE_LINES 65536
 #define NUMBER_BYTES 24
+#define SECOND_BYTES 32
 #define DOMAIN "hyssopmount"
 #define BATCH_BYTES 65536
+#define GATHER_TIME (2 * G_TIME_SPAN_MILLISECOND)
 #define CLOSE_LIMIT (2 * G_TIME_SPAN_SECOND)
 
 struct log_queue {
@@ -22,6 +25,7 @@
 	uint32_t limit;
 	uint64_t dropped;
 	uint64_t reported; /* of the dropped lines */
+	bool waiting;	   /* the thread waits for a first line */
 	bool stopping;
 	bool ended; /* the thread wrote all */
 	GCond end;
@@ -94,21 +98,41 @@
 
 static void append_pair(GString *line, const char *key, const char *value)
 {
-	g_string_append_printf(line, " %s=", key);
+	g_string_append_c(line, ' ');
+	g_string_append(line, key);
+	g_string_append_c(line, '=');
 	if (needs_quotes(value))
 		append_quoted(line, value);
 	else
 		g_string_append(line, value);
 }
 
-static void append_time(GString *line)
+static void append_micros(GString *line, unsigned int micros)
 {
-	GDateTime *now = g_date_time_new_now_utc();
-	char *text = g_date_time_format(now, "time=%Y-%m-%dT%H:%M:%S.%fZ");
+	char digits[] = "000000Z";
+	int i;
+
+	for (i = 5; micros; i--, micros /= 10)
+		digits[i] = (char)('0' + micros % 10);
+	g_string_append_len(line, digits, 7);
+}
 
+/* The text of a second is kept: formatting it costs more than all else. */
+static void append_time(GString *line)
+{
+	static _Thread_local time_t second;
+	static _Thread_local char text[SECOND_BYTES];
+	struct timespec now;
+	struct tm tm;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	if (now.tv_sec != second || !text[0]) {
+		gmtime_r(&now.tv_sec, &tm);
+		strftime(text, sizeof(text), "time=%Y-%m-%dT%H:%M:%S.", &tm);
+		second = now.tv_sec;
+	}
 	g_string_append(line, text);
-	g_free(text);
-	g_date_time_unref(now);
+	append_micros(line, (unsigned int)(now.tv_nsec / 1000));
 }
 
 /* A message of pairs already is taken over as it is, but on one line. */
@@ -156,7 +180,8 @@
 	g_mutex_lock(&queue.lock);
 	if (queue.lines.length < queue.limit) {
 		g_queue_push_tail(&queue.lines, line);
-		g_cond_signal(&queue.filled);
+		if (queue.waiting)
+			g_cond_signal(&queue.filled);
 		line = NULL;
 	} else {
 		queue.dropped++;
@@ -219,6 +244,24 @@
 	}
 }
 
+/*
+ * Waits for the first line, then a moment for more, so that a busy loop does
+ * not wake this thread for each line. The lock is held.
+ */
+static void wait_for_lines(void)
+{
+	gint64 until;
+
+	queue.waiting = true;
+	while (!queue.lines.length && !queue.stopping)
+		g_cond_wait(&queue.filled, &queue.lock);
+	queue.waiting = false;
+	until = g_get_monotonic_time() + GATHER_TIME;
+	while (!queue.stopping &&
+	       g_cond_wait_until(&queue.filled, &queue.lock, until))
+		;
+}
+
 static gpointer write_lines(gpointer unused)
 {
 	GString *batch = g_string_sized_new(BATCH_BYTES);
@@ -228,8 +271,7 @@
 	while (!stopping) {
 		g_string_truncate(batch, 0);
 		g_mutex_lock(&queue.lock);
-		while (!queue.lines.length && !queue.stopping)
-			g_cond_wait(&queue.filled, &queue.lock);
+		wait_for_lines();
 		take_batch(batch);
 		stopping = queue.stopping && !queue.lines.length;
 		g_mutex_unlock(&queue.lock);
