--- a/src/cli_bench.c
+++ b/src/cli_bench.c
@@ -7,11 +7,17 @@
 #include "bench.h"
 #include "cli_embedded.h"
 #include "command.h"
+#include "live.h"
 #include "slopes.h"
 
 static gboolean as_json;
 static gboolean decisions;
 static gboolean slopes;
+static struct live_plan live = { .database = "db1",
+				 .sql = "SELECT 1",
+				 .clients = 1,
+				 .seconds = 5,
+				 .max_age_ms = 1000 };
 static int seeds = 5;
 static int seed = 1;
 static int seconds = 30;
@@ -24,6 +30,20 @@
 	  "print the decisions of the first seed instead", NULL },
 	{ "slopes", 0, 0, G_OPTION_ARG_NONE, &slopes,
 	  "measure costs by size of the load instead", NULL },
+	{ "live", 0, 0, G_OPTION_ARG_STRING, &live.callers,
+	  "load a running instance instead", "IP:PORT" },
+	{ "key", 0, 0, G_OPTION_ARG_STRING, &live.key,
+	  "key of the account, with --live", "KEY" },
+	{ "endpoint", 0, 0, G_OPTION_ARG_STRING, &live.endpoint,
+	  "compare with this endpoint, with --live", "IP:PORT" },
+	{ "database", 0, 0, G_OPTION_ARG_STRING, &live.database,
+	  "database to ask, with --live", "NAME" },
+	{ "sql", 0, 0, G_OPTION_ARG_STRING, &live.sql,
+	  "statement to send, with --live", "SQL" },
+	{ "clients", 0, 0, G_OPTION_ARG_INT, &live.clients,
+	  "connections, with --live, 1 to 500", "N" },
+	{ "pid", 0, 0, G_OPTION_ARG_INT, &live.pid,
+	  "process of the instance to measure, with --live", "PID" },
 	{ "seeds", 0, 0, G_OPTION_ARG_INT, &seeds, "runs of each case, 1 to 64",
 	  "N" },
 	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "first seed", "N" },
@@ -196,6 +216,46 @@
 	return CLI_OK;
 }
 
+static void print_live(const char *what, const struct live_figures *f)
+{
+	printf("%-14s %8.0f statements/s, p50 %.2f ms, p99 %.2f ms, %ld "
+	       "answered, %ld refused\n",
+	       what, f->per_second, f->p50_ms, f->p99_ms, f->answered,
+	       f->refused);
+}
+
+static int run_live(void)
+{
+	struct live_figures through, direct;
+
+	live.seconds = seconds;
+	if (live.clients < 1 || live.clients > 500) {
+		fprintf(stderr, "bench: --clients takes 1 to 500\n");
+		return CLI_USAGE;
+	}
+	if (!live_through(&live, &through)) {
+		fprintf(stderr, "bench: no answer from %s\n", live.callers);
+		return CLI_UNAVAILABLE;
+	}
+	print_live("through", &through);
+	if (live.pid)
+		printf("instance: %.1f us of processor time a statement, "
+		       "%.0f bytes a connection\n",
+		       through.cpu_us_per_statement,
+		       through.bytes_per_connection);
+	if (!live.endpoint)
+		return CLI_OK;
+	if (!live_direct(&live, &direct)) {
+		fprintf(stderr, "bench: no answer from %s\n", live.endpoint);
+		return CLI_UNAVAILABLE;
+	}
+	print_live("bare endpoint", &direct);
+	printf("ratio: p50 %.2f, statements/s %.2f\n",
+	       through.p50_ms / direct.p50_ms,
+	       through.per_second / direct.per_second);
+	return CLI_OK;
+}
+
 int cli_bench(int argc, char **argv)
 {
 	if (!command_options(&argc, &argv, NULL,
@@ -203,10 +263,13 @@
 			     "case, beside a naive version.",
 			     entries))
 		return CLI_USAGE;
-	if (argc > 1 || seeds < 1 || seeds > 64 || seconds < 5) {
+	if (argc > 1 || seeds < 1 || seeds > 64 ||
+	    seconds < (live.callers ? 1 : 5)) {
 		fprintf(stderr, "bench: --seeds takes 1 to 64, --seconds "
 				"from 5, and nothing else is allowed\n");
 		return CLI_USAGE;
 	}
+	if (live.callers)
+		return run_live();
 	return slopes ? run_slopes() : run_model();
 }
