--- a/src/embedded.c
+++ b/src/embedded.c
@@ -9,6 +9,7 @@
 #include "../standin/site.h"
 #include "log.h"
 
+#define DEMO_RATE 10000 /* requests per second */
 #define TABLE_SQL "CREATE TABLE notes (id INTEGER PRIMARY KEY, text TEXT)"
 
 static void print_usage(const struct site *s, const char *key)
@@ -66,7 +67,7 @@
 	}
 	if (!members_sql(site_members(s), site_endpoint(s, 0, 0)->endpoint,
 			 TABLE_SQL) ||
-	    !site_contract(s, "demo", 100, 100, key)) {
+	    !site_contract(s, "demo", DEMO_RATE, DEMO_RATE, key)) {
 		fprintf(stderr, "the stand-ins refuse their first objects\n");
 		goto done;
 	}
