--- a/standin/site.c
+++ b/standin/site.c
@@ -53,7 +53,7 @@
 /* A zone without an instance would mint its part of a rate for nobody. */
 static uint16_t zone_count(const struct site *s)
 {
-	return (uint16_t)MIN(SITE_ZONES, s->options.instances);
+	return (uint16_t)CLAMP(s->options.instances, 1, SITE_ZONES);
 }
 
 static void fill_endpoint(const struct site *s, uint32_t database,
