Make the verdict of the driver walk independent of timing

A write in a transaction that ended as not sent after its connection closed lost its entry in the test ('no outcome'), and a walk could go by without a lost answer. The entry is now settled as absent, which is then held against the table, and each walk ends with one answered write and one lost answer.

--- a/tests/test_driver_walk.c
+++ b/tests/test_driver_walk.c
@@ -78,6 +78,16 @@
 	c->key = 0;
 }
 
+/* The row of a transaction that was not committed is not there. */
+static void forget(struct walk *w, struct conn *c)
+{
+	bool deciding =
+		c->op == OP_COMMIT || (c->op == OP_WRITE && !c->in_transaction);
+
+	set_fate(w, c->key, c->busy && deciding ? FATE_UNKNOWN : FATE_ABSENT);
+	memset(c, 0, sizeof(*c));
+}
+
 static void on_done(struct walk *w, const struct event *e)
 {
 	struct conn *c = find_conn(w, e->done.conn);
@@ -89,22 +99,12 @@
 	judge(w, c, done);
 	if (c->closed) {
 		ck_assert_int_eq(done, DONE_NOT_SENT);
-		memset(c, 0, sizeof(*c));
+		forget(w, c);
 	} else if (done != DONE_LOST && done != DONE_NOT_SENT) {
 		c->in_transaction = e->done.open_tx;
 	}
 }
 
-/* The row of a transaction that was not committed is not there. */
-static void forget(struct walk *w, struct conn *c)
-{
-	bool deciding =
-		c->op == OP_COMMIT || (c->op == OP_WRITE && !c->in_transaction);
-
-	set_fate(w, c->key, c->busy && deciding ? FATE_UNKNOWN : FATE_ABSENT);
-	memset(c, 0, sizeof(*c));
-}
-
 static void on_event(struct walk *w, const struct event *e)
 {
 	struct conn *c;
@@ -240,6 +240,25 @@
 	ck_assert_ptr_null(rig_next_event(20 * HM_MS));
 }
 
+/* However the walk went, one write is answered and one answer lost. */
+static void end_certainly(struct walk *w)
+{
+	struct conn *c = &w->conns[0];
+
+	c->number = ++w->numbers;
+	rig_open_conn(c->number, 0);
+	c->ready = true;
+	step_write(w, c);
+	on_event(w, rig_await_event(EV_DONE));
+	ck_assert_uint_gt(w->counts[DONE_OK], 0);
+	rig_fault(0, (struct member_faults){ .lose_answer = true });
+	step_write(w, c);
+	on_event(w, rig_await_event(EV_DONE));
+	on_event(w, rig_await_event(EV_CLOSED));
+	ck_assert_uint_gt(w->counts[DONE_LOST], 0);
+	rig_fault(0, (struct member_faults){ 0 });
+}
+
 static PGconn *open_plain(void)
 {
 	const char *address = rig.spec.endpoints[0].address;
@@ -294,10 +313,8 @@
 		take_events(&w, any(&w, 3) * HM_MS);
 	}
 	settle(&w);
+	end_certainly(&w);
 	check_table(&w);
-	/* The walk met what it is about. */
-	ck_assert_uint_gt(w.counts[DONE_OK], 0);
-	ck_assert_uint_gt(w.counts[DONE_LOST], 0);
 	g_array_unref(w.fates);
 }
 END_TEST
