--- a/src/front.c
+++ b/src/front.c
@@ -4,7 +4,6 @@
 
 #include <poll.h>
 #include <signal.h>
-#include <stdio.h>
 
 #include "log.h"
 
--- a/src/front_listen.c
+++ b/src/front_listen.c
@@ -2,7 +2,6 @@
 #include "front_internal.h"
 
 #include <errno.h>
-#include <fcntl.h>
 #include <openssl/err.h>
 #include <stdio.h>
 
