Bound repeats of what ran by a budget; drop messages of superseded lives

The model counts statements begun at endpoints and the test holds them to 1.15 of the requests in every case.

--- a/core/core.c
+++ b/core/core.c
@@ -22,7 +22,8 @@
 	c->peers = peers_new(&c->options, now);
 	c->entry = entry_new();
 	c->holder = holder_new();
-	if (!c->contracts || !c->peers || !c->entry || !c->holder)
+	c->budget = budget_new(options->seed);
+	if (!c->contracts || !c->peers || !c->entry || !c->holder || !c->budget)
 		goto fail;
 	c->rate = rate_new(&c->options, c->peers, now);
 	if (!c->rate)
@@ -52,6 +53,8 @@
 		contracts_free(c->contracts);
 	entry_free(c->entry);
 	holder_free(c->holder);
+	if (c->budget)
+		budget_free(c->budget);
 	free(c);
 }
 
@@ -264,7 +267,8 @@
 		break;
 	case EV_MESSAGE:
 		peers_message(c->peers, e->message, now);
-		on_message(c, e->message, now, actions);
+		if (!peers_void(c->peers, e->message->from))
+			on_message(c, e->message, now, actions);
 		break;
 	case EV_CONNECTED:
 	case EV_CLOSED:
--- a/core/entry.c
+++ b/core/entry.c
@@ -13,8 +13,6 @@
 #define ATTEMPTS_MAX 8
 /* A request admitted later than this before its deadline hardly finishes. */
 #define ADMIT_SLACK (100 * HM_MS)
-#define BACKOFF_FIRST (5 * HM_MS)
-#define BACKOFF_SHIFT_MAX 5
 
 /** Where a request stands: index into the table of filters. */
 enum stage {
@@ -331,6 +329,9 @@
 	p->endpoint = r.endpoint;
 	p->term = group_term(d->group);
 	log_route(p, r.reason, actions);
+	if (!p->attempts)
+		budget_request(c->budget, p->statement.account, p->endpoint,
+			       now);
 	send_order(c, p, now, actions);
 	return VERDICT_WAIT;
 }
@@ -407,18 +408,6 @@
 	return is_passing(r->error);
 }
 
-/* No wait before the first repeat; later ones spread out. */
-static hm_time backoff(struct core *c, uint32_t attempts)
-{
-	uint32_t shift = attempts - 1;
-	hm_time longest;
-
-	if (shift > BACKOFF_SHIFT_MAX)
-		shift = BACKOFF_SHIFT_MAX;
-	longest = BACKOFF_FIRST << shift;
-	return longest / 2 + (hm_time)rng_below(&c->rng, longest / 2);
-}
-
 static void retry(struct core *c, struct pending *p, const struct result *r,
 		  hm_time now, struct actions *actions)
 {
@@ -432,7 +421,7 @@
 	if (d)
 		p->tried |= group_bit(d->group, p->endpoint);
 	p->stage = STAGE_ROUTE;
-	p->route_at = now + backoff(c, p->attempts);
+	p->route_at = budget_retry_at(c->budget, p->attempts, now);
 	if (p->attempts == 1)
 		run_filters(c, p, now, actions);
 }
@@ -459,10 +448,19 @@
 		group_attempt(d->group, endpoint, false, now);
 }
 
+/* A repeat of what ran loads endpoints anew, so that a budget bounds it. */
+static bool may_load_again(struct core *c, const struct pending *p,
+			   const struct result *r, hm_time now)
+{
+	if (r->execution == EXEC_NOT_RUN)
+		return true;
+	return budget_retry(c->budget, p->statement.account, p->endpoint, now);
+}
+
 static void conclude(struct core *c, struct pending *p, const struct result *r,
 		     hm_time now, struct actions *actions)
 {
-	if (is_worth_retry(p, r)) {
+	if (is_worth_retry(p, r) && may_load_again(c, p, r, now)) {
 		retry(c, p, r, now, actions);
 		return;
 	}
--- a/core/state.h
+++ b/core/state.h
@@ -8,6 +8,7 @@
 #define STATE_H
 
 #include "admit.h"
+#include "budget.h"
 #include "failover.h"
 #include "home.h"
 #include "rng.h"
@@ -62,6 +63,7 @@
 	struct peers *peers;
 	struct rate *rate;
 	struct admit *admit;
+	struct budget *budget;
 	struct entry *entry;
 	struct holder *holder;
 	struct database *databases;
--- a/src/bench.c
+++ b/src/bench.c
@@ -75,6 +75,8 @@
 	uint32_t i;
 
 	sum->requests += f->requests;
+	sum->sent += f->sent;
+	sum->executions += f->executions;
 	sum->inside_rate += f->inside_rate;
 	sum->refused_wrongly += f->refused_wrongly;
 	sum->unknown += f->unknown;
--- a/src/model.h
+++ b/src/model.h
@@ -95,6 +95,8 @@
 /** What a run measured. Requests count once, by their final answer. */
 struct model_figures {
 	uint64_t requests;
+	uint64_t sent;	     /**< requests, those of the warm-up too */
+	uint64_t executions; /**< statements begun at endpoints */
 	uint64_t answered;
 	uint64_t reads_aged;	     /**< answered reads that accept an age */
 	uint64_t reads_aged_replica; /**< of these, by a replica */
--- a/src/model_load.c
+++ b/src/model_load.c
@@ -199,6 +199,7 @@
 	r->statement.max_age = r->max_age;
 	r->statement.body = l->requests->len;
 	fill_must(l, r);
+	w->figures.sent++;
 	w->figures.requests += r->measured;
 	if (r->measured && r->inside_rate) {
 		w->figures.inside_rate++;
@@ -275,6 +276,7 @@
 	if (!r)
 		return body;
 	r->executions++;
+	l->world->figures.executions++;
 	load_passed(l, s->body);
 	if (!r->must_write ||
 	    member_holds(m, r->must_pos, r->must_write, visible))
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -18,6 +18,8 @@
 #define REPLICA_GOAL_LAG 0.80
 #define WRONGFUL_STEADY 1.0 /* per 10,000 */
 #define WRONGFUL_FAULT 10.0
+/* No fault may raise the load of endpoints beyond this, in percent. */
+#define LOAD_MOST 115
 
 static void print_row(const struct bench_row *r)
 {
@@ -40,6 +42,7 @@
 	bool steady = c->fault == FAULT_NONE;
 
 	ck_assert_uint_eq(r->violations, 0);
+	ck_assert_uint_le(100 * r->last.executions, LOAD_MOST * r->last.sent);
 	ck_assert_int_lt(r->gap_worst, GAP_GOAL);
 	ck_assert(r->wrongful < (steady ? WRONGFUL_STEADY : WRONGFUL_FAULT));
 	if (steady)
