Record what goes into the decisions, replay and compare

With the setting trace an instance writes each event and its actions as JSON lines, without keys, SQL or parameters. hyssopmount replay feeds them to a new core and compares the actions byte for byte; a damaged line is named with its number.

--- a/src/cli.h
+++ b/src/cli.h
@@ -20,5 +20,7 @@
 int cli_contract(int argc, char **argv);
 /** key grant|withdraw */
 int cli_key(int argc, char **argv);
+/** replay TRACE; CLI_CONFLICT when actions differ, CLI_INVALID: damaged */
+int cli_replay(int argc, char **argv);
 
 #endif
--- a/src/instance.c
+++ b/src/instance.c
@@ -16,6 +16,7 @@
 #include "peer.h"
 #include "platform.h"
 #include "status.h"
+#include "trace.h"
 
 /* Watchers of the platform in each zone; the rest hears from peers. */
 #define WATCHERS_PER_ZONE 2
@@ -28,6 +29,7 @@
 	struct bodies *bodies;
 	struct names *names;
 	struct core *core;
+	struct trace *trace; /* NULL: not recorded */
 	struct front *front;
 	struct peer_links *peers;
 	struct platform *platform;
@@ -145,9 +147,14 @@
 
 static void step(struct instance *i, const struct event *e)
 {
+	hm_time now = loop_now();
 	size_t n;
 
-	core_step(i->core, e, loop_now(), &i->actions);
+	if (i->trace)
+		trace_event(i->trace, e, now);
+	core_step(i->core, e, now, &i->actions);
+	if (i->trace)
+		trace_actions(i->trace, &i->actions);
 	for (n = 0; n < i->actions.count; n++) {
 		const struct action *a = &i->actions.list[n];
 
@@ -387,6 +394,21 @@
 	names_learn(i->names, i->settings.instance);
 }
 
+static bool open_core(struct instance *i, char fault[SETTINGS_FAULT_BYTES])
+{
+	const struct core_options *options = &i->settings.core;
+	hm_time now = loop_now();
+
+	i->core = core_new(options, now);
+	if (!i->core || !i->settings.trace[0])
+		return i->core != NULL;
+	i->trace = trace_open(i->settings.trace, options, now);
+	if (!i->trace)
+		g_snprintf(fault, SETTINGS_FAULT_BYTES,
+			   "trace: cannot write to %s", i->settings.trace);
+	return i->trace != NULL;
+}
+
 struct instance *instance_new(const struct settings *settings,
 			      char fault[SETTINGS_FAULT_BYTES])
 {
@@ -402,8 +424,7 @@
 	i->loop = loop_new();
 	i->bodies = bodies_new();
 	i->databases = g_ptr_array_new_with_free_func(g_free);
-	i->core = core_new(&i->settings.core, loop_now());
-	if (!i->core)
+	if (!open_core(i, fault))
 		goto fail;
 	i->peers = peer_links_new(i->loop, i->settings.listen_peers,
 				  i->settings.core.life, i->bodies, sink);
@@ -453,6 +474,8 @@
 	if (i->driver_state)
 		i->driver->shut(i->driver_state);
 	peer_links_free(i->peers);
+	if (!trace_close(i->trace))
+		log_event(G_LOG_LEVEL_WARNING, "trace_incomplete", NULL);
 	core_free(i->core);
 	actions_free(&i->actions);
 	g_queue_clear_full(&i->late, g_free);
--- /dev/null
+++ b/src/replay.c
@@ -0,0 +1,180 @@
+/** @file replay.c Replay of traces. */
+#include "replay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "trace_event.h"
+
+#define DIFFERENCES_SHOWN 10
+
+/** One replay. */
+struct replay {
+	const char *file;
+	guint line;
+	struct core *core;
+	struct actions actions;
+	char *got; /**< actions of the last event, NULL when none */
+	guint got_line;
+	uint64_t events;
+	uint64_t action_lines;
+	uint64_t differences;
+	GString *updated;
+	GString *out;
+};
+
+static bool damaged(struct replay *r, const char *fault)
+{
+	g_string_append_printf(r->out, "%s:%u: %s\n", r->file, r->line, fault);
+	return false;
+}
+
+static void report_difference(struct replay *r, const char *expected)
+{
+	r->differences++;
+	if (r->differences > DIFFERENCES_SHOWN)
+		return;
+	g_string_append_printf(r->out, "%s:%u: expected %s\n", r->file,
+			       r->got_line, expected ? expected : "no actions");
+	g_string_append_printf(r->out, "%s:%u: got %s\n", r->file, r->got_line,
+			       r->got ? r->got : "no actions");
+}
+
+/* The trace told all actions of the last event. */
+static void compare(struct replay *r, const char *expected)
+{
+	if (g_strcmp0(expected, r->got) != 0)
+		report_difference(r, expected);
+	free(r->got);
+	r->got = NULL;
+}
+
+static void keep_line(struct replay *r, const char *text)
+{
+	if (r->updated && text)
+		g_string_append_printf(r->updated, "%s\n", text);
+}
+
+static bool feed_header(struct replay *r, json_t *json)
+{
+	char fault[CODEC_FAULT_BYTES];
+	struct core_options options;
+	hm_time start = 0;
+
+	if (!trace_header_read(json, &options, &start, fault))
+		return damaged(r, fault);
+	if (!options.zone_count || options.zone_count > ZONES_MAX ||
+	    options.zone >= options.zone_count)
+		return damaged(r, "options: zones are out of range");
+	r->core = core_new(&options, start);
+	return r->core ? true : damaged(r, "options: not usable");
+}
+
+static bool feed_event(struct replay *r, json_t *json)
+{
+	char fault[CODEC_FAULT_BYTES];
+	struct trace_step step;
+	bool ok = trace_step_read(json, &step, fault);
+
+	if (ok) {
+		core_step(r->core, &step.event, step.at, &r->actions);
+		r->got = trace_actions_text(&r->actions, NULL);
+		r->got_line = r->line;
+		actions_clear(&r->actions);
+		keep_line(r, r->got);
+		r->events++;
+	} else {
+		damaged(r, fault);
+	}
+	trace_step_clear(&step);
+	return ok;
+}
+
+/* One line: a header first, then events, each followed by its actions. */
+static bool feed_line(struct replay *r, const char *text, json_t *json)
+{
+	if (!json_is_object(json))
+		return damaged(r, "not a JSON object");
+	if (json_object_get(json, "actions")) {
+		r->action_lines++;
+		if (!r->got_line)
+			return damaged(r, "actions without an event");
+		compare(r, text);
+		r->got_line = 0;
+		return true;
+	}
+	if (r->got_line)
+		compare(r, NULL);
+	r->got_line = 0;
+	keep_line(r, text);
+	if (r->core)
+		return feed_event(r, json);
+	return feed_header(r, json);
+}
+
+static bool feed_lines(struct replay *r, char **lines)
+{
+	json_t *json;
+	bool ok = true;
+
+	for (r->line = 1; ok && lines[r->line - 1]; r->line++) {
+		const char *text = lines[r->line - 1];
+
+		if (!text[0] && !lines[r->line])
+			break;
+		json = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
+		ok = feed_line(r, text, json);
+		json_decref(json);
+	}
+	if (ok && !r->core)
+		ok = damaged(r, "no header");
+	if (ok && r->got_line)
+		compare(r, NULL);
+	return ok;
+}
+
+enum replay_outcome replay_text(const char *file, const char *text,
+				GString *updated, GString *out)
+{
+	struct replay r = { .file = file, .updated = updated, .out = out };
+	char **lines = g_strsplit(text, "\n", -1);
+	bool ok = feed_lines(&r, lines);
+
+	if (ok)
+		g_string_append_printf(
+			out,
+			"%s: %" G_GUINT64_FORMAT " events, %" G_GUINT64_FORMAT
+			" with actions, %" G_GUINT64_FORMAT " differ\n",
+			file, r.events, r.action_lines, r.differences);
+	free(r.got);
+	actions_free(&r.actions);
+	core_free(r.core);
+	g_strfreev(lines);
+	if (!ok)
+		return REPLAY_DAMAGED;
+	return r.differences ? REPLAY_DIFFERS : REPLAY_SAME;
+}
+
+enum replay_outcome replay_file(const char *file, bool update, GString *out)
+{
+	GString *updated = update ? g_string_new(NULL) : NULL;
+	enum replay_outcome outcome = REPLAY_UNREADABLE;
+	char *text = NULL;
+
+	if (!g_file_get_contents(file, &text, NULL, NULL)) {
+		g_string_append_printf(out, "%s: cannot be read\n", file);
+		goto done;
+	}
+	outcome = replay_text(file, text, updated, out);
+	if (!update || outcome != REPLAY_DIFFERS)
+		goto done;
+	if (g_file_set_contents(file, updated->str, (gssize)updated->len, NULL))
+		g_string_append_printf(out, "%s: updated\n", file);
+	else
+		outcome = REPLAY_UNREADABLE;
+done:
+	if (updated)
+		g_string_free(updated, TRUE);
+	g_free(text);
+	return outcome;
+}
--- /dev/null
+++ b/src/trace_values.c
@@ -0,0 +1,336 @@
+/** @file trace_values.c Values of the decisions as JSON fields. */
+#include "trace_values.h"
+
+#include <glib.h>
+
+/* An enumeration as a word; the first word stands for zero, left out. */
+#define CHOICE(c, name, value, names)                   \
+	do {                                            \
+		int choice = (int)(value);              \
+		codec_choice(c, name, &choice, names,   \
+			     (int)G_N_ELEMENTS(names)); \
+		(value) = choice;                       \
+	} while (0)
+
+static const char *const ops[] = { "read", "write", "begin", "commit",
+				   "rollback" };
+static const char *const roles[] = { "replica", "primary" };
+static const char *const executions[] = { "not_run", "run", "unknown" };
+static const char *const control_ops[] = { "probe",  "fence", "promote",
+					   "follow", "home",  "fresh" };
+static const char *const message_kinds[] = {
+	"heartbeat", "statement", "result", "abandon",	"control",
+	"state",     "want",	  "grant",  "contract", "contract_want"
+};
+
+G_STATIC_ASSERT(G_N_ELEMENTS(message_kinds) == MSG_KIND_COUNT);
+
+void trace_rid(struct codec *c, const char *name, struct rid *v)
+{
+	struct codec in;
+
+	if (c->state->writing && !v->life && !v->seq)
+		return;
+	in = codec_inner(c, name);
+	codec_id(&in, "life", &v->life);
+	codec_number(&in, "seq", &v->seq);
+}
+
+void trace_mark(struct codec *c, const char *name, struct mark *v)
+{
+	struct codec in;
+
+	if (c->state->writing && !v->term && !v->pos)
+		return;
+	in = codec_inner(c, name);
+	codec_number(&in, "term", &v->term);
+	codec_number(&in, "pos", &v->pos);
+}
+
+void trace_lineage(struct codec *c, const char *name, struct lineage *v)
+{
+	struct codec array, item;
+	uint32_t i;
+
+	if (c->state->writing && !v->count)
+		return;
+	array = codec_array(c, name, &v->count, LINEAGE_MAX);
+	for (i = 0; i < v->count; i++) {
+		item = codec_item(&array, i);
+		codec_number(&item, "term", &v->begin[i].term);
+		codec_number(&item, "pos", &v->begin[i].pos);
+	}
+}
+
+static void trace_tx(struct codec *c, const char *name, struct tx_id *v)
+{
+	struct codec in;
+
+	if (c->state->writing && !v->id.seq)
+		return;
+	in = codec_inner(c, name);
+	trace_rid(&in, "id", &v->id);
+	codec_id(&in, "endpoint", &v->endpoint);
+}
+
+void trace_statement(struct codec *c, const char *name, struct statement *v)
+{
+	struct codec in = codec_inner(c, name);
+
+	trace_rid(&in, "id", &v->id);
+	codec_count(&in, "attempt", &v->attempt);
+	CHOICE(&in, "op", v->op, ops);
+	codec_flag(&in, "idempotent", &v->idempotent);
+	codec_flag(&in, "unsure", &v->unsure);
+	codec_id(&in, "account", &v->account);
+	codec_key(&in, "key", &v->key);
+	codec_id(&in, "database", &v->database);
+	trace_mark(&in, "floor", &v->floor);
+	codec_time(&in, "max_age", &v->max_age);
+	codec_time(&in, "deadline", &v->deadline);
+	trace_tx(&in, "tx", &v->tx);
+	codec_number(&in, "body", &v->body);
+	codec_count(&in, "body_bytes", &v->body_bytes);
+}
+
+static void trace_error(struct codec *c, const char *name, enum error *v)
+{
+	const char *codes[ERR_COUNT];
+	int i, choice = (int)*v;
+
+	for (i = 0; i < ERR_COUNT; i++)
+		codes[i] = error_answer((enum error)i)->code;
+	codec_choice(c, name, &choice, codes, ERR_COUNT);
+	*v = (enum error)choice;
+}
+
+void trace_result(struct codec *c, const char *name, struct result *v)
+{
+	struct codec in = codec_inner(c, name);
+
+	trace_rid(&in, "id", &v->id);
+	trace_error(&in, "error", &v->error);
+	CHOICE(&in, "execution", v->execution, executions);
+	codec_time(&in, "retry_at", &v->retry_at);
+	codec_time(&in, "valid_until", &v->valid_until);
+	codec_id(&in, "database", &v->database);
+	codec_id(&in, "endpoint", &v->endpoint);
+	trace_mark(&in, "at", &v->at);
+	codec_flag(&in, "unsure", &v->unsure);
+	codec_flag(&in, "reset_floor", &v->reset_floor);
+	trace_tx(&in, "tx", &v->tx);
+	codec_number(&in, "body", &v->body);
+	codec_time(&in, "age_bound", &v->age_bound);
+}
+
+void trace_control(struct codec *c, const char *name, struct control *v)
+{
+	struct codec in = codec_inner(c, name);
+
+	trace_rid(&in, "nonce", &v->nonce);
+	CHOICE(&in, "op", v->op, control_ops);
+	codec_id(&in, "database", &v->database);
+	codec_id(&in, "endpoint", &v->endpoint);
+	codec_number(&in, "term", &v->term);
+	codec_id(&in, "orderer", &v->orderer);
+	codec_id(&in, "expected", &v->expected);
+	codec_id(&in, "target", &v->target);
+}
+
+void trace_state(struct codec *c, const char *name, struct endpoint_state *v)
+{
+	struct codec in = codec_inner(c, name);
+
+	codec_id(&in, "database", &v->database);
+	codec_id(&in, "endpoint", &v->endpoint);
+	codec_flag(&in, "reachable", &v->reachable);
+	codec_flag(&in, "refused", &v->refused);
+	CHOICE(&in, "role", v->role, roles);
+	codec_number(&in, "promised", &v->promised);
+	codec_id(&in, "promised_by", &v->promised_by);
+	trace_mark(&in, "at", &v->at);
+	trace_lineage(&in, "lineage", &v->lineage);
+	codec_id(&in, "home", &v->home);
+	codec_time(&in, "home_idle", &v->home_idle);
+}
+
+static void trace_contract_databases(struct codec *c, struct contract *v)
+{
+	struct codec array = codec_array(c, "databases", &v->database_count,
+					 CONTRACT_DATABASES_MAX);
+	struct codec item;
+	uint32_t i;
+
+	for (i = 0; i < v->database_count; i++) {
+		item = codec_item(&array, i);
+		codec_id(&item, "database", &v->databases[i].database);
+		codec_text(&item, "name", v->databases[i].name, NAME_BYTES);
+		codec_time(&item, "max_age", &v->databases[i].max_age);
+	}
+}
+
+void trace_contract(struct codec *c, const char *name, struct contract *v)
+{
+	struct codec in = codec_inner(c, name);
+	struct codec array, item;
+	uint32_t i;
+
+	codec_id(&in, "account", &v->account);
+	codec_text(&in, "name", v->name, NAME_BYTES);
+	codec_number(&in, "version", &v->version);
+	codec_flag(&in, "withdrawn", &v->withdrawn);
+	codec_flag(&in, "serve_isolated", &v->serve_isolated);
+	codec_count(&in, "rate", &v->rate);
+	codec_count(&in, "burst", &v->burst);
+	codec_count(&in, "weight", &v->weight);
+	codec_count(&in, "transactions", &v->transactions);
+	trace_contract_databases(&in, v);
+	array = codec_array(&in, "keys", &v->key_count, CONTRACT_KEYS_MAX);
+	for (i = 0; i < v->key_count; i++) {
+		item = codec_item(&array, i);
+		codec_key(&item, "key", &v->keys[i]);
+	}
+}
+
+static void trace_endpoint(struct codec *c, struct endpoint_spec *v)
+{
+	codec_id(c, "endpoint", &v->endpoint);
+	codec_text(c, "name", v->name, NAME_BYTES);
+	codec_text(c, "address", v->address, ADDRESS_BYTES);
+	codec_small(c, "zone", &v->zone);
+	codec_flag(c, "leaving", &v->leaving);
+	codec_count(c, "slots", &v->slots);
+	codec_count(c, "connections", &v->connections);
+}
+
+void trace_database(struct codec *c, const char *name, struct database_spec *v)
+{
+	struct codec in = codec_inner(c, name);
+	struct codec array, item;
+	uint32_t i;
+
+	codec_id(&in, "database", &v->database);
+	codec_text(&in, "name", v->name, NAME_BYTES);
+	codec_number(&in, "version", &v->version);
+	array = codec_array(&in, "endpoints", &v->endpoint_count,
+			    ENDPOINTS_MAX);
+	for (i = 0; i < v->endpoint_count; i++) {
+		item = codec_item(&array, i);
+		trace_endpoint(&item, &v->endpoints[i]);
+	}
+}
+
+static void trace_heartbeat(struct codec *c, struct heartbeat *v)
+{
+	codec_id(c, "instance", &v->instance);
+	codec_small(c, "zone", &v->zone);
+	codec_flag(c, "leaving", &v->leaving);
+	codec_flag(c, "stopped", &v->stopped);
+	codec_flag(c, "platform_ok", &v->platform_ok);
+	codec_number(c, "config_version", &v->config_version);
+	codec_id(c, "config_digest", &v->config_digest);
+	codec_number(c, "echo", &v->echo);
+}
+
+static void trace_order(struct codec *c, struct statement_order *v)
+{
+	trace_statement(c, "statement", &v->statement);
+	codec_id(c, "endpoint", &v->endpoint);
+	codec_number(c, "term", &v->term);
+}
+
+static void trace_report(struct codec *c, struct state_report *v)
+{
+	trace_rid(c, "nonce", &v->nonce);
+	trace_state(c, "state", &v->state);
+	codec_count(c, "queued", &v->queued);
+	codec_count(c, "free_slots", &v->free_slots);
+	codec_time(c, "wait", &v->wait);
+	codec_time(c, "age", &v->age);
+}
+
+static void trace_rate(struct codec *c, struct rate_order *v)
+{
+	trace_rid(c, "nonce", &v->nonce);
+	codec_id(c, "account", &v->account);
+	codec_count(c, "tokens", &v->tokens);
+	codec_time(c, "valid", &v->valid);
+	codec_number(c, "contract_version", &v->contract_version);
+}
+
+static void trace_message_body(struct codec *c, struct message *v)
+{
+	switch (v->kind) {
+	case MSG_HEARTBEAT:
+		trace_heartbeat(c, &v->heartbeat);
+		break;
+	case MSG_STATEMENT:
+		trace_order(c, &v->statement);
+		break;
+	case MSG_RESULT:
+		trace_result(c, "result", &v->result);
+		break;
+	case MSG_ABANDON:
+		trace_rid(c, "id", &v->abandon);
+		break;
+	case MSG_CONTROL:
+		trace_control(c, "control", &v->control);
+		break;
+	case MSG_STATE:
+		trace_report(c, &v->state);
+		break;
+	case MSG_WANT:
+	case MSG_GRANT:
+		trace_rate(c, &v->rate);
+		break;
+	case MSG_CONTRACT:
+		trace_contract(c, "contract", v->contract);
+		break;
+	case MSG_CONTRACT_WANT:
+		codec_id(c, "account", &v->contract_want);
+		break;
+	case MSG_KIND_COUNT:
+		break;
+	}
+}
+
+void trace_message(struct codec *c, const char *name, struct message *v)
+{
+	struct codec in = codec_inner(c, name);
+
+	CHOICE(&in, "kind", v->kind, message_kinds);
+	codec_id(&in, "from", &v->from);
+	codec_number(&in, "seq", &v->seq);
+	if (!c->state->writing && v->kind == MSG_CONTRACT)
+		v->contract = g_new0(struct contract, 1);
+	trace_message_body(&in, v);
+}
+
+void trace_message_clear(struct message *v)
+{
+	if (v->kind == MSG_CONTRACT)
+		g_free(v->contract);
+	*v = (struct message){ 0 };
+}
+
+void trace_options(struct codec *c, const char *name, struct core_options *v)
+{
+	struct codec in = codec_inner(c, name);
+
+	codec_id(&in, "instance", &v->instance);
+	codec_id(&in, "life", &v->life);
+	codec_small(&in, "zone", &v->zone);
+	codec_small(&in, "zone_count", &v->zone_count);
+	codec_id(&in, "seed", &v->seed);
+	codec_time(&in, "heartbeat_every", &v->heartbeat_every);
+	codec_time(&in, "peer_silent", &v->peer_silent);
+	codec_time(&in, "probe_every", &v->probe_every);
+	codec_time(&in, "probe_silent", &v->probe_silent);
+	codec_time(&in, "evidence_valid", &v->evidence_valid);
+	codec_time(&in, "replica_wait", &v->replica_wait);
+	codec_time(&in, "isolated_grace", &v->isolated_grace);
+	codec_time(&in, "idle_transaction", &v->idle_transaction);
+	codec_time(&in, "statement_limit", &v->statement_limit);
+	codec_count(&in, "queue_limit", &v->queue_limit);
+	codec_count(&in, "guards_off", &v->guards_off);
+}
--- /dev/null
+++ b/src/trace_values.h
@@ -0,0 +1,26 @@
+/**
+ * @file trace_values.h
+ * Values of the decisions as fields of JSON objects, in both directions.
+ */
+#ifndef TRACE_VALUES_H
+#define TRACE_VALUES_H
+
+#include "../core/core.h"
+#include "codec.h"
+
+void trace_rid(struct codec *c, const char *name, struct rid *v);
+void trace_mark(struct codec *c, const char *name, struct mark *v);
+void trace_lineage(struct codec *c, const char *name, struct lineage *v);
+void trace_statement(struct codec *c, const char *name, struct statement *v);
+void trace_result(struct codec *c, const char *name, struct result *v);
+void trace_control(struct codec *c, const char *name, struct control *v);
+void trace_state(struct codec *c, const char *name, struct endpoint_state *v);
+void trace_contract(struct codec *c, const char *name, struct contract *v);
+void trace_database(struct codec *c, const char *name, struct database_spec *v);
+/** Reading a message of kind MSG_CONTRACT allocates its contract. */
+void trace_message(struct codec *c, const char *name, struct message *v);
+/** Frees what a read message owns. */
+void trace_message_clear(struct message *v);
+void trace_options(struct codec *c, const char *name, struct core_options *v);
+
+#endif
