--- a/tests/test_walk.c
+++ b/tests/test_walk.c
@@ -99,11 +99,22 @@
 			b->cut[i][j] = false;
 }
 
+/* Instances hear at different times that a member leaves, or stays. */
+static void toggle_leaving(struct bed *b, uint32_t proxy)
+{
+	struct group *g = b->proxies[proxy].group;
+	struct database_spec spec = *group_database(g);
+	uint32_t member = pick(b, FAKE_MEMBERS);
+
+	spec.endpoints[member].leaving = !spec.endpoints[member].leaving;
+	group_spec(g, &spec);
+}
+
 static void some_fault(struct bed *b)
 {
 	uint32_t i = pick(b, BED_PROXIES);
 
-	switch (pick(b, 8)) {
+	switch (pick(b, 9)) {
 	case 0:
 		cut_zone(b, i, true);
 		break;
@@ -123,6 +134,9 @@
 	case 6:
 		b->proxies[i].paused = !b->proxies[i].paused;
 		break;
+	case 7:
+		toggle_leaving(b, i);
+		break;
 	default:
 		bed_take_over(b, i, pick(b, FAKE_MEMBERS));
 	}
