--- a/src/slopes.c
+++ b/src/slopes.c
@@ -13,7 +13,7 @@
 #define LIFE 1000
 #define TICKS 200
 #define CODEC_ROUNDS 20000
-#define STATEMENTS 2000
+#define ID_SPREAD 0x9e3779b97f4a7c15ULL /* identifiers are hashes */
 
 /* A core that is fed alone, without endpoints or network. */
 struct rig {
@@ -61,6 +61,16 @@
 	actions_clear(&r->actions);
 }
 
+static hm_id endpoint_id(int database, uint32_t member)
+{
+	return ((hm_id)database * ENDPOINTS_MAX + member + 1) * ID_SPREAD;
+}
+
+static hm_id database_id(int database)
+{
+	return ((hm_id)database + 1) * ID_SPREAD;
+}
+
 static void add_contract(struct rig *r, int i)
 {
 	struct contract c = { 0 };
@@ -74,7 +84,7 @@
 	c.weight = 1;
 	c.transactions = 4;
 	c.database_count = 1;
-	c.databases[0].database = 1;
+	c.databases[0].database = database_id(0);
 	c.databases[0].max_age = HM_SEC;
 	g_strlcpy(c.databases[0].name, "db1", NAME_BYTES);
 	c.key_count = 1;
@@ -95,18 +105,13 @@
 	rig_step(r, &e);
 }
 
-static hm_id endpoint_id(int database, uint32_t member)
-{
-	return (hm_id)database * ENDPOINTS_MAX + member + 1;
-}
-
 static void add_database(struct rig *r, int i)
 {
 	struct database_spec d = { 0 };
 	struct event e = { .kind = EV_DATABASE, .database = &d };
 	uint32_t k;
 
-	d.database = (hm_id)i + 1;
+	d.database = database_id(i);
 	g_snprintf(d.name, sizeof(d.name), "db%d", i + 1);
 	d.version = 1;
 	d.endpoint_count = 3;
@@ -125,8 +130,8 @@
 
 	memset(m, 0, sizeof(*m));
 	m->kind = MSG_STATE;
-	m->from = LIFE + 1 + member;
-	s->database = (hm_id)database + 1;
+	m->from = (LIFE + 1 + member) * ID_SPREAD;
+	s->database = database_id(database);
 	s->endpoint = endpoint_id(database, member);
 	s->reachable = true;
 	s->role = member ? ROLE_REPLICA : ROLE_PRIMARY;
@@ -228,7 +233,7 @@
 	e.request.id.seq = (uint64_t)i + 1;
 	e.request.op = OP_READ;
 	e.request.key.hi = 1;
-	e.request.database = 1;
+	e.request.database = database_id(0);
 	e.request.deadline = r->now + 3600 * HM_SEC;
 	rig_step(r, &e);
 }
@@ -306,8 +311,21 @@
 		m->statement.statement.id.life = UINT64_MAX / 3;
 		m->statement.statement.key.hi = UINT64_MAX / 3;
 		m->statement.statement.key.lo = UINT64_MAX / 5;
+		m->statement.statement.account = UINT64_MAX / 3;
+		m->statement.statement.database = database_id(0);
+		m->statement.endpoint = endpoint_id(0, 0);
 	} else if (kind == MSG_WANT || kind == MSG_GRANT) {
 		m->rate.account = UINT64_MAX / 3;
+		m->rate.nonce.life = m->from;
+	} else if (kind == MSG_CONTROL) {
+		m->control.nonce.life = m->from;
+		m->control.nonce.seq = NONCE_VERIFY;
+		m->control.database = database_id(0);
+		m->control.endpoint = endpoint_id(0, 0);
+	} else if (kind == MSG_RESULT) {
+		m->result.id.life = m->from;
+		m->result.database = database_id(0);
+		m->result.endpoint = endpoint_id(0, 0);
 	}
 }
 
