Keep a recorded trace of each deployment under tests/traces

A change of the decisions makes the replay differ; make traces records them anew, and the diff shows what changed.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #	make run	installs what is missing, builds, starts one instance
 #	make demo	a short scenario over real sockets
 #	make check	all tests, with sanitizers
+#	make traces	records the traces under tests/traces anew
 #	make lint	formatter and linter
 #	make format	rewrites the sources in house format
 
@@ -78,6 +79,11 @@
 check-run: $(BINARY) tests
 	@HYSSOPMOUNT=$(BINARY) tests/run $(TESTS)
 
+# Records tests/traces anew, after a wanted change of behaviour.
+traces: $(BUILD)/tests/test_traces
+	@mkdir -p tests/traces
+	@RECORD_TRACES=1 CK_FORK=no $<
+
 lint:
 	clang-format --dry-run -Werror $(FORMATTED)
 	@printf '%s\n' $(filter-out tests/%,$(SOURCES)) | \
@@ -92,4 +98,4 @@
 
 -include $(OBJECTS:.o=.d) $(wildcard $(BUILD)/tests/*.d)
 
-.PHONY: all packages run demo tests check check-run lint format clean
+.PHONY: all packages run demo traces tests check check-run lint format clean
--- a/tests/test_traces.c
+++ b/tests/test_traces.c
@@ -1,4 +1,4 @@
-/** @file test_traces.c Traces of both deployments. */
+/** @file test_traces.c Recorded traces of both deployments. */
 #include <check.h>
 #include <glib.h>
 #include <stdlib.h>
@@ -10,10 +10,11 @@
 #define SEED 21
 
 static const struct {
+	const char *file;
 	void (*fill)(struct model_site *site);
 } sites[] = {
-	{ model_site_library },
-	{ model_site_tangle },
+	{ "tests/traces/library-unit.jsonl", model_site_library },
+	{ "tests/traces/tangle-and-twinkle.jsonl", model_site_tangle },
 };
 
 static char *record(int index)
@@ -39,6 +40,27 @@
 }
 END_TEST
 
+/*
+ * Recorded by an earlier build: other actions are a change of behaviour, to
+ * be looked at. "make traces" records them anew.
+ */
+START_TEST(recorded_before)
+{
+	const char *file = sites[_i].file;
+	GString *out = g_string_new(NULL);
+	char *text;
+
+	if (g_getenv("RECORD_TRACES")) {
+		text = record(_i);
+		ck_assert(g_file_set_contents(file, text, -1, NULL));
+		g_free(text);
+	}
+	ck_assert_msg(replay_file(file, false, out) == REPLAY_SAME,
+		      "%s(\"make traces\" records them anew)", out->str);
+	g_string_free(out, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("traces");
@@ -47,6 +69,7 @@
 	int failed;
 
 	tcase_add_loop_test(tc, recorded_now, 0, G_N_ELEMENTS(sites));
+	tcase_add_loop_test(tc, recorded_before, 0, G_N_ELEMENTS(sites));
 	tcase_set_timeout(tc, 60);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
