--- a/src/cli_embedded.h
+++ b/src/cli_embedded.h
@@ -9,5 +9,7 @@
 int cli_bench(int argc, char **argv);
 /** A short scenario over real sockets; 0 only if all of it holds. */
 int cli_demo(int argc, char **argv);
+/** Stand-ins of a site whose instances are other processes. */
+int cli_standin(int argc, char **argv);
 
 #endif
--- a/src/client.c
+++ b/src/client.c
@@ -12,6 +12,7 @@
 	char address[ADDRESS_BYTES];
 	char authorization[256];
 	char token[TOKEN_TEXT_BYTES];
+	bool sent; /* the present request went to a connection */
 	double retry_after_s;
 	GString *received;
 };
@@ -119,6 +120,23 @@
 	g_strlcpy(out->execution, text ? text : "", sizeof(out->execution));
 }
 
+/*
+ * libcurl sends a request again when a connection that it kept ends before an
+ * answer; the first may have run, so the second must not go out.
+ */
+static int on_send(void *arg, char *to, char *from, int to_port, int from_port)
+{
+	struct client *c = arg;
+	bool again = c->sent;
+
+	(void)to;
+	(void)from;
+	(void)to_port;
+	(void)from_port;
+	c->sent = true;
+	return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 /* Performs a call; @a body NULL means GET. */
 static void perform(struct client *c, const char *path, const char *body,
 		    struct client_answer *out)
@@ -131,6 +149,7 @@
 	memset(out, 0, sizeof(*out));
 	g_string_truncate(c->received, 0);
 	c->retry_after_s = 0;
+	c->sent = false;
 	g_snprintf(url, sizeof(url), "http://%s%s", c->address, path);
 	curl_easy_setopt(c->curl, CURLOPT_URL, url);
 	curl_easy_setopt(c->curl, CURLOPT_HTTPHEADER, list);
@@ -140,6 +159,8 @@
 	curl_easy_setopt(c->curl, CURLOPT_WRITEDATA, c);
 	curl_easy_setopt(c->curl, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(c->curl, CURLOPT_HEADERDATA, c);
+	curl_easy_setopt(c->curl, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt(c->curl, CURLOPT_PREREQDATA, c);
 	if (body)
 		curl_easy_setopt(c->curl, CURLOPT_COPYPOSTFIELDS, body);
 	else
@@ -153,8 +174,9 @@
 		parse_answer(c, out);
 	else
 		g_strlcpy(out->code,
-			  done == CURLE_COULDNT_CONNECT ? "no_connection"
-							: "no_answer",
+			  done == CURLE_COULDNT_CONNECT && !c->sent
+				  ? "no_connection"
+				  : "no_answer",
 			  sizeof(out->code));
 }
 
--- a/src/client.h
+++ b/src/client.h
@@ -27,7 +27,9 @@
 	int status;   /**< HTTP status, 0 when no answer came */
 	json_t *body; /**< parsed JSON, NULL when there is none */
 	double retry_after_s;
-	char code[32]; /**< error code, "ok", "no_answer" or "no_connection" */
+	/** Error code, "ok", "no_answer" or, when nothing was sent,
+	 * "no_connection". */
+	char code[32];
 	char execution[16]; /**< of an error */
 };
 
--- a/src/main.c
+++ b/src/main.c
@@ -13,6 +13,7 @@
 	{ "key", cli_key, "grant or withdraw a key of an account" },
 	{ "replay", cli_replay, "replay a trace and compare its actions" },
 	{ "demo", cli_demo, "a short scenario over real sockets" },
+	{ "standin", cli_standin, "stand-ins for instances run by hand" },
 	{ "bench", cli_bench, "measure a model of both deployments" },
 };
 
--- a/standin/site.c
+++ b/standin/site.c
@@ -217,7 +217,8 @@
 		fill_settings(s, i, &s->instances[i].settings);
 	if (!put_instances(s))
 		goto fail;
-	for (i = 0; i < options->instances; i++)
+	for (i = 0; i < options->instances && !options->instances_elsewhere;
+	     i++)
 		if (!start_instance(s, i, fault))
 			goto fail;
 	return s;
@@ -293,6 +294,47 @@
 	return &s->databases[database].endpoints[member];
 }
 
+static json_t *zones_json(const struct settings *t)
+{
+	json_t *zones = json_array();
+	uint32_t i;
+
+	for (i = 0; i < t->zone_count; i++)
+		json_array_append_new(zones, json_string(t->zones[i]));
+	return zones;
+}
+
+char *site_settings_text(const struct site *s, uint32_t instance)
+{
+	const struct settings *t = &s->instances[instance].settings;
+	char secret[SECRET_BYTES * 2 + 1];
+	json_t *root;
+	char *text;
+
+	sodium_bin2hex(secret, sizeof(secret), t->token_secret,
+		       sizeof(t->token_secret));
+	root = json_pack("{s:s,s:s,s:o,s:{s:s,s:s,s:s},s:s,s:s,s:s}",
+			 "instance", t->instance, "zone", t->zone, "zones",
+			 zones_json(t), "listen", "callers", t->listen_callers,
+			 "peers", t->listen_peers, "operators",
+			 t->listen_operators, "platform", t->platform,
+			 "token_secret", secret, "log_level", t->log_level);
+	text = json_dumps(root, JSON_INDENT(2));
+	json_decref(root);
+	return text;
+}
+
+const struct endpoint_spec *site_member(const struct site *s, const char *name)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < s->options.databases; i++)
+		for (k = 0; k < s->databases[i].endpoint_count; k++)
+			if (!strcmp(s->databases[i].endpoints[k].name, name))
+				return &s->databases[i].endpoints[k];
+	return NULL;
+}
+
 static bool put_contract(struct site *s, const char *account, uint32_t rate,
 			 uint32_t burst, json_t *keys)
 {
--- a/standin/site.h
+++ b/standin/site.h
@@ -26,6 +26,8 @@
 	uint32_t connections;
 	struct member_options member;
 	const char *log_level;
+	/** The instances run in other processes, by site_settings_text(). */
+	bool instances_elsewhere;
 };
 
 #define SITE_PORTS (1 + SITE_DATABASES_MAX * 3 + SITE_INSTANCES_MAX * 3)
@@ -42,6 +44,10 @@
 /** Address for callers, or for operators, of an instance. */
 const char *site_callers(const struct site *s, uint32_t instance);
 const char *site_operators(const struct site *s, uint32_t instance);
+/** Settings of an instance as JSON text; free with g_free(). */
+char *site_settings_text(const struct site *s, uint32_t instance);
+/** Member named  name, NULL when there is none. */
+const struct endpoint_spec *site_member(const struct site *s, const char *name);
 /** Member @a member of database @a database. */
 const struct endpoint_spec *site_endpoint(const struct site *s,
 					  uint32_t database, uint32_t member);
