--- a/src/bench.c
+++ b/src/bench.c
@@ -136,6 +136,21 @@
 	out->unknown = per_ten_thousand(out->last.unknown, out->last.requests);
 }
 
+hm_time bench_withdraw(const struct bench_case *c,
+		       const struct model_site *site, uint64_t seed)
+{
+	struct model_figures f;
+	struct model_plan plan;
+
+	fill_plan(c, site, &model_core, FAULT_UNTIL + 5 * HM_SEC, &plan);
+	plan.seed = seed;
+	plan.withdraw_at = (FAULT_AT + FAULT_UNTIL) / 2;
+	model_run(&plan, &f);
+	if (c->fault != FAULT_PLATFORM_DOWN)
+		return f.withdrawn_served;
+	return f.withdrawn_served - (FAULT_UNTIL - plan.withdraw_at);
+}
+
 void bench_watch(const struct bench_case *c, const struct model_site *site,
 		 uint64_t seed, hm_time duration,
 		 void (*decision)(hm_time at, uint32_t instance,
--- a/src/bench.h
+++ b/src/bench.h
@@ -50,6 +50,13 @@
 		 uint64_t seed, hm_time duration,
 		 void (*decision)(hm_time at, uint32_t instance,
 				  const struct decision *d));
+/**
+ * Withdraws the key of account 0 in the middle of the fault of a case.
+ * @return how long after that a request of it was last served; of a fault
+ * of the platform, how long after the fault ended
+ */
+hm_time bench_withdraw(const struct bench_case *c,
+		       const struct model_site *site, uint64_t seed);
 /** Sum of all counts that must be zero for a correct server. */
 uint64_t bench_violations(const struct model_figures *f);
 /** New reference. */
--- a/src/model.c
+++ b/src/model.c
@@ -452,8 +452,14 @@
 
 static void platform_down(struct world *w, uint32_t index, bool on)
 {
+	uint32_t i;
+
 	(void)index;
 	w->platform_down = on;
+	/* A client that hears the platform again reads all lists. */
+	for (i = 0; !on && i < w->plan.site.account_count; i++)
+		schedule_at(&w->schedule, w->schedule.now + LIST_EVERY, publish,
+			    w, GUINT_TO_POINTER(i), NULL);
 }
 
 static void (*const fault_calls[FAULT_KIND_COUNT])(struct world *w,
@@ -519,7 +525,7 @@
 	c->burst = a->burst;
 	c->weight = a->weight;
 	c->transactions = 4;
-	c->serve_isolated = true;
+	c->serve_isolated = !w->plan.withdraw_at;
 	c->database_count = w->plan.site.databases;
 	for (i = 0; i < c->database_count; i++) {
 		c->databases[i].database = w->databases[i].database;
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -13,6 +13,7 @@
 #define SECONDS (25 * HM_SEC)
 /* No single fault may keep writes waiting longer. */
 #define GAP_GOAL (3 * HM_SEC)
+#define WITHDRAW_GOAL (2 * HM_SEC)
 #define SHARE_GOAL 0.95
 #define REPLICA_GOAL 0.95
 #define REPLICA_GOAL_LAG 0.80
@@ -83,6 +84,34 @@
 }
 END_TEST
 
+/* Longest that a withdrawn key may still be served. */
+static hm_time withdraw_limit(const struct bench_case *c)
+{
+	struct core_options o;
+
+	core_options_default(&o);
+	if (c->fault == FAULT_ZONE_CUT)
+		return o.isolated_grace + HM_SEC;
+	return WITHDRAW_GOAL;
+}
+
+START_TEST(withdrawn_key_stops)
+{
+	struct model_site site;
+	size_t i;
+
+	model_site_tangle(&site);
+	for (i = 0; i < bench_case_count; i++) {
+		const struct bench_case *c = &bench_cases[i];
+		hm_time served = bench_withdraw(c, &site, SEED);
+
+		g_print("%s: last served %.3f s after the withdrawal\n",
+			c->name, (double)served / HM_SEC);
+		ck_assert_int_lt(served, withdraw_limit(c));
+	}
+}
+END_TEST
+
 START_TEST(same_seed_same_figures)
 {
 	struct model_site site;
@@ -106,6 +135,7 @@
 	tcase_set_timeout(tc, 300);
 	tcase_add_test(tc, library_holds);
 	tcase_add_test(tc, tangle_holds);
+	tcase_add_test(tc, withdrawn_key_stops);
 	tcase_add_test(tc, same_seed_same_figures);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
