--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -9,6 +9,7 @@
 #include "../core/admit.h"
 #include "../core/rng.h"
 #include "script.h"
+#include "suite.h"
 
 #define LIFE 9
 #define PEER_LIFE 200
@@ -205,17 +206,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("admit");
 	TCase *tc = tcase_create("admit");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tc, scripted, 0, (int)G_N_ELEMENTS(files));
 	tcase_add_test(tc, parts_sum_exactly);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("admit", tc);
 }
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "../core/budget.h"
+#include "suite.h"
 
 #define PACE 200 /* requests a second */
 #define SECONDS 30
@@ -63,18 +64,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("budget");
 	TCase *tc = tcase_create("budget");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, fault_never_multiplies_load);
 	tcase_add_test(tc, one_account_leaves_retries_to_others);
 	tcase_add_test(tc, jitter_follows_the_seed);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("budget", tc);
 }
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -12,6 +12,7 @@
 #include "../src/platform.h"
 #include "../standin/store.h"
 #include "script.h"
+#include "suite.h"
 
 #define ANY_PORT "127.0.0.1:0"
 #define WORDS_MAX 32
@@ -261,18 +262,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("cli");
 	TCase *tc = tcase_create("cli");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, contract_commands);
 	tcase_add_test(tc, key_commands);
 	tcase_set_timeout(tc, 60);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("cli", tc);
 }
--- a/tests/test_contracts.c
+++ b/tests/test_contracts.c
@@ -4,6 +4,7 @@
 
 #include "../core/contracts.h"
 #include "../core/rng.h"
+#include "suite.h"
 
 #define ACCOUNTS 6
 #define KEYS 9
@@ -186,19 +187,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("contracts");
 	TCase *tc = tcase_create("contracts");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, order_does_not_matter);
 	tcase_add_test(tc, withdrawn_never_comes_back);
 	tcase_add_test(tc, contested_key_serves_nobody);
 	tcase_add_test(tc, faults_are_named);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("contracts", tc);
 }
--- a/tests/test_cross.c
+++ b/tests/test_cross.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "front_world.h"
+#include "suite.h"
 #include "tls_files.h"
 
 #define CALLS 24
@@ -238,19 +239,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("cross");
 	TCase *tc = tcase_create("cross");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, http2_answers_out_of_order, 0, 3);
 	tcase_add_test(tc, http1_requests_sent_ahead);
 	tcase_add_test(tc, open_connection_is_served_while_stopping);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("cross", tc);
 }
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -5,6 +5,7 @@
 
 #include "../src/fields.h"
 #include "../src/reply.h"
+#include "suite.h"
 
 G_GNUC_NO_INLINE static char *document(const char *file)
 {
@@ -129,19 +130,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("docs");
 	TCase *tc = tcase_create("docs");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, error_table);
 	tcase_add_test(tc, settings_table);
 	tcase_add_test(tc, advice_never_repeats_blindly);
 	tcase_add_test(tc, retry_time_is_rounded_up);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("docs", tc);
 }
--- a/tests/test_driver_walk.c
+++ b/tests/test_driver_walk.c
@@ -11,6 +11,7 @@
 
 #include "../core/rng.h"
 #include "driver_rig.h"
+#include "suite.h"
 
 #define CONNS 4
 #define STEPS 500
@@ -321,18 +322,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("driver walk");
 	TCase *tc = tcase_create("walk");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tc, rig_setup, rig_teardown);
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, outcomes_are_true, 0, WALKS);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("driver walk", tc);
 }
--- a/tests/test_endpoints.c
+++ b/tests/test_endpoints.c
@@ -8,6 +8,7 @@
 
 #include "driver_rig.h"
 #include "script.h"
+#include "suite.h"
 
 #define INSTANCES 2
 
@@ -308,18 +309,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("endpoints");
 	TCase *tc = tcase_create("faults");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, faults, 0, G_N_ELEMENTS(scripts));
 	tcase_add_loop_test(tc, slow_faults, 0, G_N_ELEMENTS(slow_scripts));
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("endpoints", tc);
 }
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -5,6 +5,7 @@
 
 #include "bed.h"
 #include "bed_script.h"
+#include "suite.h"
 
 #define GAP_RUNS 200
 /** Stated goal for the worst gap in writes. */
@@ -147,17 +148,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("failover");
 	TCase *tc = tcase_create("failover");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tc, runs_as_expected, 0, G_N_ELEMENTS(scripts));
 	tcase_add_loop_test(tc, write_gap_is_short, 0, G_N_ELEMENTS(faults));
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("failover", tc);
 }
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -9,6 +9,7 @@
 #include "../src/token.h"
 #include "front_world.h"
 #include "script.h"
+#include "suite.h"
 
 #define CALLS 50
 
@@ -396,10 +397,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("front");
 	TCase *tc = tcase_create("front");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, statements);
@@ -407,10 +405,5 @@
 	tcase_add_test(tc, http2_prior_knowledge);
 	tcase_add_test(tc, full_token_refuses_another_database);
 	tcase_add_test(tc, open_and_operators_routes);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("front", tc);
 }
--- a/tests/test_front_life.c
+++ b/tests/test_front_life.c
@@ -7,6 +7,7 @@
 
 #include "../src/token.h"
 #include "front_world.h"
+#include "suite.h"
 
 #define BODY "{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"read\"}"
 
@@ -244,10 +245,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("front_life");
 	TCase *tc = tcase_create("front_life");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, stop_finishes_open_requests, 0, 2);
@@ -258,10 +256,5 @@
 	tcase_add_test(tc, tells_that_stream_is_gone);
 	tcase_add_test(tc, answer_of_another_life_is_dropped);
 	tcase_add_test(tc, connections_are_limited);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("front_life", tc);
 }
--- a/tests/test_fuzz_front.c
+++ b/tests/test_fuzz_front.c
@@ -13,6 +13,7 @@
 #include "../src/request.h"
 #include "../src/token.h"
 #include "front_world.h"
+#include "suite.h"
 
 #define SETTINGS_ROUNDS 20000
 #define REQUEST_ROUNDS 40000
@@ -211,10 +212,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("fuzz_front");
 	TCase *tc = tcase_create("fuzz_front");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, settings_take_damage);
@@ -222,10 +220,5 @@
 	tcase_add_test(tc, tokens_take_damage);
 	tcase_add_test(tc, transactions_take_damage);
 	tcase_add_test(tc, sockets_take_damage);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("fuzz_front", tc);
 }
--- a/tests/test_fuzz_spec.c
+++ b/tests/test_fuzz_spec.c
@@ -10,6 +10,7 @@
 #include "../src/replay.h"
 #include "../src/spec.h"
 #include "solo.h"
+#include "suite.h"
 
 #define TEXT_INPUTS 20000
 #define VALUE_INPUTS 20000
@@ -258,19 +259,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("fuzz_spec");
 	TCase *tc = tcase_create("fuzz_spec");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, changed_texts);
 	tcase_add_test(tc, random_values);
 	tcase_add_test(tc, changed_traces);
 	tcase_set_timeout(tc, 120);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("fuzz_spec", tc);
 }
--- a/tests/test_group.c
+++ b/tests/test_group.c
@@ -19,6 +19,7 @@
 #include "../core/group.h"
 #include "fakes.h"
 #include "script.h"
+#include "suite.h"
 
 struct view {
 	struct group *group;
@@ -213,16 +214,8 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("group");
 	TCase *tc = tcase_create("group");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tc, runs_as_expected, 0, G_N_ELEMENTS(scripts));
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("group", tc);
 }
--- a/tests/test_home.c
+++ b/tests/test_home.c
@@ -9,6 +9,7 @@
 
 #include "../core/home.h"
 #include "../core/rng.h"
+#include "suite.h"
 
 #define ACCOUNTS 4
 #define STATEMENTS 4000
@@ -402,17 +403,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("home");
 	TCase *tc = tcase_create("home");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, every_statement_ends_once_and_truly);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("home", tc);
 }
--- a/tests/test_home_script.c
+++ b/tests/test_home_script.c
@@ -5,6 +5,7 @@
 
 #include "../core/home.h"
 #include "script.h"
+#include "suite.h"
 
 #define LIFE 9
 
@@ -226,16 +227,8 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("home_script");
 	TCase *tc = tcase_create("home_script");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tc, scripted, 0, (int)G_N_ELEMENTS(files));
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("home_script", tc);
 }
--- a/tests/test_key.c
+++ b/tests/test_key.c
@@ -10,6 +10,7 @@
 
 #include "../src/log.h"
 #include "front_world.h"
+#include "suite.h"
 
 #define KEY "k7Zq-secret-Wx93"
 #define TEXT_BYTES (4 * 1024 * 1024)
@@ -135,16 +136,8 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("key");
 	TCase *tc = tcase_create("key");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, key_is_shown_nowhere);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("key", tc);
 }
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../src/log.h"
+#include "suite.h"
 
 #define LINES 2000
 #define QUEUE 16
@@ -152,18 +153,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("log");
 	TCase *tc = tcase_create("log");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, line_form);
 	tcase_add_test(tc, decision_form);
 	tcase_add_test(tc, lost_lines_are_counted);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("log", tc);
 }
--- a/tests/test_loop.c
+++ b/tests/test_loop.c
@@ -5,6 +5,7 @@
 
 #include "../src/bodies.h"
 #include "../src/loop.h"
+#include "suite.h"
 
 struct run {
 	struct loop *loop;
@@ -93,17 +94,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("loop");
 	TCase *tc = tcase_create("loop");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, calls_in_order);
 	tcase_add_test(tc, bodies_expire_and_drop);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("loop", tc);
 }
--- a/tests/test_memlog.c
+++ b/tests/test_memlog.c
@@ -11,6 +11,7 @@
 
 #include "../core/rng.h"
 #include "../standin/memlog.h"
+#include "suite.h"
 
 #define MEMBERS_MAX 5
 #define ORDERERS 3
@@ -358,18 +359,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("memlog");
 	TCase *tc = tcase_create("walks");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, three_members);
 	tcase_add_test(tc, five_members);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("memlog", tc);
 }
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 
 #include "../src/bench.h"
+#include "suite.h"
 
 #define SEED 1
 #define SECONDS (25 * HM_SEC)
@@ -127,20 +128,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("model");
 	TCase *tc = tcase_create("model");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 300);
 	tcase_add_test(tc, library_holds);
 	tcase_add_test(tc, tangle_holds);
 	tcase_add_test(tc, withdrawn_key_stops);
 	tcase_add_test(tc, same_seed_same_figures);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("model", tc);
 }
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -5,6 +5,7 @@
 
 #include "../core/peers.h"
 #include "script.h"
+#include "suite.h"
 
 #define SELF_LIFE 100
 #define KEYS 4000
@@ -142,17 +143,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("peers");
 	TCase *tc = tcase_create("peers");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, scripted);
 	tcase_add_test(tc, one_stop_moves_only_its_share);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("peers", tc);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -12,6 +12,7 @@
 #include "../src/platform.h"
 #include "../src/settings.h"
 #include "../standin/store.h"
+#include "suite.h"
 
 #define ANY_PORT "127.0.0.1:0"
 #define DELIVERY_LIMIT (2 * HM_SEC)
@@ -495,10 +496,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("platform");
 	TCase *tc = tcase_create("platform");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, delivers_lists_and_changes);
@@ -515,10 +513,5 @@
 	tcase_add_test(tc, ends_at_once_while_watching);
 	tcase_add_test(tc, changes_are_delivered_in_time);
 	tcase_set_timeout(tc, 120);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("platform", tc);
 }
--- a/tests/test_program.c
+++ b/tests/test_program.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "script.h"
+#include "suite.h"
 
 #define FIRST_PORT 24100
 #define PORT_SPREAD 800
@@ -189,18 +190,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("program");
 	TCase *tc = tcase_create("program");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, commands);
 	tcase_add_test(tc, serves_until_told);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("program", tc);
 }
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -9,6 +9,7 @@
 
 #include "../core/admit.h"
 #include "../core/rng.h"
+#include "suite.h"
 
 #define ZONES 4
 #define INSTANCES 7
@@ -577,19 +578,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("rate");
 	TCase *tc = tcase_create("rate");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, never_over_contract_under_faults);
 	tcase_add_test(tc, cut_zones_share_the_contract);
 	tcase_add_loop_test(tc, inside_the_rate_is_served, 0, 2);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("rate", tc);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -8,6 +8,7 @@
 #include "../src/names.h"
 #include "../src/settings.h"
 #include "script.h"
+#include "suite.h"
 
 static const char base[] =
 	"{\"instance\":\"a\",\"zone\":\"north\","
@@ -201,10 +202,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("settings");
 	TCase *tc = tcase_create("settings");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, refusals);
 	tcase_add_test(tc, fills_in);
@@ -215,10 +213,5 @@
 	tcase_add_loop_test(tc, address_text, 0, (int)G_N_ELEMENTS(addresses));
 	tcase_add_test(tc, key_hashes);
 	tcase_add_test(tc, names_are_found);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("settings", tc);
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -13,6 +13,7 @@
 #include "../src/client.h"
 #include "../src/loop.h"
 #include "../standin/site.h"
+#include "suite.h"
 
 #define PORT_FIRST 26100
 #define PORT_TRIES 20
@@ -376,10 +377,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("site");
 	TCase *tc = tcase_create("site");
-	SRunner *runner;
-	int failed;
 
 	signal(SIGPIPE, SIG_IGN);
 	tcase_set_timeout(tc, 120);
@@ -391,10 +389,5 @@
 	tcase_add_test(tc, silent_connections_are_no_failover);
 	tcase_add_test(tc, platform_down_serves_on);
 	tcase_add_test(tc, stop_under_load_cuts_nothing);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("site", tc);
 }
--- a/tests/test_spec.c
+++ b/tests/test_spec.c
@@ -6,6 +6,7 @@
 #include "../src/names.h"
 #include "../src/spec.h"
 #include "script.h"
+#include "suite.h"
 
 static const char *const zones[] = { "north", "east", "south", "west" };
 static const struct zone_names zone_names = { zones, 4 };
@@ -163,19 +164,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("spec");
 	TCase *tc = tcase_create("spec");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, scripted);
 	tcase_add_test(tc, written_contract_reads_back);
 	tcase_add_test(tc, examples_are_valid);
 	tcase_add_test(tc, example_databases_are_valid);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("spec", tc);
 }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -7,6 +7,7 @@
 #include "../src/loop.h"
 #include "../src/object_api.h"
 #include "../standin/store.h"
+#include "suite.h"
 
 #define ANY_PORT "127.0.0.1:0"
 #define CALL_LIMIT (2 * HM_SEC)
@@ -320,10 +321,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("store");
 	TCase *tc = tcase_create("store");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, conditional_updates);
@@ -340,10 +338,5 @@
 	tcase_add_test(tc, stale_read_does_not_hide_own_change);
 	tcase_add_test(tc, silent_watch_ends_at_deadline);
 	tcase_set_timeout(tc, 60);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("store", tc);
 }
--- a/tests/test_table.c
+++ b/tests/test_table.c
@@ -4,6 +4,7 @@
 
 #include "../core/rng.h"
 #include "../core/table.h"
+#include "suite.h"
 
 #define KEYS 500
 #define STEPS 20000
@@ -35,16 +36,8 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("table");
 	TCase *tc = tcase_create("table");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, agrees_with_array);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("table", tc);
 }
--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "front_world.h"
+#include "suite.h"
 #include "tls_files.h"
 
 #define BODY "{\"database\":\"rota\",\"sql\":\"s\",\"mode\":\"read\"}"
@@ -92,19 +93,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("tls");
 	TCase *tc = tcase_create("tls");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 30);
 	tcase_add_test(tc, serves_both_protocols);
 	tcase_add_test(tc, bad_files_are_told);
 	tcase_add_test(tc, taken_address_is_told);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("tls", tc);
 }
--- a/tests/test_token.c
+++ b/tests/test_token.c
@@ -6,6 +6,7 @@
 
 #include "../core/rng.h"
 #include "../src/token.h"
+#include "suite.h"
 
 #define ROUNDS 300
 
@@ -169,20 +170,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("token");
 	TCase *tc = tcase_create("token");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, comes_back);
 	tcase_add_test(tc, changed_token_is_refused);
 	tcase_add_test(tc, floor_only_rises);
 	tcase_add_test(tc, unsure_until_sure);
 	tcase_add_test(tc, full_token_keeps_all);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("token", tc);
 }
--- a/tests/test_trace.c
+++ b/tests/test_trace.c
@@ -6,6 +6,7 @@
 
 #include "../src/replay.h"
 #include "solo.h"
+#include "suite.h"
 
 START_TEST(replay_gives_the_same_actions)
 {
@@ -109,10 +110,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("trace");
 	TCase *tc = tcase_create("trace");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tc, replay_gives_the_same_actions);
 	tcase_add_test(tc, trace_holds_no_key);
@@ -120,10 +118,5 @@
 	tcase_add_test(tc, other_actions_are_told_and_updated);
 	tcase_add_test(tc, damage_is_told_with_its_line);
 	tcase_set_timeout(tc, 60);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("trace", tc);
 }
--- a/tests/test_traces.c
+++ b/tests/test_traces.c
@@ -6,6 +6,7 @@
 
 #include "../src/replay.h"
 #include "record.h"
+#include "suite.h"
 
 #define SEED 21
 
@@ -63,18 +64,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("traces");
 	TCase *tc = tcase_create("traces");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tc, recorded_now, 0, G_N_ELEMENTS(sites));
 	tcase_add_loop_test(tc, recorded_before, 0, G_N_ELEMENTS(sites));
 	tcase_set_timeout(tc, 60);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("traces", tc);
 }
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -10,6 +10,7 @@
 #include "../core/home.h"
 #include "../core/rng.h"
 #include "../core/turns.h"
+#include "suite.h"
 
 #define LIFE 9
 #define SLOTS_MOST 3
@@ -434,10 +435,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("turns");
 	TCase *tc = tcase_create("turns");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, large_account_does_not_crowd_out_small_ones, 2,
@@ -445,10 +443,5 @@
 	tcase_add_test(tc, slot_time_follows_weights);
 	tcase_add_test(tc, writes_do_not_starve_reads);
 	tcase_add_test(tc, absence_saves_nothing_up);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("turns", tc);
 }
--- a/tests/test_verify.c
+++ b/tests/test_verify.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "bed_script.h"
+#include "suite.h"
 
 static const char *const scripts[] = {
 	"commit",	"late_evidence", "reads",   "roaming",	     "idle_age",
@@ -22,16 +23,8 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("verify");
 	TCase *tc = tcase_create("verify");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tc, runs_as_expected, 0, G_N_ELEMENTS(scripts));
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("verify", tc);
 }
--- a/tests/test_walk.c
+++ b/tests/test_walk.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 
 #include "bed.h"
+#include "suite.h"
 
 #define WALK_SEEDS 20000
 #define WALK_STEPS 2500
@@ -258,19 +259,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("walk");
 	TCase *tc = tcase_create("walk");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tc, 0);
 	tcase_add_test(tc, no_rule_is_broken);
 	tcase_add_loop_test(tc, missing_guard_is_found, 0,
 			    sizeof(mutants) / sizeof(mutants[0]));
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("walk", tc);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -10,6 +10,7 @@
 
 #include "../core/rng.h"
 #include "../src/wire.h"
+#include "suite.h"
 
 #define NOW (100 * HM_SEC)
 #define DAMAGED 40000
@@ -230,20 +231,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("wire");
 	TCase *tc = tcase_create("wire");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tc, comes_back, 0, MSG_KIND_COUNT);
 	tcase_add_test(tc, deadlines_move_to_the_other_clock);
 	tcase_add_test(tc, result_without_its_rows_is_unknown);
 	tcase_add_test(tc, other_versions_are_refused);
 	tcase_add_test(tc, damaged_bytes_do_no_harm);
-	suite_add_tcase(suite, tc);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return suite_run("wire", tc);
 }
