--- a/core/entry.c
+++ b/core/entry.c
@@ -1,54 +1,10 @@
 /** @file entry.c Requests from arrival to answer. */
-#include "entry.h"
+#include "entry_state.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* Pace of sending an order again to a home that has not answered. */
-#define RESEND_EVERY (300 * HM_MS)
-/* Retry advice when nothing more exact is known. */
-#define RETRY_AFTER (200 * HM_MS)
-/* An instance that knows no contracts yet cannot tell keys apart. */
-#define STARTUP_GRACE (3 * HM_SEC)
 #define ATTEMPTS_MAX 8
-/* A request admitted later than this before its deadline hardly finishes. */
-#define ADMIT_SLACK (100 * HM_MS)
-
-/** Where a request stands: index into the table of filters. */
-enum stage {
-	STAGE_AUTHENTICATE,
-	STAGE_PERMIT,
-	STAGE_ADMIT,
-	STAGE_ROUTE,
-	STAGE_AWAIT
-};
-
-struct pending {
-	bool used;
-	enum stage stage;
-	struct statement statement;
-	endpoint_set tried;
-	uint32_t attempts;
-	hm_id endpoint;	 /* STAGE_AWAIT: where it was sent */
-	uint64_t holder; /* life it was sent to */
-	uint64_t term;	 /* of the group when it was sent */
-	hm_time resend_at;
-	hm_time route_at; /* STAGE_ROUTE: next try */
-	bool wait_logged;
-	bool maybe_run;	  /* an attempt has an unknown outcome */
-	bool proving;	  /* the answer is here, its proof is made anew */
-	enum error error; /* what to say when the deadline comes */
-};
-
-struct entry {
-	struct pending *list;
-	uint32_t room;
-	uint32_t count;
-	struct table by_seq;
-};
-
-/** What a filter decides about a request. */
-enum verdict { VERDICT_NEXT, VERDICT_WAIT, VERDICT_DONE };
 
 struct entry *entry_new(void)
 {
@@ -130,8 +86,8 @@
 	r->unsure = true;
 }
 
-static void answer(struct core *c, struct pending *p, const struct result *r,
-		   struct actions *actions)
+void entry_answer(struct core *c, struct pending *p, const struct result *r,
+		  struct actions *actions)
 {
 	struct result *out = &actions_add(actions, ACT_ANSWER)->answer;
 
@@ -143,229 +99,24 @@
 	pending_remove(c->entry, p);
 }
 
-static enum verdict refuse(struct core *c, struct pending *p, enum error error,
-			   hm_time retry_at, struct actions *actions)
+enum verdict entry_refuse(struct core *c, struct pending *p, enum error error,
+			  hm_time retry_at, struct actions *actions)
 {
 	struct result r = { 0 };
 
 	r.error = error;
 	r.execution = error_answer(error)->execution;
 	r.retry_at = retry_at;
-	answer(c, p, &r, actions);
+	entry_answer(c, p, &r, actions);
 	return VERDICT_DONE;
 }
 
-static bool is_starting(const struct core *c, hm_time now)
-{
-	return !contracts_count(c->contracts) &&
-	       now < c->started_at + STARTUP_GRACE;
-}
-
-static enum verdict authenticate(struct core *c, struct pending *p, hm_time now,
-				 struct actions *actions)
-{
-	const struct contract *contract;
-
-	contract = contracts_by_key(c->contracts, p->statement.key);
-	if (!contract && is_starting(c, now))
-		return refuse(c, p, ERR_ISOLATED, now + RETRY_AFTER, actions);
-	if (!contract)
-		return refuse(c, p, ERR_UNAUTHENTICATED, 0, actions);
-	if (!contract->serve_isolated && peers_isolated(c->peers, now))
-		return refuse(c, p, ERR_ISOLATED, now + HM_SEC, actions);
-	p->statement.account = contract->account;
-	return VERDICT_NEXT;
-}
-
-static enum verdict permit(struct core *c, struct pending *p, hm_time now,
-			   struct actions *actions)
-{
-	const struct statement *s = &p->statement;
-	const struct contract *contract;
-	const struct contract_database *right;
-
-	contract = contracts_find(c->contracts, s->account);
-	right = contract ? contract_database(contract, s->database) : NULL;
-	if (!right || s->max_age > right->max_age)
-		return refuse(c, p, ERR_FORBIDDEN, 0, actions);
-	if (s->deadline <= now)
-		return refuse(c, p, ERR_DEADLINE, now, actions);
-	if (!database_find(c, s->database))
-		return refuse(c, p, ERR_NO_ENDPOINT, now + RETRY_AFTER,
-			      actions);
-	return VERDICT_NEXT;
-}
-
-/* Time that must be left when a request gets its token. */
-static hm_time admit_slack(const struct pending *p, hm_time now)
-{
-	hm_time part = (p->statement.deadline - now) / 4;
-
-	return part < ADMIT_SLACK ? part : ADMIT_SLACK;
-}
-
-static enum verdict admit(struct core *c, struct pending *p, hm_time now,
-			  struct actions *actions)
-{
-	struct statement s = p->statement;
-	hm_time retry_at = 0;
-
-	s.deadline -= admit_slack(p, now);
-	switch (admit_push(c->admit, &s, now, &retry_at, actions)) {
-	case ADMIT_PASS:
-		return VERDICT_NEXT;
-	case ADMIT_WAIT:
-		return VERDICT_WAIT;
-	case ADMIT_REFUSE:
-		break;
-	}
-	return refuse(c, p, ERR_RATE_LIMITED, retry_at, actions);
-}
-
-static void log_route(const struct pending *p, const char *reason,
-		      struct actions *actions)
-{
-	struct decision *d = actions_log(actions, "route", reason);
-
-	d->request = p->statement.id;
-	d->account = p->statement.account;
-	d->database = p->statement.database;
-	d->endpoint = p->endpoint;
-	d->peer = p->holder;
-	d->at = p->statement.floor;
-}
-
-/* One line for a request that nothing can serve yet. */
-static void log_wait(struct pending *p, const char *reason,
-		     struct actions *actions)
-{
-	if (p->wait_logged)
-		return;
-	p->wait_logged = true;
-	p->endpoint = 0;
-	p->holder = 0;
-	log_route(p, reason, actions);
-}
-
-static void send_order(struct core *c, struct pending *p, hm_time now,
-		       struct actions *actions)
-{
-	struct message *m = actions_send(actions, p->holder, MSG_STATEMENT);
-
-	m->statement.statement = p->statement;
-	m->statement.endpoint = p->endpoint;
-	m->statement.term = p->term;
-	p->resend_at = now + RESEND_EVERY;
-	p->stage = STAGE_AWAIT;
-	(void)c;
-}
-
-static enum verdict wait_for_route(struct pending *p, enum error error,
-				   hm_time until)
-{
-	p->error = error;
-	p->route_at = until;
-	return VERDICT_WAIT;
-}
-
-/* A transaction stays at the endpoint and the life where it began. */
-static enum verdict route_transaction(struct core *c, struct pending *p,
-				      hm_time now, struct actions *actions)
-{
-	const struct tx_id *tx = &p->statement.tx;
-
-	if (tx->id.life != c->options.life &&
-	    !peers_alive(c->peers, tx->id.life))
-		return refuse(c, p, ERR_TX_GONE, now, actions);
-	p->endpoint = tx->endpoint;
-	p->holder = tx->id.life;
-	log_route(p, "transaction", actions);
-	send_order(c, p, now, actions);
-	return VERDICT_WAIT;
-}
-
-/* What the session knew was cut off; its mark goes back to what is left. */
-static enum verdict refuse_lost(struct core *c, struct pending *p,
-				struct mark left, struct actions *actions)
-{
-	struct result r = { .error = ERR_WRITE_LOST,
-			    .execution = EXEC_NOT_RUN,
-			    .at = left,
-			    .reset_floor = true };
-
-	if (p->maybe_run)
-		return refuse(c, p, ERR_OUTCOME_UNKNOWN, 0, actions);
-	answer(c, p, &r, actions);
-	return VERDICT_DONE;
-}
-
-static enum verdict route(struct core *c, struct pending *p, hm_time now,
-			  struct actions *actions)
-{
-	struct database *d = database_find(c, p->statement.database);
-	struct member *m;
-	struct route r;
-
-	if (p->statement.tx.id.seq)
-		return route_transaction(c, p, now, actions);
-	if (!d)
-		return refuse(c, p, ERR_NO_ENDPOINT, now + RETRY_AFTER,
-			      actions);
-	r = group_route(d->group, &p->statement, p->tried, now);
-	if (!r.endpoint && r.error == ERR_WRITE_LOST)
-		return refuse_lost(c, p, r.reset, actions);
-	if (!r.endpoint) {
-		log_wait(p, r.reason, actions);
-		p->tried = 0;
-		return wait_for_route(p, r.error, r.wait_until);
-	}
-	m = database_member(d, r.endpoint);
-	p->holder = m ? member_holder(c, m) : 0;
-	if (!p->holder) {
-		log_wait(p, "no_home", actions);
-		p->tried |= group_bit(d->group, r.endpoint);
-		return wait_for_route(p, ERR_NO_ENDPOINT, now + CORE_TICK);
-	}
-	p->endpoint = r.endpoint;
-	p->term = group_term(d->group);
-	log_route(p, r.reason, actions);
-	if (!p->attempts)
-		budget_request(c->budget, p->statement.account, p->endpoint,
-			       now);
-	send_order(c, p, now, actions);
-	return VERDICT_WAIT;
-}
-
-typedef enum verdict (*filter_run)(struct core *c, struct pending *p,
-				   hm_time now, struct actions *actions);
-
-/** The path of a request here; queue, execute and verify are at the home. */
-static const struct filter {
-	const char *name;
-	filter_run run;
-} filters[] = {
-	[STAGE_AUTHENTICATE] = { "authenticate", authenticate },
-	[STAGE_PERMIT] = { "permit", permit },
-	[STAGE_ADMIT] = { "admit", admit },
-	[STAGE_ROUTE] = { "route", route },
-};
-
-static void run_filters(struct core *c, struct pending *p, hm_time now,
-			struct actions *actions)
-{
-	while (p->stage < STAGE_AWAIT) {
-		if (filters[p->stage].run(c, p, now, actions) != VERDICT_NEXT)
-			return;
-		p->stage++;
-	}
-}
-
 void entry_request(struct core *c, const struct statement *s, hm_time now,
 		   struct actions *actions)
 {
 	struct pending *p = pending_add(c->entry, s);
 
-	run_filters(c, p, now, actions);
+	entry_run_filters(c, p, now, actions);
 }
 
 void entry_gone(struct core *c, struct rid id, hm_time now,
@@ -423,7 +174,7 @@
 	p->stage = STAGE_ROUTE;
 	p->route_at = budget_retry_at(c->budget, p->attempts, now);
 	if (p->attempts == 1)
-		run_filters(c, p, now, actions);
+		entry_run_filters(c, p, now, actions);
 }
 
 static void count_read(struct core *c, const struct pending *p)
@@ -466,7 +217,7 @@
 	}
 	if (r->error == ERR_NONE)
 		count_read(c, p);
-	answer(c, p, r, actions);
+	entry_answer(c, p, r, actions);
 }
 
 void entry_proved(struct core *c, const struct result *r, hm_time now,
@@ -530,7 +281,7 @@
 		return;
 	}
 	if (now >= p->resend_at)
-		send_order(c, p, now, actions);
+		entry_send_order(c, p, now, actions);
 }
 
 /* The home answers at the deadline itself; this is for one that does not. */
@@ -546,7 +297,7 @@
 			p->statement.id;
 		p->maybe_run = true;
 	}
-	refuse(c, p, error, now + RETRY_AFTER, actions);
+	entry_refuse(c, p, error, now + RETRY_AFTER, actions);
 }
 
 static void pending_tick(struct core *c, struct pending *p, hm_time now,
@@ -561,7 +312,7 @@
 	else if (p->stage == STAGE_AWAIT && !p->proving)
 		await_tick(c, p, now, actions);
 	else if (p->stage == STAGE_ROUTE && now >= p->route_at)
-		run_filters(c, p, now, actions);
+		entry_run_filters(c, p, now, actions);
 }
 
 static void admitted(struct core *c, const struct admit_left *left, hm_time now,
@@ -572,11 +323,11 @@
 	if (!p || p->stage != STAGE_ADMIT)
 		return;
 	if (!left->passed) {
-		refuse(c, p, ERR_RATE_LIMITED, left->retry_at, actions);
+		entry_refuse(c, p, ERR_RATE_LIMITED, left->retry_at, actions);
 		return;
 	}
 	p->stage = STAGE_ROUTE;
-	run_filters(c, p, now, actions);
+	entry_run_filters(c, p, now, actions);
 }
 
 void entry_admitted(struct core *c, hm_time now, struct actions *actions)
--- /dev/null
+++ b/core/entry_filters.c
@@ -0,0 +1,215 @@
+/** @file entry_filters.c The filters that a request passes on its way. */
+#include "entry_state.h"
+
+/* Pace of sending an order again to a home that has not answered. */
+#define RESEND_EVERY (300 * HM_MS)
+/* An instance that knows no contracts yet cannot tell keys apart. */
+#define STARTUP_GRACE (3 * HM_SEC)
+/* A request admitted later than this before its deadline hardly finishes. */
+#define ADMIT_SLACK (100 * HM_MS)
+
+static bool is_starting(const struct core *c, hm_time now)
+{
+	return !contracts_count(c->contracts) &&
+	       now < c->started_at + STARTUP_GRACE;
+}
+
+static enum verdict authenticate(struct core *c, struct pending *p, hm_time now,
+				 struct actions *actions)
+{
+	const struct contract *contract;
+
+	contract = contracts_by_key(c->contracts, p->statement.key);
+	if (!contract && is_starting(c, now))
+		return entry_refuse(c, p, ERR_ISOLATED, now + RETRY_AFTER,
+				    actions);
+	if (!contract)
+		return entry_refuse(c, p, ERR_UNAUTHENTICATED, 0, actions);
+	if (!contract->serve_isolated && peers_isolated(c->peers, now))
+		return entry_refuse(c, p, ERR_ISOLATED, now + HM_SEC, actions);
+	p->statement.account = contract->account;
+	return VERDICT_NEXT;
+}
+
+static enum verdict permit(struct core *c, struct pending *p, hm_time now,
+			   struct actions *actions)
+{
+	const struct statement *s = &p->statement;
+	const struct contract *contract;
+	const struct contract_database *right;
+
+	contract = contracts_find(c->contracts, s->account);
+	right = contract ? contract_database(contract, s->database) : NULL;
+	if (!right || s->max_age > right->max_age)
+		return entry_refuse(c, p, ERR_FORBIDDEN, 0, actions);
+	if (s->deadline <= now)
+		return entry_refuse(c, p, ERR_DEADLINE, now, actions);
+	if (!database_find(c, s->database))
+		return entry_refuse(c, p, ERR_NO_ENDPOINT, now + RETRY_AFTER,
+				    actions);
+	return VERDICT_NEXT;
+}
+
+/* Time that must be left when a request gets its token. */
+static hm_time admit_slack(const struct pending *p, hm_time now)
+{
+	hm_time part = (p->statement.deadline - now) / 4;
+
+	return part < ADMIT_SLACK ? part : ADMIT_SLACK;
+}
+
+static enum verdict admit(struct core *c, struct pending *p, hm_time now,
+			  struct actions *actions)
+{
+	struct statement s = p->statement;
+	hm_time retry_at = 0;
+
+	s.deadline -= admit_slack(p, now);
+	switch (admit_push(c->admit, &s, now, &retry_at, actions)) {
+	case ADMIT_PASS:
+		return VERDICT_NEXT;
+	case ADMIT_WAIT:
+		return VERDICT_WAIT;
+	case ADMIT_REFUSE:
+		break;
+	}
+	return entry_refuse(c, p, ERR_RATE_LIMITED, retry_at, actions);
+}
+
+static void log_route(const struct pending *p, const char *reason,
+		      struct actions *actions)
+{
+	struct decision *d = actions_log(actions, "route", reason);
+
+	d->request = p->statement.id;
+	d->account = p->statement.account;
+	d->database = p->statement.database;
+	d->endpoint = p->endpoint;
+	d->peer = p->holder;
+	d->at = p->statement.floor;
+}
+
+/* One line for a request that nothing can serve yet. */
+static void log_wait(struct pending *p, const char *reason,
+		     struct actions *actions)
+{
+	if (p->wait_logged)
+		return;
+	p->wait_logged = true;
+	p->endpoint = 0;
+	p->holder = 0;
+	log_route(p, reason, actions);
+}
+
+void entry_send_order(struct core *c, struct pending *p, hm_time now,
+		      struct actions *actions)
+{
+	struct message *m = actions_send(actions, p->holder, MSG_STATEMENT);
+
+	m->statement.statement = p->statement;
+	m->statement.endpoint = p->endpoint;
+	m->statement.term = p->term;
+	p->resend_at = now + RESEND_EVERY;
+	p->stage = STAGE_AWAIT;
+	(void)c;
+}
+
+static enum verdict wait_for_route(struct pending *p, enum error error,
+				   hm_time until)
+{
+	p->error = error;
+	p->route_at = until;
+	return VERDICT_WAIT;
+}
+
+/* A transaction stays at the endpoint and the life where it began. */
+static enum verdict route_transaction(struct core *c, struct pending *p,
+				      hm_time now, struct actions *actions)
+{
+	const struct tx_id *tx = &p->statement.tx;
+
+	if (tx->id.life != c->options.life &&
+	    !peers_alive(c->peers, tx->id.life))
+		return entry_refuse(c, p, ERR_TX_GONE, now, actions);
+	p->endpoint = tx->endpoint;
+	p->holder = tx->id.life;
+	log_route(p, "transaction", actions);
+	entry_send_order(c, p, now, actions);
+	return VERDICT_WAIT;
+}
+
+/* What the session knew was cut off; its mark goes back to what is left. */
+static enum verdict refuse_lost(struct core *c, struct pending *p,
+				struct mark left, struct actions *actions)
+{
+	struct result r = { .error = ERR_WRITE_LOST,
+			    .execution = EXEC_NOT_RUN,
+			    .at = left,
+			    .reset_floor = true };
+
+	if (p->maybe_run)
+		return entry_refuse(c, p, ERR_OUTCOME_UNKNOWN, 0, actions);
+	entry_answer(c, p, &r, actions);
+	return VERDICT_DONE;
+}
+
+static enum verdict route(struct core *c, struct pending *p, hm_time now,
+			  struct actions *actions)
+{
+	struct database *d = database_find(c, p->statement.database);
+	struct member *m;
+	struct route r;
+
+	if (p->statement.tx.id.seq)
+		return route_transaction(c, p, now, actions);
+	if (!d)
+		return entry_refuse(c, p, ERR_NO_ENDPOINT, now + RETRY_AFTER,
+				    actions);
+	r = group_route(d->group, &p->statement, p->tried, now);
+	if (!r.endpoint && r.error == ERR_WRITE_LOST)
+		return refuse_lost(c, p, r.reset, actions);
+	if (!r.endpoint) {
+		log_wait(p, r.reason, actions);
+		p->tried = 0;
+		return wait_for_route(p, r.error, r.wait_until);
+	}
+	m = database_member(d, r.endpoint);
+	p->holder = m ? member_holder(c, m) : 0;
+	if (!p->holder) {
+		log_wait(p, "no_home", actions);
+		p->tried |= group_bit(d->group, r.endpoint);
+		return wait_for_route(p, ERR_NO_ENDPOINT, now + CORE_TICK);
+	}
+	p->endpoint = r.endpoint;
+	p->term = group_term(d->group);
+	log_route(p, r.reason, actions);
+	if (!p->attempts)
+		budget_request(c->budget, p->statement.account, p->endpoint,
+			       now);
+	entry_send_order(c, p, now, actions);
+	return VERDICT_WAIT;
+}
+
+typedef enum verdict (*filter_run)(struct core *c, struct pending *p,
+				   hm_time now, struct actions *actions);
+
+/** The path of a request here; queue, execute and verify are at the home. */
+static const struct filter {
+	const char *name;
+	filter_run run;
+} filters[] = {
+	[STAGE_AUTHENTICATE] = { "authenticate", authenticate },
+	[STAGE_PERMIT] = { "permit", permit },
+	[STAGE_ADMIT] = { "admit", admit },
+	[STAGE_ROUTE] = { "route", route },
+};
+
+void entry_run_filters(struct core *c, struct pending *p, hm_time now,
+		       struct actions *actions)
+{
+	while (p->stage < STAGE_AWAIT) {
+		if (filters[p->stage].run(c, p, now, actions) != VERDICT_NEXT)
+			return;
+		p->stage++;
+	}
+}
--- a/src/model.c
+++ b/src/model.c
@@ -9,7 +9,6 @@
 #define REPLICATE_EVERY (5 * HM_MS)
 #define PLATFORM_DELAY (5 * HM_MS)
 #define LIST_EVERY (1 * HM_SEC)
-#define BEHIND_LAG (30 * HM_SEC)
 #define JITTER_PART 10
 #define TICK_SPREAD (CORE_TICK / MODEL_INSTANCES_MAX)
 /* Pause of a run after its load, so that late answers come in. */
@@ -265,7 +264,7 @@
 		tell_contract(w, i, k);
 }
 
-static void start_instance(struct world *w, uint32_t index)
+void world_start_instance(struct world *w, uint32_t index)
 {
 	struct model_instance *i = &w->instances[index];
 	struct core_options *o = &i->options;
@@ -285,7 +284,7 @@
 		tell_all(w, i);
 }
 
-static void stop_instance(struct world *w, uint32_t index)
+void world_stop_instance(struct world *w, uint32_t index)
 {
 	struct model_instance *i = &w->instances[index];
 	uint32_t g, k;
@@ -367,7 +366,7 @@
 }
 
 /* Watches deliver a change to every instance that can hear. */
-static void publish(void *owner, void *arg)
+void world_publish(void *owner, void *arg)
 {
 	struct world *w = owner;
 	uint32_t account = GPOINTER_TO_UINT(arg), k;
@@ -387,106 +386,8 @@
 	(void)arg;
 	w->contracts[0].version = 100;
 	w->contracts[0].key_count = 0;
-	schedule_at(&w->schedule, w->schedule.now + PLATFORM_DELAY, publish, w,
-		    GUINT_TO_POINTER(0), NULL);
-}
-
-/* A fault hits the primary of database 0 at the time it begins. */
-static struct model_member *fault_victim(struct world *w, uint32_t index,
-					 bool on)
-{
-	if (on)
-		w->fault_victims[index] = group_newest(w, 0);
-	return &w->members[0][w->fault_victims[index] % MODEL_MEMBERS];
-}
-
-static void primary_dead(struct world *w, uint32_t index, bool on)
-{
-	struct model_member *m = fault_victim(w, index, on);
-
-	if (on)
-		member_kill(m);
-	else
-		member_revive(m);
-}
-
-static void primary_cut(struct world *w, uint32_t index, bool on)
-{
-	fault_victim(w, index, on)->cut_peers = on;
-}
-
-static void zone_cut(struct world *w, uint32_t index, bool on)
-{
-	uint16_t zone = fault_victim(w, index, on)->spec->zone;
-
-	w->zone_cut[zone] = on;
-	if (on)
-		w->zone_cut_since[zone] = w->schedule.now;
-	else
-		w->zone_healed_at[zone] = w->schedule.now;
-}
-
-static void instance_dead(struct world *w, uint32_t index, bool on)
-{
-	(void)index;
-	if (on)
-		stop_instance(w, 0);
-	else
-		start_instance(w, 0);
-}
-
-static void instance_paused(struct world *w, uint32_t index, bool on)
-{
-	w->instances[0].paused_until =
-		on ? w->plan.faults[index].until : w->schedule.now;
-}
-
-static void replica_behind(struct world *w, uint32_t index, bool on)
-{
-	struct model_member *m = fault_victim(w, index, on);
-	uint32_t next = (uint32_t)(m - w->members[0]) + 1;
-
-	w->members[0][next % MODEL_MEMBERS].lag =
-		on ? BEHIND_LAG : w->plan.site.lag;
-}
-
-static void platform_down(struct world *w, uint32_t index, bool on)
-{
-	uint32_t i;
-
-	(void)index;
-	w->platform_down = on;
-	/* A client that hears the platform again reads all lists. */
-	for (i = 0; !on && i < w->plan.site.account_count; i++)
-		schedule_at(&w->schedule, w->schedule.now + LIST_EVERY, publish,
-			    w, GUINT_TO_POINTER(i), NULL);
-}
-
-static void (*const fault_calls[FAULT_KIND_COUNT])(struct world *w,
-						   uint32_t index, bool on) = {
-	[FAULT_PRIMARY_DEAD] = primary_dead,
-	[FAULT_PRIMARY_CUT] = primary_cut,
-	[FAULT_ZONE_CUT] = zone_cut,
-	[FAULT_INSTANCE_DEAD] = instance_dead,
-	[FAULT_INSTANCE_PAUSED] = instance_paused,
-	[FAULT_REPLICA_BEHIND] = replica_behind,
-	[FAULT_PLATFORM_DOWN] = platform_down,
-};
-
-static void fault_begin(void *owner, void *arg)
-{
-	struct world *w = owner;
-	uint32_t index = GPOINTER_TO_UINT(arg);
-
-	fault_calls[w->plan.faults[index].kind](w, index, true);
-}
-
-static void fault_end(void *owner, void *arg)
-{
-	struct world *w = owner;
-	uint32_t index = GPOINTER_TO_UINT(arg);
-
-	fault_calls[w->plan.faults[index].kind](w, index, false);
+	schedule_at(&w->schedule, w->schedule.now + PLATFORM_DELAY,
+		    world_publish, w, GUINT_TO_POINTER(0), NULL);
 }
 
 static void fill_endpoint(const struct model_site *site, uint32_t group,
@@ -551,7 +452,7 @@
 		fill_contract(w, i);
 	w->load = load_new(w);
 	for (i = 0; i < site->instances; i++)
-		start_instance(w, i);
+		world_start_instance(w, i);
 }
 
 static void plan_calls(struct world *w)
@@ -564,12 +465,7 @@
 			    &w->instances[i], NULL);
 	schedule_at(&w->schedule, 0, replicate_all, w, NULL, NULL);
 	schedule_at(&w->schedule, 0, list_instances, w, NULL, NULL);
-	for (i = 0; i < plan->fault_count; i++) {
-		schedule_at(&w->schedule, plan->faults[i].at, fault_begin, w,
-			    GUINT_TO_POINTER(i), NULL);
-		schedule_at(&w->schedule, plan->faults[i].until, fault_end, w,
-			    GUINT_TO_POINTER(i), NULL);
-	}
+	faults_plan(w);
 	if (plan->withdraw_at)
 		schedule_at(&w->schedule, plan->withdraw_at, withdraw, w, NULL,
 			    NULL);
@@ -605,65 +501,3 @@
 	*out = w->figures;
 	free_world(w);
 }
-
-static void site_common(struct model_site *s)
-{
-	memset(s, 0, sizeof(*s));
-	s->instances = 7;
-	s->zones = 4;
-	s->databases = 3;
-	s->lag = 50 * HM_MS;
-	s->aged_percent = 90;
-	s->deadline = 5 * HM_SEC;
-	s->account_count = 8;
-}
-
-static void set_account(struct model_site *s, uint32_t index, uint32_t rate,
-			uint32_t weight)
-{
-	struct model_account *a = &s->accounts[index];
-
-	a->rate = rate;
-	a->burst = rate;
-	a->weight = weight;
-	a->offered = rate * 8 / 10;
-	a->cost_times = 1;
-}
-
-void model_site_library(struct model_site *s)
-{
-	uint32_t i;
-
-	site_common(s);
-	s->name = "library unit";
-	s->slots = 2;
-	s->connections = 16;
-	s->zone_delay = 1500;
-	s->client_delay = 1 * HM_MS;
-	s->connect_cost = 10 * HM_MS;
-	s->read_cost = 4 * HM_MS;
-	s->write_cost = 6 * HM_MS;
-	s->read_percent = 75;
-	s->max_age = 2 * HM_SEC;
-	for (i = 0; i < s->account_count; i++)
-		set_account(s, i, i < 2 ? 120 : 30, i < 2 ? 4 : 1);
-}
-
-void model_site_tangle(struct model_site *s)
-{
-	uint32_t i;
-
-	site_common(s);
-	s->name = "Tangle & Twinkle";
-	s->slots = 3;
-	s->connections = 40;
-	s->zone_delay = 500;
-	s->client_delay = 3 * HM_MS;
-	s->connect_cost = 30 * HM_MS;
-	s->read_cost = 3 * HM_MS;
-	s->write_cost = 5 * HM_MS;
-	s->read_percent = 90;
-	s->max_age = 5 * HM_SEC;
-	for (i = 0; i < s->account_count; i++)
-		set_account(s, i, i < 2 ? 240 : 60, i < 2 ? 4 : 1);
-}
--- a/src/model_world.h
+++ b/src/model_world.h
@@ -77,6 +77,13 @@
 	struct load *load;
 };
 
+/** Starts an instance under a new life, or ends it as if killed. */
+void world_start_instance(struct world *w, uint32_t index);
+void world_stop_instance(struct world *w, uint32_t index);
+/** Tells a contract, by index, to every instance that can hear. */
+void world_publish(void *owner, void *arg);
+/** Plans the faults of the plan. */
+void faults_plan(struct world *w);
 /** Uniform jitter of up to a tenth is added to every delay. */
 hm_time world_delay(struct world *w, uint32_t from_zone, uint32_t to_zone);
 bool world_is_cut(const struct world *w, uint32_t zone, uint32_t other);
