Give groups to peers too, so that an instance can start without the platform

Cause: peers passed on contracts only; an instance that started during an outage of the platform knew no database and refused all with no_endpoint. Change: a peer that asks for configuration gets the groups as well, and the digest in heartbeats covers them. A message's ownership is in one place.

--- a/core/actions.c
+++ b/core/actions.c
@@ -32,9 +32,8 @@
 	for (i = 0; i < a->count; i++) {
 		struct action *act = &a->list[i];
 
-		if (act->kind == ACT_SEND &&
-		    act->send.message.kind == MSG_CONTRACT)
-			free(act->send.message.contract);
+		if (act->kind == ACT_SEND)
+			message_clear(&act->send.message);
 	}
 	a->count = 0;
 }
--- a/core/core.c
+++ b/core/core.c
@@ -108,12 +108,40 @@
 	}
 }
 
+/* An instance that started without the platform has no other source. */
+static void send_databases(struct core *c, uint64_t to, struct actions *actions)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->database_count; i++) {
+		struct message m = { .kind = MSG_DATABASE };
+
+		m.database = &c->databases[i].spec;
+		message_copy(actions_send(actions, to, MSG_DATABASE), &m);
+	}
+}
+
+/* Over contracts and groups, so that peers notice that one lacks some. */
+static uint64_t config_digest(const struct core *c)
+{
+	uint64_t digest = contracts_digest(c->contracts);
+	uint32_t i;
+
+	for (i = 0; i < c->database_count; i++) {
+		const struct database_spec *d = &c->databases[i].spec;
+		struct rng mix = { d->database ^ d->version };
+
+		digest += rng_next(&mix);
+	}
+	return digest;
+}
+
 static void on_heartbeat(struct core *c, const struct message *m,
 			 struct actions *actions)
 {
 	if (m->heartbeat.stopped)
 		return;
-	if (m->heartbeat.config_digest == contracts_digest(c->contracts))
+	if (m->heartbeat.config_digest == config_digest(c))
 		return;
 	/* Both sides ask, so each gets what it lacks. */
 	actions_send(actions, m->from, MSG_CONTRACT_WANT)->contract_want = 0;
@@ -151,6 +179,10 @@
 		break;
 	case MSG_CONTRACT_WANT:
 		send_contracts(c, m->contract_want, m->from, actions);
+		send_databases(c, m->from, actions);
+		break;
+	case MSG_DATABASE:
+		databases_apply(c, m->database, now, actions);
 		break;
 	case MSG_KIND_COUNT:
 		break;
@@ -168,7 +200,7 @@
 	m->heartbeat.stopped = stopped;
 	m->heartbeat.platform_ok = c->platform_seen;
 	m->heartbeat.config_version = contracts_version(c->contracts);
-	m->heartbeat.config_digest = contracts_digest(c->contracts);
+	m->heartbeat.config_digest = config_digest(c);
 }
 
 static void finish_stop(struct core *c, struct actions *actions)
@@ -242,8 +274,7 @@
 			continue;
 		m = actions->list[i].send.message;
 		on_message(c, &m, now, actions);
-		if (m.kind == MSG_CONTRACT)
-			free(m.contract);
+		message_clear(&m);
 		holder_flush(c, now, actions);
 	}
 	for (i = first; i < actions->count; i++)
@@ -349,7 +380,7 @@
 	out->waiting = admit_waiting(c->admit);
 	out->in_flight = entry_count(c);
 	out->config_version = contracts_version(c->contracts);
-	out->config_digest = contracts_digest(c->contracts);
+	out->config_digest = config_digest(c);
 	add_loads(c, out);
 }
 
--- a/core/message.h
+++ b/core/message.h
@@ -59,6 +59,7 @@
 	MSG_GRANT,
 	MSG_CONTRACT,
 	MSG_CONTRACT_WANT,
+	MSG_DATABASE, /**< a group as configured, in answer to a want */
 	MSG_KIND_COUNT
 };
 
@@ -100,7 +101,7 @@
 	uint64_t contract_version;
 };
 
-/** One message; @a contract is owned by the message when set. */
+/** One message; owns the contract or database that it points to. */
 struct message {
 	enum message_kind kind;
 	uint64_t from; /**< life of the sender */
@@ -114,8 +115,14 @@
 		struct state_report state;
 		struct rate_order rate;
 		struct contract *contract;
+		struct database_spec *database;
 		hm_id contract_want; /**< account, 0 for all */
 	};
 };
 
+/** Copies a message with what it owns; false when memory is short. */
+bool message_copy(struct message *to, const struct message *from);
+/** Frees what a message owns and zeroes it. */
+void message_clear(struct message *m);
+
 #endif
--- a/src/instance.c
+++ b/src/instance.c
@@ -166,7 +166,6 @@
 static void keep_database(struct instance *i, const struct database_spec *spec)
 {
 	const struct database_spec *known;
-	struct database_spec *copy = g_memdup2(spec, sizeof(*spec));
 	uint32_t k;
 	guint n;
 
@@ -177,10 +176,12 @@
 		known = g_ptr_array_index(i->databases, n);
 		if (known->database != spec->database)
 			continue;
+		if (known->version >= spec->version)
+			return; /* a peer may be behind */
 		g_ptr_array_remove_index_fast(i->databases, n);
 		break;
 	}
-	g_ptr_array_add(i->databases, copy);
+	g_ptr_array_add(i->databases, g_memdup2(spec, sizeof(*spec)));
 }
 
 static void learn(struct instance *i, const struct event *e)
@@ -191,6 +192,8 @@
 		names_learn(i->names, e->contract->name);
 	else if (e->kind == EV_MESSAGE && e->message->kind == MSG_CONTRACT)
 		names_learn(i->names, e->message->contract->name);
+	else if (e->kind == EV_MESSAGE && e->message->kind == MSG_DATABASE)
+		keep_database(i, e->message->database);
 }
 
 /*
--- a/src/model.c
+++ b/src/model.c
@@ -1,6 +1,7 @@
 /** @file model.c Instances, network, platform and faults in virtual time. */
 #include "model.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "model_world.h"
@@ -115,8 +116,7 @@
 {
 	struct delivery *d = arg;
 
-	if (d->message.kind == MSG_CONTRACT)
-		g_free(d->message.contract);
+	message_clear(&d->message);
 	g_free(d);
 }
 
@@ -150,10 +150,8 @@
 	d->to = to->index;
 	d->starts = to->starts;
 	d->from_zone = from->options.zone;
-	d->message = *m;
-	if (m->kind == MSG_CONTRACT)
-		d->message.contract =
-			g_memdup2(m->contract, sizeof(*m->contract));
+	if (!message_copy(&d->message, m))
+		abort();
 	schedule_at(&w->schedule,
 		    w->schedule.now + world_delay(w, from->options.zone,
 						  to->options.zone),
--- a/src/peer.c
+++ b/src/peer.c
@@ -135,8 +135,7 @@
 	sink_event(&p->sink, &e);
 
 done:
-	if (m.kind == MSG_CONTRACT)
-		g_free(m.contract);
+	message_clear(&m);
 }
 
 /* Receives the frames of one message; false when there is none. */
--- a/src/trace_values.c
+++ b/src/trace_values.c
@@ -19,8 +19,9 @@
 static const char *const control_ops[] = { "probe",  "fence", "promote",
 					   "follow", "home",  "fresh" };
 static const char *const message_kinds[] = {
-	"heartbeat", "statement", "result", "abandon",	"control",
-	"state",     "want",	  "grant",  "contract", "contract_want"
+	"heartbeat", "statement",     "result",	 "abandon",
+	"control",   "state",	      "want",	 "grant",
+	"contract",  "contract_want", "database"
 };
 
 G_STATIC_ASSERT(G_N_ELEMENTS(message_kinds) == MSG_KIND_COUNT);
@@ -289,6 +290,9 @@
 	case MSG_CONTRACT_WANT:
 		codec_id(c, "account", &v->contract_want);
 		break;
+	case MSG_DATABASE:
+		trace_database(c, "database", v->database);
+		break;
 	case MSG_KIND_COUNT:
 		break;
 	}
@@ -303,14 +307,14 @@
 	codec_number(&in, "seq", &v->seq);
 	if (!c->state->writing && v->kind == MSG_CONTRACT)
 		v->contract = g_new0(struct contract, 1);
+	if (!c->state->writing && v->kind == MSG_DATABASE)
+		v->database = g_new0(struct database_spec, 1);
 	trace_message_body(&in, v);
 }
 
 void trace_message_clear(struct message *v)
 {
-	if (v->kind == MSG_CONTRACT)
-		g_free(v->contract);
-	*v = (struct message){ 0 };
+	message_clear(v);
 }
 
 void trace_options(struct codec *c, const char *name, struct core_options *v)
--- a/src/wire.c
+++ b/src/wire.c
@@ -378,6 +378,29 @@
 	}
 }
 
+static void code_endpoint(struct codec *c, struct endpoint_spec *e)
+{
+	code_u64(c, &e->endpoint);
+	c->table->text(c, e->name, sizeof(e->name));
+	c->table->text(c, e->address, sizeof(e->address));
+	code_u16(c, &e->zone);
+	code_bool(c, &e->leaving);
+	code_u32(c, &e->slots);
+	code_u32(c, &e->connections);
+}
+
+static void code_database(struct codec *c, struct database_spec *d)
+{
+	uint32_t i;
+
+	code_u64(c, &d->database);
+	c->table->text(c, d->name, sizeof(d->name));
+	code_u64(c, &d->version);
+	code_count(c, &d->endpoint_count, ENDPOINTS_MAX);
+	for (i = 0; i < d->endpoint_count; i++)
+		code_endpoint(c, &d->endpoints[i]);
+}
+
 static void code_message(struct codec *c, struct message *m)
 {
 	uint32_t version = WIRE_VERSION;
@@ -421,6 +444,11 @@
 	case MSG_CONTRACT_WANT:
 		code_u64(c, &m->contract_want);
 		break;
+	case MSG_DATABASE:
+		if (!m->database)
+			m->database = g_new0(struct database_spec, 1);
+		code_database(c, m->database);
+		break;
 	case MSG_KIND_COUNT:
 		break;
 	}
@@ -478,10 +506,8 @@
 	msgpack_unpacked_destroy(&c.item);
 	if (!c.failed && c.offset == c.bytes)
 		return true;
-	if (m->kind == MSG_CONTRACT)
-		g_free(m->contract);
+	message_clear(m);
 	if (c.stored)
 		bodies_drop(bodies, c.stored);
-	memset(m, 0, sizeof(*m));
 	return false;
 }
--- a/tests/test_model.c
+++ b/tests/test_model.c
@@ -113,6 +113,31 @@
 }
 END_TEST
 
+/* Contracts and groups come from peers while the platform is away. */
+START_TEST(restart_without_platform_serves)
+{
+	struct model_plan plan = { 0 };
+	struct model_figures f;
+
+	model_site_tangle(&plan.site);
+	plan.server = &model_core;
+	plan.seed = SEED;
+	plan.duration = SECONDS;
+	plan.fault_count = 2;
+	plan.faults[0] = (struct model_fault){ FAULT_PLATFORM_DOWN, 9 * HM_SEC,
+					       SECONDS };
+	plan.faults[1] = (struct model_fault){ FAULT_INSTANCE_DEAD, 10 * HM_SEC,
+					       12 * HM_SEC };
+	model_run(&plan, &f);
+	g_print("restart without platform: %" G_GUINT64_FORMAT
+		" of %" G_GUINT64_FORMAT " refused wrongly\n",
+		f.refused_wrongly, f.inside_rate);
+	ck_assert_uint_eq(bench_violations(&f), 0);
+	ck_assert(10000.0 * (double)f.refused_wrongly <
+		  WRONGFUL_FAULT * (double)f.inside_rate);
+}
+END_TEST
+
 START_TEST(same_seed_same_figures)
 {
 	struct model_site site;
@@ -134,6 +159,7 @@
 	tcase_add_test(tc, library_holds);
 	tcase_add_test(tc, tangle_holds);
 	tcase_add_test(tc, withdrawn_key_stops);
+	tcase_add_test(tc, restart_without_platform_serves);
 	tcase_add_test(tc, same_seed_same_figures);
 	return suite_run("model", tc);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -67,6 +67,21 @@
 	m->contract = c;
 }
 
+static void fill_database(struct message *m)
+{
+	struct database_spec *d = g_new0(struct database_spec, 1);
+
+	d->database = 6;
+	g_strlcpy(d->name, "rota", NAME_BYTES);
+	d->version = 4;
+	d->endpoint_count = 2;
+	d->endpoints[1].endpoint = 77;
+	d->endpoints[1].zone = 3;
+	d->endpoints[1].slots = 2;
+	g_strlcpy(d->endpoints[1].address, "127.0.0.1:5432", ADDRESS_BYTES);
+	m->database = d;
+}
+
 static void fill(struct message *m, enum message_kind kind,
 		 struct bodies *bodies)
 {
@@ -78,6 +93,8 @@
 		fill_statement(m, bodies);
 	else if (kind == MSG_CONTRACT)
 		fill_contract(m);
+	else if (kind == MSG_DATABASE)
+		fill_database(m);
 	else if (kind == MSG_RESULT) {
 		m->result.id.seq = 3;
 		m->result.error = ERR_STATEMENT;
@@ -103,8 +120,7 @@
 
 	fill(&m, kind, bodies);
 	bytes = wire_write(&m, bodies, NOW);
-	if (kind == MSG_CONTRACT)
-		g_free(m.contract);
+	message_clear(&m);
 	return bytes;
 }
 
@@ -127,8 +143,9 @@
 	if (kind == MSG_CONTRACT) {
 		ck_assert_mem_eq(sent.contract, got.contract,
 				 sizeof(*got.contract));
-		g_free(sent.contract);
-		g_free(got.contract);
+	} else if (kind == MSG_DATABASE) {
+		ck_assert_mem_eq(sent.database, got.database,
+				 sizeof(*got.database));
 	} else {
 		if (kind == MSG_STATEMENT) {
 			GBytes *body = bodies_get(bodies,
@@ -140,6 +157,8 @@
 		}
 		ck_assert_mem_eq(&sent, &got, sizeof(got));
 	}
+	message_clear(&sent);
+	message_clear(&got);
 	g_bytes_unref(bytes);
 	bodies_free(bodies);
 }
@@ -218,8 +237,8 @@
 		damage(&rng, a);
 		if (!wire_read(a->data, a->len, &m, bodies, NOW))
 			refused++;
-		else if (m.kind == MSG_CONTRACT)
-			g_free(m.contract);
+		else
+			message_clear(&m);
 		g_byte_array_unref(a);
 		bodies_expire(bodies, HM_NEVER);
 	}
