Void orders that are late copies or meant for an earlier life

Change: an order names the life it is meant for and the newest message of that life which its sender had heard; the home knows when it sent that number and voids what is older than 3 s, and all that queued up while it was paused. Ended orders are remembered until 5 s after their deadline. Ruled out: comparing clocks of two instances; remembering for longer, since a link can deliver minutes late.

--- a/core/core.c
+++ b/core/core.c
@@ -336,6 +336,7 @@
 {
 	size_t first = actions->count;
 
+	fresh_step(&c->fresh, c->next_seq + 1, now);
 	dispatch(c, event, now, actions);
 	holder_flush(c, now, actions);
 	settle(c, first, now, actions);
--- a/core/entry_filters.c
+++ b/core/entry_filters.c
@@ -101,6 +101,14 @@
 	log_route(p, reason, actions);
 }
 
+/* Dates the order on the clock of its receiver. */
+static uint64_t heard_of(const struct core *c, uint64_t life)
+{
+	const struct peer *peer = peers_find(c->peers, life);
+
+	return peer ? peer->seq : 0;
+}
+
 void entry_send_order(struct core *c, struct pending *p, hm_time now,
 		      struct actions *actions)
 {
@@ -109,6 +117,8 @@
 	m->statement.statement = p->statement;
 	m->statement.endpoint = p->endpoint;
 	m->statement.term = p->term;
+	m->statement.to = p->holder;
+	m->statement.heard = heard_of(c, p->holder);
 	p->resend_at = now + RESEND_EVERY;
 	p->stage = STAGE_AWAIT;
 	(void)c;
--- a/core/holder.c
+++ b/core/holder.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* How long an ended order is remembered beyond its deadline. */
+/* Beyond end and deadline; copies that come later are void by then. */
 #define REMEMBER_AFTER (5 * HM_SEC)
 #define EXPIRE_EVERY (500 * HM_MS)
 /* No endpoint of another zone is taken so soon after the start. */
@@ -51,7 +51,8 @@
 	s->ended = true;
 	s->result = *r;
 	s->result.id = s->id;
-	s->forget_at = now + REMEMBER_AFTER;
+	if (s->forget_at < now + REMEMBER_AFTER)
+		s->forget_at = now + REMEMBER_AFTER;
 	send_result(s, actions);
 }
 
@@ -120,6 +121,27 @@
 	m->result.retry_at = now + HM_SEC;
 }
 
+/* Meant for an earlier life at this address, or sent too long ago. */
+static bool is_void(const struct core *c, const struct statement_order *order,
+		    uint64_t from, hm_time now)
+{
+	if (from == c->options.life)
+		return false;
+	return order->to != c->options.life ||
+	       fresh_is_void(&c->fresh, order->heard, now);
+}
+
+/* A late copy of an order that may have run; its sender has given it up. */
+static void log_stale(const struct statement_order *order, uint64_t from,
+		      struct actions *actions)
+{
+	struct decision *log = actions_log(actions, "refuse", "stale_order");
+
+	log->request = order->statement.id;
+	log->endpoint = order->endpoint;
+	log->peer = from;
+}
+
 void holder_statement(struct core *c, const struct statement_order *order,
 		      uint64_t from, hm_time now, struct actions *actions)
 {
@@ -131,6 +153,10 @@
 	enum error fault;
 
 	served->forgetful = c->options.guards_off & GUARD_ONCE;
+	if (is_void(c, order, from, now)) {
+		log_stale(order, from, actions);
+		return;
+	}
 	known = served_repeated(served, s->id, s->attempt, order->endpoint);
 	if (known && known->ended)
 		send_result(known, actions);
@@ -142,6 +168,7 @@
 		return;
 	}
 	known->reply_to = from;
+	known->forget_at = s->deadline + REMEMBER_AFTER;
 	fault = order_fault(c, order, d, m, now);
 	if (fault)
 		refuse(known, fault, now, actions);
--- a/core/message.h
+++ b/core/message.h
@@ -80,6 +80,9 @@
 	struct statement statement; /**< deadline: remaining time on the wire */
 	hm_id endpoint;
 	uint64_t term; /**< writes: term that the sender takes as current */
+	uint64_t to;   /**< life that it is meant for */
+	uint64_t
+		heard; /**< newest message of the receiver known to the sender */
 };
 
 /** State of an endpoint: broadcast by its home, or answer to a control. */
--- a/core/state.h
+++ b/core/state.h
@@ -10,6 +10,7 @@
 #include "admit.h"
 #include "budget.h"
 #include "failover.h"
+#include "fresh.h"
 #include "home.h"
 #include "rng.h"
 #include "table.h"
@@ -64,6 +65,7 @@
 	struct rate *rate;
 	struct admit *admit;
 	struct budget *budget;
+	struct fresh fresh;
 	struct entry *entry;
 	struct holder *holder;
 	struct database *databases;
--- a/core/types.h
+++ b/core/types.h
@@ -72,7 +72,7 @@
 	uint32_t rate;	       /**< requests per second over all instances */
 	uint32_t burst;	       /**< requests */
 	uint32_t weight;       /**< share of slot time when slots are short */
-	uint32_t transactions; /**< open transactions over all instances */
+	uint32_t transactions; /**< open transactions at each endpoint */
 	uint32_t database_count;
 	struct contract_database databases[CONTRACT_DATABASES_MAX];
 	uint32_t key_count;
--- a/src/trace_values.c
+++ b/src/trace_values.c
@@ -238,6 +238,8 @@
 	trace_statement(c, "statement", &v->statement);
 	codec_id(c, "endpoint", &v->endpoint);
 	codec_number(c, "term", &v->term);
+	codec_id(c, "to", &v->to);
+	codec_number(c, "heard", &v->heard);
 }
 
 static void trace_report(struct codec *c, struct state_report *v)
--- a/src/wire.c
+++ b/src/wire.c
@@ -278,6 +278,8 @@
 {
 	code_u64(c, &o->endpoint);
 	code_u64(c, &o->term);
+	code_u64(c, &o->to);
+	code_u64(c, &o->heard);
 	code_statement(c, &o->statement);
 }
 
--- /dev/null
+++ b/tests/test_fresh.c
@@ -0,0 +1,74 @@
+/** @file test_fresh.c Orders that were on their way for long are void. */
+#include <check.h>
+
+#include "../core/fresh.h"
+#include "suite.h"
+
+#define STEP (10 * HM_MS)
+#define FIRST (100 * HM_SEC)
+
+/* Steps until @a until; one message is sent each step. */
+static hm_time run(struct fresh *f, uint64_t *seq, hm_time now, hm_time until)
+{
+	for (; now < until; now += STEP)
+		fresh_step(f, ++*seq, now);
+	return now;
+}
+
+START_TEST(recent_orders_stand)
+{
+	struct fresh f = { 0 };
+	uint64_t seq = 0;
+	hm_time now = run(&f, &seq, FIRST, FIRST + 60 * HM_SEC);
+
+	ck_assert(!fresh_is_void(&f, seq, now));
+	ck_assert(!fresh_is_void(&f, seq - 200, now)); /* heard 2 s ago */
+}
+END_TEST
+
+START_TEST(old_orders_are_void)
+{
+	struct fresh f = { 0 };
+	uint64_t seq = 0;
+	hm_time now = run(&f, &seq, FIRST, FIRST + 60 * HM_SEC);
+
+	ck_assert(fresh_is_void(&f, seq - 340, now)); /* heard 3.4 s ago */
+	ck_assert(fresh_is_void(&f, 1, now));
+}
+END_TEST
+
+START_TEST(young_instance_takes_all)
+{
+	struct fresh f = { 0 };
+	uint64_t seq = 0;
+	hm_time now = run(&f, &seq, FIRST, FIRST + 2 * HM_SEC);
+
+	ck_assert(!fresh_is_void(&f, 0, now));
+}
+END_TEST
+
+/* Orders that queued up while the receiver was paused cannot be dated. */
+START_TEST(orders_from_a_pause_are_void)
+{
+	struct fresh f = { 0 };
+	uint64_t seq = 0, before;
+	hm_time now = run(&f, &seq, FIRST, FIRST + 10 * HM_SEC);
+
+	before = seq;
+	now += 8 * HM_SEC;
+	fresh_step(&f, ++seq, now);
+	ck_assert(fresh_is_void(&f, before, now));
+	ck_assert(!fresh_is_void(&f, seq, now));
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("fresh");
+
+	tcase_add_test(tc, recent_orders_stand);
+	tcase_add_test(tc, old_orders_are_void);
+	tcase_add_test(tc, young_instance_takes_all);
+	tcase_add_test(tc, orders_from_a_pause_are_void);
+	return suite_run("fresh", tc);
+}
