--- a/core/databases.c
+++ b/core/databases.c
@@ -81,9 +81,8 @@
 }
 
 /* Members that stay keep what is known of them. */
-static void merge_members(struct core *c, struct database *d,
-			  const struct database_spec *spec, hm_time now,
-			  struct actions *actions)
+static void merge_members(struct database *d, const struct database_spec *spec,
+			  hm_time now, struct actions *actions)
 {
 	struct member merged[ENDPOINTS_MAX] = { 0 };
 	uint32_t i;
@@ -108,7 +107,6 @@
 		home_close(gone, now, actions);
 		home_free(gone);
 	}
-	(void)c;
 	memcpy(d->members, merged, sizeof(merged));
 	d->member_count = spec->endpoint_count;
 }
@@ -127,7 +125,7 @@
 		return;
 	d->spec = *spec;
 	group_spec(d->group, spec);
-	merge_members(c, d, spec, now, actions);
+	merge_members(d, spec, now, actions);
 	log = actions_log(actions, "database", "configured");
 	log->database = spec->database;
 	log->at.pos = spec->version;
@@ -164,7 +162,7 @@
 	return q->asked_at;
 }
 
-static void announce_primary(struct core *c, struct database *d, hm_time now,
+static void announce_primary(struct database *d, hm_time now,
 			     struct actions *actions)
 {
 	hm_id primary = group_primary(d->group, now);
@@ -187,7 +185,6 @@
 	a->announce.database = d->spec.database;
 	a->announce.primary = primary;
 	a->announce.term = term;
-	(void)c;
 }
 
 void databases_report(struct core *c, const struct state_report *r,
@@ -211,7 +208,7 @@
 	group_report(d->group, r, from, question_asked_at(c, r), now);
 	failover_report(d->failover, r, from, now, actions);
 	verify_report(d->verify, r, now, actions);
-	announce_primary(c, d, now, actions);
+	announce_primary(d, now, actions);
 }
 
 void databases_tick(struct core *c, hm_time now, struct actions *actions)
@@ -226,7 +223,7 @@
 				      member_holder(c, &d->members[k]));
 		verify_tick(d->verify, now, actions);
 		failover_tick(d->failover, now, actions);
-		announce_primary(c, d, now, actions);
+		announce_primary(d, now, actions);
 	}
 }
 
--- a/core/entry_filters.c
+++ b/core/entry_filters.c
@@ -121,7 +121,6 @@
 	m->statement.heard = heard_of(c, p->holder);
 	p->resend_at = now + RESEND_EVERY;
 	p->stage = STAGE_AWAIT;
-	(void)c;
 }
 
 static enum verdict wait_for_route(struct pending *p, enum error error,
--- a/core/holder.c
+++ b/core/holder.c
@@ -300,39 +300,33 @@
 		       c->options.life;
 }
 
-static void report(struct core *c, struct database *d, struct member *m,
-		   const struct endpoint_state *state, hm_time now,
-		   struct actions *actions)
-{
-	struct message *msg = actions_send(actions, 0, MSG_STATE);
-	struct home_load load = { 0 };
-
-	if (m->home)
-		home_load(m->home, now, &load);
-	msg->state.state = *state;
-	msg->state.queued = load.queued;
-	msg->state.free_slots = load.free_slots;
-	msg->state.wait = load.wait;
-	msg->state.age = group_age(d->group, state->at, now);
-	(void)c;
-}
-
-/* The same report, with the question's number, for this instance. */
-static void report_here(struct core *c, struct database *d, struct member *m,
-			struct rid nonce, const struct endpoint_state *state,
-			hm_time now, struct actions *actions)
+static struct state_report report_of(const struct database *d,
+				     const struct member *m,
+				     const struct endpoint_state *state,
+				     hm_time now)
 {
 	struct state_report r = { 0 };
 	struct home_load load = { 0 };
 
 	if (m->home)
 		home_load(m->home, now, &load);
-	r.nonce = nonce;
 	r.state = *state;
 	r.queued = load.queued;
 	r.free_slots = load.free_slots;
 	r.wait = load.wait;
 	r.age = group_age(d->group, state->at, now);
+	return r;
+}
+
+/* The report for this instance names the question that it answers. */
+static void report_here(struct core *c, const struct database *d,
+			const struct member *m, struct rid nonce,
+			const struct endpoint_state *state, hm_time now,
+			struct actions *actions)
+{
+	struct state_report r = report_of(d, m, state, now);
+
+	r.nonce = nonce;
 	databases_report(c, &r, c->options.life, now, actions);
 }
 
@@ -352,7 +346,8 @@
 		home_close(m->home, now, actions);
 	}
 	m->reachable = state->reachable;
-	report(c, d, m, state, now, actions);
+	actions_send(actions, 0, MSG_STATE)->state =
+		report_of(d, m, state, now);
 	report_here(c, d, m, nonce, state, now, actions);
 }
 
