--- a/core/failover.c
+++ b/core/failover.c
@@ -144,8 +144,3 @@
 {
 	f->leave = true;
 }
-
-bool failover_busy(const struct failover *f)
-{
-	return f->phase != PHASE_IDLE;
-}
--- a/core/failover.h
+++ b/core/failover.h
@@ -28,6 +28,5 @@
 uint64_t failover_promotions(const struct failover *f);
 /** Stops ordering new promotions; a started one is finished. */
 void failover_leave(struct failover *f);
-bool failover_busy(const struct failover *f);
 
 #endif
--- a/src/client.c
+++ b/src/client.c
@@ -44,16 +44,6 @@
 	g_strlcpy(c->address, address, sizeof(c->address));
 }
 
-void client_forget(struct client *c)
-{
-	c->token[0] = '\0';
-}
-
-const char *client_token(const struct client *c)
-{
-	return c->token;
-}
-
 static size_t on_data(char *data, size_t size, size_t count, void *arg)
 {
 	struct client *c = arg;
--- a/src/client.h
+++ b/src/client.h
@@ -18,9 +18,6 @@
 void client_free(struct client *c);
 /** Later calls go to another instance; the session goes on. */
 void client_roam(struct client *c, const char *address);
-/** Forgets the session. */
-void client_forget(struct client *c);
-const char *client_token(const struct client *c);
 
 /** One answer; free with client_answer_free(). */
 struct client_answer {
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -28,20 +28,6 @@
 	h->sum += duration;
 }
 
-hm_time histogram_quantile(const struct histogram *h, double q)
-{
-	uint64_t want = (uint64_t)(q * (double)h->count);
-	uint64_t seen = 0;
-	uint32_t i;
-
-	for (i = 0; i < HISTOGRAM_BUCKETS; i++) {
-		seen += h->buckets[i];
-		if (seen >= want && seen > 0)
-			return histogram_bound(i);
-	}
-	return 0;
-}
-
 void metrics_family(GString *out, const char *name, const char *type,
 		    const char *help)
 {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -23,8 +23,6 @@
 void histogram_add(struct histogram *h, hm_time duration);
 /** Upper bound of bucket @a index, HM_NEVER for the last. */
 hm_time histogram_bound(uint32_t index);
-/** Bound below which the fraction @a q of all durations lies. */
-hm_time histogram_quantile(const struct histogram *h, double q);
 
 /** Writes the HELP and TYPE lines of a family. */
 void metrics_family(GString *out, const char *name, const char *type,
--- a/src/model.c
+++ b/src/model.c
@@ -45,7 +45,7 @@
 }
 
 const struct model_server model_core = { "hyssopmount", core_create,
-					 core_destroy, core_steps, true };
+					 core_destroy, core_steps };
 
 hm_time world_delay(struct world *w, uint32_t from_zone, uint32_t to_zone)
 {
--- a/src/model.h
+++ b/src/model.h
@@ -21,8 +21,6 @@
 	void (*destroy)(void *server);
 	void (*step)(void *server, const struct event *e, hm_time now,
 		     struct actions *actions);
-	/** Whether every request passes the home of an endpoint. */
-	bool shares_connections;
 };
 
 extern const struct model_server model_core;
--- a/src/model_load.c
+++ b/src/model_load.c
@@ -17,7 +17,6 @@
 };
 
 struct model_request {
-	bool used;
 	bool ended;
 	uint32_t account;
 	uint32_t session;
@@ -147,23 +146,16 @@
 	r->aged_pos = g_array_index(acked, struct acked, low - 1).pos;
 }
 
-static void finish(struct load *l, struct model_request *r)
-{
-	r->ended = true;
-	(void)l;
-}
-
 static void arrive(void *owner, void *arg)
 {
 	struct world *w = owner;
-	struct load *l = w->load;
 	struct model_request *r = arg;
 	struct model_instance *i = &w->instances[r->instance];
 	struct event e = { .kind = EV_REQUEST };
 
 	if (!i->server) {
 		w->figures.no_answer += r->measured;
-		finish(l, r);
+		r->ended = true;
 		return;
 	}
 	r->starts = i->starts;
@@ -181,7 +173,6 @@
 	struct model_request *r = g_new0(struct model_request, 1);
 
 	g_ptr_array_add(l->requests, r);
-	r->used = true;
 	r->account = account;
 	r->session = (uint32_t)rng_below(&w->rng, SESSIONS);
 	r->group = (uint32_t)rng_below(&w->rng, site->databases);
@@ -465,7 +456,7 @@
 	(void)instance;
 	if (!r || r->ended)
 		return;
-	finish(l, r);
+	r->ended = true;
 	s = &l->sessions[r->account][r->session][r->group];
 	if (result->error == ERR_NONE)
 		answered(l, r, result);
@@ -485,7 +476,7 @@
 		if (r->ended || r->instance != instance || !r->arrive_at)
 			continue;
 		l->world->figures.no_answer += r->measured;
-		finish(l, r);
+		r->ended = true;
 	}
 }
 
--- a/src/naive.c
+++ b/src/naive.c
@@ -438,4 +438,4 @@
 }
 
 const struct model_server model_naive = { "naive", naive_create, naive_destroy,
-					  naive_step, false };
+					  naive_step };
--- a/tests/record.c
+++ b/tests/record.c
@@ -56,8 +56,8 @@
 		trace_actions(r->trace, actions);
 }
 
-static const struct model_server recorder = { "recorder", create, destroy, step,
-					      true };
+static const struct model_server recorder = { "recorder", create, destroy,
+					      step };
 
 char *record_site(const struct model_site *site, uint64_t seed)
 {
