Part HTTP calls, listening and lists of settings from their first users

A second kind of instance needs the same client, sockets and checks. The calls of the object API, the listening of the front and the checks of zones, seeds and log levels are moved as they are; nothing changes in behaviour.

--- a/src/front_listen.c
+++ b/src/front_listen.c
@@ -5,7 +5,7 @@
 #include <openssl/err.h>
 #include <stdio.h>
 
-#include "address.h"
+#include "listen.h"
 
 #define FLUSH_LIMIT (2 * HM_SEC)
 #define CLOSE_LIMIT (500 * HM_MS)
@@ -69,26 +69,6 @@
 	h2o_socket_read_stop(l->socket);
 }
 
-static int bind_socket(const struct sockaddr_storage *ss)
-{
-	int fd = socket(ss->ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	int on = 1;
-
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (const struct sockaddr *)ss, address_bytes(ss)) ||
-	    listen(fd, SOMAXCONN)) {
-		int keep = errno;
-
-		close(fd);
-		errno = keep;
-		return -1;
-	}
-	return fd;
-}
-
 static void note_address(struct listener *l, int fd, const char *wanted)
 {
 	struct sockaddr_storage ss;
@@ -105,11 +85,8 @@
 bool listener_open(struct listener *l, struct front *f, const char *path,
 		   const char *address, char fault[SETTINGS_FAULT_BYTES])
 {
-	struct sockaddr_storage ss;
-	int fd = -1;
+	int fd = listen_on(address);
 
-	if (address_parse(address, &ss))
-		fd = bind_socket(&ss);
 	if (fd < 0) {
 		snprintf(fault, SETTINGS_FAULT_BYTES,
 			 "%s: %s: %s, allowed a free address of this machine",
--- a/src/log.c
+++ b/src/log.c
@@ -134,6 +134,20 @@
 	g_log_structured_array(level, fields, count);
 }
 
+void log_line(GLogLevelFlags level, const char *pairs)
+{
+	GString *line;
+
+	if (!log_enabled(level))
+		return;
+	line = g_string_sized_new(256);
+	line_begin(line, level_name(level));
+	g_string_append_c(line, ' ');
+	g_string_append(line, pairs);
+	g_string_append_c(line, '\n');
+	log_queue_push(g_string_free(line, FALSE));
+}
+
 const char *rid_text(struct rid id, char out[RID_TEXT_BYTES])
 {
 	snprintf(out, RID_TEXT_BYTES,
--- a/src/log.h
+++ b/src/log.h
@@ -28,6 +28,8 @@
  */
 void log_event(GLogLevelFlags level, const char *event,
 	       ...) G_GNUC_NULL_TERMINATED;
+/** Logs a line of key=value pairs that begins with "event=". */
+void log_line(GLogLevelFlags level, const char *pairs);
 /** Logs a decision; @a names turns identifiers into names. */
 void log_decision(const struct decision *d, const struct names *names);
 /** Lines lost so far because the queue was full. */
--- a/src/object_api.c
+++ b/src/object_api.c
@@ -1,15 +1,12 @@
-/** @file object_api.c Calls of the object API over libcurl. */
+/** @file object_api.c Calls of the object API over HTTP. */
 #include "object_api.h"
 
-#include <curl/curl.h>
 #include <glib.h>
-#include <stdatomic.h>
 #include <string.h>
 
+#include "http_call.h"
 #include "loop.h"
 
-#define POLL_MOST_MS 1000
-#define ANSWER_MOST_BYTES (64 * 1024 * 1024)
 #define SETTLE_PAUSE (50 * HM_MS)
 
 #define HTTP_OK 200
@@ -20,39 +17,14 @@
 #define HTTP_SERVER_FAULT 500
 
 struct object_api {
-	char *base; /**< "http://IP:port" */
-	CURLM *multi;
-	CURL *easy;
-	atomic_bool cancelled;
-	atomic_ulong calls;
+	struct http_client *http;
 };
 
-/** Answer to one call. */
-struct reply {
-	GString *text;
-	long status;
-	bool answered;
-	bool sent; /**< bytes of the request may have arrived */
-};
-
-static void init_curl(void)
-{
-	static gsize done;
-
-	if (!g_once_init_enter(&done))
-		return;
-	curl_global_init(CURL_GLOBAL_DEFAULT);
-	g_once_init_leave(&done, 1);
-}
-
 struct object_api *object_api_new(const char *address)
 {
 	struct object_api *api = g_new0(struct object_api, 1);
 
-	init_curl();
-	api->base = g_strdup_printf("http://%s", address);
-	api->multi = curl_multi_init();
-	api->easy = curl_easy_init();
+	api->http = http_client_new(address);
 	return api;
 }
 
@@ -60,107 +32,21 @@
 {
 	if (!api)
 		return;
-	curl_easy_cleanup(api->easy);
-	curl_multi_cleanup(api->multi);
-	g_free(api->base);
+	http_client_free(api->http);
 	g_free(api);
 }
 
 void object_api_cancel(struct object_api *api)
 {
-	atomic_store(&api->cancelled, true);
-	curl_multi_wakeup(api->multi);
+	http_client_cancel(api->http);
 }
 
 uint64_t object_api_calls(const struct object_api *api)
 {
-	return atomic_load(&api->calls);
-}
-
-static size_t take_bytes(char *bytes, size_t size, size_t count, void *arg)
-{
-	GString *text = arg;
-	size_t total = size * count;
-
-	if (text->len + total > ANSWER_MOST_BYTES)
-		return 0;
-	g_string_append_len(text, bytes, (gssize)total);
-	return total;
-}
-
-/* True when the transfer ended, *code then says how. */
-static bool transfer_ended(struct object_api *api, CURLcode *code)
-{
-	CURLMsg *message;
-	int left;
-
-	while ((message = curl_multi_info_read(api->multi, &left))) {
-		if (message->msg != CURLMSG_DONE)
-			continue;
-		*code = message->data.result;
-		return true;
-	}
-	return false;
-}
-
-/* Carries the transfer to its end, to @a until or to a cancel. */
-static bool run_transfer(struct object_api *api, hm_time until)
-{
-	CURLcode code = CURLE_OK;
-	hm_time left;
-	int running;
-
-	for (;;) {
-		curl_multi_perform(api->multi, &running);
-		if (transfer_ended(api, &code))
-			return code == CURLE_OK;
-		left = until - loop_now();
-		if (left <= 0 || atomic_load(&api->cancelled))
-			return false;
-		curl_multi_poll(api->multi, NULL, 0,
-				(int)MIN(left / HM_MS + 1, POLL_MOST_MS), NULL);
-	}
-}
-
-static void prepare(struct object_api *api, const char *method,
-		    const char *path, const char *body, GString *into)
-{
-	char *url = g_strconcat(api->base, path, NULL);
-
-	curl_easy_reset(api->easy);
-	curl_easy_setopt(api->easy, CURLOPT_URL, url);
-	curl_easy_setopt(api->easy, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(api->easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(api->easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(api->easy, CURLOPT_CUSTOMREQUEST, method);
-	curl_easy_setopt(api->easy, CURLOPT_WRITEFUNCTION, take_bytes);
-	curl_easy_setopt(api->easy, CURLOPT_WRITEDATA, into);
-	if (body)
-		curl_easy_setopt(api->easy, CURLOPT_POSTFIELDS, body);
-	/* On a kept connection libcurl may send a request twice. */
-	if (strcmp(method, "GET") != 0)
-		curl_easy_setopt(api->easy, CURLOPT_FRESH_CONNECT, 1L);
-	g_free(url);
-}
-
-/* @a reply's text is to be freed by the caller. */
-static void call(struct object_api *api, const char *method, const char *path,
-		 const char *body, hm_time until, struct reply *reply)
-{
-	curl_off_t connected = 0;
-
-	*reply = (struct reply){ .text = g_string_new(NULL) };
-	prepare(api, method, path, body, reply->text);
-	atomic_fetch_add(&api->calls, 1);
-	curl_multi_add_handle(api->multi, api->easy);
-	reply->answered = run_transfer(api, until);
-	curl_easy_getinfo(api->easy, CURLINFO_RESPONSE_CODE, &reply->status);
-	curl_easy_getinfo(api->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
-	reply->sent = connected > 0;
-	curl_multi_remove_handle(api->multi, api->easy);
+	return http_client_calls(api->http);
 }
 
-static enum api_outcome outcome_of(const struct reply *r)
+static enum api_outcome outcome_of(const struct http_reply *r)
 {
 	if (!r->answered)
 		return r->sent ? API_LOST : API_UNAVAILABLE;
@@ -188,16 +74,16 @@
 				  hm_time until, json_t **json)
 {
 	enum api_outcome outcome;
-	struct reply reply;
+	struct http_reply reply;
 
-	call(api, method, path, body, until, &reply);
+	http_call(api->http, method, path, NULL, body, until, &reply);
 	outcome = outcome_of(&reply);
 	*json = NULL;
 	if (outcome == API_OK || outcome == API_CONFLICT)
 		*json = json_loadb(reply.text->str, reply.text->len, 0, NULL);
 	if (outcome == API_OK && !*json)
 		outcome = API_LOST;
-	g_string_free(reply.text, TRUE);
+	http_reply_clear(&reply);
 	return outcome;
 }
 
@@ -371,7 +257,7 @@
 /* Waits a little; false when no time is left. */
 static bool pause_calls(const struct settling *s)
 {
-	if (atomic_load(&s->api->cancelled) ||
+	if (http_client_cancelled(s->api->http) ||
 	    loop_now() + SETTLE_PAUSE >= s->until)
 		return false;
 	g_usleep((gulong)SETTLE_PAUSE);
--- a/src/settings.c
+++ b/src/settings.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "field_lists.h"
 #include "fields.h"
 #include "names.h"
 
@@ -96,8 +97,6 @@
 	return fields;
 }
 
-static const char *const log_levels[] = { "error", "warning", "info", "debug" };
-
 void settings_default(struct settings *s)
 {
 	memset(s, 0, sizeof(*s));
@@ -121,81 +120,15 @@
 	s->platform_list_every = 1500 * HM_MS;
 }
 
-static bool parse_zones(struct settings *s, const json_t *root,
-			struct fault *fault)
-{
-	const json_t *list = json_object_get(root, "zones");
-	const char *text;
-	size_t i, k;
-
-	if (!fault_array(fault, "$.zones", list, 1, ZONES_MAX))
-		return false;
-	for (i = 0; i < json_array_size(list); i++) {
-		char path[32];
-
-		snprintf(path, sizeof(path), "$.zones[%zu]", i);
-		text = fault_name(fault, path, json_array_get(list, i));
-		if (!text)
-			return false;
-		for (k = 0; k < i; k++)
-			if (!strcmp(s->zones[k], text))
-				return fault_set(fault, path, text,
-						 "each zone once");
-		snprintf(s->zones[i], NAME_BYTES, "%s", text);
-	}
-	s->zone_count = (uint16_t)json_array_size(list);
-	return true;
-}
-
-static bool parse_seeds(struct settings *s, const json_t *root,
-			struct fault *fault)
-{
-	const json_t *list = json_object_get(root, "seeds");
-	const char *text;
-	size_t i;
-
-	if (!list)
-		return true;
-	if (!fault_array(fault, "$.seeds", list, 0, SEEDS_MAX))
-		return false;
-	for (i = 0; i < json_array_size(list); i++) {
-		char path[32];
-
-		snprintf(path, sizeof(path), "$.seeds[%zu]", i);
-		text = fault_address(fault, path, json_array_get(list, i));
-		if (!text)
-			return false;
-		snprintf(s->seeds[i], ADDRESS_BYTES, "%s", text);
-	}
-	s->seed_count = (uint32_t)json_array_size(list);
-	return true;
-}
-
 /* Places the zone and gives the core its identity. */
 static bool check_zone(struct settings *s, struct fault *fault)
 {
-	uint16_t i;
-
-	for (i = 0; i < s->zone_count; i++) {
-		if (strcmp(s->zones[i], s->zone) != 0)
-			continue;
-		s->core.zone = i;
-		s->core.zone_count = s->zone_count;
-		s->core.instance = name_id(s->instance);
-		return true;
-	}
-	return fault_set(fault, "$.zone", s->zone, "one of $.zones");
-}
-
-static bool check_log_level(const struct settings *s, struct fault *fault)
-{
-	size_t i;
-
-	for (i = 0; i < sizeof(log_levels) / sizeof(log_levels[0]); i++)
-		if (!strcmp(s->log_level, log_levels[i]))
-			return true;
-	return fault_set(fault, "$.log_level", s->log_level,
-			 "error, warning, info or debug");
+	if (!list_zone_index((const char(*)[NAME_BYTES])s->zones, s->zone_count,
+			     s->zone, &s->core.zone, fault))
+		return false;
+	s->core.zone_count = s->zone_count;
+	s->core.instance = name_id(s->instance);
+	return true;
 }
 
 /* Two listeners on one address; port 0 never clashes. */
@@ -286,7 +219,7 @@
 
 static bool check_together(struct settings *s, struct fault *fault)
 {
-	return check_zone(s, fault) && check_log_level(s, fault) &&
+	return check_zone(s, fault) && list_log_level(s->log_level, fault) &&
 	       check_listeners(s, fault) && check_tls(s, fault) &&
 	       check_order(s, fault);
 }
@@ -305,7 +238,8 @@
 	if (!root)
 		return fault_syntax(&f, &error);
 	ok = fields_read(fields, FIELD_COUNT_ALL, root, s, &f) &&
-	     parse_zones(s, root, &f) && parse_seeds(s, root, &f) &&
+	     list_zones(root, s->zones, &s->zone_count, &f) &&
+	     list_addresses(root, "seeds", s->seeds, &s->seed_count, &f) &&
 	     check_together(s, &f);
 	json_decref(root);
 	return ok;
@@ -320,28 +254,40 @@
 	return false;
 }
 
-bool settings_read(struct settings *s, const char *file,
-		   char fault[SETTINGS_FAULT_BYTES])
+char *settings_load(const char *file, char fault[SETTINGS_FAULT_BYTES])
 {
-	char *text = NULL;
 	FILE *in = fopen(file, "re");
+	char *text;
 	size_t got;
-	bool ok;
+	bool ok = false;
 
-	if (!in)
-		return unreadable(file, strerror(errno), fault);
+	if (!in) {
+		unreadable(file, strerror(errno), fault);
+		return NULL;
+	}
 	text = calloc(1, FILE_BYTES_MAX + 1);
 	got = text ? fread(text, 1, FILE_BYTES_MAX + 1, in) : 0;
-	if (!text || ferror(in)) {
-		ok = unreadable(file, strerror(errno), fault);
-	} else if (got > FILE_BYTES_MAX) {
-		ok = unreadable(file, "a larger file", fault);
-	} else if (strlen(text) != got) {
-		ok = unreadable(file, "a NUL byte", fault);
-	} else {
-		ok = settings_parse(s, file, text, fault);
-	}
-	free(text);
+	if (!text || ferror(in))
+		unreadable(file, strerror(errno), fault);
+	else if (got > FILE_BYTES_MAX)
+		unreadable(file, "a larger file", fault);
+	else if (strlen(text) != got)
+		unreadable(file, "a NUL byte", fault);
+	else
+		ok = true;
 	fclose(in);
+	if (ok)
+		return text;
+	free(text);
+	return NULL;
+}
+
+bool settings_read(struct settings *s, const char *file,
+		   char fault[SETTINGS_FAULT_BYTES])
+{
+	char *text = settings_load(file, fault);
+	bool ok = text && settings_parse(s, file, text, fault);
+
+	free(text);
 	return ok;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -54,6 +54,8 @@
  */
 bool settings_parse(struct settings *s, const char *file, const char *text,
 		    char fault[SETTINGS_FAULT_BYTES]);
+/** Text of a file for free(); NULL with a line in @a fault. */
+char *settings_load(const char *file, char fault[SETTINGS_FAULT_BYTES]);
 bool settings_read(struct settings *s, const char *file,
 		   char fault[SETTINGS_FAULT_BYTES]);
 
