--- a/core/core.c
+++ b/core/core.c
@@ -184,6 +184,14 @@
 	case MSG_DATABASE:
 		databases_apply(c, m->database, now, actions);
 		break;
+	case MSG_RUN:
+	case MSG_RAN:
+	case MSG_RELEASE:
+	case MSG_VIEW_WANT:
+	case MSG_VIEW:
+	case MSG_DOCUMENT_WANT:
+	case MSG_DOCUMENT:
+		break; /* between proxies alone */
 	case MSG_KIND_COUNT:
 		break;
 	}
--- a/core/error.h
+++ b/core/error.h
@@ -28,6 +28,11 @@
 	ERR_OUTCOME_UNKNOWN,
 	ERR_ISOLATED,
 	ERR_STOPPING,
+	ERR_READ_ONLY,	      /**< a write where only reads are served */
+	ERR_TIME_LIMIT,	      /**< a statement ran into its time limit */
+	ERR_NO_STATEMENT,     /**< no prepared statement of that name */
+	ERR_CONNECTION_LIMIT, /**< no further connection is taken */
+	ERR_WRONG_ENDPOINT,   /**< another member answers at that address */
 	ERR_INTERNAL,
 	ERR_COUNT
 };
--- /dev/null
+++ b/core/keeper_state.h
@@ -0,0 +1,100 @@
+/**
+ * @file keeper_state.h
+ * Inside of a keeper, shared by keeper.c (questions to members and views) and
+ * keeper_change.c (the change of a primary).
+ */
+#ifndef KEEPER_STATE_H
+#define KEEPER_STATE_H
+
+#include "keeper.h"
+
+#define WANTS_MAX 64
+#define ASKED_MAX 12
+
+/** Steps of a change of the primary, in their order. */
+enum change_step {
+	CHANGE_NONE,
+	CHANGE_TOKEN,	/**< waits for a fencing token */
+	CHANGE_HOLD,	/**< replicas are being held */
+	CHANGE_PROMOTE, /**< the call is out */
+	CHANGE_SETTLE,	/**< accepted; the target does not lead yet */
+	CHANGE_CANCEL,	/**< voids calls that may be carried out late */
+	CHANGE_STEP_COUNT
+};
+
+/** A question on a member's connection, answered in order. */
+enum asked { ASKED_LEAD, ASKED_LEAD_END, ASKED_STATUS, ASKED_HOLD };
+
+struct kept_member {
+	struct site_member spec;
+	uint64_t conn; /**< 0: none */
+	bool ready;    /**< the connection is */
+	hm_time connect_after;
+	hm_time status_at; /**< when its state is asked next */
+	hm_time asked_at;  /**< oldest unanswered question, 0 for none */
+	hm_time opened_at; /**< when the connection was begun */
+	enum asked asked[ASKED_MAX];
+	uint32_t asked_count;
+	bool up; /**< answered the last question, or is being asked */
+	hm_time down_since;
+	bool leads;	     /**< proved by its last answer */
+	uint64_t lead_order; /**< of the last question whether it leads */
+	bool known; /**< status was heard since the connection is ready */
+	struct member_status status;
+	struct mark lead_at; /**< position at the last proof */
+	uint64_t told_held;  /**< hold ordered on this connection, or 0 */
+	hm_time held_since;  /**< seen held, outside of a change */
+};
+
+struct want {
+	uint64_t from;
+	uint64_t seq;
+	uint64_t order; /**< among wants and questions of this keeper */
+};
+
+struct keeper {
+	hm_id service;
+	char service_name[NAME_BYTES];
+	struct keeper_site site;
+	bool active;
+	struct kept_member members[ENDPOINTS_MAX];
+	uint32_t member_count;
+	hm_time ask_at;
+	struct want wants[WANTS_MAX];
+	uint32_t want_count;
+	uint64_t order; /**< counts wants and questions */
+	struct {
+		uint64_t to;
+		struct service_view view;
+	} views[WANTS_MAX];
+	uint32_t view_first;
+	uint32_t view_count;
+	uint64_t term; /**< newest one seen */
+	hm_id primary; /**< last one that led */
+	/* change of the primary */
+	enum change_step step;
+	hm_time step_until;
+	hm_time retry_at;
+	bool planned;
+	hm_id target;
+	uint64_t token;
+	uint64_t hold_term;
+	bool call_open; /**< a promote call may be carried out late */
+	uint64_t promotions;
+};
+
+struct kept_member *kept_find(struct keeper *k, hm_id endpoint);
+/** The member that leads and answers, NULL when there is none. */
+struct kept_member *kept_primary(struct keeper *k);
+/** Sends a step on a member's connection; false when it has none. */
+bool kept_command(struct kept_member *m, enum asked asked,
+		  enum member_command_kind kind, uint64_t term, hm_time now,
+		  struct proxy_output *out);
+/** Tells all instances what is known now. */
+void keeper_announce(struct keeper *k);
+/** Decides about a change of the primary; call after each event. */
+void change_check(struct keeper *k, hm_time now, struct proxy_output *out);
+/** Name of a step, for logs. */
+const char *change_name(enum change_step step);
+
+#endif
--- a/core/message.c
+++ b/core/message.c
@@ -13,25 +13,62 @@
 	return copy;
 }
 
+static bool copy_document(struct document *to, const struct document *from)
+{
+	to->data = from->data ? copy_of(from->data, from->bytes) : NULL;
+	return !from->data || to->data;
+}
+
 bool message_copy(struct message *to, const struct message *from)
 {
 	*to = *from;
-	if (from->kind == MSG_CONTRACT) {
+	switch (from->kind) {
+	case MSG_CONTRACT:
 		to->contract = copy_of(from->contract, sizeof(*to->contract));
 		return to->contract != NULL;
-	}
-	if (from->kind == MSG_DATABASE) {
+	case MSG_DATABASE:
 		to->database = copy_of(from->database, sizeof(*to->database));
 		return to->database != NULL;
+	case MSG_RUN:
+		to->run = run_order_copy(from->run);
+		return true;
+	case MSG_RAN:
+		to->ran = run_result_copy(from->ran);
+		return true;
+	case MSG_VIEW:
+		to->view = copy_of(from->view, sizeof(*to->view));
+		return to->view != NULL;
+	case MSG_DOCUMENT:
+		return copy_document(&to->document, &from->document);
+	default:
+		return true;
 	}
-	return true;
 }
 
 void message_clear(struct message *m)
 {
-	if (m->kind == MSG_CONTRACT)
+	switch (m->kind) {
+	case MSG_CONTRACT:
 		free(m->contract);
-	else if (m->kind == MSG_DATABASE)
+		break;
+	case MSG_DATABASE:
 		free(m->database);
+		break;
+	case MSG_RUN:
+		run_order_free(m->run);
+		break;
+	case MSG_RAN:
+		run_result_free(m->ran);
+		break;
+	case MSG_VIEW:
+		free(m->view);
+		break;
+	case MSG_DOCUMENT_WANT:
+	case MSG_DOCUMENT:
+		free(m->document.data);
+		break;
+	default:
+		break;
+	}
 	memset(m, 0, sizeof(*m));
 }
--- a/core/message.h
+++ b/core/message.h
@@ -7,7 +7,9 @@
 #define MESSAGE_H
 
 #include "error.h"
+#include "run.h"
 #include "types.h"
+#include "view.h"
 
 /** Steps that the home of an endpoint performs on its control connection. */
 enum control_op {
@@ -59,7 +61,14 @@
 	MSG_GRANT,
 	MSG_CONTRACT,
 	MSG_CONTRACT_WANT,
-	MSG_DATABASE, /**< a group as configured, in answer to a want */
+	MSG_DATABASE,  /**< a group as configured, in answer to a want */
+	MSG_RUN,       /**< a statement of a session, to the home of a member */
+	MSG_RAN,       /**< what came of it */
+	MSG_RELEASE,   /**< the transaction of a session is given up */
+	MSG_VIEW_WANT, /**< asks the keeper of a service for its view */
+	MSG_VIEW,
+	MSG_DOCUMENT_WANT, /**< asks for a configuration document */
+	MSG_DOCUMENT,
 	MSG_KIND_COUNT
 };
 
@@ -104,7 +113,24 @@
 	uint64_t contract_version;
 };
 
-/** One message; owns the contract or database that it points to. */
+/** The transaction that a session holds at a member is given up. */
+struct release_order {
+	struct rid session;
+	hm_id endpoint;
+};
+
+/** Kinds of documents that instances pass on to one another. */
+enum document_kind { DOCUMENT_CONFIG, DOCUMENT_MEMBERS, DOCUMENT_KIND_COUNT };
+
+/** A document as the platform holds it. */
+struct document {
+	enum document_kind kind;
+	uint64_t version; /**< asked for: anything newer than this */
+	uint32_t bytes;
+	char *data; /**< owned, NULL in a question */
+};
+
+/** One message; owns what its pointers point to. */
 struct message {
 	enum message_kind kind;
 	uint64_t from; /**< life of the sender */
@@ -120,6 +146,12 @@
 		struct contract *contract;
 		struct database_spec *database;
 		hm_id contract_want; /**< account, 0 for all */
+		struct run_order *run;
+		struct run_result *ran;
+		struct release_order release;
+		struct view_want view_want;
+		struct service_view *view;
+		struct document document;
 	};
 };
 
--- /dev/null
+++ b/core/pool.c
@@ -0,0 +1,476 @@
+/** @file pool.c Statements at one member, from their arrival to their end. */
+#include "pool_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Come back after this when nothing better is known. */
+#define RETRY_SOON (50 * HM_MS)
+
+static void add_ended(struct pool *p, uint64_t reply_to, struct run_result *r)
+{
+	if (p->ended_count == p->ended_room) {
+		p->ended_room = p->ended_room ? p->ended_room * 2 : 16;
+		p->ended = realloc(p->ended, p->ended_room * sizeof(*p->ended));
+		if (!p->ended)
+			abort();
+	}
+	p->ended[p->ended_count++] = (struct pool_ended){ reply_to, r };
+}
+
+bool pool_next_result(struct pool *p, uint64_t *reply_to,
+		      struct run_result **result)
+{
+	if (p->ended_first == p->ended_count) {
+		p->ended_first = 0;
+		p->ended_count = 0;
+		return false;
+	}
+	*reply_to = p->ended[p->ended_first].reply_to;
+	*result = p->ended[p->ended_first++].result;
+	return true;
+}
+
+hm_time job_wait(const struct pool *p, hm_id account, hm_time now)
+{
+	return turns_wait(p->turns, account, p->member.slots, now);
+}
+
+static void end_turn(struct pool *p, struct job *j, bool whole, hm_time now)
+{
+	if (!j->popped)
+		return;
+	if (p->parked == j) {
+		p->parked = NULL;
+		turns_refund(p->turns, &j->turn, now);
+		return;
+	}
+	p->running--;
+	turns_ended(p->turns, &j->turn, now - j->started_at, whole, now);
+}
+
+static struct run_result *new_result(const struct pool *p, const struct job *j,
+				     hm_time now)
+{
+	struct run_result *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		abort();
+	r->id = j->order->id;
+	r->endpoint = p->member.endpoint;
+	r->wait = job_wait(p, j->order->account, now);
+	return r;
+}
+
+static void free_job(struct job *j)
+{
+	run_order_free(j->order);
+	free(j);
+}
+
+void job_refuse(struct pool *p, struct job *j, enum error error,
+		enum execution execution, hm_time retry_at, hm_time now)
+{
+	struct run_result *r;
+
+	end_turn(p, j, false, now);
+	r = new_result(p, j, now);
+	r->error = error;
+	r->execution = execution;
+	r->retry_at = retry_at;
+	r->state =
+		j->order->scope == RUN_SINGLE ? SESSION_IDLE : SESSION_FAILED;
+	add_ended(p, j->reply_to, r);
+	free_job(j);
+}
+
+void job_answer(struct pool *p, struct job *j, const struct member_reply *reply,
+		enum session_state state, hm_time now)
+{
+	struct run_result *r;
+
+	end_turn(p, j, true, now);
+	r = new_result(p, j, now);
+	r->error = reply->error;
+	r->execution =
+		reply->error ? error_answer(reply->error)->execution : EXEC_RUN;
+	r->state = state;
+	r->at = reply->at;
+	r->receipt = text_copy(reply->receipt);
+	if (reply->row_bytes) {
+		r->rows = malloc(reply->row_bytes);
+		if (!r->rows)
+			abort();
+		memcpy(r->rows, reply->rows, reply->row_bytes);
+		r->row_bytes = reply->row_bytes;
+	}
+	add_ended(p, j->reply_to, r);
+	free_job(j);
+}
+
+struct pool *pool_new(const struct site_member *member, uint32_t connections,
+		      struct pool_site site, hm_time now)
+{
+	struct pool *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		abort();
+	p->site = site;
+	p->turns = turns_new();
+	pool_member(p, member, connections, now);
+	return p;
+}
+
+void pool_free(struct pool *p)
+{
+	struct run_result *r;
+	uint64_t to;
+
+	if (!p)
+		return;
+	while (pool_next_result(p, &to, &r))
+		run_result_free(r);
+	turns_free(p->turns);
+	free(p->jobs);
+	free(p->conns);
+	free(p->ended);
+	free(p);
+}
+
+void pool_member(struct pool *p, const struct site_member *member,
+		 uint32_t connections, hm_time now)
+{
+	if (member->leaving && !p->member.leaving)
+		p->leaving_since = now;
+	p->member = *member;
+	if (!p->member.slots)
+		p->member.slots = 1;
+	p->connections = connections;
+}
+
+hm_id pool_endpoint(const struct pool *p)
+{
+	return p->member.endpoint;
+}
+
+static uint32_t free_handle(struct pool *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->job_room; i++)
+		if (!p->jobs[i])
+			return i;
+	p->job_room = p->job_room ? p->job_room * 2 : 16;
+	p->jobs = realloc(p->jobs, p->job_room * sizeof(void *));
+	if (!p->jobs)
+		abort();
+	memset(p->jobs + i, 0, (p->job_room - i) * sizeof(void *));
+	return i;
+}
+
+static enum turn_class class_of(const struct run_order *o)
+{
+	if (o->scope == RUN_INSIDE)
+		return TURN_TX;
+	if (o->scope == RUN_FIRST)
+		return TURN_BEGIN;
+	return o->writes ? TURN_WRITE : TURN_READ;
+}
+
+static void queue_job(struct pool *p, struct job *j, hm_time now)
+{
+	struct turn turn = { .reply_to = j->reply_to,
+			     .class = class_of(j->order),
+			     .weight = j->order->weight,
+			     .queued_at = now };
+	uint32_t handle = free_handle(p);
+
+	turn.statement.id = j->order->id;
+	turn.statement.account = j->order->account;
+	turn.statement.body = handle;
+	p->jobs[handle] = j;
+	turns_push(p->turns, &turn);
+}
+
+/* Why a new statement is not taken in, ERR_NONE when it is. */
+static enum error refusal(const struct pool *p, const struct run_order *o,
+			  hm_time now, hm_time *retry_at)
+{
+	hm_time wait;
+
+	*retry_at = now + RETRY_SOON;
+	if (o->scope == RUN_INSIDE)
+		return conn_of_session(p, o->session) ? ERR_NONE : ERR_TX_GONE;
+	if (p->member.leaving &&
+	    now - p->leaving_since > p->site.options->drain_limit)
+		return ERR_NO_ENDPOINT;
+	if (p->down && now < p->connect_after)
+		return ERR_NO_ENDPOINT;
+	wait = job_wait(p, o->account, now);
+	if (now + wait <= o->start_by)
+		return ERR_NONE;
+	*retry_at = now + wait;
+	return ERR_OVERLOADED;
+}
+
+void pool_submit(struct pool *p, const struct run_order *order,
+		 uint64_t reply_to, hm_time now, struct proxy_output *out)
+{
+	struct job *j = calloc(1, sizeof(*j));
+	enum error error;
+	hm_time retry_at;
+
+	if (!j)
+		abort();
+	j->order = run_order_copy(order);
+	j->reply_to = reply_to;
+	error = refusal(p, order, now, &retry_at);
+	if (error) {
+		job_refuse(p, j, error, EXEC_NOT_RUN, retry_at, now);
+		return;
+	}
+	queue_job(p, j, now);
+	pool_dispatch(p, now, out);
+}
+
+static bool is_session(const void *context, const struct turn *turn)
+{
+	const struct run_order *o = context;
+
+	return rid_equal(turn->statement.id, o->id);
+}
+
+/* Takes a queued job out of line. */
+static void unqueue(struct pool *p, struct job *j)
+{
+	struct turn turn;
+
+	if (turns_remove(p->turns, is_session, j->order, &turn))
+		p->jobs[turn.statement.body] = NULL;
+}
+
+/* Ends queued jobs for which @a ends holds. */
+static void end_queued(struct pool *p,
+		       bool (*ends)(const struct job *j, const void *context),
+		       const void *context, enum error error, hm_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->job_room; i++) {
+		struct job *j = p->jobs[i];
+
+		if (!j || !ends(j, context))
+			continue;
+		unqueue(p, j);
+		job_refuse(p, j, error, EXEC_NOT_RUN, now + RETRY_SOON, now);
+	}
+	if (p->parked && ends(p->parked, context))
+		job_refuse(p, p->parked, error, EXEC_NOT_RUN, now + RETRY_SOON,
+			   now);
+}
+
+static bool of_session(const struct job *j, const void *context)
+{
+	const struct rid *session = context;
+
+	return rid_equal(j->order->session, *session);
+}
+
+/* A statement that runs ends first: cutting it off would cost a connection. */
+static void release_conn(struct pool_conn *c, hm_time now,
+			 struct proxy_output *out)
+{
+	if (c->phase == PHASE_OPEN)
+		conn_clear(c, now, out);
+	else if (c->phase != PHASE_CLEARING)
+		c->abandoned = true;
+}
+
+void pool_release(struct pool *p, struct rid session, hm_time now,
+		  struct proxy_output *out)
+{
+	struct pool_conn *c = conn_of_session(p, session);
+
+	end_queued(p, of_session, &session, ERR_TX_GONE, now);
+	if (c)
+		release_conn(c, now, out);
+	pool_dispatch(p, now, out);
+}
+
+static bool of_life(const struct job *j, const void *context)
+{
+	return j->order->session.life == *(const uint64_t *)context;
+}
+
+void pool_release_life(struct pool *p, uint64_t life, hm_time now,
+		       struct proxy_output *out)
+{
+	uint32_t i;
+
+	end_queued(p, of_life, &life, ERR_TX_GONE, now);
+	for (i = 0; i < p->conn_count; i++) {
+		struct pool_conn *c = &p->conns[i];
+
+		if (c->phase != PHASE_CLOSED && c->session.seq &&
+		    c->session.life == life)
+			release_conn(c, now, out);
+	}
+	conns_sweep(p);
+}
+
+bool pool_has(const struct pool *p, uint64_t conn)
+{
+	return conn_find(p, conn) != NULL;
+}
+
+void pool_ready(struct pool *p, uint64_t conn, hm_time now,
+		struct proxy_output *out)
+{
+	struct pool_conn *c = conn_find(p, conn);
+	struct job *j = c->job;
+
+	p->down = false;
+	p->connect_pause = 0;
+	c->job = NULL;
+	conn_phase(c, PHASE_IDLE, now);
+	if (j)
+		conn_start(p, c, j, now, out);
+	pool_dispatch(p, now, out);
+	conns_sweep(p);
+}
+
+void pool_replied(struct pool *p, uint64_t conn,
+		  const struct member_reply *reply, hm_time now,
+		  struct proxy_output *out)
+{
+	conn_replied(p, conn_find(p, conn), reply, now, out);
+	pool_dispatch(p, now, out);
+	conns_sweep(p);
+}
+
+static void connect_failed(struct pool *p, enum error error, hm_time now)
+{
+	if (error == ERR_CONNECTION_LIMIT) {
+		p->connect_after = now + CONNECTION_LIMIT_PAUSE;
+		return;
+	}
+	p->down = true;
+	p->connect_pause *= 2;
+	if (p->connect_pause < CONNECT_PAUSE_FIRST)
+		p->connect_pause = CONNECT_PAUSE_FIRST;
+	if (p->connect_pause > CONNECT_PAUSE_MOST)
+		p->connect_pause = CONNECT_PAUSE_MOST;
+	p->connect_after = now + p->connect_pause;
+}
+
+/* Puts a job whose connection was not admitted back in its place. */
+static bool park_again(struct pool *p, struct pool_conn *c)
+{
+	if (!c->job || p->parked)
+		return false;
+	p->parked = c->job;
+	c->job = NULL;
+	p->running--;
+	return true;
+}
+
+void pool_closed(struct pool *p, uint64_t conn, enum error error, hm_time now,
+		 struct proxy_output *out)
+{
+	struct pool_conn *c = conn_find(p, conn);
+
+	if (c->phase == PHASE_CONNECTING) {
+		connect_failed(p, error, now);
+		if (error == ERR_CONNECTION_LIMIT)
+			park_again(p, c);
+	}
+	conn_drop(p, c, ERR_NONE, now, out);
+	conns_sweep(p);
+	pool_dispatch(p, now, out);
+	conns_sweep(p);
+}
+
+static bool is_late(const struct job *j, const void *context)
+{
+	return j->order->start_by < *(const hm_time *)context;
+}
+
+/* Idle connections of a member that another instance holds go soon. */
+#define UNHOMED_IDLE (300 * HM_MS)
+
+static void check_conn(struct pool *p, struct pool_conn *c, bool homed,
+		       hm_time now, struct proxy_output *out)
+{
+	hm_time since = now - c->since;
+
+	switch (c->phase) {
+	case PHASE_CONNECTING:
+		if (since <= p->site.options->connect_limit)
+			return;
+		connect_failed(p, ERR_NO_ENDPOINT, now);
+		conn_drop(p, c, ERR_NONE, now, out);
+		return;
+	case PHASE_SETUP:
+	case PHASE_CLEARING:
+		if (since > SETUP_SILENT)
+			conn_drop(p, c, ERR_NONE, now, out);
+		return;
+	case PHASE_RUNNING:
+		if (c->job->order->deadline < now)
+			conn_drop(p, c, ERR_TIME_LIMIT, now, out);
+		return;
+	case PHASE_OPEN:
+		if (c->idle_until < now)
+			conn_clear(c, now, out);
+		return;
+	case PHASE_IDLE:
+		if (!homed && since > UNHOMED_IDLE)
+			conn_drop(p, c, ERR_NONE, now, out);
+		return;
+	case PHASE_CLOSED:
+		return;
+	}
+}
+
+void pool_tick(struct pool *p, bool homed, hm_time now,
+	       struct proxy_output *out)
+{
+	uint32_t i;
+
+	end_queued(p, is_late, &now, ERR_OVERLOADED, now);
+	for (i = 0; i < p->conn_count; i++)
+		check_conn(p, &p->conns[i], homed, now, out);
+	conns_sweep(p);
+	pool_dispatch(p, now, out);
+	conns_sweep(p);
+}
+
+static bool is_any(const struct job *j, const void *context)
+{
+	(void)j;
+	(void)context;
+	return true;
+}
+
+void pool_close(struct pool *p, hm_time now, struct proxy_output *out)
+{
+	uint32_t i;
+
+	end_queued(p, is_any, NULL, ERR_NO_ENDPOINT, now);
+	for (i = 0; i < p->conn_count; i++)
+		if (p->conns[i].phase != PHASE_CLOSED)
+			conn_drop(p, &p->conns[i], ERR_NONE, now, out);
+	conns_sweep(p);
+}
+
+void pool_load(const struct pool *p, struct pool_load *out)
+{
+	uint32_t i;
+
+	*out = (struct pool_load){ .queued = turns_count(p->turns),
+				   .running = p->running,
+				   .connections = p->conn_count };
+	for (i = 0; i < p->conn_count; i++)
+		out->transactions += p->conns[i].session.seq != 0;
+	out->wait = turns_backlog(p->turns, p->member.slots);
+}
--- /dev/null
+++ b/core/pool_conn.c
@@ -0,0 +1,433 @@
+/**
+ * @file pool_conn.c
+ * Steps on one connection. Before a statement is sent, the connection gets
+ * the values and the prepared statement of its session; a read at a primary
+ * needs an answered BEGIN, which a member that lost the lead refuses; a read
+ * at a replica names the position that the log must hold.
+ */
+#include "pool_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct pool_conn *conn_find(const struct pool *p, uint64_t number)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->conn_count; i++)
+		if (p->conns[i].number == number &&
+		    p->conns[i].phase != PHASE_CLOSED)
+			return &p->conns[i];
+	return NULL;
+}
+
+struct pool_conn *conn_of_session(const struct pool *p, struct rid session)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->conn_count; i++) {
+		struct pool_conn *c = &p->conns[i];
+
+		if (c->phase != PHASE_CLOSED && c->session.seq &&
+		    rid_equal(c->session, session))
+			return c;
+	}
+	return NULL;
+}
+
+void conn_phase(struct pool_conn *c, enum conn_phase phase, hm_time now)
+{
+	c->phase = phase;
+	c->since = now;
+}
+
+struct pool_conn *conn_open(struct pool *p, hm_id account, const char *who,
+			    hm_time now, struct proxy_output *out)
+{
+	struct proxy_action *a = proxy_action(out, PROXY_CONNECT);
+	struct pool_conn *c;
+
+	if (p->conn_count == p->conn_room) {
+		uint32_t room = p->conn_room ? p->conn_room * 2 : 16;
+
+		c = realloc(p->conns, room * sizeof(*c));
+		if (!c)
+			abort();
+		p->conns = c;
+		p->conn_room = room;
+	}
+	c = &p->conns[p->conn_count++];
+	*c = (struct pool_conn){ .number = ++*p->site.next_conn,
+				 .account = account };
+	conn_phase(c, PHASE_CONNECTING, now);
+	a->member.conn = c->number;
+	snprintf(a->member.address, sizeof(a->member.address), "%s",
+		 p->member.address);
+	snprintf(a->member.service, sizeof(a->member.service), "%s",
+		 p->member.service_name);
+	snprintf(a->member.endpoint, sizeof(a->member.endpoint), "%s",
+		 p->member.name);
+	snprintf(a->member.who, sizeof(a->member.who), "%s", who);
+	return c;
+}
+
+static struct member_command *command(struct pool_conn *c, enum expect expect,
+				      enum member_command_kind kind,
+				      struct proxy_output *out)
+{
+	struct proxy_action *a = proxy_action(out, PROXY_COMMAND);
+
+	if (c->expect_count == EXPECT_MAX)
+		abort();
+	c->expect[c->expect_count++] = expect;
+	a->member.conn = c->number;
+	a->member.command.kind = kind;
+	return &a->member.command;
+}
+
+static void forget_state(struct pool_conn *c)
+{
+	values_free(c->values, c->value_count);
+	c->values = NULL;
+	c->value_count = 0;
+	free(c->prepared);
+	c->prepared = NULL;
+	c->prepared_count = 0;
+}
+
+static const struct session_value *value_of(const struct session_value *list,
+					    uint32_t count, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(list[i].name, name))
+			return &list[i];
+	return NULL;
+}
+
+/* A value that the session never set can only be dropped with all others. */
+static bool has_foreign_value(const struct pool_conn *c,
+			      const struct run_order *o)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->value_count; i++)
+		if (!value_of(o->values, o->value_count, c->values[i].name))
+			return true;
+	return false;
+}
+
+static bool has_value(const struct pool_conn *c, const struct session_value *v)
+{
+	const struct session_value *held =
+		value_of(c->values, c->value_count, v->name);
+
+	return held && !strcmp(held->value, v->value);
+}
+
+/* Brings the values of the connection to those of the session. */
+static void apply_values(struct pool *p, struct pool_conn *c,
+			 const struct run_order *o, struct proxy_output *out)
+{
+	struct member_command *m;
+	uint32_t i;
+
+	if (p->site.options->guards_off & PROXY_GUARD_VALUES)
+		return;
+	if (has_foreign_value(c, o)) {
+		command(c, EXPECT_SETUP, MEMBER_RESET, out);
+		forget_state(c);
+	}
+	for (i = 0; i < o->value_count; i++) {
+		if (has_value(c, &o->values[i]))
+			continue;
+		m = command(c, EXPECT_SETUP, MEMBER_SET, out);
+		m->name = text_copy(o->values[i].name);
+		m->text = text_copy(o->values[i].value);
+	}
+	values_free(c->values, c->value_count);
+	c->values = values_copy(o->values, o->value_count);
+	c->value_count = o->value_count;
+}
+
+/* Sessions share prepared statements: the name tells the shape. */
+static void prepared_name(const struct run_order *o,
+			  char out[PREPARED_NAME_BYTES])
+{
+	uint64_t hash = 0xcbf29ce484222325ULL; /* FNV-1a */
+	const char *s;
+
+	for (s = o->shape; *s; s++)
+		hash = (hash ^ (uint8_t)*s) * 0x100000001b3ULL;
+	snprintf(out, PREPARED_NAME_BYTES, "%c%016llx", o->writes ? 'w' : 'r',
+		 (unsigned long long)hash);
+}
+
+static void apply_prepared(struct pool_conn *c, const struct run_order *o,
+			   struct proxy_output *out)
+{
+	char name[PREPARED_NAME_BYTES];
+	struct member_command *m;
+	uint32_t i;
+
+	prepared_name(o, name);
+	for (i = 0; i < c->prepared_count; i++)
+		if (!strcmp(c->prepared[i], name))
+			return;
+	c->prepared = realloc(c->prepared,
+			      (c->prepared_count + 1) * sizeof(*c->prepared));
+	if (!c->prepared)
+		abort();
+	memcpy(c->prepared[c->prepared_count++], name, sizeof(name));
+	m = command(c, EXPECT_SETUP, MEMBER_PREPARE, out);
+	m->op = o->writes ? STMT_WRITE : STMT_READ;
+	m->name = text_copy(name);
+	m->text = text_copy(o->shape);
+}
+
+/* An answered BEGIN proves that the member leads. */
+static void prove_lead(struct pool *p, struct pool_conn *c,
+		       struct proxy_output *out)
+{
+	if (p->site.options->guards_off & PROXY_GUARD_LEAD)
+		return;
+	command(c, EXPECT_BEGIN, MEMBER_BEGIN, out);
+	command(c, EXPECT_LEAD_END, MEMBER_ROLLBACK, out);
+}
+
+/* Position that the log must hold; false when none is known. */
+static bool find_floor(const struct pool *p, const struct run_order *o,
+		       hm_time now, struct mark *floor)
+{
+	struct mark sampled;
+
+	*floor = o->floor;
+	if (o->lead || !o->max_age)
+		return true;
+	if (p->site.options->guards_off & PROXY_GUARD_FLOOR)
+		return true;
+	if (!view_floor(p->site.view, o->max_age, now, &sampled))
+		return false;
+	if (mark_compare(sampled, *floor) > 0)
+		*floor = sampled;
+	return true;
+}
+
+static void begin(struct pool *p, struct pool_conn *c,
+		  const struct run_order *o, struct mark floor,
+		  struct proxy_output *out)
+{
+	if (o->scope == RUN_FIRST && !o->read_only) {
+		/* Refused by a member that does not lead. */
+		command(c, EXPECT_BEGIN, MEMBER_BEGIN, out);
+		return;
+	}
+	if (o->lead && o->scope != RUN_INSIDE && !o->writes)
+		prove_lead(p, c, out);
+	if (o->scope != RUN_FIRST)
+		return;
+	command(c, EXPECT_BEGIN, MEMBER_BEGIN_READ, out)->floor = floor;
+}
+
+static void send_statement(struct pool_conn *c, hm_time now,
+			   struct proxy_output *out)
+{
+	const struct run_order *o = c->job->order;
+	struct member_command *m;
+	char name[PREPARED_NAME_BYTES];
+
+	m = command(c, EXPECT_STATEMENT, MEMBER_STATEMENT, out);
+	m->op = o->op;
+	memcpy(m->request, o->request, sizeof(m->request));
+	if (o->scope == RUN_SINGLE && !o->writes && !o->lead)
+		m->floor = c->job->order->floor;
+	m->text = text_copy(o->text);
+	if (o->op == STMT_EXECUTE) {
+		prepared_name(o, name);
+		m->name = text_copy(name);
+	}
+	c->job->started_at = now;
+	conn_phase(c, PHASE_RUNNING, now);
+}
+
+static void release_job(struct pool_conn *c)
+{
+	c->job = NULL;
+	c->failed = ERR_NONE;
+	c->unsound = false;
+}
+
+void conn_clear(struct pool_conn *c, hm_time now, struct proxy_output *out)
+{
+	command(c, EXPECT_CLEARED, MEMBER_ROLLBACK, out);
+	c->session = (struct rid){ 0 };
+	c->abandoned = false;
+	conn_phase(c, PHASE_CLEARING, now);
+}
+
+/* A step of the setup failed: the statement was not sent. */
+static void give_up(struct pool *p, struct pool_conn *c, hm_time now,
+		    struct proxy_output *out)
+{
+	struct job *j = c->job;
+	enum error failed = c->failed;
+
+	release_job(c);
+	/* What the connection holds is not known any more. */
+	conn_drop(p, c, ERR_NONE, now, out);
+	job_refuse(p, j, failed, EXEC_NOT_RUN, 0, now);
+}
+
+static void setup_done(struct pool *p, struct pool_conn *c, hm_time now,
+		       struct proxy_output *out)
+{
+	struct job *j = c->job;
+	enum error failed = c->failed;
+
+	if (!failed) {
+		send_statement(c, now, out);
+		return;
+	}
+	if (c->unsound) {
+		give_up(p, c, now, out);
+		return;
+	}
+	/* A member that refuses to begin leaves the connection as it was. */
+	release_job(c);
+	if (c->session.seq)
+		conn_clear(c, now, out);
+	else
+		conn_phase(c, PHASE_IDLE, now);
+	job_refuse(p, j, failed, EXEC_NOT_RUN, 0, now);
+}
+
+void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
+		struct proxy_output *out)
+{
+	struct run_order *o = j->order;
+	struct mark floor;
+
+	c->job = j;
+	c->failed = ERR_NONE;
+	c->unsound = false;
+	if (!find_floor(p, o, now, &floor)) {
+		release_job(c);
+		conn_phase(c, PHASE_IDLE, now);
+		job_refuse(p, j, ERR_NOT_CAUGHT_UP, EXEC_NOT_RUN, 0, now);
+		return;
+	}
+	o->floor = floor;
+	if (o->scope != RUN_SINGLE)
+		c->session = o->session;
+	conn_phase(c, PHASE_SETUP, now);
+	apply_values(p, c, o, out);
+	if (o->op == STMT_EXECUTE)
+		apply_prepared(c, o, out);
+	if (o->scope != RUN_INSIDE)
+		begin(p, c, o, floor, out);
+	if (!c->expect_count)
+		send_statement(c, now, out);
+}
+
+/* Ends the job with the answer and tells what the connection is now. */
+static void statement_done(struct pool *p, struct pool_conn *c,
+			   const struct member_reply *r, hm_time now,
+			   struct proxy_output *out)
+{
+	struct job *j = c->job;
+	const struct run_order *o = j->order;
+	bool in_tx = o->scope != RUN_SINGLE;
+	enum session_state state = SESSION_IDLE;
+
+	release_job(c);
+	if (in_tx && o->op != STMT_COMMIT)
+		state = r->error ? SESSION_FAILED : SESSION_OPEN;
+	if (c->abandoned && r->state != SESSION_IDLE) {
+		conn_clear(c, now, out);
+	} else if (state == SESSION_OPEN) {
+		c->idle_until = now + o->idle_limit;
+		conn_phase(c, PHASE_OPEN, now);
+	} else if (r->state != SESSION_IDLE) {
+		conn_clear(c, now, out);
+	} else {
+		c->session = (struct rid){ 0 };
+		c->abandoned = false;
+		conn_phase(c, PHASE_IDLE, now);
+	}
+	job_answer(p, j, r, state, now);
+}
+
+static enum expect next_expected(struct pool_conn *c)
+{
+	enum expect first = c->expect[0];
+
+	c->expect_count--;
+	memmove(c->expect, c->expect + 1, c->expect_count * sizeof(first));
+	return first;
+}
+
+void conn_replied(struct pool *p, struct pool_conn *c,
+		  const struct member_reply *reply, hm_time now,
+		  struct proxy_output *out)
+{
+	if (!c->expect_count) {
+		conn_drop(p, c, ERR_INTERNAL, now, out);
+		return;
+	}
+	switch (next_expected(c)) {
+	case EXPECT_SETUP:
+		c->unsound |= reply->error != ERR_NONE;
+		/* fallthrough */
+	case EXPECT_BEGIN:
+		if (reply->error && !c->failed)
+			c->failed = reply->error;
+		break;
+	case EXPECT_LEAD_END:
+		break;
+	case EXPECT_STATEMENT:
+		statement_done(p, c, reply, now, out);
+		return;
+	case EXPECT_CLEARED:
+		if (!c->expect_count)
+			conn_phase(c, PHASE_IDLE, now);
+		return;
+	}
+	if (!c->expect_count && c->phase == PHASE_SETUP)
+		setup_done(p, c, now, out);
+}
+
+void conn_drop(struct pool *p, struct pool_conn *c, enum error error,
+	       hm_time now, struct proxy_output *out)
+{
+	struct job *j = c->job;
+	bool sent = c->phase == PHASE_RUNNING;
+	bool inside = j && j->order->scope == RUN_INSIDE;
+
+	proxy_action(out, PROXY_CLOSE_MEMBER)->member.conn = c->number;
+	release_job(c);
+	forget_state(c);
+	c->session = (struct rid){ 0 };
+	c->expect_count = 0;
+	conn_phase(c, PHASE_CLOSED, now);
+	if (!j)
+		return;
+	if (sent)
+		job_refuse(p, j,
+			   error == ERR_TIME_LIMIT ? ERR_TIME_LIMIT
+						   : ERR_OUTCOME_UNKNOWN,
+			   EXEC_UNKNOWN, 0, now);
+	else
+		job_refuse(p, j, inside ? ERR_TX_GONE : ERR_NO_ENDPOINT,
+			   EXEC_NOT_RUN, 0, now);
+}
+
+void conns_sweep(struct pool *p)
+{
+	uint32_t i = p->conn_count;
+
+	while (i-- > 0)
+		if (p->conns[i].phase == PHASE_CLOSED)
+			p->conns[i] = p->conns[--p->conn_count];
+}
--- /dev/null
+++ b/core/proxy.c
@@ -0,0 +1,526 @@
+/** @file proxy.c Events into the modules of a proxy, messages between them. */
+#include "proxy_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Callers come once the peers had a chance to be heard. */
+#define READY_AFTER (400 * HM_MS)
+/* A newer document that the store does not bring is asked of a peer. */
+#define BEHIND_WAIT (250 * HM_MS)
+/* A document that was asked for is on its way for so long. */
+#define WANT_PAUSE (100 * HM_MS)
+/* A process that stops tells so and lets others take over first. */
+#define STOP_LEAST (2500 * HM_MS)
+
+void proxy_options_default(struct proxy_options *o)
+{
+	memset(o, 0, sizeof(*o));
+	core_options_default(&o->core);
+	o->core.heartbeat_every = 200 * HM_MS;
+	o->core.peer_silent = 800 * HM_MS;
+	o->drain_limit = 5 * HM_SEC;
+	o->stop_limit = 3 * HM_SEC;
+	o->connect_limit = 1 * HM_SEC;
+	o->keeper_every = 200 * HM_MS;
+	o->status_every = 1 * HM_SEC;
+	o->keeper_silent = 400 * HM_MS;
+	o->view_every = 300 * HM_MS;
+	o->fenced = true;
+}
+
+struct proxy *proxy_new(const struct proxy_options *options, hm_time now)
+{
+	struct proxy *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return NULL;
+	p->options = *options;
+	p->rng.state = options->core.seed;
+	p->started_at = now;
+	p->stop_since = HM_NEVER;
+	p->peers = peers_new(&p->options.core, now);
+	p->rate = rate_new(&p->options.core, p->peers, now);
+	p->admit = admit_new(p->rate);
+	p->budget = budget_new(rng_next(&p->rng));
+	p->contracts = contracts_new();
+	if (!p->peers || !p->rate || !p->admit || !p->budget || !p->contracts) {
+		proxy_free(p);
+		return NULL;
+	}
+	return p;
+}
+
+void proxy_free(struct proxy *p)
+{
+	uint32_t i;
+
+	if (!p)
+		return;
+	for (i = 0; i < p->inbox_count; i++)
+		message_clear(&p->inbox[i]);
+	free(p->inbox);
+	sessions_free(p);
+	services_free(p);
+	contracts_free(p->contracts);
+	budget_free(p->budget);
+	admit_free(p->admit);
+	rate_free(p->rate);
+	peers_free(p->peers);
+	free(p);
+}
+
+bool proxy_stopping(const struct proxy *p)
+{
+	return p->stop_since != HM_NEVER;
+}
+
+static struct message *inbox_add(struct proxy *p)
+{
+	if (p->inbox_count == p->inbox_room) {
+		p->inbox_room = p->inbox_room ? p->inbox_room * 2 : 16;
+		p->inbox = realloc(p->inbox, p->inbox_room * sizeof(*p->inbox));
+		if (!p->inbox)
+			abort();
+	}
+	memset(&p->inbox[p->inbox_count], 0, sizeof(*p->inbox));
+	return &p->inbox[p->inbox_count++];
+}
+
+struct message *proxy_send(struct proxy *p, uint64_t to, enum message_kind kind,
+			   struct proxy_output *out)
+{
+	struct message *m;
+
+	if (to != p->options.core.life)
+		return actions_send(&out->peers, to, kind);
+	m = inbox_add(p);
+	m->kind = kind;
+	m->from = to;
+	return m;
+}
+
+static void take_run(struct proxy *p, const struct message *m, hm_time now,
+		     struct proxy_output *out)
+{
+	struct pool *pool = services_pool(p, m->run->endpoint, now);
+	struct run_result r = { .id = m->run->id,
+				.endpoint = m->run->endpoint,
+				.error = ERR_NO_ENDPOINT,
+				.state = SESSION_FAILED };
+
+	if (pool) {
+		pool_submit(pool, m->run, m->from, now, out);
+		return;
+	}
+	/* This instance does not know the member yet, or not any more. */
+	proxy_send(p, m->from, MSG_RAN, out)->ran = run_result_copy(&r);
+}
+
+static void take_ran(struct proxy *p, const struct message *m, hm_time now,
+		     struct proxy_output *out)
+{
+	session_result(p, m->ran, now, out);
+}
+
+static void take_release(struct proxy *p, const struct message *m, hm_time now,
+			 struct proxy_output *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->pool_count; i++)
+		if (pool_endpoint(p->pools[i]) == m->release.endpoint)
+			pool_release(p->pools[i], m->release.session, now, out);
+}
+
+static void take_want(struct proxy *p, const struct message *m, hm_time now,
+		      struct proxy_output *out)
+{
+	struct keeper *k = services_keeper(p, m->view_want.service);
+
+	if (k)
+		keeper_want(k, m->from, m->view_want.seq, now, out);
+}
+
+static void take_view(struct proxy *p, const struct message *m, hm_time now,
+		      struct proxy_output *out)
+{
+	struct service_state *v = services_view(p, m->view->service);
+	hm_id before;
+
+	if (!v)
+		return;
+	before = v->latest.primary;
+	view_take(v, m->view, now);
+	if (v->latest.primary != before)
+		proxy_log(out,
+			  "event=view primary=%016llx term=%llu from=%016llx",
+			  (unsigned long long)v->latest.primary,
+			  (unsigned long long)v->latest.term,
+			  (unsigned long long)m->from);
+}
+
+static void take_document_want(struct proxy *p, const struct message *m,
+			       hm_time now, struct proxy_output *out)
+{
+	enum document_kind kind = m->document.kind;
+	uint64_t have = 0;
+	struct proxy_action *a;
+
+	(void)now;
+	if (kind == DOCUMENT_CONFIG && p->config)
+		have = p->config->version;
+	if (kind == DOCUMENT_MEMBERS && p->members)
+		have = p->members->revision;
+	if (have <= m->document.version)
+		return;
+	a = proxy_action(out, PROXY_SHARE_DOCUMENT);
+	a->share.to = m->from;
+	a->share.kind = kind;
+}
+
+static void (*const takers[MSG_KIND_COUNT])(struct proxy *p,
+					    const struct message *m,
+					    hm_time now,
+					    struct proxy_output *out) = {
+	[MSG_RUN] = take_run,	      [MSG_RAN] = take_ran,
+	[MSG_RELEASE] = take_release, [MSG_VIEW_WANT] = take_want,
+	[MSG_VIEW] = take_view,	      [MSG_DOCUMENT_WANT] = take_document_want,
+};
+
+static void want_document(struct proxy *p, enum document_kind kind,
+			  uint64_t have, uint64_t theirs, uint64_t from,
+			  hm_time now, struct proxy_output *out)
+{
+	struct message *m;
+
+	if (theirs <= have)
+		return;
+	if (!p->behind_since[kind])
+		p->behind_since[kind] = now;
+	if (have && p->store_ok && now - p->behind_since[kind] < BEHIND_WAIT)
+		return;
+	p->behind_since[kind] = now;
+	if (now < p->want_next[kind])
+		return;
+	p->want_next[kind] = now + WANT_PAUSE;
+	m = proxy_send(p, from, MSG_DOCUMENT_WANT, out);
+	m->document.kind = kind;
+	m->document.version = have;
+	proxy_log(out, "event=document_want kind=%d have=%llu theirs=%llu",
+		  kind, (unsigned long long)have, (unsigned long long)theirs);
+}
+
+static void take_heartbeat(struct proxy *p, const struct message *m,
+			   hm_time now, struct proxy_output *out)
+{
+	want_document(p, DOCUMENT_CONFIG, p->config ? p->config->version : 0,
+		      m->heartbeat.config_version, m->from, now, out);
+	want_document(p, DOCUMENT_MEMBERS,
+		      p->members ? p->members->revision : 0,
+		      m->heartbeat.config_digest, m->from, now, out);
+}
+
+static void take_rate(struct proxy *p, const struct message *m, hm_time now,
+		      struct proxy_output *out)
+{
+	rate_message(p->rate, m, now, &out->peers);
+	sessions_admitted(p, now, out);
+	if (m->kind == MSG_GRANT)
+		sessions_over_rate(p, m->rate.account, now, out);
+}
+
+static void take_message(struct proxy *p, const struct message *m, hm_time now,
+			 struct proxy_output *out)
+{
+	if (m->from != p->options.core.life) {
+		if (peers_void(p->peers, m->from))
+			return;
+		peers_message(p->peers, m, now);
+	}
+	if (m->kind == MSG_HEARTBEAT)
+		take_heartbeat(p, m, now, out);
+	else if (m->kind == MSG_WANT || m->kind == MSG_GRANT)
+		take_rate(p, m, now, out);
+	else if (takers[m->kind])
+		takers[m->kind](p, m, now, out);
+}
+
+/* Turns finished statements and views into messages. */
+static void collect(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	struct service_view view, *copy;
+	struct run_result *r;
+	uint64_t to;
+	uint32_t i;
+
+	for (i = 0; i < p->pool_count; i++)
+		while (pool_next_result(p->pools[i], &to, &r))
+			proxy_send(p, to, MSG_RAN, out)->ran = r;
+	for (i = 0; i < p->service_count; i++)
+		while (keeper_next_view(p->keepers[i], &to, &view)) {
+			copy = malloc(sizeof(*copy));
+			if (!copy)
+				abort();
+			*copy = view;
+			proxy_send(p, to, MSG_VIEW, out)->view = copy;
+			if (!to)
+				view_take(p->views[i], &view, now);
+		}
+}
+
+/* Delivers what the modules have for one another until nothing is left. */
+static void flush(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	struct message m;
+	uint32_t done;
+
+	for (;;) {
+		collect(p, now, out);
+		if (!p->inbox_count)
+			return;
+		for (done = 0; done < p->inbox_count; done++) {
+			m = p->inbox[done]; /* the inbox may grow and move */
+			take_message(p, &m, now, out);
+			message_clear(&m);
+		}
+		p->inbox_count = 0;
+	}
+}
+
+static void send_heartbeat(struct proxy *p, bool stopped, hm_time now,
+			   struct proxy_output *out)
+{
+	struct message *m = actions_send(&out->peers, 0, MSG_HEARTBEAT);
+
+	p->heartbeat_at = now + p->options.core.heartbeat_every;
+	m->heartbeat.instance = p->options.core.instance;
+	m->heartbeat.zone = p->options.core.zone;
+	m->heartbeat.leaving = proxy_stopping(p);
+	m->heartbeat.stopped = stopped;
+	m->heartbeat.platform_ok = p->store_ok;
+	m->heartbeat.config_version = p->config ? p->config->version : 0;
+	m->heartbeat.config_digest = p->members ? p->members->revision : 0;
+}
+
+/* Transactions of instances that are gone are rolled back. */
+static void check_peers(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	uint64_t generation = peers_generation(p->peers);
+	const struct peer *peer;
+	uint32_t i, k;
+
+	if (generation == p->peers_generation)
+		return;
+	p->peers_generation = generation;
+	for (i = 0; (peer = peers_at(p->peers, i)); i++) {
+		proxy_log(out,
+			  "event=peer life=%016llx zone=%u alive=%d leaving=%d",
+			  (unsigned long long)peer->life, peer->zone,
+			  peer->alive, peer->leaving);
+		for (k = 0; !peer->alive && k < p->pool_count; k++)
+			pool_release_life(p->pools[k], peer->life, now, out);
+	}
+}
+
+static void set_ready(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	bool ready = p->config && p->members && !proxy_stopping(p) &&
+		     now - p->started_at >= READY_AFTER;
+
+	if (ready == p->ready)
+		return;
+	p->ready = ready;
+	proxy_action(out, PROXY_READY)->ready = ready;
+	proxy_log(out, "event=ready ready=%d config=%llu members=%llu", ready,
+		  (unsigned long long)(p->config ? p->config->version : 0),
+		  (unsigned long long)(p->members ? p->members->revision : 0));
+}
+
+/* Whether a session or a member still waits for this instance. */
+static bool is_busy(const struct proxy *p)
+{
+	struct pool_load load;
+	uint32_t i;
+
+	if (p->session_count)
+		return true;
+	for (i = 0; i < p->pool_count; i++) {
+		pool_load(p->pools[i], &load);
+		if (load.queued || load.running || load.transactions)
+			return true;
+	}
+	return false;
+}
+
+static void check_stop(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	hm_time since = now - p->stop_since;
+	uint32_t i;
+
+	if (!proxy_stopping(p) || p->stopped || since < STOP_LEAST ||
+	    (is_busy(p) && since < p->options.stop_limit + HM_SEC))
+		return;
+	p->stopped = true;
+	for (i = 0; i < p->service_count; i++)
+		keeper_stop(p->keepers[i], out);
+	for (i = 0; i < p->pool_count; i++)
+		pool_close(p->pools[i], now, out);
+	send_heartbeat(p, true, now, out);
+	proxy_log(out, "event=stop busy=%d", is_busy(p));
+	proxy_action(out, PROXY_STOPPED);
+}
+
+static void tick(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	peers_tick(p->peers, now);
+	rate_tick(p->rate, now, &out->peers);
+	check_peers(p, now, out);
+	services_tick(p, now, out);
+	sessions_tick(p, now, out);
+	if (now >= p->heartbeat_at)
+		send_heartbeat(p, false, now, out);
+	set_ready(p, now, out);
+	check_stop(p, now, out);
+}
+
+static void member_event(struct proxy *p, const struct proxy_event *e,
+			 hm_time now, struct proxy_output *out)
+{
+	uint64_t conn = e->member.conn;
+	uint32_t i;
+
+	for (i = 0; i < p->pool_count; i++) {
+		if (!pool_has(p->pools[i], conn))
+			continue;
+		if (e->kind == PROXY_MEMBER_READY)
+			pool_ready(p->pools[i], conn, now, out);
+		else if (e->kind == PROXY_MEMBER_REPLIED)
+			pool_replied(p->pools[i], conn, e->member.reply, now,
+				     out);
+		else
+			pool_closed(p->pools[i], conn, e->member.error, now,
+				    out);
+		return;
+	}
+	for (i = 0; i < p->service_count; i++) {
+		if (!keeper_has(p->keepers[i], conn))
+			continue;
+		if (e->kind == PROXY_MEMBER_READY)
+			keeper_ready(p->keepers[i], conn, now, out);
+		else if (e->kind == PROXY_MEMBER_REPLIED)
+			keeper_replied(p->keepers[i], conn, e->member.reply,
+				       now, out);
+		else
+			keeper_closed(p->keepers[i], conn, e->member.error, now,
+				      out);
+		return;
+	}
+}
+
+static void take_token(struct proxy *p, const struct proxy_event *e,
+		       hm_time now, struct proxy_output *out)
+{
+	struct keeper *k = services_keeper(p, e->token.service);
+
+	if (k)
+		keeper_token(k, e->token.taken ? e->token.token : 0, now, out);
+}
+
+static void take_promoted(struct proxy *p, const struct proxy_event *e,
+			  hm_time now, struct proxy_output *out)
+{
+	struct keeper *k = services_keeper(p, e->promoted.service);
+
+	if (k)
+		keeper_promoted(k, e->promoted.token, e->promoted.outcome, now,
+				out);
+}
+
+static void take_store(struct proxy *p, bool ok, hm_time now,
+		       struct proxy_output *out)
+{
+	if (ok != p->store_ok)
+		proxy_log(out, "event=store ok=%d", ok);
+	p->store_ok = ok;
+	peers_platform(p->peers, ok, now);
+}
+
+static void begin_stop(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	if (proxy_stopping(p))
+		return;
+	p->stop_since = now;
+	peers_leave(p->peers);
+	proxy_log(out, "event=stopping sessions=%u", p->session_count);
+	send_heartbeat(p, false, now, out);
+	set_ready(p, now, out);
+}
+
+void proxy_step(struct proxy *p, const struct proxy_event *e, hm_time now,
+		struct proxy_output *out)
+{
+	switch (e->kind) {
+	case PROXY_TICKED:
+		tick(p, now, out);
+		break;
+	case PROXY_CLIENT_OPENED:
+		session_opened(p, e, now, out);
+		break;
+	case PROXY_CLIENT_ASKED:
+		session_asked(p, e, now, out);
+		break;
+	case PROXY_CLIENT_CLOSED:
+		session_gone(p, e->client, now, out);
+		break;
+	case PROXY_MESSAGE:
+		take_message(p, e->message, now, out);
+		break;
+	case PROXY_MEMBER_READY:
+	case PROXY_MEMBER_REPLIED:
+	case PROXY_MEMBER_CLOSED:
+		member_event(p, e, now, out);
+		break;
+	case PROXY_CONFIG:
+		services_apply_config(p, e->config, now, out);
+		break;
+	case PROXY_MEMBERS:
+		services_apply_members(p, e->members, now, out);
+		break;
+	case PROXY_STORE:
+		take_store(p, e->store_ok, now, out);
+		break;
+	case PROXY_TOKEN:
+		take_token(p, e, now, out);
+		break;
+	case PROXY_PROMOTED:
+		take_promoted(p, e, now, out);
+		break;
+	case PROXY_STOP:
+		begin_stop(p, now, out);
+		break;
+	}
+	flush(p, now, out);
+}
+
+void proxy_figures(const struct proxy *p, struct proxy_figures *out)
+{
+	struct pool_load load;
+	uint32_t i;
+
+	*out = p->figures;
+	out->clients = p->session_count;
+	out->config_version = p->config ? p->config->version : 0;
+	out->members_revision = p->members ? p->members->revision : 0;
+	out->peers_alive = 0;
+	for (i = 0; i < peers_count(p->peers); i++)
+		out->peers_alive += peers_at(p->peers, i)->alive;
+	for (i = 0; i < p->pool_count; i++) {
+		pool_load(p->pools[i], &load);
+		out->queued += load.queued;
+		out->connections += load.connections;
+		out->transactions += load.transactions;
+	}
+	for (i = 0; i < p->service_count; i++)
+		out->promotions += keeper_promotions(p->keepers[i]);
+}
--- /dev/null
+++ b/core/proxy_output.c
@@ -0,0 +1,78 @@
+/** @file proxy_output.c The list of actions that a proxy hands out. */
+#include "proxy.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OUTPUT_ROOM_FIRST 16
+#define LOG_LINE_BYTES 512
+
+struct proxy_action *proxy_action(struct proxy_output *out,
+				  enum proxy_action_kind kind)
+{
+	struct proxy_action *a;
+
+	if (out->count == out->room) {
+		size_t room = out->room ? out->room * 2 : OUTPUT_ROOM_FIRST;
+
+		a = realloc(out->list, room * sizeof(*a));
+		if (!a)
+			abort();
+		out->list = a;
+		out->room = room;
+	}
+	a = &out->list[out->count++];
+	memset(a, 0, sizeof(*a));
+	a->kind = kind;
+	return a;
+}
+
+void proxy_log(struct proxy_output *out, const char *format, ...)
+{
+	char line[LOG_LINE_BYTES];
+	va_list args;
+
+	va_start(args, format);
+	vsnprintf(line, sizeof(line), format, args);
+	va_end(args);
+	proxy_action(out, PROXY_LOG)->line = text_copy(line);
+}
+
+static void clear_action(struct proxy_action *a)
+{
+	switch (a->kind) {
+	case PROXY_ANSWER:
+		free(a->answer.rows);
+		free(a->answer.receipt);
+		break;
+	case PROXY_COMMAND:
+		free(a->member.command.name);
+		free(a->member.command.text);
+		break;
+	case PROXY_LOG:
+		free(a->line);
+		break;
+	default:
+		break;
+	}
+}
+
+void proxy_output_clear(struct proxy_output *out)
+{
+	size_t i;
+
+	actions_clear(&out->peers);
+	for (i = 0; i < out->count; i++)
+		clear_action(&out->list[i]);
+	out->count = 0;
+}
+
+void proxy_output_free(struct proxy_output *out)
+{
+	proxy_output_clear(out);
+	actions_free(&out->peers);
+	free(out->list);
+	*out = (struct proxy_output){ 0 };
+}
--- /dev/null
+++ b/core/proxy_state.h
@@ -0,0 +1,214 @@
+/**
+ * @file proxy_state.h
+ * Inside of a proxy, shared by the modules that compose it: proxy.c (events
+ * and messages), sessions*.c (callers), place.c (choice of a member) and
+ * services.c (configuration, members, homes and keepers).
+ */
+#ifndef PROXY_STATE_H
+#define PROXY_STATE_H
+
+#include "admit.h"
+#include "budget.h"
+#include "contracts.h"
+#include "keeper.h"
+#include "peers.h"
+#include "pool.h"
+#include "proxy.h"
+#include "rate.h"
+#include "rng.h"
+#include "view.h"
+
+#define TRIED_MAX 4
+
+/** A statement that a session prepared. */
+struct prepared {
+	char *name;
+	char *shape;
+	bool writes;
+};
+
+/** What a session waits for. */
+enum pending_phase {
+	PENDING_NONE,
+	PENDING_TOKEN, /**< a token of its account's rate */
+	PENDING_RESULT /**< the home of a member */
+};
+
+/** The one request of a session that is being served. */
+struct pending {
+	enum pending_phase phase;
+	enum statement_op op;
+	struct rid id;
+	char request[REQUEST_ID_BYTES];
+	char *name;
+	char *text;
+	bool writes;	  /**< the statement may change data */
+	uint64_t home;	  /**< life that it was sent to */
+	hm_id endpoint;	  /**< member that it was sent to */
+	hm_time since;	  /**< arrival */
+	hm_time deadline; /**< no result by then: given up */
+	hm_id tried[TRIED_MAX];
+	uint32_t tried_count;
+};
+
+/** Transaction of a session. */
+struct session_tx {
+	enum session_state state;
+	bool read_only;
+	bool started; /**< a member holds it */
+	hm_id service;
+	hm_id endpoint;
+	uint64_t home;
+	struct route_spec route; /**< as it was when the transaction began */
+};
+
+/** A caller's session: one connection. */
+struct session {
+	uint64_t number; /**< of the front */
+	bool closing;
+	hm_id database;
+	bool has_key;
+	struct key_id key;
+	hm_id account;
+	struct session_value *values;
+	uint32_t value_count;
+	struct prepared *prepared;
+	uint32_t prepared_count;
+	struct session_tx tx;
+	struct pending pending;
+	hm_id floor_service; /**< service of the floor */
+	struct mark floor;   /**< its own newest commit */
+	hm_time floor_at;    /**< when that was acknowledged */
+};
+
+/** What this instance knows of the load of a member. */
+struct load {
+	hm_id endpoint;
+	uint32_t outstanding; /**< statements sent from here */
+	hm_time wait;	      /**< told by its home */
+	hm_time told_at;
+	hm_time failed_until; /**< avoided after a failure */
+	hm_time behind_until; /**< its log lacked a position */
+};
+
+struct proxy {
+	struct proxy_options options;
+	struct rng rng;
+	struct peers *peers;
+	struct rate *rate;
+	struct admit *admit;
+	struct budget *budget;
+	struct contracts *contracts;
+	struct site_config *config;
+	struct site_members *members;
+	hm_time behind_since
+		[DOCUMENT_KIND_COUNT];		/**< a peer has a newer one */
+	hm_time want_next[DOCUMENT_KIND_COUNT]; /**< asked for again then */
+	struct session **sessions;
+	uint32_t session_count;
+	uint32_t session_room;
+	struct table by_client;	 /**< index of a session by its number */
+	struct table by_request; /**< index of a session by pending.id.seq */
+	struct service_state **views;
+	struct keeper **keepers; /**< one per view */
+	uint32_t service_count;
+	struct pool **pools;
+	uint32_t pool_count;
+	struct load *loads;
+	uint32_t load_count;
+	struct message *inbox; /**< messages of this instance to itself */
+	uint32_t inbox_count;
+	uint32_t inbox_room;
+	uint64_t next_seq;
+	uint64_t next_request;
+	uint64_t next_conn;
+	hm_time started_at;
+	hm_time heartbeat_at;
+	hm_time stop_since; /**< HM_NEVER until the shutdown began */
+	bool store_ok;
+	bool ready;
+	bool stopped;
+	uint64_t peers_generation; /**< when lost peers were last looked for */
+	struct proxy_figures figures;
+};
+
+/** Queues a message to a life, this one included, or to all peers (0). */
+struct message *proxy_send(struct proxy *p, uint64_t to, enum message_kind kind,
+			   struct proxy_output *out);
+bool proxy_stopping(const struct proxy *p);
+
+/* place.c */
+
+/** What a statement needs of a member. */
+struct need {
+	hm_id service;
+	bool lead;	   /**< the primary alone will do */
+	struct mark floor; /**< its log must hold this */
+	const hm_id *tried;
+	uint32_t tried_count;
+};
+
+struct placement {
+	hm_id endpoint; /**< 0: nowhere */
+	uint64_t home;
+	bool lead;
+	const char *reason; /**< static text for the log line */
+	hm_time retry_at;   /**< when nowhere */
+};
+
+struct placement place_choose(struct proxy *p, const struct need *need,
+			      hm_time now);
+struct load *place_load(struct proxy *p, hm_id endpoint);
+/** Life that holds the connections to a member, 0 for none. */
+uint64_t place_home(const struct proxy *p, const struct site_member *m);
+
+/* sessions.c */
+struct session *session_find(const struct proxy *p, uint64_t number);
+void session_opened(struct proxy *p, const struct proxy_event *e, hm_time now,
+		    struct proxy_output *out);
+void session_asked(struct proxy *p, const struct proxy_event *e, hm_time now,
+		   struct proxy_output *out);
+void session_gone(struct proxy *p, uint64_t number, hm_time now,
+		  struct proxy_output *out);
+/** Sessions whose key or route is gone are ended. */
+void sessions_check(struct proxy *p, hm_time now, struct proxy_output *out);
+/** Lets go on who has a token of its account now. */
+void sessions_admitted(struct proxy *p, hm_time now, struct proxy_output *out);
+/** Refuses those who wait for a token when none is to be had. */
+void sessions_over_rate(struct proxy *p, hm_id account, hm_time now,
+			struct proxy_output *out);
+void sessions_tick(struct proxy *p, hm_time now, struct proxy_output *out);
+void sessions_free(struct proxy *p);
+/** A session's answer; the pending request is over. */
+void session_answer(struct proxy *p, struct session *s, enum error error,
+		    const struct run_result *result, hm_time retry_at,
+		    hm_time now, struct proxy_output *out);
+void session_end(struct proxy *p, struct session *s, enum error error,
+		 hm_time now, struct proxy_output *out);
+
+/* sessions_run.c */
+
+/** Sends the pending statement of a session to a member's home. */
+void session_run(struct proxy *p, struct session *s, hm_time now,
+		 struct proxy_output *out);
+/** MSG_RAN. */
+void session_result(struct proxy *p, const struct run_result *r, hm_time now,
+		    struct proxy_output *out);
+/** The home of a pending request is gone, or silent for too long. */
+void session_lost(struct proxy *p, struct session *s, bool home_gone,
+		  hm_time now, struct proxy_output *out);
+void session_release(struct proxy *p, struct session *s,
+		     struct proxy_output *out);
+
+/* services.c */
+void services_apply_config(struct proxy *p, struct site_config *c, hm_time now,
+			   struct proxy_output *out);
+void services_apply_members(struct proxy *p, struct site_members *m,
+			    hm_time now, struct proxy_output *out);
+struct service_state *services_view(const struct proxy *p, hm_id service);
+struct keeper *services_keeper(const struct proxy *p, hm_id service);
+struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now);
+void services_tick(struct proxy *p, hm_time now, struct proxy_output *out);
+void services_free(struct proxy *p);
+
+#endif
--- a/core/rate.c
+++ b/core/rate.c
@@ -457,6 +457,36 @@
 	draw(r, q, now, actions);
 }
 
+static bool source_dry(const struct rate *r, const struct quota *q,
+		       uint16_t zone, hm_time now)
+{
+	const struct source *s = &q->sources[zone];
+	struct rate_part part;
+	uint64_t owner;
+
+	rate_part_of(q->contract, zone, r->options->zone_count, &part);
+	owner = peers_owner(r->peers, q->account, zone, false);
+	if (!part.valid || !owner || owner == r->options->life)
+		return true;
+	return !s->seq && s->dry_until > now;
+}
+
+bool rate_dry(struct rate *r, hm_id account, hm_time now)
+{
+	struct quota *q = find(r, account);
+	uint16_t zone;
+
+	if (!q)
+		return true;
+	drop_expired(q, now);
+	if (q->held_count || (mint(r, q, now) && q->level >= TOKEN))
+		return false;
+	for (zone = 0; zone < r->options->zone_count; zone++)
+		if (!source_dry(r, q, zone, now))
+			return false;
+	return true;
+}
+
 hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t waiting,
 		      hm_time now)
 {
--- a/core/rate.h
+++ b/core/rate.h
@@ -44,6 +44,12 @@
 void rate_demand(struct rate *r, hm_id account, uint32_t waiting, hm_time now,
 		 struct actions *actions);
 
+/**
+ * Nothing is at hand and every source was asked of late and had too little:
+ * a request that comes now would wait for tokens that are not minted yet.
+ */
+bool rate_dry(struct rate *r, hm_id account, hm_time now);
+
 /**
  * Time at which the last of @a waiting requests is expected to have a token,
  * for retry advice; HM_NEVER for an account without contract.
--- /dev/null
+++ b/core/run.c
@@ -0,0 +1,98 @@
+/** @file run.c Ownership of orders, results and their texts. */
+#include "run.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void *must_alloc(size_t bytes)
+{
+	void *p = calloc(1, bytes ? bytes : 1);
+
+	if (!p)
+		abort();
+	return p;
+}
+
+char *text_copy(const char *text)
+{
+	size_t bytes;
+	char *copy;
+
+	if (!text)
+		return NULL;
+	bytes = strlen(text) + 1;
+	copy = must_alloc(bytes);
+	memcpy(copy, text, bytes);
+	return copy;
+}
+
+struct session_value *values_copy(const struct session_value *from,
+				  uint32_t count)
+{
+	struct session_value *copy;
+	uint32_t i;
+
+	if (!count)
+		return NULL;
+	copy = must_alloc(count * sizeof(*copy));
+	for (i = 0; i < count; i++) {
+		copy[i].name = text_copy(from[i].name);
+		copy[i].value = text_copy(from[i].value);
+	}
+	return copy;
+}
+
+void values_free(struct session_value *values, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		free(values[i].name);
+		free(values[i].value);
+	}
+	free(values);
+}
+
+struct run_order *run_order_copy(const struct run_order *from)
+{
+	struct run_order *copy = must_alloc(sizeof(*copy));
+
+	*copy = *from;
+	copy->text = text_copy(from->text);
+	copy->shape = text_copy(from->shape);
+	copy->values = values_copy(from->values, from->value_count);
+	return copy;
+}
+
+void run_order_free(struct run_order *o)
+{
+	if (!o)
+		return;
+	free(o->text);
+	free(o->shape);
+	values_free(o->values, o->value_count);
+	free(o);
+}
+
+struct run_result *run_result_copy(const struct run_result *from)
+{
+	struct run_result *copy = must_alloc(sizeof(*copy));
+
+	*copy = *from;
+	copy->receipt = text_copy(from->receipt);
+	copy->rows = NULL;
+	if (from->rows) {
+		copy->rows = must_alloc(from->row_bytes + 1);
+		memcpy(copy->rows, from->rows, from->row_bytes);
+	}
+	return copy;
+}
+
+void run_result_free(struct run_result *r)
+{
+	if (!r)
+		return;
+	free(r->rows);
+	free(r->receipt);
+	free(r);
+}
--- /dev/null
+++ b/core/services.c
@@ -0,0 +1,346 @@
+/**
+ * @file services.c
+ * Configuration and members in force at one instance, and what follows from
+ * them: accounts, pools of connections, views and keepers.
+ */
+#include "proxy_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The members' entries may be late after an outage of the store. */
+#define MISSING_GRACE (2500 * HM_MS)
+/* Nobody keeps a service before the peers could have been heard. */
+#define KEEP_AFTER (700 * HM_MS)
+/* A keeper that does not answer a want is asked again. */
+#define WANT_LIMIT (700 * HM_MS)
+
+static void withdraw_absent(struct proxy *p, const struct site_config *c,
+			    hm_time now)
+{
+	uint32_t i, k, count = contracts_count(p->contracts);
+	struct contract gone;
+	const char *fault;
+
+	for (i = 0; i < count; i++) {
+		gone = *contracts_at(p->contracts, i);
+		for (k = 0; k < c->account_count; k++)
+			if (c->accounts[k].account == gone.account)
+				break;
+		if (gone.withdrawn || k < c->account_count)
+			continue;
+		gone.withdrawn = true;
+		gone.version = c->version;
+		contracts_apply(p->contracts, &gone, &fault);
+		rate_contract(p->rate, &gone, now);
+	}
+}
+
+static void apply_accounts(struct proxy *p, const struct site_config *c,
+			   hm_time now, struct proxy_output *out)
+{
+	const char *fault;
+	uint32_t i;
+
+	withdraw_absent(p, c, now);
+	for (i = 0; i < c->account_count; i++) {
+		const struct contract *a = &c->accounts[i];
+
+		if (contracts_apply(p->contracts, a, &fault)) {
+			rate_contract(p->rate, a, now);
+			proxy_log(out,
+				  "event=account account=%s rate=%u burst=%u "
+				  "keys=%u version=%llu",
+				  a->name, a->rate, a->burst, a->key_count,
+				  (unsigned long long)a->version);
+		}
+		if (fault)
+			proxy_log(out,
+				  "event=account_fault account=%s fault=\"%s\"",
+				  a->name, fault);
+	}
+}
+
+struct service_state *services_view(const struct proxy *p, hm_id service)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->service_count; i++)
+		if (p->views[i]->service == service)
+			return p->views[i];
+	return NULL;
+}
+
+struct keeper *services_keeper(const struct proxy *p, hm_id service)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->service_count; i++)
+		if (p->views[i]->service == service)
+			return p->keepers[i];
+	return NULL;
+}
+
+/* Services stay known: a route to one may come back. */
+static void add_service(struct proxy *p, hm_id service, hm_time now,
+			struct proxy_output *out)
+{
+	struct keeper_site site = { &p->options, &p->next_conn };
+	uint32_t n = p->service_count;
+
+	if (services_view(p, service))
+		return;
+	p->views = realloc(p->views, (n + 1) * sizeof(void *));
+	p->keepers = realloc(p->keepers, (n + 1) * sizeof(void *));
+	if (!p->views || !p->keepers)
+		abort();
+	p->views[n] = calloc(1, sizeof(struct service_state));
+	if (!p->views[n])
+		abort();
+	p->views[n]->service = service;
+	p->keepers[n] = keeper_new(service, site);
+	p->service_count++;
+	if (p->members)
+		keeper_members(p->keepers[n], p->members, now, out);
+}
+
+static uint32_t connections_of(const struct proxy *p,
+			       const struct site_member *m)
+{
+	const struct service_spec *s = site_service(p->config, m->service);
+
+	return s ? s->connections : 0;
+}
+
+static void update_pools(struct proxy *p, hm_time now)
+{
+	const struct site_member *m;
+	uint32_t i;
+
+	for (i = 0; i < p->pool_count; i++) {
+		m = site_members_find(p->members, pool_endpoint(p->pools[i]));
+		if (m)
+			pool_member(p->pools[i], m, connections_of(p, m), now);
+	}
+}
+
+void services_apply_config(struct proxy *p, struct site_config *c, hm_time now,
+			   struct proxy_output *out)
+{
+	uint64_t old = p->config ? p->config->version : 0;
+	uint32_t i;
+
+	if (c->version <= old) {
+		site_config_free(c);
+		return;
+	}
+	site_config_free(p->config);
+	p->config = c;
+	p->behind_since[DOCUMENT_CONFIG] = 0;
+	apply_accounts(p, c, now, out);
+	for (i = 0; i < c->service_count; i++)
+		add_service(p, c->services[i].service, now, out);
+	update_pools(p, now);
+	proxy_log(out,
+		  "event=config version=%llu before=%llu routes=%u accounts=%u",
+		  (unsigned long long)c->version, (unsigned long long)old,
+		  c->route_count, c->account_count);
+	sessions_check(p, now, out);
+}
+
+/* Members whose entry is gone stay for a moment. */
+static void keep_missing(struct proxy *p, struct site_members *m, hm_time now,
+			 struct proxy_output *out)
+{
+	uint32_t i;
+
+	for (i = 0; p->members && i < p->members->count; i++) {
+		struct site_member old = p->members->list[i];
+
+		if (site_members_find(m, old.endpoint))
+			continue;
+		if (!old.missing_since) {
+			old.missing_since = now;
+			proxy_log(out, "event=member_missing member=%s",
+				  old.name);
+		}
+		m->list = realloc(m->list, (m->count + 1) * sizeof(*m->list));
+		if (!m->list)
+			abort();
+		m->list[m->count++] = old;
+	}
+}
+
+static void log_changes(const struct site_members *before,
+			const struct site_members *after,
+			struct proxy_output *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < after->count; i++) {
+		const struct site_member *m = &after->list[i];
+		const struct site_member *old =
+			site_members_find(before, m->endpoint);
+
+		if (old && old->leaving == m->leaving &&
+		    old->says_primary == m->says_primary &&
+		    old->started == m->started)
+			continue;
+		proxy_log(out,
+			  "event=member member=%s service=%s address=%s "
+			  "leaving=%d primary=%d revision=%llu",
+			  m->name, m->service_name, m->address, m->leaving,
+			  m->says_primary, (unsigned long long)after->revision);
+	}
+}
+
+static void members_changed(struct proxy *p, hm_time now,
+			    struct proxy_output *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->service_count; i++)
+		keeper_members(p->keepers[i], p->members, now, out);
+	update_pools(p, now);
+}
+
+void services_apply_members(struct proxy *p, struct site_members *m,
+			    hm_time now, struct proxy_output *out)
+{
+	if (p->members && m->revision <= p->members->revision) {
+		site_members_free(m);
+		return;
+	}
+	p->behind_since[DOCUMENT_MEMBERS] = 0;
+	keep_missing(p, m, now, out);
+	log_changes(p->members, m, out);
+	site_members_free(p->members);
+	p->members = m;
+	members_changed(p, now, out);
+}
+
+static void drop_missing(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	struct site_members *m = p->members;
+	bool changed = false;
+	uint32_t i;
+
+	for (i = m ? m->count : 0; i-- > 0;) {
+		if (!m->list[i].missing_since ||
+		    now - m->list[i].missing_since < MISSING_GRACE)
+			continue;
+		proxy_log(out, "event=member_gone member=%s", m->list[i].name);
+		m->list[i] = m->list[--m->count];
+		changed = true;
+	}
+	if (changed)
+		members_changed(p, now, out);
+}
+
+struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now)
+{
+	const struct site_member *m = site_members_find(p->members, endpoint);
+	struct pool_site site = { &p->options, NULL, &p->next_conn };
+	uint32_t i;
+
+	for (i = 0; i < p->pool_count; i++)
+		if (pool_endpoint(p->pools[i]) == endpoint)
+			return p->pools[i];
+	site.view = m ? services_view(p, m->service) : NULL;
+	if (!site.view)
+		return NULL;
+	p->pools = realloc(p->pools, (p->pool_count + 1) * sizeof(void *));
+	if (!p->pools)
+		abort();
+	p->pools[p->pool_count] = pool_new(m, connections_of(p, m), site, now);
+	return p->pools[p->pool_count++];
+}
+
+static void tick_pools(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	uint32_t i = p->pool_count;
+	struct pool_load load;
+
+	while (i-- > 0) {
+		struct pool *pool = p->pools[i];
+		const struct site_member *m =
+			site_members_find(p->members, pool_endpoint(pool));
+
+		if (m) {
+			pool_tick(pool,
+				  place_home(p, m) == p->options.core.life, now,
+				  out);
+			continue;
+		}
+		/* Results of the close are sent before the next tick. */
+		pool_load(pool, &load);
+		if (load.connections || load.queued || load.running) {
+			pool_close(pool, now, out);
+			continue;
+		}
+		pool_free(pool);
+		p->pools[i] = p->pools[--p->pool_count];
+	}
+}
+
+/* Keepers are spread over zones, so that no zone keeps all services. */
+static uint64_t keeper_of(const struct proxy *p, hm_id service)
+{
+	uint16_t zones = p->options.core.zone_count;
+
+	return peers_owner(p->peers, service,
+			   (uint16_t)(service % (zones ? zones : 1)), true);
+}
+
+static void tick_service(struct proxy *p, uint32_t i, hm_time now,
+			 struct proxy_output *out)
+{
+	struct service_state *v = p->views[i];
+	struct keeper *k = p->keepers[i];
+	uint64_t owner = keeper_of(p, v->service);
+	struct message *m;
+
+	if (now - p->started_at < KEEP_AFTER)
+		return;
+	if (owner == p->options.core.life && p->members && p->members->count)
+		keeper_start(k, now, out);
+	else
+		keeper_stop(k, out);
+	keeper_tick(k, now, out);
+	if (now - v->asked_at <
+	    (v->waiting ? WANT_LIMIT : p->options.view_every))
+		return;
+	v->asked_at = now;
+	v->waiting = true;
+	m = proxy_send(p, owner, MSG_VIEW_WANT, out);
+	m->view_want.service = v->service;
+	m->view_want.seq = ++v->seq;
+}
+
+void services_tick(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	uint32_t i;
+
+	drop_missing(p, now, out);
+	tick_pools(p, now, out);
+	for (i = 0; i < p->service_count; i++)
+		tick_service(p, i, now, out);
+}
+
+void services_free(struct proxy *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->pool_count; i++)
+		pool_free(p->pools[i]);
+	for (i = 0; i < p->service_count; i++) {
+		keeper_free(p->keepers[i]);
+		free(p->views[i]);
+	}
+	free(p->pools);
+	free(p->keepers);
+	free(p->views);
+	free(p->loads);
+	site_config_free(p->config);
+	site_members_free(p->members);
+}
--- /dev/null
+++ b/core/site_config.c
@@ -0,0 +1,61 @@
+/** @file site_config.c Configuration of an installation and its members. */
+#include "site_config.h"
+
+#include <stdlib.h>
+
+void site_config_free(struct site_config *c)
+{
+	if (!c)
+		return;
+	table_free(&c->by_database);
+	free(c->routes);
+	free(c->services);
+	free(c->accounts);
+	free(c);
+}
+
+void site_config_index(struct site_config *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->route_count; i++)
+		if (!table_put(&c->by_database, c->routes[i].database, i))
+			abort();
+}
+
+const struct route_spec *site_route(const struct site_config *c, hm_id database)
+{
+	uint32_t h = c ? table_get(&c->by_database, database) : TABLE_NONE;
+
+	return h == TABLE_NONE ? NULL : &c->routes[h];
+}
+
+const struct service_spec *site_service(const struct site_config *c,
+					hm_id service)
+{
+	uint32_t i;
+
+	for (i = 0; c && i < c->service_count; i++)
+		if (c->services[i].service == service)
+			return &c->services[i];
+	return NULL;
+}
+
+void site_members_free(struct site_members *m)
+{
+	if (!m)
+		return;
+	free(m->list);
+	free(m);
+}
+
+const struct site_member *site_members_find(const struct site_members *m,
+					    hm_id endpoint)
+{
+	uint32_t i;
+
+	for (i = 0; m && i < m->count; i++)
+		if (m->list[i].endpoint == endpoint)
+			return &m->list[i];
+	return NULL;
+}
--- a/src/trace_values.c
+++ b/src/trace_values.c
@@ -19,9 +19,10 @@
 static const char *const control_ops[] = { "probe",  "fence", "promote",
 					   "follow", "home",  "fresh" };
 static const char *const message_kinds[] = {
-	"heartbeat", "statement",     "result",	 "abandon",
-	"control",   "state",	      "want",	 "grant",
-	"contract",  "contract_want", "database"
+	"heartbeat", "statement",     "result",	 "abandon",  "control",
+	"state",     "want",	      "grant",	 "contract", "contract_want",
+	"database",  "run",	      "ran",	 "release",  "view_want",
+	"view",	     "document_want", "document"
 };
 
 G_STATIC_ASSERT(G_N_ELEMENTS(message_kinds) == MSG_KIND_COUNT);
@@ -295,6 +296,14 @@
 	case MSG_DATABASE:
 		trace_database(c, "database", v->database);
 		break;
+	case MSG_RUN:
+	case MSG_RAN:
+	case MSG_RELEASE:
+	case MSG_VIEW_WANT:
+	case MSG_VIEW:
+	case MSG_DOCUMENT_WANT:
+	case MSG_DOCUMENT:
+		break; /* between proxies, which record no trace */
 	case MSG_KIND_COUNT:
 		break;
 	}
--- a/src/wire.c
+++ b/src/wire.c
@@ -1,249 +1,16 @@
-/**
- * @file wire.c
- * Codec of peer messages. One description of each message serves both
- * directions: a table of functions either packs a field or unpacks it.
- */
+/** @file wire.c Codec of peer messages, field by field. */
 #include "wire.h"
 
-#include <msgpack.h>
 #include <string.h>
 
+#include "wire_codec.h"
+#include "wire_run.h"
+
 /* Results wait in the bodies for this long to be answered. */
 #define RESULT_BODY_KEEP (10 * HM_SEC)
 #define STATEMENT_BODY_KEEP (2 * HM_SEC)
 
-/* First bytes of the msgpack items in use. */
-#define FIXINT_LAST 0x7f
-#define FIXSTR_FIRST 0xa0
-#define FIXSTR_LAST 0xbf
-#define BIN_FIRST 0xc4
-#define BIN_LAST 0xc6
-#define UINT_FIRST 0xcc
-#define UINT_LAST 0xcf
-#define STR_FIRST 0xd9
-#define STR_LAST 0xdb
-
-struct codec;
-
-struct codec_table {
-	void (*number)(struct codec *c, uint64_t *v);
-	void (*text)(struct codec *c, char *text, size_t bytes);
-	void (*body)(struct codec *c, uint64_t *id, hm_time until);
-};
-
-struct codec {
-	const struct codec_table *table;
-	hm_time now;
-	bool failed;
-	/* writing */
-	msgpack_packer packer;
-	const struct bodies *held;
-	bool body_missing;
-	/* reading */
-	const char *data;
-	size_t bytes;
-	size_t offset;
-	msgpack_unpacked item;
-	struct bodies *bodies;
-	uint64_t stored; /* body to drop when the message is malformed */
-};
-
-static void write_number(struct codec *c, uint64_t *v)
-{
-	msgpack_pack_uint64(&c->packer, *v);
-}
-
-static void write_text(struct codec *c, char *text, size_t bytes)
-{
-	size_t used = strnlen(text, bytes - 1);
-
-	msgpack_pack_str(&c->packer, used);
-	msgpack_pack_str_body(&c->packer, text, used);
-}
-
-static void write_body(struct codec *c, uint64_t *id, hm_time until)
-{
-	GBytes *bytes = *id ? bodies_get(c->held, *id) : NULL;
-	size_t size = 0;
-	const void *data = bytes ? g_bytes_get_data(bytes, &size) : "";
-
-	(void)until;
-	c->body_missing = *id && !bytes;
-	msgpack_pack_bin(&c->packer, size);
-	msgpack_pack_bin_body(&c->packer, data, size);
-}
-
-static const struct codec_table writer = { write_number, write_text,
-					   write_body };
-
-/*
- * Containers are never used, and one with a false count would make the
- * library ask for that much memory: only plain items are let through to it.
- */
-static bool is_plain(const struct codec *c)
-{
-	uint8_t first;
-
-	if (c->offset >= c->bytes)
-		return false;
-	first = (uint8_t)c->data[c->offset];
-	return first <= FIXINT_LAST ||
-	       (first >= FIXSTR_FIRST && first <= FIXSTR_LAST) ||
-	       (first >= BIN_FIRST && first <= BIN_LAST) ||
-	       (first >= UINT_FIRST && first <= UINT_LAST) ||
-	       (first >= STR_FIRST && first <= STR_LAST);
-}
-
-/* Next item of @a type; NULL and failed when there is none. */
-static const msgpack_object *read_item(struct codec *c,
-				       msgpack_object_type type)
-{
-	msgpack_unpack_return got;
-
-	if (c->failed || !is_plain(c)) {
-		c->failed = true;
-		return NULL;
-	}
-	got = msgpack_unpack_next(&c->item, c->data, c->bytes, &c->offset);
-	if (got != MSGPACK_UNPACK_SUCCESS || c->item.data.type != type) {
-		c->failed = true;
-		return NULL;
-	}
-	return &c->item.data;
-}
-
-static void read_number(struct codec *c, uint64_t *v)
-{
-	const msgpack_object *o;
-
-	o = read_item(c, MSGPACK_OBJECT_POSITIVE_INTEGER);
-	*v = o ? o->via.u64 : 0;
-}
-
-static void read_text(struct codec *c, char *text, size_t bytes)
-{
-	const msgpack_object *o = read_item(c, MSGPACK_OBJECT_STR);
-
-	memset(text, 0, bytes);
-	if (!o)
-		return;
-	if (o->via.str.size >= bytes) {
-		c->failed = true;
-		return;
-	}
-	if (o->via.str.size)
-		memcpy(text, o->via.str.ptr, o->via.str.size);
-}
-
-static void read_body(struct codec *c, uint64_t *id, hm_time until)
-{
-	const msgpack_object *o = read_item(c, MSGPACK_OBJECT_BIN);
-	GBytes *bytes;
-
-	*id = 0;
-	if (!o || !o->via.bin.size)
-		return;
-	bytes = g_bytes_new(o->via.bin.ptr, o->via.bin.size);
-	*id = bodies_put(c->bodies, bytes, until);
-	c->stored = *id;
-	g_bytes_unref(bytes);
-}
-
-static const struct codec_table reader = { read_number, read_text, read_body };
-
-static void code_u64(struct codec *c, uint64_t *v)
-{
-	c->table->number(c, v);
-}
-
-static void code_u32(struct codec *c, uint32_t *v)
-{
-	uint64_t n = *v;
-
-	code_u64(c, &n);
-	if (n > UINT32_MAX)
-		c->failed = true;
-	*v = (uint32_t)n;
-}
-
-static void code_count(struct codec *c, uint32_t *v, uint32_t limit)
-{
-	code_u32(c, v);
-	if (*v <= limit)
-		return;
-	c->failed = true;
-	*v = 0;
-}
-
-static void code_u16(struct codec *c, uint16_t *v)
-{
-	uint32_t n = *v;
-
-	code_count(c, &n, UINT16_MAX);
-	*v = (uint16_t)n;
-}
-
-static void code_bool(struct codec *c, bool *v)
-{
-	uint32_t n = *v;
-
-	code_count(c, &n, 1);
-	*v = n;
-}
-
-/* A value of an enum below @a limit. */
-#define CODE_ENUM(c, field, limit)                           \
-	do {                                                 \
-		uint32_t value_ = (uint32_t)(field);         \
-		code_count(c, &value_, (uint32_t)(limit)-1); \
-		(field) = value_;                            \
-	} while (0)
-
-/* A duration, kept as it is. */
-static void code_span(struct codec *c, hm_time *v)
-{
-	uint64_t n = (uint64_t)*v;
-
-	code_u64(c, &n);
-	*v = (hm_time)n;
-}
-
-/* A deadline: remaining time on the wire; 0 and HM_NEVER stay. */
-static void code_deadline(struct codec *c, hm_time *v)
-{
-	bool writing = c->table == &writer;
-	bool plain = !*v || *v == HM_NEVER;
-	hm_time left = plain ? *v : *v - c->now;
-
-	if (writing && !plain && left < 1)
-		left = 1;
-	code_span(c, &left);
-	if (writing)
-		return;
-	if (left < 0)
-		c->failed = true;
-	*v = left && left < HM_NEVER - c->now ? left + c->now : left;
-}
-
-static void code_rid(struct codec *c, struct rid *id)
-{
-	code_u64(c, &id->life);
-	code_u64(c, &id->seq);
-}
-
-static void code_mark(struct codec *c, struct mark *m)
-{
-	code_u64(c, &m->term);
-	code_u64(c, &m->pos);
-}
-
-static void code_tx(struct codec *c, struct tx_id *tx)
-{
-	code_rid(c, &tx->id);
-	code_u64(c, &tx->endpoint);
-}
-
-static void code_heartbeat(struct codec *c, struct heartbeat *h)
+static void code_heartbeat(struct wire_codec *c, struct heartbeat *h)
 {
 	code_u64(c, &h->instance);
 	code_u16(c, &h->zone);
@@ -255,7 +22,7 @@
 	code_u64(c, &h->echo);
 }
 
-static void code_statement(struct codec *c, struct statement *s)
+static void code_statement(struct wire_codec *c, struct statement *s)
 {
 	code_rid(c, &s->id);
 	code_u32(c, &s->attempt);
@@ -274,7 +41,7 @@
 	c->table->body(c, &s->body, s->deadline + STATEMENT_BODY_KEEP);
 }
 
-static void code_order(struct codec *c, struct statement_order *o)
+static void code_order(struct wire_codec *c, struct statement_order *o)
 {
 	code_u64(c, &o->endpoint);
 	code_u64(c, &o->term);
@@ -283,7 +50,7 @@
 	code_statement(c, &o->statement);
 }
 
-static void code_result(struct codec *c, struct result *r)
+static void code_result(struct wire_codec *c, struct result *r)
 {
 	code_rid(c, &r->id);
 	CODE_ENUM(c, r->error, ERR_COUNT);
@@ -300,7 +67,7 @@
 	c->table->body(c, &r->body, c->now + RESULT_BODY_KEEP);
 }
 
-static void code_control(struct codec *c, struct control *s)
+static void code_control(struct wire_codec *c, struct control *s)
 {
 	code_rid(c, &s->nonce);
 	CODE_ENUM(c, s->op, CONTROL_FRESH + 1);
@@ -312,7 +79,7 @@
 	code_u64(c, &s->target);
 }
 
-static void code_lineage(struct codec *c, struct lineage *l)
+static void code_lineage(struct wire_codec *c, struct lineage *l)
 {
 	uint32_t i;
 
@@ -321,7 +88,7 @@
 		code_mark(c, &l->begin[i]);
 }
 
-static void code_report(struct codec *c, struct state_report *r)
+static void code_report(struct wire_codec *c, struct state_report *r)
 {
 	struct endpoint_state *s = &r->state;
 
@@ -343,7 +110,7 @@
 	code_span(c, &r->age);
 }
 
-static void code_rate(struct codec *c, struct rate_order *r)
+static void code_rate(struct wire_codec *c, struct rate_order *r)
 {
 	code_rid(c, &r->nonce);
 	code_u64(c, &r->account);
@@ -352,7 +119,7 @@
 	code_u64(c, &r->contract_version);
 }
 
-static void code_contract(struct codec *c, struct contract *k)
+static void code_contract(struct wire_codec *c, struct contract *k)
 {
 	uint32_t i;
 
@@ -380,7 +147,7 @@
 	}
 }
 
-static void code_endpoint(struct codec *c, struct endpoint_spec *e)
+static void code_endpoint(struct wire_codec *c, struct endpoint_spec *e)
 {
 	code_u64(c, &e->endpoint);
 	c->table->text(c, e->name, sizeof(e->name));
@@ -391,7 +158,7 @@
 	code_u32(c, &e->connections);
 }
 
-static void code_database(struct codec *c, struct database_spec *d)
+static void code_database(struct wire_codec *c, struct database_spec *d)
 {
 	uint32_t i;
 
@@ -403,7 +170,7 @@
 		code_endpoint(c, &d->endpoints[i]);
 }
 
-static void code_message(struct codec *c, struct message *m)
+static void code_message(struct wire_codec *c, struct message *m)
 {
 	uint32_t version = WIRE_VERSION;
 
@@ -451,6 +218,27 @@
 			m->database = g_new0(struct database_spec, 1);
 		code_database(c, m->database);
 		break;
+	case MSG_RUN:
+		wire_run(c, &m->run);
+		break;
+	case MSG_RAN:
+		wire_ran(c, &m->ran);
+		break;
+	case MSG_RELEASE:
+		code_rid(c, &m->release.session);
+		code_u64(c, &m->release.endpoint);
+		break;
+	case MSG_VIEW_WANT:
+		code_u64(c, &m->view_want.service);
+		code_u64(c, &m->view_want.seq);
+		break;
+	case MSG_VIEW:
+		wire_view(c, &m->view);
+		break;
+	case MSG_DOCUMENT_WANT:
+	case MSG_DOCUMENT:
+		wire_document(c, &m->document);
+		break;
 	case MSG_KIND_COUNT:
 		break;
 	}
@@ -459,7 +247,9 @@
 static GBytes *pack(const struct message *m, const struct bodies *bodies,
 		    hm_time now, bool *body_missing)
 {
-	struct codec c = { .table = &writer, .held = bodies, .now = now };
+	struct wire_codec c = { .table = &wire_writer,
+				.held = bodies,
+				.now = now };
 	struct message copy = *m;
 	msgpack_sbuffer buffer;
 	GBytes *bytes;
@@ -494,11 +284,11 @@
 bool wire_read(const void *data, size_t bytes, struct message *m,
 	       struct bodies *bodies, hm_time now)
 {
-	struct codec c = { .table = &reader,
-			   .now = now,
-			   .data = data,
-			   .bytes = bytes,
-			   .bodies = bodies };
+	struct wire_codec c = { .table = &wire_reader,
+				.now = now,
+				.data = data,
+				.bytes = bytes,
+				.bodies = bodies };
 
 	memset(m, 0, sizeof(*m));
 	if (bytes > WIRE_BYTES_MAX)
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -5,6 +5,7 @@
  */
 #include <check.h>
 #include <glib.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -82,6 +83,63 @@
 	m->database = d;
 }
 
+static void fill_run(struct message *m)
+{
+	struct run_order *o = calloc(1, sizeof(*o));
+
+	o->id.seq = 3;
+	o->session.seq = 4;
+	o->endpoint = 77;
+	g_strlcpy(o->who, "library-unit", sizeof(o->who));
+	o->weight = 1;
+	o->op = STMT_EXECUTE;
+	o->scope = RUN_INSIDE;
+	o->writes = true;
+	o->floor.term = 3;
+	o->floor.pos = 1207;
+	o->start_by = NOW + HM_SEC;
+	o->deadline = NOW + 3 * HM_SEC;
+	g_strlcpy(o->request, "5c0e7a21", sizeof(o->request));
+	o->text = text_copy("1a4 a value with blanks");
+	o->shape = text_copy("q2c");
+	o->values = calloc(1, sizeof(*o->values));
+	o->values[0].name = text_copy("tz");
+	o->values[0].value = text_copy("");
+	o->value_count = 1;
+	m->run = o;
+}
+
+static void fill_ran(struct message *m)
+{
+	struct run_result *r = calloc(1, sizeof(*r));
+
+	r->id.seq = 3;
+	r->endpoint = 77;
+	r->state = SESSION_OPEN;
+	r->at.term = 3;
+	r->at.pos = 1209;
+	r->wait = 40;
+	r->rows = text_copy("one\ntwo\n");
+	r->row_bytes = 8;
+	r->receipt = text_copy("7.1f3");
+	m->ran = r;
+}
+
+static void fill_view(struct message *m)
+{
+	struct service_view *v = calloc(1, sizeof(*v));
+
+	v->service = 6;
+	v->seq = 12;
+	v->sample.term = 2;
+	v->sample.pos = 99;
+	v->count = 2;
+	v->members[1].endpoint = 77;
+	v->members[1].up = true;
+	v->members[1].held = 9;
+	m->view = v;
+}
+
 static void fill(struct message *m, enum message_kind kind,
 		 struct bodies *bodies)
 {
@@ -110,6 +168,16 @@
 		m->heartbeat.zone = 3;
 		m->heartbeat.leaving = true;
 		m->heartbeat.echo = 55;
+	} else if (kind == MSG_RUN) {
+		fill_run(m);
+	} else if (kind == MSG_RAN) {
+		fill_ran(m);
+	} else if (kind == MSG_VIEW) {
+		fill_view(m);
+	} else if (kind == MSG_DOCUMENT) {
+		m->document.version = 8;
+		m->document.data = text_copy("{\"Version\":8}");
+		m->document.bytes = 13;
 	}
 }
 
@@ -131,6 +199,26 @@
 			 m, bodies, now);
 }
 
+static void assert_same_run(const struct run_order *a,
+			    const struct run_order *b)
+{
+	ck_assert_mem_eq(a, b, offsetof(struct run_order, text));
+	ck_assert_str_eq(a->text, b->text);
+	ck_assert_str_eq(a->shape, b->shape);
+	ck_assert_uint_eq(b->value_count, 1);
+	ck_assert_str_eq(b->values[0].name, "tz");
+	ck_assert_str_eq(b->values[0].value, "");
+}
+
+static void assert_same_ran(const struct run_result *a,
+			    const struct run_result *b)
+{
+	ck_assert_mem_eq(a, b, offsetof(struct run_result, rows));
+	ck_assert_uint_eq(b->row_bytes, 8);
+	ck_assert_mem_eq(a->rows, b->rows, 8);
+	ck_assert_str_eq(a->receipt, b->receipt);
+}
+
 START_TEST(comes_back)
 {
 	enum message_kind kind = (enum message_kind)_i;
@@ -146,6 +234,15 @@
 	} else if (kind == MSG_DATABASE) {
 		ck_assert_mem_eq(sent.database, got.database,
 				 sizeof(*got.database));
+	} else if (kind == MSG_RUN) {
+		assert_same_run(sent.run, got.run);
+	} else if (kind == MSG_RAN) {
+		assert_same_ran(sent.ran, got.ran);
+	} else if (kind == MSG_VIEW) {
+		ck_assert_mem_eq(sent.view, got.view, sizeof(*got.view));
+	} else if (kind == MSG_DOCUMENT) {
+		ck_assert_uint_eq(got.document.version, 8);
+		ck_assert_str_eq(got.document.data, sent.document.data);
 	} else {
 		if (kind == MSG_STATEMENT) {
 			GBytes *body = bodies_get(bodies,
