Adapter for the users' platform, and the proxy command around it

platform/ holds names, formats and calls: the line protocol, the store's objects and the promote call. src/ gets the tasks: callers' sessions, links to members, the store's feed, duties, health and metrics.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 LIBS = $(shell pkg-config --libs $(MODULES)) -lm -pthread
 CHECK_LIBS = $(shell pkg-config --libs check)
 
-SOURCES = $(wildcard core/*.c src/*.c standin/*.c)
+SOURCES = $(wildcard core/*.c src/*.c platform/*.c standin/*.c)
 OBJECTS = $(SOURCES:%.c=$(BUILD)/%.o)
 LIBRARY = $(BUILD)/libhyssopmount.a
 BINARY = $(BUILD)/hyssopmount
@@ -32,7 +32,8 @@
 	$(filter-out tests/test_%,$(wildcard tests/*.c)))
 TEST_SOURCES = $(wildcard tests/test_*.c)
 TESTS = $(TEST_SOURCES:%.c=$(BUILD)/%)
-FORMATTED = $(wildcard core/*.[ch] src/*.[ch] standin/*.[ch] tests/*.[ch])
+FORMATTED = $(wildcard core/*.[ch] src/*.[ch] platform/*.[ch] standin/*.[ch] \
+	tests/*.[ch])
 
 all: $(BINARY)
 	@ln -sf $(BINARY) hyssopmount
@@ -52,6 +53,11 @@
 	$(CC) $(CFLAGS_ALL) -o $@ $< $(TEST_SUPPORT) $(LIBRARY) \
 		$(CHECK_LIBS) $(LIBS)
 
+# The program as the users' platform builds it: everything lies in target/.
+deploy:
+	@$(MAKE) --no-print-directory -s BUILD=target \
+		target/hyssopmount
+
 .PRECIOUS: $(BUILD)/tests/%.o
 
 packages:
@@ -98,4 +104,4 @@
 
 -include $(OBJECTS:.o=.d) $(wildcard $(BUILD)/tests/*.d)
 
-.PHONY: all packages run demo traces tests check check-run lint format clean
+.PHONY: all deploy packages run demo traces tests check check-run lint format clean
--- /dev/null
+++ b/src/duty.c
@@ -0,0 +1,180 @@
+/** @file duty.c Fencing tokens and promote calls. */
+#include "duty.h"
+
+#include <string.h>
+
+#include "log.h"
+#include "names.h"
+
+#define THREADS_MOST 3
+#define RETRY_PAUSE (30 * HM_MS)
+
+struct duty {
+	struct loop *loop;
+	struct duty_options options;
+	struct proxy_sink sink;
+	GThreadPool *threads;
+	bool stopping;
+};
+
+/* One action on its way through a thread and back. */
+struct errand {
+	struct duty *duty;
+	enum proxy_action_kind kind;
+	hm_id service;
+	char service_name[NAME_BYTES];
+	char endpoint[NAME_BYTES];
+	uint64_t token;
+	bool taken;
+	enum promote_outcome outcome;
+};
+
+static void on_done(void *arg)
+{
+	struct errand *e = arg;
+	struct proxy_event event = { 0 };
+
+	if (e->kind == PROXY_TAKE_TOKEN) {
+		event.kind = PROXY_TOKEN;
+		event.token.service = e->service;
+		event.token.taken = e->taken;
+		event.token.token = e->token;
+	} else {
+		event.kind = PROXY_PROMOTED;
+		event.promoted.service = e->service;
+		event.promoted.token = e->token;
+		event.promoted.outcome = e->outcome;
+	}
+	if (!e->duty->stopping)
+		proxy_sink_event(&e->duty->sink, &event);
+	g_free(e);
+}
+
+static uint64_t token_of(const struct store_object *o)
+{
+	return (uint64_t)json_integer_value(json_object_get(o->value, "token"));
+}
+
+static bool is_mine(const struct store_object *o, uint64_t nonce)
+{
+	char text[24];
+	const char *held =
+		json_string_value(json_object_get(o->value, "nonce"));
+
+	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", nonce);
+	return held && !strcmp(held, text);
+}
+
+static json_t *token_value(const struct duty *d, uint64_t token, uint64_t nonce)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", nonce);
+	return json_pack("{s:s, s:I, s:s}", "holder", d->options.instance,
+			 "token", (json_int_t)token, "nonce", text);
+}
+
+/*
+ * One round: reads the newest token and writes the next one on condition that
+ * it still is. A write whose answer was lost is found by its nonce.
+ */
+static bool take_once(struct duty *d, struct http_client *http,
+		      const char *name, uint64_t nonce, hm_time until,
+		      uint64_t *token)
+{
+	const struct site_api *api = d->options.api;
+	enum store_outcome outcome;
+	struct store_object held;
+	json_t *value;
+
+	outcome = api->read(http, STORE_DUTIES, name, until, &held);
+	if (outcome != STORE_OK && outcome != STORE_MISSING)
+		return false;
+	*token = token_of(&held);
+	if (is_mine(&held, nonce)) {
+		store_object_clear(&held);
+		return true;
+	}
+	(*token)++;
+	value = token_value(d, *token, nonce);
+	outcome = api->write(http, STORE_DUTIES, name, held.revision, value,
+			     until);
+	json_decref(value);
+	store_object_clear(&held);
+	return outcome == STORE_OK;
+}
+
+static void take_token(struct errand *e)
+{
+	struct duty *d = e->duty;
+	struct http_client *http = http_client_new(d->options.store);
+	hm_time until = loop_now() + d->options.token_limit;
+	uint64_t nonce = random_id();
+
+	while (!e->taken && loop_now() < until && !d->stopping) {
+		e->taken = take_once(
+			d, http, e->service_name, nonce,
+			MIN(until, loop_now() + d->options.call_limit),
+			&e->token);
+		if (!e->taken)
+			g_usleep((gulong)RETRY_PAUSE);
+	}
+	http_client_free(http);
+}
+
+static void promote(struct errand *e)
+{
+	struct duty *d = e->duty;
+	struct http_client *http = http_client_new(d->options.calls);
+
+	e->outcome = d->options.api->promote(
+		http, d->options.instance, e->service_name, e->endpoint,
+		e->token, loop_now() + d->options.call_limit);
+	http_client_free(http);
+}
+
+static void run(gpointer data, gpointer unused)
+{
+	struct errand *e = data;
+
+	(void)unused;
+	if (e->kind == PROXY_TAKE_TOKEN)
+		take_token(e);
+	else
+		promote(e);
+	loop_post(e->duty->loop, on_done, e);
+}
+
+struct duty *duty_new(struct loop *loop, const struct duty_options *options,
+		      struct proxy_sink sink)
+{
+	struct duty *d = g_new0(struct duty, 1);
+
+	d->loop = loop;
+	d->options = *options;
+	d->sink = sink;
+	d->threads = g_thread_pool_new(run, d, THREADS_MOST, FALSE, NULL);
+	return d;
+}
+
+void duty_free(struct duty *d)
+{
+	if (!d)
+		return;
+	d->stopping = true;
+	g_thread_pool_free(d->threads, TRUE, TRUE);
+	g_free(d);
+}
+
+void duty_perform(struct duty *d, const struct proxy_action *a)
+{
+	struct errand *e = g_new0(struct errand, 1);
+
+	e->duty = d;
+	e->kind = a->kind;
+	e->service = a->duty.id;
+	e->token = a->duty.token;
+	g_strlcpy(e->service_name, a->duty.service, sizeof(e->service_name));
+	g_strlcpy(e->endpoint, a->duty.endpoint, sizeof(e->endpoint));
+	g_thread_pool_push(d->threads, e, NULL);
+}
--- /dev/null
+++ b/src/health_http.h
@@ -0,0 +1,30 @@
+/** @file health_http.h Answers health checks and requests for metrics. */
+#ifndef HEALTH_HTTP_H
+#define HEALTH_HTTP_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "loop.h"
+
+struct health_http;
+
+/** What is served where; an empty address serves nothing. */
+struct health_options {
+	const char *health_address;
+	const char *health_path;
+	const char *metrics_address;
+	const char *metrics_path;
+	/** Appends the metrics as text. */
+	void (*metrics)(void *owner, GString *out);
+	void *owner;
+};
+
+/** NULL with errno set when an address is not free. */
+struct health_http *health_http_new(struct loop *loop,
+				    const struct health_options *options);
+void health_http_free(struct health_http *h);
+/** Health checks get 200 when ready, else 503. */
+void health_http_ready(struct health_http *h, bool ready);
+
+#endif
--- /dev/null
+++ b/src/line_conn.c
@@ -0,0 +1,243 @@
+/** @file line_conn.c Lines over h2o sockets. */
+#include "line_conn.h"
+
+#include <h2o.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#include "loop.h"
+
+/* The other side takes what it was sent within this, or is cut off. */
+#define FINISH_LIMIT (2 * HM_SEC)
+/* Bytes that were sent and not acknowledged for so long end a connection. */
+#define USER_TIMEOUT_MS 2000
+/* A silent connection is probed, so that a dark machine shows. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_EVERY_S 1
+#define KEEPALIVE_PROBES 2
+
+struct line_conn {
+	h2o_socket_t *socket;
+	size_t limit;
+	const struct line_handler *handler;
+	void *arg;
+	GString *out;	  /* to be sent */
+	GString *sending; /* owned by h2o until its write is done */
+	size_t scanned;	  /* bytes of the input without a line end */
+	bool writing;
+	bool held;
+	bool reading;
+	bool finishing;
+	bool busy; /* inside of the handler */
+	bool dead; /* closed inside of the handler */
+	struct timer *finish_timer;
+};
+
+static void set_option(int fd, int level, int name, int value)
+{
+	/* Without the option a dark peer is noticed later, no more. */
+	(void)setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+static void set_options(int fd)
+{
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_EVERY_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+}
+
+static void destroy(struct line_conn *c)
+{
+	timer_free(c->finish_timer);
+	g_string_free(c->out, TRUE);
+	g_string_free(c->sending, TRUE);
+	g_free(c);
+}
+
+static void on_socket_closed(void *data)
+{
+	destroy(data);
+}
+
+void line_conn_close(struct line_conn *c)
+{
+	if (c->busy) {
+		c->dead = true;
+		return;
+	}
+	c->handler = NULL;
+	/* A write in flight refers to the buffers until the socket is gone. */
+	c->socket->on_close.cb = on_socket_closed;
+	c->socket->on_close.data = c;
+	h2o_socket_read_stop(c->socket);
+	h2o_socket_close(c->socket);
+}
+
+/* Ends the connection from this side's view of the other. */
+static void broken(struct line_conn *c, const char *reason)
+{
+	const struct line_handler *handler = c->handler;
+
+	if (c->finishing || !handler) {
+		line_conn_close(c);
+		return;
+	}
+	handler->closed(c->arg, reason);
+}
+
+/* Length of the next line with its end, 0: none yet, -1: malformed. */
+static ssize_t next_line(struct line_conn *c)
+{
+	const h2o_buffer_t *in = c->socket->input;
+	const char *end =
+		memchr(in->bytes + c->scanned, '\n', in->size - c->scanned);
+	size_t bytes;
+
+	if (!end) {
+		c->scanned = in->size;
+		return in->size >= c->limit ? -1 : 0;
+	}
+	bytes = (size_t)(end - in->bytes) + 1;
+	if (bytes > c->limit || bytes < 2 || end[-1] != '\r' ||
+	    memchr(in->bytes, '\0', bytes))
+		return -1;
+	return (ssize_t)bytes;
+}
+
+static void deliver(struct line_conn *c, size_t bytes)
+{
+	char *line = g_strndup(c->socket->input->bytes, bytes - 2);
+
+	h2o_buffer_consume(&c->socket->input, bytes);
+	c->scanned = 0;
+	c->busy = true;
+	c->handler->line(c->arg, line);
+	c->busy = false;
+	g_free(line);
+}
+
+static void deliver_all(struct line_conn *c)
+{
+	ssize_t bytes;
+
+	while (!c->held && !c->finishing && !c->dead &&
+	       (bytes = next_line(c)) != 0) {
+		if (bytes < 0) {
+			broken(c, "malformed");
+			return;
+		}
+		deliver(c, (size_t)bytes);
+	}
+	if (c->dead)
+		line_conn_close(c);
+}
+
+static void on_read(h2o_socket_t *socket, const char *err)
+{
+	struct line_conn *c = socket->data;
+
+	if (err) {
+		broken(c, err);
+		return;
+	}
+	if (c->finishing) {
+		h2o_buffer_consume(&socket->input, socket->input->size);
+		return;
+	}
+	if (c->held && socket->input->size > c->limit) {
+		h2o_socket_read_stop(socket);
+		c->reading = false;
+		return;
+	}
+	deliver_all(c);
+}
+
+struct line_conn *line_conn_new(void *h2o_socket, size_t line_limit,
+				const struct line_handler *handler, void *arg)
+{
+	struct line_conn *c = g_new0(struct line_conn, 1);
+
+	c->socket = h2o_socket;
+	c->socket->data = c;
+	c->limit = line_limit;
+	c->handler = handler;
+	c->arg = arg;
+	c->out = g_string_new(NULL);
+	c->sending = g_string_new(NULL);
+	set_options(h2o_socket_get_fd(c->socket));
+	h2o_socket_read_start(c->socket, on_read);
+	c->reading = true;
+	return c;
+}
+
+GString *line_conn_out(struct line_conn *c)
+{
+	return c->out;
+}
+
+static void on_written(h2o_socket_t *socket, const char *err)
+{
+	struct line_conn *c = socket->data;
+
+	c->writing = false;
+	g_string_truncate(c->sending, 0);
+	if (err) {
+		broken(c, err);
+		return;
+	}
+	if (c->out->len)
+		line_conn_flush(c);
+	else if (c->finishing)
+		line_conn_close(c);
+}
+
+void line_conn_flush(struct line_conn *c)
+{
+	GString *swap = c->sending;
+	h2o_iovec_t bytes;
+
+	if (c->writing || !c->out->len || c->dead)
+		return;
+	c->sending = c->out;
+	c->out = swap;
+	c->writing = true;
+	bytes = h2o_iovec_init(c->sending->str, c->sending->len);
+	h2o_socket_write(c->socket, &bytes, 1, on_written);
+}
+
+void line_conn_hold(struct line_conn *c, bool held)
+{
+	c->held = held;
+	if (held || c->reading)
+		return;
+	h2o_socket_read_start(c->socket, on_read);
+	c->reading = true;
+}
+
+void line_conn_pump(struct line_conn *c)
+{
+	if (!c->busy && c->socket->input->size)
+		deliver_all(c);
+}
+
+static void on_finish_limit(void *arg)
+{
+	line_conn_close(arg);
+}
+
+void line_conn_finish(struct line_conn *c, struct loop *loop)
+{
+	c->finishing = true;
+	c->handler = NULL;
+	line_conn_flush(c);
+	if (!c->writing) {
+		line_conn_close(c);
+		return;
+	}
+	c->finish_timer = timer_new(loop, on_finish_limit, c);
+	timer_set(c->finish_timer, loop_now() + FINISH_LIMIT);
+}
--- a/src/main.c
+++ b/src/main.c
@@ -3,10 +3,12 @@
 #include <string.h>
 
 #include "cli_embedded.h"
+#include "cli_proxy.h"
 #include "command.h"
 
 static const struct command commands[] = {
 	{ "serve", cli_serve, "serve callers until told to stop" },
+	{ "proxy", cli_proxy, "serve sessions on the users' platform" },
 	{ "check", cli_check, "check files of settings, contracts, databases" },
 	{ "status", cli_status, "print the status of an instance" },
 	{ "contract", cli_contract, "list, show, apply or withdraw contracts" },
--- /dev/null
+++ b/src/member_link.c
@@ -0,0 +1,285 @@
+/** @file member_link.c Connections to members over the line protocol. */
+#include "member_link.h"
+
+#include <h2o.h>
+#include <string.h>
+
+#include "address.h"
+#include "line_conn.h"
+#include "log.h"
+
+struct member_link {
+	struct member_links *links;
+	uint64_t number;
+	h2o_socket_t *connecting; /* until the connection stands */
+	struct line_conn *conn;
+	char service[NAME_BYTES];
+	char who[NAME_BYTES];
+	char endpoint[NAME_BYTES];
+	bool open;
+	bool dirty;	   /* has lines to be sent */
+	GByteArray *kinds; /* enum member_command_kind of open questions */
+	struct reply_builder builder;
+};
+
+struct member_links {
+	struct loop *loop;
+	const struct line_protocol *protocol;
+	struct proxy_sink sink;
+	GHashTable *by_number; /* of struct member_link, owned */
+	GPtrArray *dirty;
+};
+
+static void link_free(gpointer data)
+{
+	struct member_link *m = data;
+
+	if (m->connecting)
+		h2o_socket_close(m->connecting);
+	if (m->conn)
+		line_conn_close(m->conn);
+	if (m->dirty)
+		g_ptr_array_remove_fast(m->links->dirty, m);
+	g_byte_array_unref(m->kinds);
+	g_string_free(m->builder.rows, TRUE);
+	g_string_free(m->builder.receipt, TRUE);
+	g_free(m);
+}
+
+struct member_links *member_links_new(struct loop *loop,
+				      const struct line_protocol *protocol,
+				      struct proxy_sink sink)
+{
+	struct member_links *l = g_new0(struct member_links, 1);
+
+	l->loop = loop;
+	l->protocol = protocol;
+	l->sink = sink;
+	l->by_number = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     link_free);
+	l->dirty = g_ptr_array_new();
+	return l;
+}
+
+void member_links_free(struct member_links *l)
+{
+	if (!l)
+		return;
+	g_hash_table_unref(l->by_number);
+	g_ptr_array_unref(l->dirty);
+	g_free(l);
+}
+
+static void mark_dirty(struct member_link *m)
+{
+	if (m->dirty)
+		return;
+	m->dirty = true;
+	g_ptr_array_add(m->links->dirty, m);
+}
+
+/* Ends a link and tells the decisions. */
+static void link_ended(struct member_link *m, enum error error,
+		       const char *reason)
+{
+	struct member_links *l = m->links;
+	struct proxy_event e = { .kind = PROXY_MEMBER_CLOSED,
+				 .member.conn = m->number,
+				 .member.error = error };
+
+	log_event(G_LOG_LEVEL_DEBUG, "member_link_closed", "member",
+		  m->endpoint, "who", m->who, "reason", reason, NULL);
+	g_hash_table_remove(l->by_number, &e.member.conn);
+	proxy_sink_event(&l->sink, &e);
+}
+
+static void begin_reply(struct member_link *m)
+{
+	g_string_truncate(m->builder.rows, 0);
+	g_string_truncate(m->builder.receipt, 0);
+	m->builder.ended = false;
+	memset(&m->builder.reply, 0, sizeof(m->builder.reply));
+}
+
+/* The first reply tells whether the connection was admitted. */
+static void opened(struct member_link *m)
+{
+	struct proxy_event e = { .kind = PROXY_MEMBER_READY,
+				 .member.conn = m->number };
+
+	m->open = true;
+	begin_reply(m);
+	proxy_sink_event(&m->links->sink, &e);
+}
+
+static void replied(struct member_link *m)
+{
+	struct member_reply reply = m->builder.reply;
+	struct proxy_event e = { .kind = PROXY_MEMBER_REPLIED,
+				 .member.conn = m->number,
+				 .member.reply = &reply };
+	GString *rows = m->builder.rows, *receipt = m->builder.receipt;
+
+	/* The link may be gone once the event is handled. */
+	m->builder.rows = g_string_new(NULL);
+	m->builder.receipt = g_string_new(NULL);
+	g_byte_array_remove_index(m->kinds, 0);
+	begin_reply(m);
+	proxy_sink_event(&m->links->sink, &e);
+	g_string_free(rows, TRUE);
+	g_string_free(receipt, TRUE);
+}
+
+static void on_opening_line(struct member_link *m, char *line)
+{
+	/* A READY alone admits; an error ends the connection. */
+	m->builder.ended = true;
+	if (m->links->protocol->read_reply(line, MEMBER_STATEMENT,
+					   &m->builder) == REPLY_COMPLETE) {
+		opened(m);
+		return;
+	}
+	m->builder.ended = false;
+	m->links->protocol->read_reply(line, MEMBER_STATEMENT, &m->builder);
+	link_ended(m,
+		   m->builder.reply.error ? m->builder.reply.error
+					  : ERR_INTERNAL,
+		   "not admitted");
+}
+
+static void on_line(void *arg, char *line)
+{
+	struct member_link *m = arg;
+	enum member_command_kind kind;
+
+	if (!m->open) {
+		on_opening_line(m, line);
+		return;
+	}
+	if (!m->kinds->len) {
+		link_ended(m, ERR_INTERNAL, "unasked line");
+		return;
+	}
+	kind = (enum member_command_kind)m->kinds->data[0];
+	switch (m->links->protocol->read_reply(line, kind, &m->builder)) {
+	case REPLY_MORE:
+		break;
+	case REPLY_COMPLETE:
+		replied(m);
+		break;
+	case REPLY_BAD:
+		link_ended(m, ERR_INTERNAL, "malformed reply");
+		break;
+	}
+}
+
+static void on_closed(void *arg, const char *reason)
+{
+	link_ended(arg, ERR_NO_ENDPOINT, reason);
+}
+
+static const struct line_handler handler = { on_line, on_closed };
+
+static void on_connect(h2o_socket_t *socket, const char *err)
+{
+	struct member_link *m = socket->data;
+
+	if (err) {
+		link_ended(m, ERR_NO_ENDPOINT, err);
+		return;
+	}
+	m->connecting = NULL;
+	m->conn = line_conn_new(socket, m->links->protocol->line_limit,
+				&handler, m);
+	m->links->protocol->write_open(line_conn_out(m->conn), m->service,
+				       m->who, m->endpoint);
+	line_conn_flush(m->conn);
+}
+
+/* A link that got no socket; it may be closed before this is told. */
+struct failed_link {
+	struct member_links *links;
+	uint64_t number;
+};
+
+static void failed_later(void *arg)
+{
+	struct failed_link *f = arg;
+	struct member_link *m =
+		g_hash_table_lookup(f->links->by_number, &f->number);
+
+	if (m)
+		link_ended(m, ERR_NO_ENDPOINT, "no socket");
+	g_free(f);
+}
+
+static void fail_later(struct member_link *m)
+{
+	struct failed_link *f = g_new(struct failed_link, 1);
+
+	f->links = m->links;
+	f->number = m->number;
+	loop_post(m->links->loop, failed_later, f);
+}
+
+static void connect_link(struct member_links *l, const struct proxy_action *a)
+{
+	struct member_link *m = g_new0(struct member_link, 1);
+	struct sockaddr_storage ss;
+
+	m->links = l;
+	m->number = a->member.conn;
+	m->kinds = g_byte_array_new();
+	m->builder.rows = g_string_new(NULL);
+	m->builder.receipt = g_string_new(NULL);
+	g_strlcpy(m->service, a->member.service, sizeof(m->service));
+	g_strlcpy(m->who, a->member.who, sizeof(m->who));
+	g_strlcpy(m->endpoint, a->member.endpoint, sizeof(m->endpoint));
+	g_hash_table_insert(l->by_number, &m->number, m);
+	if (address_parse(a->member.address, &ss))
+		m->connecting = h2o_socket_connect(
+			loop_h2o(l->loop), (struct sockaddr *)&ss,
+			address_bytes(&ss), on_connect);
+	if (m->connecting)
+		m->connecting->data = m;
+	else
+		fail_later(m);
+}
+
+static void send_command(struct member_link *m, const struct proxy_action *a)
+{
+	guint8 kind = (guint8)a->member.command.kind;
+
+	if (!m->conn)
+		return;
+	g_byte_array_append(m->kinds, &kind, 1);
+	m->links->protocol->write_command(line_conn_out(m->conn),
+					  &a->member.command);
+	mark_dirty(m);
+}
+
+void member_links_perform(struct member_links *l, const struct proxy_action *a)
+{
+	struct member_link *m =
+		g_hash_table_lookup(l->by_number, &a->member.conn);
+
+	if (a->kind == PROXY_CONNECT)
+		connect_link(l, a);
+	else if (m && a->kind == PROXY_COMMAND)
+		send_command(m, a);
+	else if (m && a->kind == PROXY_CLOSE_MEMBER)
+		g_hash_table_remove(l->by_number, &a->member.conn);
+}
+
+void member_links_flush(struct member_links *l)
+{
+	guint i;
+
+	for (i = 0; i < l->dirty->len; i++) {
+		struct member_link *m = g_ptr_array_index(l->dirty, i);
+
+		m->dirty = false;
+		line_conn_flush(m->conn);
+	}
+	g_ptr_array_set_size(l->dirty, 0);
+}
--- /dev/null
+++ b/src/proxy_instance.c
@@ -0,0 +1,421 @@
+/**
+ * @file proxy_instance.c
+ * The decisions of a proxy and the tasks around them on one loop. Events of
+ * the tasks go into the decisions, their actions are performed at once.
+ */
+#include "proxy_instance.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "duty.h"
+#include "health_http.h"
+#include "line_front.h"
+#include "log.h"
+#include "member_link.h"
+#include "names.h"
+#include "peer.h"
+#include "proxy_metrics.h"
+#include "site_feed.h"
+
+/* The file of settings is looked at this often. */
+#define FILE_CHECK_EVERY (1 * HM_SEC)
+#define TOKEN_LIMIT (2500 * HM_MS)
+#define PROMOTE_LIMIT (1500 * HM_MS)
+/* Left of the grace for the last answers and the end of the process. */
+#define STOP_RESERVE (1500 * HM_MS)
+
+struct proxy_instance {
+	struct proxy_settings settings;
+	struct proxy_platform platform;
+	const char *zones[ZONES_MAX];
+	struct loop *loop;
+	struct bodies *bodies;
+	struct proxy *proxy;
+	struct line_front *front;
+	struct member_links *members;
+	struct peer_links *peers;
+	struct site_feed *feed;
+	struct duty *duty;
+	struct health_http *health;
+	struct timer *tick;
+	struct proxy_output out;
+	struct proxy_counts counts;
+	uint64_t life;
+	uint64_t next_seq; /* of messages to peers */
+	bool stepping;
+	bool ready;
+	hm_time asked_at; /* of the event in hand */
+	char file[PATH_BYTES];
+	struct timespec file_time;
+	hm_time file_check_at;
+	volatile sig_atomic_t stops;
+	volatile sig_atomic_t reloads;
+	bool stop_begun;
+};
+
+static void step(struct proxy_instance *i, const struct proxy_event *e);
+
+static void do_answer(struct proxy_instance *i, const struct proxy_action *a)
+{
+	line_front_perform(i->front, a);
+}
+
+static void do_member(struct proxy_instance *i, const struct proxy_action *a)
+{
+	member_links_perform(i->members, a);
+}
+
+static void do_duty(struct proxy_instance *i, const struct proxy_action *a)
+{
+	duty_perform(i->duty, a);
+}
+
+static void send_message(struct proxy_instance *i, uint64_t to,
+			 struct message *m)
+{
+	m->from = i->life;
+	m->seq = ++i->next_seq;
+	peer_links_send(i->peers, to, m);
+}
+
+static void do_share(struct proxy_instance *i, const struct proxy_action *a)
+{
+	struct message m = { .kind = MSG_DOCUMENT };
+	const char *text;
+
+	text = site_feed_document(i->feed, a->share.kind, &m.document.version);
+	if (!text)
+		return;
+	m.document.kind = a->share.kind;
+	m.document.data = (char *)text;
+	m.document.bytes = (uint32_t)strlen(text);
+	send_message(i, a->share.to, &m);
+}
+
+static void do_ready(struct proxy_instance *i, const struct proxy_action *a)
+{
+	i->ready = a->ready;
+	health_http_ready(i->health, a->ready);
+}
+
+static void do_log(struct proxy_instance *i, const struct proxy_action *a)
+{
+	(void)i;
+	log_line(G_LOG_LEVEL_INFO, a->line);
+}
+
+static void do_stopped(struct proxy_instance *i, const struct proxy_action *a)
+{
+	(void)a;
+	loop_stop(i->loop);
+}
+
+static void (*const performers[])(struct proxy_instance *i,
+				  const struct proxy_action *a) = {
+	[PROXY_ANSWER] = do_answer,	  [PROXY_CLOSE_CLIENT] = do_answer,
+	[PROXY_CONNECT] = do_member,	  [PROXY_COMMAND] = do_member,
+	[PROXY_CLOSE_MEMBER] = do_member, [PROXY_TAKE_TOKEN] = do_duty,
+	[PROXY_PROMOTE] = do_duty,	  [PROXY_SHARE_DOCUMENT] = do_share,
+	[PROXY_READY] = do_ready,	  [PROXY_LOG] = do_log,
+	[PROXY_STOPPED] = do_stopped,
+};
+
+static void perform(struct proxy_instance *i, struct proxy_output *out)
+{
+	size_t n;
+
+	for (n = 0; n < out->peers.count; n++)
+		send_message(i, out->peers.list[n].send.to,
+			     &out->peers.list[n].send.message);
+	for (n = 0; n < out->count; n++)
+		performers[out->list[n].kind](i, &out->list[n]);
+}
+
+/*
+ * Actions may lead to further events, which are handled at once: each event
+ * has a list of actions of its own.
+ */
+static void step(struct proxy_instance *i, const struct proxy_event *e)
+{
+	struct proxy_output out = i->out;
+
+	i->out = (struct proxy_output){ 0 };
+	proxy_step(i->proxy, e, loop_now(), &out);
+	perform(i, &out);
+	member_links_flush(i->members);
+	line_front_flush(i->front);
+	proxy_output_clear(&out);
+	proxy_output_free(&i->out);
+	i->out = out;
+}
+
+static void on_event(void *owner, const struct proxy_event *e)
+{
+	step(owner, e);
+}
+
+/* Messages of peers come as events of the other kind of core. */
+static void on_peer_event(void *owner, const struct event *e)
+{
+	struct proxy_instance *i = owner;
+	struct proxy_event out = { .kind = PROXY_MESSAGE,
+				   .message = e->message };
+
+	if (e->kind != EV_MESSAGE)
+		return;
+	if (e->message->kind == MSG_DOCUMENT)
+		site_feed_take(i->feed, &e->message->document);
+	step(i, &out);
+}
+
+static void on_addresses(void *owner, const char (*list)[ADDRESS_BYTES],
+			 uint32_t count)
+{
+	struct proxy_instance *i = owner;
+
+	peer_links_addresses(i->peers, list, count);
+}
+
+static void write_metrics(void *owner, GString *out)
+{
+	struct proxy_instance *i = owner;
+	struct proxy_figures figures;
+
+	proxy_figures(i->proxy, &figures);
+	i->counts.peer_dropped = peer_links_dropped(i->peers);
+	i->counts.store_calls = site_feed_calls(i->feed);
+	proxy_metrics_write(out, &figures, &i->counts);
+}
+
+static bool file_changed(struct proxy_instance *i)
+{
+	struct stat st;
+	bool changed;
+
+	if (!i->file[0] || stat(i->file, &st))
+		return false;
+	changed = st.st_mtim.tv_sec != i->file_time.tv_sec ||
+		  st.st_mtim.tv_nsec != i->file_time.tv_nsec;
+	i->file_time = st.st_mtim;
+	return changed;
+}
+
+/* What can change while it runs is taken over; the rest needs a restart. */
+static void reload(struct proxy_instance *i)
+{
+	char fault[SETTINGS_FAULT_BYTES];
+	struct proxy_settings s;
+
+	if (!proxy_settings_read(&s, i->file, fault)) {
+		log_event(G_LOG_LEVEL_WARNING, "reload_refused", "fault", fault,
+			  NULL);
+		return;
+	}
+	i->settings.drain_limit = s.drain_limit;
+	i->settings.grace = s.grace;
+	log_event(G_LOG_LEVEL_INFO, "reload", "file", i->file, NULL);
+}
+
+static void check_signals(struct proxy_instance *i)
+{
+	struct proxy_event e = { .kind = PROXY_STOP };
+
+	if (i->stops > 1) {
+		loop_stop(i->loop);
+	} else if (i->stops && !i->stop_begun) {
+		i->stop_begun = true;
+		step(i, &e);
+	}
+	if (i->reloads) {
+		i->reloads = 0;
+		file_changed(i);
+		reload(i);
+	}
+}
+
+static void on_tick(void *arg)
+{
+	struct proxy_instance *i = arg;
+	struct proxy_event e = { .kind = PROXY_TICKED };
+	hm_time now = loop_now();
+
+	timer_set(i->tick, now + PROXY_TICK);
+	check_signals(i);
+	if (now >= i->file_check_at) {
+		i->file_check_at = now + FILE_CHECK_EVERY;
+		if (file_changed(i))
+			reload(i);
+	}
+	step(i, &e);
+}
+
+static void init_decisions(struct proxy_instance *i)
+{
+	struct proxy_options o;
+
+	proxy_options_default(&o);
+	o.core.instance = name_id(i->settings.instance);
+	o.core.life = i->life;
+	o.core.zone = i->settings.zone_index;
+	o.core.zone_count = i->settings.zone_count;
+	o.core.seed = random_id();
+	/* New work ends well before the member does. */
+	o.drain_limit = i->settings.drain_limit * 3 / 4;
+	o.stop_limit = i->settings.grace / 2;
+	if (o.stop_limit > i->settings.grace - STOP_RESERVE)
+		o.stop_limit = i->settings.grace - STOP_RESERVE;
+	i->proxy = proxy_new(&o, loop_now());
+}
+
+static bool start_listeners(struct proxy_instance *i,
+			    char fault[SETTINGS_FAULT_BYTES])
+{
+	const struct proxy_settings *s = &i->settings;
+	struct proxy_sink sink = { on_event, i };
+	struct health_options health = {
+		.health_address = s->listen_health,
+		.health_path = s->health_path,
+		.metrics_address = s->listen_metrics,
+		.metrics_path = s->metrics_path,
+		.metrics = write_metrics,
+		.owner = i,
+	};
+	struct sink peer_sink = { on_peer_event, i };
+
+	i->health = health_http_new(i->loop, &health);
+	i->front = line_front_new(i->loop, s->listen_sessions,
+				  s->connection_limit, i->platform.lines, sink);
+	i->peers = peer_links_new(i->loop, s->listen_peers, i->life, i->bodies,
+				  peer_sink);
+	if (i->health && i->front && i->peers)
+		return true;
+	snprintf(fault, SETTINGS_FAULT_BYTES,
+		 "listen: %s: allowed free addresses of this machine",
+		 strerror(errno));
+	return false;
+}
+
+/* Seeds name machines; their port for peers is the same as here. */
+static void use_seeds(struct proxy_instance *i)
+{
+	const char *port = strrchr(i->settings.listen_peers, ':');
+	char list[SEEDS_MAX][ADDRESS_BYTES];
+	uint32_t n;
+
+	for (n = 0; n < i->settings.seed_count; n++) {
+		const char *seed = i->settings.seeds[n];
+		const char *colon = strrchr(seed, ':');
+
+		g_snprintf(list[n], ADDRESS_BYTES, "%.*s%s",
+			   (int)(colon - seed), seed, port);
+	}
+	peer_links_addresses(i->peers, (const char(*)[ADDRESS_BYTES])list, n);
+}
+
+static void start_clients(struct proxy_instance *i)
+{
+	const struct proxy_settings *s = &i->settings;
+	struct proxy_sink sink = { on_event, i };
+	struct site_feed_options feed = {
+		.api = i->platform.site,
+		.store = s->store,
+		.zones = { i->zones, s->zone_count },
+		.instance = s->instance,
+		.peer_address = s->listen_peers,
+		.call_limit = s->store_call_limit,
+		.watch_wait = s->store_watch_wait,
+		.list_every = s->store_list_every,
+		.seed = random_id(),
+		.addresses = on_addresses,
+		.owner = i,
+	};
+	struct duty_options duty = {
+		.api = i->platform.site,
+		.store = s->store,
+		.calls = s->promote_calls,
+		.instance = s->instance,
+		.token_limit = TOKEN_LIMIT,
+		.call_limit = PROMOTE_LIMIT,
+	};
+
+	i->members = member_links_new(i->loop, i->platform.lines, sink);
+	i->duty = duty_new(i->loop, &duty, sink);
+	i->feed = site_feed_new(i->loop, &feed, sink);
+}
+
+struct proxy_instance *proxy_instance_new(const struct proxy_settings *settings,
+					  const struct proxy_platform *platform,
+					  char fault[SETTINGS_FAULT_BYTES])
+{
+	struct proxy_instance *i = g_new0(struct proxy_instance, 1);
+	uint16_t z;
+
+	i->settings = *settings;
+	i->platform = *platform;
+	i->life = random_id();
+	for (z = 0; z < settings->zone_count; z++)
+		i->zones[z] = i->settings.zones[z];
+	i->loop = loop_new();
+	i->bodies = bodies_new();
+	init_decisions(i);
+	if (!start_listeners(i, fault)) {
+		proxy_instance_free(i);
+		return NULL;
+	}
+	start_clients(i);
+	use_seeds(i);
+	i->tick = timer_new(i->loop, on_tick, i);
+	timer_set(i->tick, loop_now());
+	return i;
+}
+
+void proxy_instance_watch_file(struct proxy_instance *i, const char *file)
+{
+	g_strlcpy(i->file, file, sizeof(i->file));
+	file_changed(i);
+}
+
+void proxy_instance_run(struct proxy_instance *i)
+{
+	char life[24];
+
+	g_snprintf(life, sizeof(life), "%016" G_GINT64_MODIFIER "x", i->life);
+	log_event(G_LOG_LEVEL_INFO, "start", "instance", i->settings.instance,
+		  "zone", i->settings.zone, "life", life, NULL);
+	loop_run(i->loop);
+	log_event(G_LOG_LEVEL_INFO, "end", "instance", i->settings.instance,
+		  NULL);
+}
+
+void proxy_instance_stop(struct proxy_instance *i)
+{
+	i->stops++;
+}
+
+void proxy_instance_reload(struct proxy_instance *i)
+{
+	i->reloads = 1;
+}
+
+void proxy_instance_free(struct proxy_instance *i)
+{
+	if (!i)
+		return;
+	site_feed_free(i->feed);
+	duty_free(i->duty);
+	timer_free(i->tick);
+	line_front_free(i->front);
+	member_links_free(i->members);
+	peer_links_free(i->peers);
+	health_http_free(i->health);
+	proxy_free(i->proxy);
+	proxy_output_free(&i->out);
+	bodies_free(i->bodies);
+	loop_free(i->loop);
+	g_free(i);
+}
--- /dev/null
+++ b/src/proxy_metrics.h
@@ -0,0 +1,19 @@
+/** @file proxy_metrics.h Figures of a proxy as text. */
+#ifndef PROXY_METRICS_H
+#define PROXY_METRICS_H
+
+#include "../core/proxy.h"
+#include "metrics.h"
+
+/** Counts of the tasks around the decisions. */
+struct proxy_counts {
+	uint64_t peer_dropped;
+	uint64_t store_calls;
+	struct histogram served;  /**< requests answered with success */
+	struct histogram refused; /**< requests answered with an error */
+};
+
+void proxy_metrics_write(GString *out, const struct proxy_figures *figures,
+			 const struct proxy_counts *counts);
+
+#endif
--- /dev/null
+++ b/src/proxy_settings.h
@@ -0,0 +1,46 @@
+/**
+ * @file proxy_settings.h
+ * Settings of an instance that serves sessions on connections, read from
+ * JSON. Every field is checked, like those of settings.h.
+ */
+#ifndef PROXY_SETTINGS_H
+#define PROXY_SETTINGS_H
+
+#include "fields.h"
+
+struct proxy_settings {
+	char instance[NAME_BYTES];
+	char zone[NAME_BYTES];
+	char zones[ZONES_MAX][NAME_BYTES];
+	uint16_t zone_count;
+	uint16_t zone_index;
+	char listen_sessions[ADDRESS_BYTES];
+	char listen_peers[ADDRESS_BYTES];
+	char listen_health[ADDRESS_BYTES];
+	char health_path[PATH_BYTES];
+	char listen_metrics[ADDRESS_BYTES]; /**< empty: no metrics */
+	char metrics_path[PATH_BYTES];
+	char seeds[SEEDS_MAX][ADDRESS_BYTES]; /**< hosts of other instances */
+	uint32_t seed_count;
+	char store[ADDRESS_BYTES];
+	char promote_calls[ADDRESS_BYTES];
+	char log_level[16];
+	uint32_t connection_limit; /**< sessions of callers */
+	hm_time drain_limit;	   /**< a leaving member serves for so long */
+	hm_time grace; /**< from the signal to stop until the process is killed */
+	hm_time store_call_limit;
+	hm_time store_watch_wait;
+	hm_time store_list_every;
+};
+
+void proxy_settings_default(struct proxy_settings *s);
+/** Like settings_parse(). */
+bool proxy_settings_parse(struct proxy_settings *s, const char *file,
+			  const char *text, char fault[SETTINGS_FAULT_BYTES]);
+/** Like settings_read(). */
+bool proxy_settings_read(struct proxy_settings *s, const char *file,
+			 char fault[SETTINGS_FAULT_BYTES]);
+/** The fields, for documentation and its test. */
+const struct field *proxy_settings_fields(size_t *count);
+
+#endif
