Know transactions by their own id instead of by their session

A statement that waited too long inside a transaction was refused while its connection stayed open under the session's number. A transaction is now known by the id of the statement that opened it, and a refused statement ends the transaction that it belongs to.

--- a/core/message.h
+++ b/core/message.h
@@ -113,9 +113,9 @@
 	uint64_t contract_version;
 };
 
-/** The transaction that a session holds at a member is given up. */
+/** A transaction that is open or queued at a member is given up. */
 struct release_order {
-	struct rid session;
+	struct rid tx;
 	hm_id endpoint;
 };
 
--- a/core/pool.c
+++ b/core/pool.c
@@ -200,7 +200,7 @@
 
 	*retry_at = now + RETRY_SOON;
 	if (o->scope == RUN_INSIDE)
-		return conn_of_session(p, o->session) ? ERR_NONE : ERR_TX_GONE;
+		return conn_of_tx(p, o->tx) ? ERR_NONE : ERR_TX_GONE;
 	if (p->member.leaving &&
 	    now - p->leaving_since > p->site.options->drain_limit)
 		return ERR_NO_ENDPOINT;
@@ -233,7 +233,7 @@
 	pool_dispatch(p, now, out);
 }
 
-static bool is_session(const void *context, const struct turn *turn)
+static bool is_same(const void *context, const struct turn *turn)
 {
 	const struct run_order *o = context;
 
@@ -245,10 +245,19 @@
 {
 	struct turn turn;
 
-	if (turns_remove(p->turns, is_session, j->order, &turn))
+	if (turns_remove(p->turns, is_same, j->order, &turn))
 		p->jobs[turn.statement.body] = NULL;
 }
 
+/* A statement that is refused takes its transaction with it. */
+static void abandon_tx(struct pool *p, const struct job *j)
+{
+	struct pool_conn *c = conn_of_tx(p, j->order->tx);
+
+	if (c && c->phase == PHASE_OPEN)
+		c->idle_until = 0;
+}
+
 /* Ends queued jobs for which @a ends holds. */
 static void end_queued(struct pool *p,
 		       bool (*ends)(const struct job *j, const void *context),
@@ -262,6 +271,7 @@
 		if (!j || !ends(j, context))
 			continue;
 		unqueue(p, j);
+		abandon_tx(p, j);
 		job_refuse(p, j, error, EXEC_NOT_RUN, now + RETRY_SOON, now);
 	}
 	if (p->parked && ends(p->parked, context))
@@ -269,11 +279,11 @@
 			   now);
 }
 
-static bool of_session(const struct job *j, const void *context)
+static bool of_tx(const struct job *j, const void *context)
 {
-	const struct rid *session = context;
+	const struct rid *tx = context;
 
-	return rid_equal(j->order->session, *session);
+	return rid_equal(j->order->tx, *tx);
 }
 
 /* A statement that runs ends first: cutting it off would cost a connection. */
@@ -286,12 +296,12 @@
 		c->abandoned = true;
 }
 
-void pool_release(struct pool *p, struct rid session, hm_time now,
+void pool_release(struct pool *p, struct rid tx, hm_time now,
 		  struct proxy_output *out)
 {
-	struct pool_conn *c = conn_of_session(p, session);
+	struct pool_conn *c = conn_of_tx(p, tx);
 
-	end_queued(p, of_session, &session, ERR_TX_GONE, now);
+	end_queued(p, of_tx, &tx, ERR_TX_GONE, now);
 	if (c)
 		release_conn(c, now, out);
 	pool_dispatch(p, now, out);
@@ -299,7 +309,7 @@
 
 static bool of_life(const struct job *j, const void *context)
 {
-	return j->order->session.life == *(const uint64_t *)context;
+	return j->order->tx.life == *(const uint64_t *)context;
 }
 
 void pool_release_life(struct pool *p, uint64_t life, hm_time now,
@@ -311,8 +321,7 @@
 	for (i = 0; i < p->conn_count; i++) {
 		struct pool_conn *c = &p->conns[i];
 
-		if (c->phase != PHASE_CLOSED && c->session.seq &&
-		    c->session.life == life)
+		if (c->phase != PHASE_CLOSED && c->tx.seq && c->tx.life == life)
 			release_conn(c, now, out);
 	}
 	conns_sweep(p);
@@ -471,6 +480,6 @@
 				   .running = p->running,
 				   .connections = p->conn_count };
 	for (i = 0; i < p->conn_count; i++)
-		out->transactions += p->conns[i].session.seq != 0;
+		out->transactions += p->conns[i].tx.seq != 0;
 	out->wait = turns_backlog(p->turns, p->member.slots);
 }
--- a/core/pool.h
+++ b/core/pool.h
@@ -33,10 +33,10 @@
 /** Queues a statement for the instance @a reply_to, or refuses it. */
 void pool_submit(struct pool *p, const struct run_order *order,
 		 uint64_t reply_to, hm_time now, struct proxy_output *out);
-/** Rolls back what a session holds here and drops what it waits for. */
-void pool_release(struct pool *p, struct rid session, hm_time now,
+/** Rolls back a transaction and drops what it waits for. */
+void pool_release(struct pool *p, struct rid tx, hm_time now,
 		  struct proxy_output *out);
-/** The same for all sessions of an instance that is gone. */
+/** The same for all transactions of an instance that is gone. */
 void pool_release_life(struct pool *p, uint64_t life, hm_time now,
 		       struct proxy_output *out);
 
--- a/core/pool_conn.c
+++ b/core/pool_conn.c
@@ -22,15 +22,15 @@
 	return NULL;
 }
 
-struct pool_conn *conn_of_session(const struct pool *p, struct rid session)
+struct pool_conn *conn_of_tx(const struct pool *p, struct rid tx)
 {
 	uint32_t i;
 
 	for (i = 0; i < p->conn_count; i++) {
 		struct pool_conn *c = &p->conns[i];
 
-		if (c->phase != PHASE_CLOSED && c->session.seq &&
-		    rid_equal(c->session, session))
+		if (c->phase != PHASE_CLOSED && c->tx.seq &&
+		    rid_equal(c->tx, tx))
 			return c;
 	}
 	return NULL;
@@ -262,7 +262,7 @@
 void conn_clear(struct pool_conn *c, hm_time now, struct proxy_output *out)
 {
 	command(c, EXPECT_CLEARED, MEMBER_ROLLBACK, out);
-	c->session = (struct rid){ 0 };
+	c->tx = (struct rid){ 0 };
 	c->abandoned = false;
 	conn_phase(c, PHASE_CLEARING, now);
 }
@@ -296,7 +296,7 @@
 	}
 	/* A member that refuses to begin leaves the connection as it was. */
 	release_job(c);
-	if (c->session.seq)
+	if (c->tx.seq)
 		conn_clear(c, now, out);
 	else
 		conn_phase(c, PHASE_IDLE, now);
@@ -320,7 +320,15 @@
 	}
 	o->floor = floor;
 	if (o->scope != RUN_SINGLE)
-		c->session = o->session;
+		c->tx = o->tx;
+	proxy_log(out,
+		  "event=run request=%s member=%s conn=%llu tx=%016llx-%llx "
+		  "scope=%d waited_us=%lld floor=%llu.%llu",
+		  o->request, p->member.name, (unsigned long long)c->number,
+		  (unsigned long long)o->tx.life, (unsigned long long)o->tx.seq,
+		  o->scope, (long long)(now - j->turn.queued_at),
+		  (unsigned long long)floor.term,
+		  (unsigned long long)floor.pos);
 	conn_phase(c, PHASE_SETUP, now);
 	apply_values(p, c, o, out);
 	if (o->op == STMT_EXECUTE)
@@ -352,7 +360,7 @@
 	} else if (r->state != SESSION_IDLE) {
 		conn_clear(c, now, out);
 	} else {
-		c->session = (struct rid){ 0 };
+		c->tx = (struct rid){ 0 };
 		c->abandoned = false;
 		conn_phase(c, PHASE_IDLE, now);
 	}
@@ -408,7 +416,7 @@
 	proxy_action(out, PROXY_CLOSE_MEMBER)->member.conn = c->number;
 	release_job(c);
 	forget_state(c);
-	c->session = (struct rid){ 0 };
+	c->tx = (struct rid){ 0 };
 	c->expect_count = 0;
 	conn_phase(c, PHASE_CLOSED, now);
 	if (!j)
--- a/core/pool_dispatch.c
+++ b/core/pool_dispatch.c
@@ -92,7 +92,7 @@
 	struct pool_conn *c;
 
 	if (o->scope == RUN_INSIDE) {
-		c = conn_of_session(p, o->session);
+		c = conn_of_tx(p, o->tx);
 		if (!c || c->phase != PHASE_OPEN) {
 			job_refuse(p, j, ERR_TX_GONE, EXEC_NOT_RUN, 0, now);
 			return true;
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -56,7 +56,7 @@
 	enum conn_phase phase;
 	hm_id account;
 	struct job *job;
-	struct rid session; /**< holds its transaction, seq 0 for none */
+	struct rid tx;	    /**< open on it, seq 0 for none */
 	hm_time idle_until; /**< PHASE_OPEN */
 	hm_time since;	    /**< of the phase */
 	enum error failed;  /**< a step of the setup failed */
@@ -117,7 +117,7 @@
 struct pool_conn *conn_open(struct pool *p, hm_id account, const char *who,
 			    hm_time now, struct proxy_output *out);
 struct pool_conn *conn_find(const struct pool *p, uint64_t number);
-struct pool_conn *conn_of_session(const struct pool *p, struct rid session);
+struct pool_conn *conn_of_tx(const struct pool *p, struct rid tx);
 void conn_replied(struct pool *p, struct pool_conn *c,
 		  const struct member_reply *reply, hm_time now,
 		  struct proxy_output *out);
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -130,7 +130,7 @@
 
 	for (i = 0; i < p->pool_count; i++)
 		if (pool_endpoint(p->pools[i]) == m->release.endpoint)
-			pool_release(p->pools[i], m->release.session, now, out);
+			pool_release(p->pools[i], m->release.tx, now, out);
 }
 
 static void take_want(struct proxy *p, const struct message *m, hm_time now,
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -55,7 +55,8 @@
 struct session_tx {
 	enum session_state state;
 	bool read_only;
-	bool started; /**< a member holds it */
+	bool started;  /**< a member holds it */
+	struct rid id; /**< of the statement that opened it */
 	hm_id service;
 	hm_id endpoint;
 	uint64_t home;
--- a/core/run.h
+++ b/core/run.h
@@ -44,8 +44,8 @@
 
 /** A statement for one member. */
 struct run_order {
-	struct rid id;	    /**< at the instance that took it in */
-	struct rid session; /**< of the caller; seq is its number there */
+	struct rid id; /**< at the instance that took it in */
+	struct rid tx; /**< transaction: id of the statement that opens it */
 	hm_id service;
 	hm_id endpoint;
 	hm_id account;
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -28,8 +28,7 @@
 	if (!s->tx.started && !(waiting && s->tx.state == SESSION_OPEN))
 		return;
 	m = proxy_send(p, home, MSG_RELEASE, out);
-	m->release.session.life = p->options.core.life;
-	m->release.session.seq = s->number;
+	m->release.tx = s->tx.started ? s->tx.id : s->pending.id;
 	m->release.endpoint =
 		s->tx.started ? s->tx.endpoint : s->pending.endpoint;
 	s->tx.started = false;
@@ -94,8 +93,7 @@
 	if (!o)
 		abort();
 	o->id = s->pending.id;
-	o->session.life = p->options.core.life;
-	o->session.seq = s->number;
+	o->tx = s->tx.started ? s->tx.id : s->pending.id;
 	o->service = route->service;
 	o->account = s->account;
 	snprintf(o->who, sizeof(o->who), "%s", c ? c->name : "-");
@@ -270,6 +268,8 @@
 		s->tx = (struct session_tx){ 0 };
 		return;
 	}
+	if (!s->tx.started)
+		s->tx.id = s->pending.id;
 	s->tx.state = r->state;
 	s->tx.started = r->state == SESSION_OPEN;
 	s->tx.endpoint = s->pending.endpoint;
--- a/src/wire.c
+++ b/src/wire.c
@@ -225,7 +225,7 @@
 		wire_ran(c, &m->ran);
 		break;
 	case MSG_RELEASE:
-		code_rid(c, &m->release.session);
+		code_rid(c, &m->release.tx);
 		code_u64(c, &m->release.endpoint);
 		break;
 	case MSG_VIEW_WANT:
--- a/src/wire_run.c
+++ b/src/wire_run.c
@@ -33,7 +33,7 @@
 
 	*order = o;
 	code_rid(c, &o->id);
-	code_rid(c, &o->session);
+	code_rid(c, &o->tx);
 	code_u64(c, &o->service);
 	code_u64(c, &o->endpoint);
 	code_u64(c, &o->account);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -88,7 +88,7 @@
 	struct run_order *o = calloc(1, sizeof(*o));
 
 	o->id.seq = 3;
-	o->session.seq = 4;
+	o->tx.seq = 4;
 	o->endpoint = 77;
 	g_strlcpy(o->who, "library-unit", sizeof(o->who));
 	o->weight = 1;
