Promote nobody before the list of members has settled

After an outage of the store the entries of members come back one by one. A keeper now waits 3 s after the first list and after each return of the store, and counts a member without an entry for as long as it answers.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -180,6 +180,24 @@
 	m->held_since = 0;
 }
 
+/*
+ * A member that cannot reach the store loses its entry, and may go on to
+ * acknowledge commits: it counts for as long as it answers.
+ */
+static void drop_unlisted(struct keeper *k, struct proxy_output *out)
+{
+	uint32_t i;
+
+	for (i = k->member_count; i-- > 0;) {
+		struct kept_member *m = &k->members[i];
+
+		if (!m->unlisted || (m->ready && m->up))
+			continue;
+		disconnect(m, out);
+		*m = k->members[--k->member_count];
+	}
+}
+
 void keeper_members(struct keeper *k, const struct site_members *members,
 		    hm_time now, struct proxy_output *out)
 {
@@ -188,11 +206,9 @@
 
 	for (i = k->member_count; i-- > 0;) {
 		m = &k->members[i];
-		if (site_members_find(members, m->spec.endpoint))
-			continue;
-		disconnect(m, out);
-		*m = k->members[--k->member_count];
+		m->unlisted = !site_members_find(members, m->spec.endpoint);
 	}
+	drop_unlisted(k, out);
 	for (i = 0; i < members->count; i++) {
 		const struct site_member *s = &members->list[i];
 
@@ -483,6 +499,7 @@
 		return;
 	for (i = 0; i < k->member_count; i++)
 		check_silence(k, &k->members[i], now, out);
+	drop_unlisted(k, out);
 	if (now >= k->ask_at) {
 		k->ask_at = now + k->site.options->keeper_every;
 		/* Nobody leads: the wants are answered without a sample. */
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -22,6 +22,8 @@
 struct keeper_site {
 	const struct proxy_options *options;
 	uint64_t *next_conn;
+	/** From then on the registered members are all that there are. */
+	const hm_time *settled_at;
 };
 
 struct keeper *keeper_new(hm_id service, struct keeper_site site);
--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -194,7 +194,8 @@
 	} else if (primary && primary->spec.leaving) {
 		if (furthest(k, true))
 			begin_change(k, true, now, out);
-	} else if (!primary && count_up(k) && replicas_answer(k)) {
+	} else if (!primary && now >= *k->site.settled_at && count_up(k) &&
+		   replicas_answer(k)) {
 		begin_change(k, false, now, out);
 	}
 }
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -35,7 +35,8 @@
 	hm_time opened_at; /**< when the connection was begun */
 	enum asked asked[ASKED_MAX];
 	uint32_t asked_count;
-	bool up; /**< answered the last question, or is being asked */
+	bool unlisted; /**< its entry is gone, it answers all the same */
+	bool up;       /**< answered the last question, or is being asked */
 	hm_time down_since;
 	bool leads;	     /**< proved by its last answer */
 	uint64_t lead_order; /**< of the last question whether it leads */
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -22,6 +22,7 @@
 	o->drain_limit = 5 * HM_SEC;
 	o->stop_limit = 3 * HM_SEC;
 	o->connect_limit = 1 * HM_SEC;
+	o->settle_time = 3 * HM_SEC;
 	o->keeper_every = 200 * HM_MS;
 	o->status_every = 1 * HM_SEC;
 	o->keeper_silent = 400 * HM_MS;
@@ -442,6 +443,8 @@
 {
 	if (ok != p->store_ok)
 		proxy_log(out, "event=store ok=%d", ok);
+	if (ok && !p->store_ok)
+		p->settled_at = now + p->options.settle_time;
 	p->store_ok = ok;
 	peers_platform(p->peers, ok, now);
 }
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -206,6 +206,7 @@
 	hm_time drain_limit;	  /**< new work to a leaving member ends then */
 	hm_time stop_limit;	  /**< longest graceful shutdown */
 	hm_time connect_limit;	  /**< a connection to a member is ready */
+	hm_time settle_time;	  /**< members register anew after an outage */
 	hm_time keeper_every;	  /**< pace of questions to members */
 	hm_time status_every;	  /**< pace of the costlier question of state */
 	hm_time keeper_silent;	  /**< a question without answer failed */
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -124,6 +124,7 @@
 	uint64_t next_request;
 	uint64_t next_conn;
 	hm_time started_at;
+	hm_time settled_at; /**< entries that an outage removed are back */
 	hm_time heartbeat_at;
 	hm_time stop_since; /**< HM_NEVER until the shutdown began */
 	bool store_ok;
--- a/core/services.c
+++ b/core/services.c
@@ -85,7 +85,8 @@
 static void add_service(struct proxy *p, hm_id service, hm_time now,
 			struct proxy_output *out)
 {
-	struct keeper_site site = { &p->options, &p->next_conn };
+	struct keeper_site site = { &p->options, &p->next_conn,
+				    &p->settled_at };
 	uint32_t n = p->service_count;
 
 	if (services_view(p, service))
@@ -212,6 +213,8 @@
 		return;
 	}
 	p->behind_since[DOCUMENT_MEMBERS] = 0;
+	if (!p->members)
+		p->settled_at = now + p->options.settle_time;
 	keep_missing(p, m, now, out);
 	log_changes(p->members, m, out);
 	site_members_free(p->members);
