--- a/core/place.c
+++ b/core/place.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 
 /* A round trip to another zone, next to one in the own zone. */
-#define ZONE_COST (3 * HM_MS)
+#define ZONE_COST (8 * HM_MS)
 /* Only the primary can write: reads go there when replicas are this busy. */
 #define PRIMARY_COST (15 * HM_MS)
 /* A replica that was behind a moment ago: another try costs a round trip. */
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -17,16 +17,16 @@
 {
 	memset(o, 0, sizeof(*o));
 	core_options_default(&o->core);
-	o->core.heartbeat_every = 200 * HM_MS;
-	o->core.peer_silent = 800 * HM_MS;
+	o->core.heartbeat_every = 300 * HM_MS;
+	o->core.peer_silent = 1000 * HM_MS;
 	o->drain_limit = 5 * HM_SEC;
 	o->stop_limit = 3 * HM_SEC;
 	o->connect_limit = 1 * HM_SEC;
 	o->settle_time = 3 * HM_SEC;
 	o->keeper_every = 200 * HM_MS;
-	o->status_every = 1 * HM_SEC;
+	o->status_every = 3 * HM_SEC;
 	o->keeper_silent = 400 * HM_MS;
-	o->view_every = 300 * HM_MS;
+	o->view_every = 400 * HM_MS;
 	o->fenced = true;
 }
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -14,7 +14,7 @@
 #define QUEUE_MESSAGES 4096
 /* A link whose peer has not heard anything for this long is replaced. */
 #define LINK_SILENT (1 * HM_SEC)
-#define POLL_EVERY (20 * HM_MS)
+#define POLL_EVERY (100 * HM_MS)
 
 struct link {
 	char address[ADDRESS_BYTES];
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -13,7 +13,7 @@
  * A watch may be deaf for seconds without a sign. The revision of the store
  * is cheap to read, and tells whether there is anything to be read again.
  */
-#define POLL_EVERY (1500 * HM_MS)
+#define POLL_EVERY (2200 * HM_MS)
 /* Pauses are slept in slices, so that a stop is noticed. */
 #define PAUSE_SLICE (100 * HM_MS)
 
