--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -410,7 +410,9 @@
 		go(k, CHANGE_SETTLE, now + SETTLE_LIMIT, out);
 		break;
 	case PROMOTE_REJECTED:
-		begin_change(k, k->planned, now, out);
+		/* Fenced off, or the target is gone: both show by then. */
+		k->step = CHANGE_NONE;
+		k->retry_at = now + CHANGE_PAUSE;
 		break;
 	case PROMOTE_REFUSED:
 	case PROMOTE_LOST:
