Promote nobody while a departed replica may hold commits

A zone was cut off with the primary and the replica beside it, which had just been its predecessor. A member that departs now counts until the primary was heard after its end and another replica has received what the primary had then.

The price is that such a service waits for its zone. test_keeper covers both ends; with the guard off the first of them fails.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -193,6 +193,9 @@
 
 		if (!m->unlisted || (m->ready && m->up))
 			continue;
+		departed_add(k, m);
+		proxy_log(out, "event=member_departed member=%s service=%s",
+			  m->spec.name, k->service_name);
 		disconnect(m, out);
 		*m = k->members[--k->member_count];
 	}
@@ -216,6 +219,7 @@
 			continue;
 		snprintf(k->service_name, sizeof(k->service_name), "%s",
 			 s->service_name);
+		departed_back(k, s->endpoint);
 		m = kept_find(k, s->endpoint);
 		if (m) {
 			update_member(k, m, s, out);
@@ -401,8 +405,10 @@
 	if (m->leads) {
 		m->lead_at = r->at;
 		took_lead(k, m, now, out);
-		if (kept_primary(k) == m)
-			answer_wants(k, m->lead_order, r->at);
+		if (kept_primary(k) != m)
+			return;
+		departed_lead(k, m);
+		answer_wants(k, m->lead_order, r->at);
 	} else if (led) {
 		proxy_log(out, "event=lead_lost service=%s member=%s",
 			  k->service_name, m->spec.name);
@@ -417,6 +423,8 @@
 		return; /* busy: alive, and nothing is known */
 	m->status = r->status;
 	m->known = true;
+	if (!r->status.primary)
+		departed_received(k, r->status.received);
 	if (r->status.term > k->term)
 		k->term = r->status.term;
 	if (!r->status.held)
--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -116,6 +116,8 @@
 {
 	uint32_t i;
 
+	if (departed_matter(k))
+		return false;
 	for (i = 0; i < k->member_count; i++) {
 		const struct kept_member *m = &k->members[i];
 
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -47,6 +47,21 @@
 	hm_time held_since;  /**< seen held, outside of a change */
 };
 
+/**
+ * A member that is gone. With the primary it may have acknowledged commits
+ * that nobody else has, until the primary was heard after its end and another
+ * replica has received what the primary had then.
+ */
+struct departed {
+	hm_id endpoint;
+	char name[NAME_BYTES];
+	bool was_primary;
+	uint64_t order;	    /**< among questions, when it was missed */
+	struct mark needed; /**< position of the primary after its end */
+};
+
+#define DEPARTED_MAX 16
+
 struct want {
 	uint64_t from;
 	uint64_t seq;
@@ -60,6 +75,8 @@
 	bool active;
 	struct kept_member members[ENDPOINTS_MAX];
 	uint32_t member_count;
+	struct departed departed[DEPARTED_MAX];
+	uint32_t departed_count;
 	hm_time ask_at;
 	struct want wants[WANTS_MAX];
 	uint32_t want_count;
@@ -91,6 +108,16 @@
 bool kept_command(struct kept_member *m, enum asked asked,
 		  enum member_command_kind kind, uint64_t term, hm_time now,
 		  struct proxy_output *out);
+/** The primary answered: what it has now is all that departed ones had. */
+void departed_lead(struct keeper *k, const struct kept_member *primary);
+/** A replica told what it has received. */
+void departed_received(struct keeper *k, struct mark received);
+/** A member's entry is gone and it does not answer. */
+void departed_add(struct keeper *k, const struct kept_member *m);
+/** It is back, under whatever entry. */
+void departed_back(struct keeper *k, hm_id endpoint);
+/** Whether one of them may hold commits that the others lack. */
+bool departed_matter(const struct keeper *k);
 /** Tells all instances what is known now. */
 void keeper_announce(struct keeper *k);
 /** Decides about a change of the primary; call after each event. */
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -363,6 +363,48 @@
 }
 END_TEST
 
+/*
+ * LOST, twinkle-pool scale-2: a zone was cut off with the primary and the
+ * replica that had just been replaced as primary. The two went on to
+ * acknowledge commits; once their entries were gone, another was promoted.
+ */
+START_TEST(nobody_is_promoted_when_a_replica_left_with_the_primary)
+{
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	r.fakes[0].dark = true;
+	r.fakes[1].dark = true;
+	run(&r, 3 * HM_SEC);
+	r.fakes[0].spec = r.fakes[2].spec;
+	r.fakes[0].dark = false;
+	r.fakes[0].leads = false;
+	r.count = 1; /* m3 alone is registered */
+	publish(&r);
+	run(&r, 5 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	rig_close(&r);
+}
+END_TEST
+
+START_TEST(replica_that_left_before_counts_no_more)
+{
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	r.fakes[2].dead = true;
+	r.count = 2;
+	publish(&r);
+	run(&r, 5 * HM_SEC); /* m2 has received what m1 had since */
+	r.fakes[0].dead = true;
+	run(&r, 2 * HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m2 token=1\n"));
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(planned_change_waits_for_its_target)
 {
 	struct rig r;
@@ -467,6 +509,9 @@
 	tcase_add_test(tc, nobody_is_promoted_past_a_silent_replica);
 	tcase_add_test(tc, nobody_is_promoted_before_the_members_are_known);
 	tcase_add_test(tc, member_without_entry_counts_while_it_answers);
+	tcase_add_test(tc,
+		       nobody_is_promoted_when_a_replica_left_with_the_primary);
+	tcase_add_test(tc, replica_that_left_before_counts_no_more);
 	tcase_add_test(tc, planned_change_waits_for_its_target);
 	tcase_add_test(tc, lost_call_keeps_replicas_held);
 	tcase_add_test(tc, hold_that_nobody_owns_is_voided_then_resumed);
