--- a/core/pool.c
+++ b/core/pool.c
@@ -125,11 +125,22 @@
 {
 	struct run_result *r;
 	uint64_t to;
+	uint32_t i;
 
 	if (!p)
 		return;
 	while (pool_next_result(p, &to, &r))
 		run_result_free(r);
+	for (i = 0; i < p->job_room; i++)
+		if (p->jobs[i])
+			free_job(p->jobs[i]);
+	if (p->parked)
+		free_job(p->parked);
+	for (i = 0; i < p->conn_count; i++) {
+		conn_forget(&p->conns[i]);
+		if (p->conns[i].job)
+			free_job(p->conns[i].job);
+	}
 	turns_free(p->turns);
 	free(p->jobs);
 	free(p->conns);
--- a/core/pool_conn.c
+++ b/core/pool_conn.c
@@ -86,7 +86,7 @@
 	return &a->member.command;
 }
 
-static void forget_state(struct pool_conn *c)
+void conn_forget(struct pool_conn *c)
 {
 	values_free(c->values, c->value_count);
 	c->values = NULL;
@@ -138,7 +138,7 @@
 		return;
 	if (has_foreign_value(c, o)) {
 		command(c, EXPECT_SETUP, MEMBER_RESET, out);
-		forget_state(c);
+		conn_forget(c);
 	}
 	for (i = 0; i < o->value_count; i++) {
 		if (has_value(c, &o->values[i]))
@@ -415,7 +415,7 @@
 
 	proxy_action(out, PROXY_CLOSE_MEMBER)->member.conn = c->number;
 	release_job(c);
-	forget_state(c);
+	conn_forget(c);
 	c->tx = (struct rid){ 0 };
 	c->expect_count = 0;
 	conn_phase(c, PHASE_CLOSED, now);
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -121,6 +121,8 @@
 void conn_replied(struct pool *p, struct pool_conn *c,
 		  const struct member_reply *reply, hm_time now,
 		  struct proxy_output *out);
+/** Forgets the session state that a connection was given. */
+void conn_forget(struct pool_conn *c);
 /** Frees the places of closed connections. */
 void conns_sweep(struct pool *p);
 
--- a/src/duty.c
+++ b/src/duty.c
@@ -163,6 +163,7 @@
 		return;
 	d->stopping = true;
 	g_thread_pool_free(d->threads, TRUE, TRUE);
+	loop_drain(d->loop);
 	g_free(d);
 }
 
--- a/src/front.c
+++ b/src/front.c
@@ -1,6 +1,7 @@
 /** @file front.c Life of the callers' side, and its open requests. */
 #define _GNU_SOURCE /* POLLRDHUP; NOLINT(readability-identifier-naming) */
 #include "front_internal.h"
+#include "http_context.h"
 
 #include <poll.h>
 #include <signal.h>
@@ -161,12 +162,8 @@
 
 void front_free(struct front *f)
 {
-	h2o_multithread_queue_t *queue;
-	h2o_timeout_entry_t *later; /* second GOAWAY of a shutdown */
-
 	if (!f)
 		return;
-	later = &f->context.http2._graceful_shutdown_timeout;
 	f->stopping = true;
 	f->ended = true;
 	timer_free(f->hangup);
@@ -177,15 +174,7 @@
 		log_event(G_LOG_LEVEL_WARNING, "connections_left", NULL);
 		return; /* h2o still refers to the front */
 	}
-	h2o_evloop_run(loop_h2o(f->loop), 0);
-	queue = f->context.queue;
-	if (h2o_timeout_is_linked(later))
-		h2o_timeout_unlink(later);
-	h2o_context_dispose(&f->context);
-#if H2O_VERSION_MAJOR == 2 && H2O_VERSION_MINOR == 2
-	free(queue); /* left over by h2o_multithread_destroy_queue() */
-#endif
-	h2o_config_dispose(&f->config);
+	http_context_end(loop_h2o(f->loop), &f->context, &f->config);
 	SSL_CTX_free(f->ssl);
 	g_hash_table_destroy(f->exchanges);
 	front_counts_free(f->counts);
--- a/src/health_http.c
+++ b/src/health_http.c
@@ -4,8 +4,12 @@
 #include <h2o.h>
 #include <string.h>
 
+#include "http_context.h"
 #include "listen.h"
+#include "log.h"
 
+#define CLOSE_LIMIT (500 * HM_MS)
+#define RUN_WAIT_MS 10
 #define HOST_PORT 65535
 #define TEXT_TYPE "text/plain; charset=utf-8"
 
@@ -13,6 +17,7 @@
 	h2o_accept_ctx_t accept;
 	h2o_hostconf_t *hosts[2]; /* ended by NULL, as h2o wants it */
 	h2o_socket_t *socket;
+	struct health_http *server;
 };
 
 struct health_http {
@@ -21,9 +26,17 @@
 	h2o_context_t context;
 	struct port health;
 	struct port metrics;
+	struct loop *loop;
+	GQueue connections; /* of struct connection, owned */
 	bool ready;
 };
 
+/** An accepted connection. */
+struct connection {
+	struct health_http *server;
+	int fd; /**< of its h2o socket */
+};
+
 /** h2o's handler with the server that it serves. */
 struct handler {
 	h2o_handler_t super;
@@ -62,6 +75,25 @@
 	return 0;
 }
 
+static void on_connection_closed(void *data)
+{
+	struct connection *c = data;
+
+	g_queue_remove(&c->server->connections, c);
+	g_free(c);
+}
+
+static void track(struct health_http *h, h2o_socket_t *socket)
+{
+	struct connection *c = g_new(struct connection, 1);
+
+	c->server = h;
+	c->fd = h2o_socket_get_fd(socket);
+	socket->on_close.cb = on_connection_closed;
+	socket->on_close.data = c;
+	g_queue_push_tail(&h->connections, c);
+}
+
 static void on_accept(h2o_socket_t *listener, const char *err)
 {
 	struct port *p = listener->data;
@@ -69,8 +101,10 @@
 
 	if (err)
 		return;
-	while ((socket = h2o_evloop_socket_accept(listener)))
+	while ((socket = h2o_evloop_socket_accept(listener))) {
+		track(p->server, socket);
 		h2o_accept(&p->accept, socket);
+	}
 }
 
 static void add_path(struct health_http *h, struct port *p, const char *name,
@@ -98,6 +132,7 @@
 	fd = listen_on(address);
 	if (fd < 0)
 		return false;
+	p->server = h;
 	p->accept.ctx = &h->context;
 	p->accept.hosts = p->hosts;
 	p->socket = h2o_evloop_socket_create(loop_h2o(loop), fd,
@@ -113,6 +148,8 @@
 	struct health_http *h = g_new0(struct health_http, 1);
 
 	h->options = *options;
+	h->loop = loop;
+	g_queue_init(&h->connections);
 	h2o_config_init(&h->config);
 	add_path(h, &h->health, "health", options->health_path, on_health);
 	add_path(h, &h->metrics, "metrics", options->metrics_path, on_metrics);
@@ -124,6 +161,17 @@
 	return NULL;
 }
 
+static void end_connections(struct health_http *h)
+{
+	hm_time until = loop_now() + CLOSE_LIMIT;
+	GList *i;
+
+	for (i = h->connections.head; i; i = i->next)
+		shutdown(((struct connection *)i->data)->fd, SHUT_RDWR);
+	while (h->connections.length && loop_now() < until)
+		h2o_evloop_run(loop_h2o(h->loop), RUN_WAIT_MS);
+}
+
 void health_http_free(struct health_http *h)
 {
 	if (!h)
@@ -132,7 +180,13 @@
 		h2o_socket_close(h->health.socket);
 	if (h->metrics.socket)
 		h2o_socket_close(h->metrics.socket);
-	/* Open connections refer to the context: it lives as long as they. */
+	end_connections(h);
+	if (h->connections.length) {
+		log_event(G_LOG_LEVEL_WARNING, "connections_left", NULL);
+		return; /* h2o still refers to the server */
+	}
+	http_context_end(loop_h2o(h->loop), &h->context, &h->config);
+	g_free(h);
 }
 
 void health_http_ready(struct health_http *h, bool ready)
--- a/src/line_conn.c
+++ b/src/line_conn.c
@@ -93,10 +93,12 @@
 static ssize_t next_line(struct line_conn *c)
 {
 	const h2o_buffer_t *in = c->socket->input;
-	const char *end =
-		memchr(in->bytes + c->scanned, '\n', in->size - c->scanned);
+	const char *end;
 	size_t bytes;
 
+	if (in->size == c->scanned)
+		return 0;
+	end = memchr(in->bytes + c->scanned, '\n', in->size - c->scanned);
 	if (!end) {
 		c->scanned = in->size;
 		return in->size >= c->limit ? -1 : 0;
--- a/src/loop.c
+++ b/src/loop.c
@@ -47,20 +47,25 @@
 	return (hm_time)ts.tv_sec * HM_SEC + ts.tv_nsec / 1000;
 }
 
-static void run_posted(void *arg)
+void loop_drain(struct loop *l)
 {
-	struct loop *l = arg;
 	struct posted *p;
-	uint64_t count;
 
-	if (read(l->wake_fd, &count, sizeof(count)) < 0)
-		return;
 	while ((p = g_async_queue_try_pop(l->posted))) {
 		p->call(p->arg);
 		g_free(p);
 	}
 }
 
+static void run_posted(void *arg)
+{
+	struct loop *l = arg;
+	uint64_t count;
+
+	if (read(l->wake_fd, &count, sizeof(count)) >= 0)
+		loop_drain(l);
+}
+
 struct loop *loop_new(void)
 {
 	struct loop *l = g_new0(struct loop, 1);
--- a/src/loop.h
+++ b/src/loop.h
@@ -26,6 +26,8 @@
 void loop_stop(struct loop *l);
 /** Runs @a call on the loop's thread; callable from any thread. */
 void loop_post(struct loop *l, loop_call call, void *arg);
+/** Runs what was posted so far, before its poster is freed. */
+void loop_drain(struct loop *l);
 /** The underlying h2o_loop_t, for h2o contexts and sockets. */
 void *loop_h2o(struct loop *l);
 /** Microseconds of CLOCK_BOOTTIME, which goes on during a suspend. */
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -462,6 +462,7 @@
 	stop(&f->config);
 	stop(&f->members);
 	stop(&f->instances);
+	loop_drain(f->loop);
 	for (i = 0; i < DOCUMENT_KIND_COUNT; i++) {
 		free(f->documents[i].text);
 		g_hash_table_unref(f->polled[i].objects);
--- /dev/null
+++ b/standin/line_members.c
@@ -0,0 +1,427 @@
+/** @file line_members.c Members that speak the line protocol. */
+#include "line_members.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct member {
+	struct line_members *set;
+	int index;
+	int listener;
+	char address[ADDRESS_BYTES];
+	GThread *thread;
+	bool dead;
+	uint64_t held;
+	GPtrArray *threads; /* of connections */
+	GArray *fds;	    /* of open connections */
+};
+
+struct line_members {
+	char service[NAME_BYTES];
+	GMutex lock;
+	struct member list[LINE_MEMBERS];
+	GHashTable *values; /* what was committed */
+	uint64_t term;
+	uint64_t pos;
+	uint64_t runs;
+	int primary;
+};
+
+/* One connection; belongs to its thread. */
+struct conn {
+	struct member *member;
+	int fd;
+	FILE *in;
+	bool open; /* a transaction is */
+	bool plain;
+	GHashTable *prepared;
+	GPtrArray *writes; /* item, value, item, value, ... */
+};
+
+static const char *const names[LINE_MEMBERS] = { "i-1", "i-2", "i-3" };
+
+const char *line_members_name(int index)
+{
+	return names[index];
+}
+
+const char *line_members_address(const struct line_members *m, int index)
+{
+	return m->list[index].address;
+}
+
+static void say(struct conn *c, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void say(struct conn *c, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	if (send(c->fd, text, strlen(text), MSG_NOSIGNAL) < 0)
+		shutdown(c->fd, SHUT_RDWR);
+	g_free(text);
+}
+
+static void say_ready(struct conn *c)
+{
+	struct line_members *m = c->member->set;
+
+	say(c, "READY %c %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "\r\n",
+	    c->open ? 'T' : 'I', m->term, m->pos);
+}
+
+static void done(struct conn *c, const char *receipt)
+{
+	say(c, "COMPLETE %s\r\n", receipt);
+	say_ready(c);
+}
+
+static void refuse(struct conn *c, const char *code)
+{
+	say(c, "ERROR %s %s\r\n", code, names[c->member->index]);
+	say_ready(c);
+}
+
+static bool leads(const struct conn *c)
+{
+	return c->member->set->primary == c->member->index;
+}
+
+static void apply(struct line_members *m, GPtrArray *writes)
+{
+	guint i;
+
+	for (i = 0; i + 1 < writes->len; i += 2)
+		g_hash_table_replace(m->values, g_strdup(writes->pdata[i]),
+				     g_strdup(writes->pdata[i + 1]));
+	if (writes->len)
+		m->pos++;
+	g_ptr_array_set_size(writes, 0);
+}
+
+static void ran(struct conn *c)
+{
+	char receipt[32];
+
+	g_snprintf(receipt, sizeof(receipt), "7.%" G_GUINT64_FORMAT,
+		   ++c->member->set->runs);
+	done(c, receipt);
+}
+
+static void run_read(struct conn *c, const char *item)
+{
+	const char *value = g_hash_table_lookup(c->member->set->values, item);
+
+	say(c, "ROW %s\r\n", value ? value : "");
+	ran(c);
+}
+
+static void run_write(struct conn *c, const char *item, const char *value)
+{
+	if (!leads(c)) {
+		refuse(c, "READONLY");
+		return;
+	}
+	g_ptr_array_add(c->writes, g_strdup(item));
+	g_ptr_array_add(c->writes, g_strdup(value));
+	if (!c->open)
+		apply(c->member->set, c->writes);
+	ran(c);
+}
+
+static void run_execute(struct conn *c, char **words)
+{
+	const char *shape =
+		words[1] ? g_hash_table_lookup(c->prepared, words[1]) : NULL;
+
+	if (!shape)
+		refuse(c, "NOSTMT");
+	else if (!strcmp(shape, "WRITE"))
+		run_write(c, words[2], words[3] ? words[3] : "");
+	else
+		run_read(c, words[2]);
+}
+
+static void run_begin(struct conn *c, bool reads)
+{
+	if (!reads && !leads(c)) {
+		refuse(c, "READONLY");
+		return;
+	}
+	c->open = true;
+	c->plain = !reads;
+	done(c, "-");
+}
+
+static void run_commit(struct conn *c)
+{
+	if (c->plain && !leads(c) && c->writes->len) {
+		g_ptr_array_set_size(c->writes, 0);
+		c->open = false;
+		refuse(c, "READONLY");
+		return;
+	}
+	apply(c->member->set, c->writes);
+	c->open = false;
+	ran(c);
+}
+
+static void run_status(struct conn *c)
+{
+	struct line_members *m = c->member->set;
+
+	say(c,
+	    "ROW %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+	    ".%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " 0 0 1\r\n",
+	    leads(c) ? "primary" : "replica", m->term, m->term, m->pos,
+	    c->member->held);
+	done(c, "-");
+}
+
+static void run_text(struct conn *c, char **words)
+{
+	char *rest;
+
+	if (!strcmp(words[0], "AFTER"))
+		words += 2; /* replicas have all */
+	if (c->open && c->plain && !leads(c) && strcmp(words[0], "COMMIT") &&
+	    strcmp(words[0], "ROLLBACK")) {
+		refuse(c, "READONLY");
+	} else if (!strcmp(words[0], "BEGIN")) {
+		run_begin(c, words[1] != NULL);
+	} else if (!strcmp(words[0], "COMMIT")) {
+		run_commit(c);
+	} else if (!strcmp(words[0], "ROLLBACK")) {
+		g_ptr_array_set_size(c->writes, 0);
+		c->open = false;
+		done(c, "-");
+	} else if (!strcmp(words[0], "READ")) {
+		run_read(c, words[1]);
+	} else if (!strcmp(words[0], "WRITE")) {
+		rest = g_strjoinv(" ", words + 2);
+		run_write(c, words[1], rest);
+		g_free(rest);
+	} else if (!strcmp(words[0], "PREPARE")) {
+		g_hash_table_replace(c->prepared, g_strdup(words[1]),
+				     g_strdup(words[2]));
+		done(c, "-");
+	} else if (!strcmp(words[0], "EXECUTE")) {
+		run_execute(c, words);
+	} else if (!strcmp(words[0], "PAUSE")) {
+		c->member->held = g_ascii_strtoull(words[1], NULL, 10);
+		run_status(c);
+	} else if (!strcmp(words[0], "RESUME")) {
+		c->member->held = 0;
+		run_status(c);
+	} else if (!strcmp(words[0], "STATUS")) {
+		run_status(c);
+	} else {
+		done(c, "-"); /* SET and RESET */
+	}
+}
+
+static bool admit(struct conn *c, char **words)
+{
+	struct line_members *m = c->member->set;
+
+	if (g_strv_length(words) != 4 || strcmp(words[0], "STARTUP") != 0 ||
+	    strcmp(words[1], m->service) != 0 ||
+	    strcmp(words[3], names[c->member->index]) != 0) {
+		say(c, "ERROR MISROUTED %s\r\n", names[c->member->index]);
+		return false;
+	}
+	say_ready(c);
+	return true;
+}
+
+static bool take_line(struct conn *c, char *line, bool *admitted)
+{
+	struct line_members *m = c->member->set;
+	char **words;
+	bool ok = true;
+
+	line[strcspn(line, "\r\n")] = '\0';
+	words = g_strsplit(line, " ", 8);
+	g_mutex_lock(&m->lock);
+	if (!*admitted)
+		*admitted = ok = admit(c, words);
+	else
+		run_text(c, words + 2);
+	g_mutex_unlock(&m->lock);
+	g_strfreev(words);
+	return ok;
+}
+
+static gpointer serve(gpointer data)
+{
+	struct conn *c = data;
+	bool admitted = false;
+	char *line = NULL;
+	size_t room = 0;
+
+	c->in = fdopen(dup(c->fd), "r");
+	while (getline(&line, &room, c->in) > 0 &&
+	       take_line(c, line, &admitted))
+		;
+	free(line);
+	fclose(c->in);
+	shutdown(c->fd, SHUT_RDWR);
+	g_hash_table_unref(c->prepared);
+	g_ptr_array_unref(c->writes);
+	g_free(c);
+	return NULL;
+}
+
+static gpointer accept_all(gpointer data)
+{
+	struct member *member = data;
+	struct conn *c;
+	int fd;
+
+	while ((fd = accept(member->listener, NULL, NULL)) >= 0) {
+		c = g_new0(struct conn, 1);
+		c->member = member;
+		c->fd = fd;
+		c->prepared = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, g_free);
+		c->writes = g_ptr_array_new_with_free_func(g_free);
+		g_mutex_lock(&member->set->lock);
+		g_array_append_val(member->fds, fd);
+		g_ptr_array_add(member->threads,
+				g_thread_new("member", serve, c));
+		g_mutex_unlock(&member->set->lock);
+	}
+	return NULL;
+}
+
+static bool listen_member(struct member *member)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	socklen_t bytes = sizeof(at);
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	member->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (bind(member->listener, (struct sockaddr *)&at, sizeof(at)) ||
+	    listen(member->listener, SOMAXCONN) ||
+	    getsockname(member->listener, (struct sockaddr *)&at, &bytes))
+		return false;
+	g_snprintf(member->address, sizeof(member->address), "127.0.0.1:%u",
+		   ntohs(at.sin_port));
+	return true;
+}
+
+struct line_members *line_members_new(const char *service)
+{
+	struct line_members *m = g_new0(struct line_members, 1);
+	int i;
+
+	g_strlcpy(m->service, service, sizeof(m->service));
+	g_mutex_init(&m->lock);
+	m->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	m->term = 1;
+	for (i = 0; i < LINE_MEMBERS; i++) {
+		struct member *member = &m->list[i];
+
+		member->set = m;
+		member->index = i;
+		member->threads = g_ptr_array_new();
+		member->fds = g_array_new(FALSE, FALSE, sizeof(int));
+		if (!listen_member(member))
+			return NULL;
+		member->thread = g_thread_new("accept", accept_all, member);
+	}
+	return m;
+}
+
+void line_members_kill(struct line_members *m, int index)
+{
+	struct member *member = &m->list[index];
+	guint i;
+
+	if (member->dead)
+		return;
+	member->dead = true;
+	shutdown(member->listener, SHUT_RDWR);
+	g_thread_join(member->thread);
+	close(member->listener);
+	for (i = 0; i < member->fds->len; i++)
+		shutdown(g_array_index(member->fds, int, i), SHUT_RDWR);
+	for (i = 0; i < member->threads->len; i++)
+		g_thread_join(g_ptr_array_index(member->threads, i));
+	for (i = 0; i < member->fds->len; i++)
+		close(g_array_index(member->fds, int, i));
+}
+
+void line_members_free(struct line_members *m)
+{
+	int i;
+
+	if (!m)
+		return;
+	for (i = 0; i < LINE_MEMBERS; i++) {
+		line_members_kill(m, i);
+		g_ptr_array_unref(m->list[i].threads);
+		g_array_unref(m->list[i].fds);
+	}
+	g_hash_table_unref(m->values);
+	g_mutex_clear(&m->lock);
+	g_free(m);
+}
+
+bool line_members_promote(struct line_members *m, const char *name)
+{
+	bool found = false;
+	int i;
+
+	g_mutex_lock(&m->lock);
+	for (i = 0; i < LINE_MEMBERS; i++) {
+		if (strcmp(names[i], name) != 0 || m->list[i].dead)
+			continue;
+		found = true;
+		m->term += m->primary != i;
+		m->primary = i;
+	}
+	for (i = 0; found && i < LINE_MEMBERS; i++)
+		m->list[i].held = 0;
+	g_mutex_unlock(&m->lock);
+	return found;
+}
+
+int line_members_primary(struct line_members *m)
+{
+	int primary;
+
+	g_mutex_lock(&m->lock);
+	primary = m->primary;
+	g_mutex_unlock(&m->lock);
+	return primary;
+}
+
+char *line_members_value(struct line_members *m, const char *item)
+{
+	char *value;
+
+	g_mutex_lock(&m->lock);
+	value = g_strdup(g_hash_table_lookup(m->values, item));
+	g_mutex_unlock(&m->lock);
+	return value;
+}
+
+uint64_t line_members_runs(struct line_members *m)
+{
+	uint64_t runs;
+
+	g_mutex_lock(&m->lock);
+	runs = m->runs;
+	g_mutex_unlock(&m->lock);
+	return runs;
+}
--- /dev/null
+++ b/standin/object_store.h
@@ -0,0 +1,26 @@
+/**
+ * @file object_store.h
+ * Stand-in for the store of the users' platform and for its promote call, on
+ * one port of loopback: lists, watches, single reads, conditional writes.
+ */
+#ifndef OBJECT_STORE_H
+#define OBJECT_STORE_H
+
+#include "line_members.h"
+
+struct object_store;
+
+/** Promote calls go to @a members; NULL when it cannot listen. */
+struct object_store *object_store_new(struct line_members *members);
+void object_store_free(struct object_store *s);
+const char *object_store_address(const struct object_store *s);
+/** Writes an object without condition; @a spec is JSON text. */
+void object_store_put(struct object_store *s, const char *kind,
+		      const char *name, const char *spec);
+/** Removes an object, which leaves a tombstone for watches. */
+void object_store_remove(struct object_store *s, const char *kind,
+			 const char *name);
+/** Refuses all calls while @a down. */
+void object_store_down(struct object_store *s, bool down);
+
+#endif
