--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,7 @@
 	@RECORD_TRACES=1 CK_FORK=no $<
 
 lint:
+	tests/platform_names
 	clang-format --dry-run -Werror $(FORMATTED)
 	@printf '%s\n' $(filter-out tests/%,$(SOURCES)) | \
 		xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- \
