--- a/core/place.c
+++ b/core/place.c
@@ -8,7 +8,7 @@
 /* Only the primary can write: reads go there when replicas are this busy. */
 #define PRIMARY_COST (15 * HM_MS)
 /* A replica that was behind a moment ago: another try costs a round trip. */
-#define LAGGING_COST (100 * HM_MS)
+#define BEHIND_COST (100 * HM_MS)
 /* Expected slot time of a statement that was sent and not answered yet. */
 #define OUTSTANDING_COST (5 * HM_MS)
 /* What a home told of its queue is out of date after this. */
@@ -81,7 +81,7 @@
 	if (primary)
 		cost += PRIMARY_COST;
 	else if (now < l->behind_until)
-		cost += LAGGING_COST;
+		cost += BEHIND_COST;
 	if (m->zone != p->options.core.zone)
 		cost += ZONE_COST;
 	cost += l->outstanding * OUTSTANDING_COST / (m->slots ? m->slots : 1);
--- a/src/line_front.c
+++ b/src/line_front.c
@@ -85,7 +85,7 @@
 	struct caller_request r;
 
 	c->front->protocol->read_request(line, c->started, &r);
-	if (r.kind == CALLER_TERMINATE) {
+	if (r.kind == CALLER_LEAVE) {
 		tell_closed(c);
 		return;
 	}
@@ -96,7 +96,7 @@
 	}
 	c->waiting = true;
 	line_conn_hold(c->conn, true);
-	if (r.kind == CALLER_STARTUP)
+	if (r.kind == CALLER_OPEN)
 		open_session(c, &r);
 	else
 		ask(c, &r);
--- a/src/line_protocol.h
+++ b/src/line_protocol.h
@@ -12,9 +12,9 @@
 #include "../core/proxy.h"
 
 enum caller_line {
-	CALLER_STARTUP,
+	CALLER_OPEN,
 	CALLER_STATEMENT,
-	CALLER_TERMINATE,
+	CALLER_LEAVE,
 	CALLER_BAD_STATEMENT, /**< malformed, its request id could be read */
 	CALLER_BAD	      /**< malformed, ends the session */
 };
--- a/src/proxy_settings.c
+++ b/src/proxy_settings.c
@@ -68,7 +68,7 @@
 	s->drain_limit = 7 * HM_SEC;
 	s->grace = 6 * HM_SEC;
 	s->store_call_limit = 1 * HM_SEC;
-	s->store_watch_wait = 10 * HM_SEC;
+	s->store_watch_wait = 25 * HM_SEC;
 	s->store_list_every = 5 * HM_SEC;
 }
 
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../src/fields.h"
+#include "../src/proxy_settings.h"
 #include "../src/reply.h"
 #include "suite.h"
 
@@ -104,6 +105,26 @@
 }
 END_TEST
 
+START_TEST(proxy_settings_table)
+{
+	char *text = document("docs/SETTINGS.md");
+	const struct field *fields;
+	size_t count, i;
+	char *row, *at;
+
+	at = strstr(text, "## Settings of a proxy");
+	ck_assert_ptr_nonnull(at);
+	fields = proxy_settings_fields(&count);
+	for (i = 0; i < count; i++) {
+		row = g_strdup_printf("\n| `%s` | ", fields[i].path);
+		assert_row(at, row);
+		g_free(row);
+	}
+	ck_assert_uint_eq(count_rows(at, 3), count);
+	g_free(text);
+}
+END_TEST
+
 START_TEST(advice_never_repeats_blindly)
 {
 	struct result r = { 0 };
@@ -134,6 +155,7 @@
 
 	tcase_add_test(tc, error_table);
 	tcase_add_test(tc, settings_table);
+	tcase_add_test(tc, proxy_settings_table);
 	tcase_add_test(tc, advice_never_repeats_blindly);
 	tcase_add_test(tc, retry_time_is_rounded_up);
 	return suite_run("docs", tc);
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -39,7 +39,7 @@
 
 	if (r.kind == CALLER_BAD_STATEMENT)
 		text = g_strdup_printf("malformed %s", r.request);
-	else if (r.kind == CALLER_TERMINATE)
+	else if (r.kind == CALLER_LEAVE)
 		text = g_strdup("terminate");
 	else if (r.kind != CALLER_STATEMENT)
 		text = g_strdup("bad");
@@ -112,11 +112,11 @@
 	char three[] = "STARTUP lepu270 a b", four[] = "QUERY 1 READ a";
 	struct caller_request r = read_line(one, false);
 
-	ck_assert_int_eq(r.kind, CALLER_STARTUP);
+	ck_assert_int_eq(r.kind, CALLER_OPEN);
 	ck_assert_str_eq(r.database, "lepu270");
 	ck_assert_str_eq(r.key, "u3f1");
 	r = read_line(two, false);
-	ck_assert_int_eq(r.kind, CALLER_STARTUP);
+	ck_assert_int_eq(r.kind, CALLER_OPEN);
 	ck_assert_ptr_null(r.key);
 	ck_assert_int_eq(read_line(three, false).kind, CALLER_BAD);
 	ck_assert_int_eq(read_line(four, false).kind, CALLER_BAD);
