--- a/core/proxy.h
+++ b/core/proxy.h
@@ -156,6 +156,7 @@
 			enum session_state state;
 			struct mark at;	  /**< term 0: none */
 			hm_time retry_in; /**< 0: no advice */
+			hm_time took;	  /**< since the request came */
 			char *rows;
 			uint32_t row_bytes;
 			char *receipt;
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -107,6 +107,7 @@
 	a->answer.client = s->number;
 	a->answer.error = error;
 	a->answer.state = s->tx.state;
+	a->answer.took = now - s->pending.since;
 	if (retry_at > now)
 		a->answer.retry_in = retry_at - now;
 	if (result) {
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -61,6 +61,15 @@
 static void step(struct proxy_instance *i, const struct proxy_event *e);
 
 static void do_answer(struct proxy_instance *i, const struct proxy_action *a)
+{
+	if (!a->answer.opened)
+		histogram_add(a->answer.error ? &i->counts.refused
+					      : &i->counts.served,
+			      a->answer.took);
+	line_front_perform(i->front, a);
+}
+
+static void do_close(struct proxy_instance *i, const struct proxy_action *a)
 {
 	line_front_perform(i->front, a);
 }
