--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -126,7 +126,7 @@
 
 static void (*const performers[])(struct proxy_instance *i,
 				  const struct proxy_action *a) = {
-	[PROXY_ANSWER] = do_answer,	  [PROXY_CLOSE_CLIENT] = do_answer,
+	[PROXY_ANSWER] = do_answer,	  [PROXY_CLOSE_CLIENT] = do_close,
 	[PROXY_CONNECT] = do_member,	  [PROXY_COMMAND] = do_member,
 	[PROXY_CLOSE_MEMBER] = do_member, [PROXY_TAKE_TOKEN] = do_duty,
 	[PROXY_PROMOTE] = do_duty,	  [PROXY_SHARE_DOCUMENT] = do_share,
