A member that is full is not down; spare connections are given back

Cause: the first line of a member was cut into fields twice, so CONNLIMIT was read as a fault of the member, and its home refused all work for a while. In a split of the machines each half has a home, and the first one held all connections. Now the line is read once (members_tell_why_they_admit_nobody failed before), a full member is waited for, and a second connection that an account has not used for 1 s is closed.

Peers are logged when they change only.

--- a/core/pool.c
+++ b/core/pool.c
@@ -370,7 +370,7 @@
 
 static void connect_failed(struct pool *p, enum error error, hm_time now)
 {
-	if (error == ERR_CONNECTION_LIMIT) {
+	if (error == ERR_CONNECTION_LIMIT || error == ERR_OVERLOADED) {
 		p->connect_after = now + CONNECTION_LIMIT_PAUSE;
 		return;
 	}
@@ -401,7 +401,7 @@
 
 	if (c->phase == PHASE_CONNECTING) {
 		connect_failed(p, error, now);
-		if (error == ERR_CONNECTION_LIMIT)
+		if (error == ERR_CONNECTION_LIMIT || error == ERR_OVERLOADED)
 			park_again(p, c);
 	}
 	conn_drop(p, c, ERR_NONE, now, out);
@@ -418,6 +418,23 @@
 /* Idle connections of a member that another instance holds go soon. */
 #define UNHOMED_IDLE (300 * HM_MS)
 
+/* A second connection of an account that it does not use is given back. */
+#define SPARE_IDLE (1 * HM_SEC)
+
+static bool is_spare(const struct pool *p, const struct pool_conn *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->conn_count; i++) {
+		const struct pool_conn *o = &p->conns[i];
+
+		if (o != c && o->phase == PHASE_IDLE &&
+		    o->account == c->account && o->since >= c->since)
+			return true;
+	}
+	return false;
+}
+
 static void check_conn(struct pool *p, struct pool_conn *c, bool homed,
 		       hm_time now, struct proxy_output *out)
 {
@@ -444,7 +461,8 @@
 			conn_clear(c, now, out);
 		return;
 	case PHASE_IDLE:
-		if (!homed && since > UNHOMED_IDLE)
+		if ((!homed && since > UNHOMED_IDLE) ||
+		    (since > SPARE_IDLE && is_spare(p, c)))
 			conn_drop(p, c, ERR_NONE, now, out);
 		return;
 	case PHASE_CLOSED:
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -68,6 +68,7 @@
 	admit_free(p->admit);
 	rate_free(p->rate);
 	peers_free(p->peers);
+	table_free(&p->logged_peers);
 	free(p);
 }
 
@@ -304,6 +305,26 @@
 	m->heartbeat.config_digest = p->members ? p->members->revision : 0;
 }
 
+/* States of a peer that were logged, by its life. */
+enum logged_peer { LOGGED_DEAD = 1, LOGGED_ALIVE, LOGGED_LEAVING };
+
+/* One line for each change of a peer. */
+static void log_peer(struct proxy *p, const struct peer *peer,
+		     struct proxy_output *out)
+{
+	uint32_t state = LOGGED_DEAD;
+
+	if (peer->alive)
+		state = peer->leaving ? LOGGED_LEAVING : LOGGED_ALIVE;
+	if (table_get(&p->logged_peers, peer->life) == state)
+		return;
+	if (!table_put(&p->logged_peers, peer->life, state))
+		abort();
+	proxy_log(out, "event=peer life=%016llx zone=%u alive=%d leaving=%d",
+		  (unsigned long long)peer->life, peer->zone, peer->alive,
+		  peer->leaving);
+}
+
 /* Transactions of instances that are gone are rolled back. */
 static void check_peers(struct proxy *p, hm_time now, struct proxy_output *out)
 {
@@ -315,10 +336,7 @@
 		return;
 	p->peers_generation = generation;
 	for (i = 0; (peer = peers_at(p->peers, i)); i++) {
-		proxy_log(out,
-			  "event=peer life=%016llx zone=%u alive=%d leaving=%d",
-			  (unsigned long long)peer->life, peer->zone,
-			  peer->alive, peer->leaving);
+		log_peer(p, peer, out);
 		for (k = 0; !peer->alive && k < p->pool_count; k++)
 			pool_release_life(p->pools[k], peer->life, now, out);
 	}
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -130,6 +130,7 @@
 	bool store_ok;
 	bool ready;
 	bool stopped;
+	struct table logged_peers; /**< enum logged_peer by life */
 	uint64_t peers_generation; /**< when lost peers were last looked for */
 	struct proxy_figures figures;
 };
--- a/src/line_protocol.h
+++ b/src/line_protocol.h
@@ -58,6 +58,8 @@
 	void (*write_open)(GString *out, const char *service, const char *who,
 			   const char *endpoint);
 	void (*write_command)(GString *out, const struct member_command *c);
+	/** What a member answers to that: ERR_NONE when it is open. */
+	enum error (*read_open)(char *line);
 	/** Takes a line, ended by NUL, of the reply to @a kind. */
 	enum reply_line (*read_reply)(char *line, enum member_command_kind kind,
 				      struct reply_builder *b);
--- a/src/member_link.c
+++ b/src/member_link.c
@@ -88,7 +88,8 @@
 				 .member.error = error };
 
 	log_event(G_LOG_LEVEL_DEBUG, "member_link_closed", "member",
-		  m->endpoint, "who", m->who, "reason", reason, NULL);
+		  m->endpoint, "who", m->who, "error",
+		  error_answer(error)->code, "reason", reason, NULL);
 	g_hash_table_remove(l->by_number, &e.member.conn);
 	proxy_sink_event(&l->sink, &e);
 }
@@ -132,19 +133,12 @@
 
 static void on_opening_line(struct member_link *m, char *line)
 {
-	/* A READY alone admits; an error ends the connection. */
-	m->builder.ended = true;
-	if (m->links->protocol->read_reply(line, MEMBER_STATEMENT,
-					   &m->builder) == REPLY_COMPLETE) {
+	enum error error = m->links->protocol->read_open(line);
+
+	if (error)
+		link_ended(m, error, "not admitted");
+	else
 		opened(m);
-		return;
-	}
-	m->builder.ended = false;
-	m->links->protocol->read_reply(line, MEMBER_STATEMENT, &m->builder);
-	link_ended(m,
-		   m->builder.reply.error ? m->builder.reply.error
-					  : ERR_INTERNAL,
-		   "not admitted");
 }
 
 static void on_line(void *arg, char *line)
--- a/standin/line_members.c
+++ b/standin/line_members.c
@@ -192,8 +192,9 @@
 
 	if (!strcmp(words[0], "AFTER"))
 		words += 2; /* replicas have all */
-	if (c->open && c->plain && !leads(c) && strcmp(words[0], "COMMIT") &&
-	    strcmp(words[0], "ROLLBACK")) {
+	if (c->open && c->plain && !leads(c) &&
+	    strcmp(words[0], "COMMIT") != 0 &&
+	    strcmp(words[0], "ROLLBACK") != 0) {
 		refuse(c, "READONLY");
 	} else if (!strcmp(words[0], "BEGIN")) {
 		run_begin(c, words[1] != NULL);
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -196,6 +196,24 @@
 }
 END_TEST
 
+/*
+ * abh-rota scale-1: a member that was full was taken for one that is down,
+ * since the line was cut up twice.
+ */
+START_TEST(members_tell_why_they_admit_nobody)
+{
+	char open[] = "READY I 3.1207", full[] = "ERROR CONNLIMIT i-7f";
+	char other[] = "ERROR MISROUTED i-7f", busy[] = "ERROR BUSY i-7f";
+	char odd[] = "COMPLETE -";
+
+	ck_assert_int_eq(platform_lines.read_open(open), ERR_NONE);
+	ck_assert_int_eq(platform_lines.read_open(full), ERR_CONNECTION_LIMIT);
+	ck_assert_int_eq(platform_lines.read_open(other), ERR_WRONG_ENDPOINT);
+	ck_assert_int_ne(platform_lines.read_open(busy), ERR_NONE);
+	ck_assert_int_eq(platform_lines.read_open(odd), ERR_INTERNAL);
+}
+END_TEST
+
 static enum reply_line feed(struct reply_builder *b, const char *line,
 			    enum member_command_kind kind)
 {
@@ -302,6 +320,7 @@
 	tcase_add_test(tc, commands_are_written_whole);
 	tcase_add_test(tc, answers_carry_rows_and_receipt);
 	tcase_add_test(tc, promises_are_made_for_what_has_not_run);
+	tcase_add_test(tc, members_tell_why_they_admit_nobody);
 	tcase_add_test(tc, replies_are_read_line_by_line);
 	tcase_add_test(tc, random_lines_do_no_harm);
 	return suite_run("line", tc);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -421,6 +421,34 @@
 }
 END_TEST
 
+/*
+ * abh-rota scale-1: machines cut into halves have a home each; the first one
+ * kept all connections, and the member admitted nobody else.
+ */
+START_TEST(spare_connections_are_given_back)
+{
+	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
+	struct rig r;
+
+	rig_open(&r, 2, 16);
+	warm(&r);
+	submit(&r, &o);
+	o.id.seq = 2;
+	submit(&r, &o);
+	ready(&r, 2);
+	reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	reply(&r, 2, ERR_NONE, SESSION_IDLE);
+	g_string_truncate(r.text, 0);
+	tick(&r, 900 * HM_MS);
+	proxy_text_expect(r.text, "");
+	tick(&r, 200 * HM_MS);
+	proxy_text_expect(r.text, "close 1\n");
+	tick(&r, 5 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(transactions_of_a_dead_instance_are_rolled_back)
 {
 	struct rig r;
@@ -469,6 +497,7 @@
 	tcase_add_test(tc, ends_tell_whether_it_ran);
 	tcase_add_test(tc, silent_connection_is_found_before_the_statement);
 	tcase_add_test(tc, connections_go_from_idle_accounts_to_busy_ones);
+	tcase_add_test(tc, spare_connections_are_given_back);
 	tcase_add_test(tc, transactions_of_a_dead_instance_are_rolled_back);
 	tcase_add_test(tc, leaving_member_gets_no_new_work_after_its_limit);
 	return suite_run("pool", tc);
