Refuse early when connections are lacking

Cause: after a loss of power the members count the dead connections for 3 s. Statements that had no connection waited in line for their whole aim, one behind the other, and were refused then. Now one of them waits, for a quarter of its time, and others of accounts without a connection are refused at once.

--- a/core/pool.c
+++ b/core/pool.c
@@ -203,6 +203,17 @@
 	turns_push(p->turns, &turn);
 }
 
+static bool has_connection(const struct pool *p, hm_id account)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->conn_count; i++)
+		if (p->conns[i].phase != PHASE_CLOSED &&
+		    p->conns[i].account == account)
+			return true;
+	return false;
+}
+
 /* Why a new statement is not taken in, ERR_NONE when it is. */
 static enum error refusal(const struct pool *p, const struct run_order *o,
 			  hm_time now, hm_time *retry_at)
@@ -217,6 +228,9 @@
 		return ERR_NO_ENDPOINT;
 	if (p->down && now < p->connect_after)
 		return ERR_NO_ENDPOINT;
+	/* One waits for a connection already: a second one would in vain. */
+	if (p->parked && !has_connection(p, o->account))
+		return ERR_OVERLOADED;
 	wait = job_wait(p, o->account, now);
 	if (now + wait <= o->start_by)
 		return ERR_NONE;
@@ -290,6 +304,19 @@
 			   now);
 }
 
+/* Part of its time that a statement waits for a connection. */
+#define PARK_PART 4
+
+static void end_parked(struct pool *p, hm_time now)
+{
+	const struct job *j = p->parked;
+	hm_time since = j ? j->turn.queued_at : 0;
+
+	if (j && now - since > (j->order->start_by - since) / PARK_PART)
+		job_refuse(p, p->parked, ERR_OVERLOADED, EXEC_NOT_RUN,
+			   now + RETRY_SOON, now);
+}
+
 static bool of_tx(const struct job *j, const void *context)
 {
 	const struct rid *tx = context;
@@ -476,6 +503,7 @@
 	uint32_t i;
 
 	end_queued(p, is_late, &now, ERR_OVERLOADED, now);
+	end_parked(p, now);
 	for (i = 0; i < p->conn_count; i++)
 		check_conn(p, &p->conns[i], homed, now, out);
 	conns_sweep(p);
