Send nothing new to a home that fell silent

Cause: a home that was cut off or killed counted as alive for a second, and what it was sent waited as long; a connection to a dark member was waited for as long, too. Work now goes elsewhere, or is refused, once a home was not heard for 0.5 s, and a connect ends after 0.4 s.

--- a/core/place.c
+++ b/core/place.c
@@ -15,6 +15,8 @@
 #define TOLD_VALID (200 * HM_MS)
 /* A view not renewed for this long says nothing of who answers. */
 #define VIEW_VALID (2 * HM_SEC)
+/* A home not heard for more than a heartbeat and a half gets nothing new. */
+#define HOME_SUSPECT (500 * HM_MS)
 /* Come back when nobody leads: half of what a change takes at least. */
 #define PRIMARY_RETRY (300 * HM_MS)
 #define MEMBER_RETRY (100 * HM_MS)
@@ -61,6 +63,17 @@
 	return m->says_primary;
 }
 
+/* Whether the home of a member was heard lately enough to be sent work. */
+static bool home_answers(const struct proxy *p, const struct site_member *m,
+			 hm_time now)
+{
+	uint64_t home = place_home(p, m);
+	const struct peer *peer = peers_find(p->peers, home);
+
+	return home == p->options.core.life ||
+	       (peer && now - peer->heard_at < HOME_SUSPECT);
+}
+
 /* Cost of a member in microseconds; HM_NEVER: not to be used. */
 static hm_time cost_of(struct proxy *p, const struct need *need,
 		       const struct site_member *m,
@@ -78,6 +91,8 @@
 		return HM_NEVER;
 	if (view_is_fresh(v, now) && seen && !seen->up)
 		return HM_NEVER;
+	if (!home_answers(p, m, now))
+		return HM_NEVER;
 	if (primary)
 		cost += PRIMARY_COST;
 	else if (now < l->behind_until)
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -21,7 +21,7 @@
 	o->core.peer_silent = 1000 * HM_MS;
 	o->drain_limit = 5 * HM_SEC;
 	o->stop_limit = 3 * HM_SEC;
-	o->connect_limit = 1 * HM_SEC;
+	o->connect_limit = 400 * HM_MS;
 	o->settle_time = 3 * HM_SEC;
 	o->keeper_every = 200 * HM_MS;
 	o->status_every = 3 * HM_SEC;
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -20,11 +20,18 @@
 	GString *text;
 	hm_time now;
 	uint64_t version;
+	uint64_t peer_seq;
+	uint32_t sent[MSG_KIND_COUNT]; /* to peers, by the last step */
 };
 
 static void step(struct rig *r, const struct proxy_event *e)
 {
+	size_t i;
+
 	proxy_step(r->proxy, e, r->now, &r->out);
+	memset(r->sent, 0, sizeof(r->sent));
+	for (i = 0; i < r->out.peers.count; i++)
+		r->sent[r->out.peers.list[i].send.message.kind]++;
 	proxy_text(r->text, &r->out);
 }
 
@@ -394,6 +401,52 @@
 }
 END_TEST
 
+/* Messages of a kind that the last step sent to peers. */
+static uint32_t sent_of(const struct rig *r, enum message_kind kind)
+{
+	return r->sent[kind];
+}
+
+static void heartbeat(struct rig *r, uint64_t instance)
+{
+	struct message m = { .kind = MSG_HEARTBEAT };
+	struct proxy_event e = { .kind = PROXY_MESSAGE, .message = &m };
+
+	m.from = 1000 + instance;
+	m.seq = ++r->peer_seq;
+	m.heartbeat.instance = instance;
+	step(r, &e);
+}
+
+/* Heartbeats come every 300 ms: after 500 ms without one work goes no more. */
+START_TEST(home_that_falls_silent_gets_nothing_new)
+{
+	uint64_t instance;
+	struct rig r;
+
+	/* An instance that is home of m1 in place of this one. */
+	for (instance = 1;; instance++) {
+		rig_open(&r);
+		open_session(&r, 1, "rota", "secret");
+		heartbeat(&r, instance);
+		ask(&r, STMT_WRITE, "a1", NULL, "WRITE k v");
+		if (sent_of(&r, MSG_RUN))
+			break;
+		rig_close(&r);
+	}
+	rig_close(&r);
+	rig_open(&r);
+	open_session(&r, 1, "rota", "secret");
+	heartbeat(&r, instance);
+	run(&r, 600 * HM_MS);
+	g_string_truncate(r.text, 0);
+	ask(&r, STMT_WRITE, "a1", NULL, "WRITE k v");
+	ck_assert_uint_eq(sent_of(&r, MSG_RUN), 0);
+	proxy_text_expect(r.text, "answer 1 no_primary I later\n");
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(stop_lets_a_transaction_end)
 {
 	struct proxy_event stop = { .kind = PROXY_STOP };
@@ -435,6 +488,7 @@
 	tcase_add_test(tc, dropped_route_holds_until_the_transaction_ends);
 	tcase_add_test(tc, older_configuration_is_ignored);
 	tcase_add_test(tc, over_rate_is_refused_at_once);
+	tcase_add_test(tc, home_that_falls_silent_gets_nothing_new);
 	tcase_add_test(tc, stop_lets_a_transaction_end);
 	return suite_run("sessions", tc);
 }
