When a member is full, idle connections go to who needs one

Cause: after a loss of power a member counts dead connections for 3 s; a home that got five of sixteen kept them for the accounts that came first.

Kept for the accounts that would get nothing.

--- a/core/pool.c
+++ b/core/pool.c
@@ -395,10 +395,23 @@
 	conns_sweep(p);
 }
 
+/* The member took no further connection: what is open is what there is. */
+static void note_full(struct pool *p, hm_time now)
+{
+	uint32_t i;
+
+	p->full_at = 0;
+	for (i = 0; i < p->conn_count; i++)
+		p->full_at += p->conns[i].phase != PHASE_CLOSED &&
+			      p->conns[i].phase != PHASE_CONNECTING;
+	p->full_until = now + FULL_VALID;
+	p->connect_after = now + CONNECTION_LIMIT_PAUSE;
+}
+
 static void connect_failed(struct pool *p, enum error error, hm_time now)
 {
 	if (error == ERR_CONNECTION_LIMIT || error == ERR_OVERLOADED) {
-		p->connect_after = now + CONNECTION_LIMIT_PAUSE;
+		note_full(p, now);
 		return;
 	}
 	p->down = true;
--- a/core/pool_dispatch.c
+++ b/core/pool_dispatch.c
@@ -29,11 +29,16 @@
 	return used < p->member.slots;
 }
 
-static uint32_t connections_most(const struct pool *p)
+static uint32_t connections_most(const struct pool *p, hm_time now)
 {
-	if (p->connections <= CONNECTIONS_SPARED)
-		return 1;
-	return p->connections - CONNECTIONS_SPARED;
+	uint32_t most = 1;
+
+	if (p->connections > CONNECTIONS_SPARED)
+		most = p->connections - CONNECTIONS_SPARED;
+	/* Another home, or one that is gone, has the others. */
+	if (now < p->full_until && p->full_at < most)
+		most = p->full_at;
+	return most ? most : 1;
 }
 
 /* Idle connection of the account; the one used last is the likeliest fit. */
@@ -76,7 +81,7 @@
 
 	if (now < p->connect_after)
 		return NULL;
-	if (conns_open(p) >= connections_most(p)) {
+	if (conns_open(p) >= connections_most(p, now)) {
 		victim = idle_longest(p);
 		if (!victim)
 			return NULL;
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -20,6 +20,8 @@
 #define CONNECT_PAUSE_MOST (1 * HM_SEC)
 /* The member counts a closed connection until it has noticed. */
 #define CONNECTION_LIMIT_PAUSE (50 * HM_MS)
+/* A member that was full may have a free connection again after this. */
+#define FULL_VALID (150 * HM_MS)
 /* Connections left to the keeper and to a home that takes over. */
 #define CONNECTIONS_SPARED 2
 
@@ -87,7 +89,9 @@
 	struct pool_conn *conns;
 	uint32_t conn_count;
 	uint32_t conn_room;
-	uint32_t running; /**< jobs that hold a slot */
+	uint32_t running;   /**< jobs that hold a slot */
+	uint32_t full_at;   /**< connections here when the member was full */
+	hm_time full_until; /**< that counts as the limit until then */
 	hm_time connect_after;
 	hm_time connect_pause;
 	bool down; /**< the last connect failed */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -421,6 +421,24 @@
 }
 END_TEST
 
+START_TEST(full_member_serves_others_over_idle_connections)
+{
+	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
+	struct rig r;
+
+	rig_open(&r, 2, 16);
+	warm(&r);
+	o.account = 4;
+	g_strlcpy(o.who, "other", sizeof(o.who));
+	submit(&r, &o);
+	closed(&r, 2, ERR_CONNECTION_LIMIT);
+	proxy_text_expect(r.text, "connect 2 m1 other\nclose 2\n");
+	tick(&r, 60 * HM_MS);
+	proxy_text_expect(r.text, "close 1\nconnect 3 m1 other\n");
+	rig_close(&r);
+}
+END_TEST
+
 /*
  * abh-rota scale-1: machines cut into halves have a home each; the first one
  * kept all connections, and the member admitted nobody else.
@@ -497,6 +515,7 @@
 	tcase_add_test(tc, ends_tell_whether_it_ran);
 	tcase_add_test(tc, silent_connection_is_found_before_the_statement);
 	tcase_add_test(tc, connections_go_from_idle_accounts_to_busy_ones);
+	tcase_add_test(tc, full_member_serves_others_over_idle_connections);
 	tcase_add_test(tc, spare_connections_are_given_back);
 	tcase_add_test(tc, transactions_of_a_dead_instance_are_rolled_back);
 	tcase_add_test(tc, leaving_member_gets_no_new_work_after_its_limit);
