--- a/core/proxy.c
+++ b/core/proxy.c
@@ -461,8 +461,6 @@
 {
 	if (ok != p->store_ok)
 		proxy_log(out, "event=store ok=%d", ok);
-	if (ok && !p->store_ok)
-		p->settled_at = now + p->options.settle_time;
 	p->store_ok = ok;
 	peers_platform(p->peers, ok, now);
 }
