Part long files of the proxy by job

sessions_ask.c, pool_job.c, pool_setup.c, proxy_message.c, keeper_view.c and line_member.c are moved out of their neighbours; nothing changes in behaviour.

--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -118,6 +118,8 @@
 void departed_back(struct keeper *k, hm_id endpoint);
 /** Whether one of them may hold commits that the others lack. */
 bool departed_matter(const struct keeper *k);
+/** Answers the wants that came before the question @a asked. */
+void keeper_answer_wants(struct keeper *k, uint64_t asked, struct mark sample);
 /** Tells all instances what is known now. */
 void keeper_announce(struct keeper *k);
 /** Decides about a change of the primary; call after each event. */
--- /dev/null
+++ b/core/keeper_view.c
@@ -0,0 +1,91 @@
+/** @file keeper_view.c Views of a service for those who want one. */
+#include "keeper_state.h"
+
+static void fill_view(struct keeper *k, struct service_view *v)
+{
+	struct kept_member *primary = kept_primary(k);
+	uint32_t i;
+
+	*v = (struct service_view){ .service = k->service, .term = k->term };
+	v->primary = primary ? primary->spec.endpoint : 0;
+	v->replacing = k->step != CHANGE_NONE && !k->planned;
+	v->count = k->member_count;
+	for (i = 0; i < k->member_count; i++) {
+		const struct kept_member *m = &k->members[i];
+
+		v->members[i] = (struct member_view){
+			.endpoint = m->spec.endpoint,
+			.up = m->up,
+			.primary = m == primary,
+			.at = m->status.received,
+			.held = m->status.held,
+		};
+	}
+}
+
+static void queue_view(struct keeper *k, uint64_t to,
+		       const struct service_view *view)
+{
+	if (k->view_count == WANTS_MAX)
+		return;
+	k->views[k->view_count].to = to;
+	k->views[k->view_count++].view = *view;
+}
+
+void keeper_announce(struct keeper *k)
+{
+	struct service_view v;
+
+	fill_view(k, &v);
+	queue_view(k, 0, &v);
+}
+
+bool keeper_next_view(struct keeper *k, uint64_t *to, struct service_view *view)
+{
+	if (k->view_first == k->view_count) {
+		k->view_first = 0;
+		k->view_count = 0;
+		return false;
+	}
+	*to = k->views[k->view_first].to;
+	*view = k->views[k->view_first++].view;
+	return true;
+}
+
+/* Answers the wants that came before a question. */
+void keeper_answer_wants(struct keeper *k, uint64_t asked, struct mark sample)
+{
+	struct service_view v;
+	uint32_t i, kept = 0;
+
+	fill_view(k, &v);
+	v.sample = sample;
+	for (i = 0; i < k->want_count; i++) {
+		if (k->wants[i].order > asked) {
+			k->wants[kept++] = k->wants[i];
+			continue;
+		}
+		v.seq = k->wants[i].seq;
+		queue_view(k, k->wants[i].from, &v);
+	}
+	k->want_count = kept;
+}
+
+void keeper_want(struct keeper *k, uint64_t from, uint64_t seq, hm_time now,
+		 struct proxy_output *out)
+{
+	uint32_t i;
+
+	(void)now;
+	(void)out;
+	if (!k->active)
+		return;
+	for (i = 0; i < k->want_count; i++)
+		if (k->wants[i].from == from)
+			break;
+	if (i == WANTS_MAX)
+		return;
+	k->wants[i] = (struct want){ from, seq, ++k->order };
+	if (i == k->want_count)
+		k->want_count++;
+}
--- a/core/pool_conn.c
+++ b/core/pool_conn.c
@@ -72,9 +72,9 @@
 	return c;
 }
 
-static struct member_command *command(struct pool_conn *c, enum expect expect,
-				      enum member_command_kind kind,
-				      struct proxy_output *out)
+struct member_command *conn_command(struct pool_conn *c, enum expect expect,
+				    enum member_command_kind kind,
+				    struct proxy_output *out)
 {
 	struct proxy_action *a = proxy_action(out, PROXY_COMMAND);
 
@@ -96,141 +96,6 @@
 	c->prepared_count = 0;
 }
 
-static const struct session_value *value_of(const struct session_value *list,
-					    uint32_t count, const char *name)
-{
-	uint32_t i;
-
-	for (i = 0; i < count; i++)
-		if (!strcmp(list[i].name, name))
-			return &list[i];
-	return NULL;
-}
-
-/* A value that the session never set can only be dropped with all others. */
-static bool has_foreign_value(const struct pool_conn *c,
-			      const struct run_order *o)
-{
-	uint32_t i;
-
-	for (i = 0; i < c->value_count; i++)
-		if (!value_of(o->values, o->value_count, c->values[i].name))
-			return true;
-	return false;
-}
-
-static bool has_value(const struct pool_conn *c, const struct session_value *v)
-{
-	const struct session_value *held =
-		value_of(c->values, c->value_count, v->name);
-
-	return held && !strcmp(held->value, v->value);
-}
-
-/* Brings the values of the connection to those of the session. */
-static void apply_values(struct pool *p, struct pool_conn *c,
-			 const struct run_order *o, struct proxy_output *out)
-{
-	struct member_command *m;
-	uint32_t i;
-
-	if (p->site.options->guards_off & PROXY_GUARD_VALUES)
-		return;
-	if (has_foreign_value(c, o)) {
-		command(c, EXPECT_SETUP, MEMBER_RESET, out);
-		conn_forget(c);
-	}
-	for (i = 0; i < o->value_count; i++) {
-		if (has_value(c, &o->values[i]))
-			continue;
-		m = command(c, EXPECT_SETUP, MEMBER_SET, out);
-		m->name = text_copy(o->values[i].name);
-		m->text = text_copy(o->values[i].value);
-	}
-	values_free(c->values, c->value_count);
-	c->values = values_copy(o->values, o->value_count);
-	c->value_count = o->value_count;
-}
-
-/* Sessions share prepared statements: the name tells the shape. */
-static void prepared_name(const struct run_order *o,
-			  char out[PREPARED_NAME_BYTES])
-{
-	uint64_t hash = 0xcbf29ce484222325ULL; /* FNV-1a */
-	const char *s;
-
-	for (s = o->shape; *s; s++)
-		hash = (hash ^ (uint8_t)*s) * 0x100000001b3ULL;
-	snprintf(out, PREPARED_NAME_BYTES, "%c%016llx", o->writes ? 'w' : 'r',
-		 (unsigned long long)hash);
-}
-
-static void apply_prepared(struct pool_conn *c, const struct run_order *o,
-			   struct proxy_output *out)
-{
-	char name[PREPARED_NAME_BYTES];
-	struct member_command *m;
-	uint32_t i;
-
-	prepared_name(o, name);
-	for (i = 0; i < c->prepared_count; i++)
-		if (!strcmp(c->prepared[i], name))
-			return;
-	c->prepared = realloc(c->prepared,
-			      (c->prepared_count + 1) * sizeof(*c->prepared));
-	if (!c->prepared)
-		abort();
-	memcpy(c->prepared[c->prepared_count++], name, sizeof(name));
-	m = command(c, EXPECT_SETUP, MEMBER_PREPARE, out);
-	m->op = o->writes ? STMT_WRITE : STMT_READ;
-	m->name = text_copy(name);
-	m->text = text_copy(o->shape);
-}
-
-/* An answered BEGIN proves that the member leads. */
-static void prove_lead(struct pool *p, struct pool_conn *c,
-		       struct proxy_output *out)
-{
-	if (p->site.options->guards_off & PROXY_GUARD_LEAD)
-		return;
-	command(c, EXPECT_BEGIN, MEMBER_BEGIN, out);
-	command(c, EXPECT_LEAD_END, MEMBER_ROLLBACK, out);
-}
-
-/* Position that the log must hold; false when none is known. */
-static bool find_floor(const struct pool *p, const struct run_order *o,
-		       hm_time now, struct mark *floor)
-{
-	struct mark sampled;
-
-	*floor = o->floor;
-	if (o->lead || !o->max_age)
-		return true;
-	if (p->site.options->guards_off & PROXY_GUARD_FLOOR)
-		return true;
-	if (!view_floor(p->site.view, o->max_age, now, &sampled))
-		return false;
-	if (mark_compare(sampled, *floor) > 0)
-		*floor = sampled;
-	return true;
-}
-
-static void begin(struct pool *p, struct pool_conn *c,
-		  const struct run_order *o, struct mark floor,
-		  struct proxy_output *out)
-{
-	if (o->scope == RUN_FIRST && !o->read_only) {
-		/* Refused by a member that does not lead. */
-		command(c, EXPECT_BEGIN, MEMBER_BEGIN, out);
-		return;
-	}
-	if (o->lead && o->scope != RUN_INSIDE && !o->writes)
-		prove_lead(p, c, out);
-	if (o->scope != RUN_FIRST)
-		return;
-	command(c, EXPECT_BEGIN, MEMBER_BEGIN_READ, out)->floor = floor;
-}
-
 static void send_statement(struct pool_conn *c, hm_time now,
 			   struct proxy_output *out)
 {
@@ -238,14 +103,14 @@
 	struct member_command *m;
 	char name[PREPARED_NAME_BYTES];
 
-	m = command(c, EXPECT_STATEMENT, MEMBER_STATEMENT, out);
+	m = conn_command(c, EXPECT_STATEMENT, MEMBER_STATEMENT, out);
 	m->op = o->op;
 	memcpy(m->request, o->request, sizeof(m->request));
 	if (o->scope == RUN_SINGLE && !o->writes && !o->lead)
 		m->floor = c->job->order->floor;
 	m->text = text_copy(o->text);
 	if (o->op == STMT_EXECUTE) {
-		prepared_name(o, name);
+		conn_prepared_name(o, name);
 		m->name = text_copy(name);
 	}
 	c->job->started_at = now;
@@ -261,7 +126,7 @@
 
 void conn_clear(struct pool_conn *c, hm_time now, struct proxy_output *out)
 {
-	command(c, EXPECT_CLEARED, MEMBER_ROLLBACK, out);
+	conn_command(c, EXPECT_CLEARED, MEMBER_ROLLBACK, out);
 	c->tx = (struct rid){ 0 };
 	c->abandoned = false;
 	conn_phase(c, PHASE_CLEARING, now);
@@ -312,7 +177,7 @@
 	c->job = j;
 	c->failed = ERR_NONE;
 	c->unsound = false;
-	if (!find_floor(p, o, now, &floor)) {
+	if (!conn_find_floor(p, o, now, &floor)) {
 		release_job(c);
 		conn_phase(c, PHASE_IDLE, now);
 		job_refuse(p, j, ERR_NOT_CAUGHT_UP, EXEC_NOT_RUN, 0, now);
@@ -330,11 +195,11 @@
 		  (unsigned long long)floor.term,
 		  (unsigned long long)floor.pos);
 	conn_phase(c, PHASE_SETUP, now);
-	apply_values(p, c, o, out);
+	conn_apply_values(p, c, o, out);
 	if (o->op == STMT_EXECUTE)
-		apply_prepared(c, o, out);
+		conn_apply_prepared(c, o, out);
 	if (o->scope != RUN_INSIDE)
-		begin(p, c, o, floor, out);
+		conn_begin(p, c, o, floor, out);
 	if (!c->expect_count)
 		send_statement(c, now, out);
 }
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -13,6 +13,8 @@
 #define EXPECT_MAX (SESSION_VALUES_MAX + 16)
 #define PREPARED_NAME_BYTES 24
 
+/* Come back after this when nothing better is known. */
+#define RETRY_SOON (50 * HM_MS)
 /* No answer to a step that takes no slot: the connection is silent. */
 #define SETUP_SILENT (500 * HM_MS)
 /* After a failed connect the next one waits, twice as long each time. */
@@ -107,12 +109,40 @@
 /** Ends a job with the member's answer. */
 void job_answer(struct pool *p, struct job *j, const struct member_reply *reply,
 		enum session_state state, hm_time now);
+void job_free(struct job *j);
+void job_queue(struct pool *p, struct job *j, hm_time now);
+/** Ends queued jobs for which @a ends holds, as not run. */
+void jobs_end(struct pool *p,
+	      bool (*ends)(const struct job *j, const void *context),
+	      const void *context, enum error error, hm_time now);
+/** Ends the job that has waited long enough for a connection. */
+void job_end_parked(struct pool *p, hm_time now);
 hm_time job_wait(const struct pool *p, hm_id account, hm_time now);
 
 /** Starts a job on an idle connection, or on its own transaction. */
 void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
 		struct proxy_output *out);
 void conn_phase(struct pool_conn *c, enum conn_phase phase, hm_time now);
+/** Appends a step, and what its reply will be taken for. */
+struct member_command *conn_command(struct pool_conn *c, enum expect expect,
+				    enum member_command_kind kind,
+				    struct proxy_output *out);
+
+/* pool_setup.c */
+void conn_apply_values(struct pool *p, struct pool_conn *c,
+		       const struct run_order *o, struct proxy_output *out);
+void conn_apply_prepared(struct pool_conn *c, const struct run_order *o,
+			 struct proxy_output *out);
+/** Name under which a connection knows a prepared statement. */
+void conn_prepared_name(const struct run_order *o,
+			char out[PREPARED_NAME_BYTES]);
+/** Position that the log must hold; false when none is known. */
+bool conn_find_floor(const struct pool *p, const struct run_order *o,
+		     hm_time now, struct mark *floor);
+/** Opens the transaction, or proves the lead. */
+void conn_begin(struct pool *p, struct pool_conn *c, const struct run_order *o,
+		struct mark floor, struct proxy_output *out);
+
 /** Rolls back; the connection is idle once that is answered. */
 void conn_clear(struct pool_conn *c, hm_time now, struct proxy_output *out);
 /** Closes a connection; a job on it ends as its phase tells. */
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -6,10 +6,6 @@
 
 /* Callers come once the peers had a chance to be heard. */
 #define READY_AFTER (400 * HM_MS)
-/* A newer document that the store does not bring is asked of a peer. */
-#define BEHIND_WAIT (250 * HM_MS)
-/* A document that was asked for is on its way for so long. */
-#define WANT_PAUSE (100 * HM_MS)
 /* A process that stops tells so and lets others take over first. */
 #define STOP_LEAST (2500 * HM_MS)
 
@@ -77,219 +73,6 @@
 	return p->stop_since != HM_NEVER;
 }
 
-static struct message *inbox_add(struct proxy *p)
-{
-	if (p->inbox_count == p->inbox_room) {
-		p->inbox_room = p->inbox_room ? p->inbox_room * 2 : 16;
-		p->inbox = realloc(p->inbox, p->inbox_room * sizeof(*p->inbox));
-		if (!p->inbox)
-			abort();
-	}
-	memset(&p->inbox[p->inbox_count], 0, sizeof(*p->inbox));
-	return &p->inbox[p->inbox_count++];
-}
-
-struct message *proxy_send(struct proxy *p, uint64_t to, enum message_kind kind,
-			   struct proxy_output *out)
-{
-	struct message *m;
-
-	if (to != p->options.core.life)
-		return actions_send(&out->peers, to, kind);
-	m = inbox_add(p);
-	m->kind = kind;
-	m->from = to;
-	return m;
-}
-
-static void take_run(struct proxy *p, const struct message *m, hm_time now,
-		     struct proxy_output *out)
-{
-	struct pool *pool = services_pool(p, m->run->endpoint, now);
-	struct run_result r = { .id = m->run->id,
-				.endpoint = m->run->endpoint,
-				.error = ERR_NO_ENDPOINT,
-				.state = SESSION_FAILED };
-
-	if (pool) {
-		pool_submit(pool, m->run, m->from, now, out);
-		return;
-	}
-	/* This instance does not know the member yet, or not any more. */
-	proxy_send(p, m->from, MSG_RAN, out)->ran = run_result_copy(&r);
-}
-
-static void take_ran(struct proxy *p, const struct message *m, hm_time now,
-		     struct proxy_output *out)
-{
-	session_result(p, m->ran, now, out);
-}
-
-static void take_release(struct proxy *p, const struct message *m, hm_time now,
-			 struct proxy_output *out)
-{
-	uint32_t i;
-
-	for (i = 0; i < p->pool_count; i++)
-		if (pool_endpoint(p->pools[i]) == m->release.endpoint)
-			pool_release(p->pools[i], m->release.tx, now, out);
-}
-
-static void take_want(struct proxy *p, const struct message *m, hm_time now,
-		      struct proxy_output *out)
-{
-	struct keeper *k = services_keeper(p, m->view_want.service);
-
-	if (k)
-		keeper_want(k, m->from, m->view_want.seq, now, out);
-}
-
-static void take_view(struct proxy *p, const struct message *m, hm_time now,
-		      struct proxy_output *out)
-{
-	struct service_state *v = services_view(p, m->view->service);
-	hm_id before;
-
-	if (!v)
-		return;
-	before = v->latest.primary;
-	view_take(v, m->view, now);
-	if (v->latest.primary != before)
-		proxy_log(out,
-			  "event=view primary=%016llx term=%llu from=%016llx",
-			  (unsigned long long)v->latest.primary,
-			  (unsigned long long)v->latest.term,
-			  (unsigned long long)m->from);
-}
-
-static void take_document_want(struct proxy *p, const struct message *m,
-			       hm_time now, struct proxy_output *out)
-{
-	enum document_kind kind = m->document.kind;
-	uint64_t have = 0;
-	struct proxy_action *a;
-
-	(void)now;
-	if (kind == DOCUMENT_CONFIG && p->config)
-		have = p->config->version;
-	if (kind == DOCUMENT_MEMBERS && p->members)
-		have = p->members->revision;
-	if (have <= m->document.version)
-		return;
-	a = proxy_action(out, PROXY_SHARE_DOCUMENT);
-	a->share.to = m->from;
-	a->share.kind = kind;
-}
-
-static void (*const takers[MSG_KIND_COUNT])(struct proxy *p,
-					    const struct message *m,
-					    hm_time now,
-					    struct proxy_output *out) = {
-	[MSG_RUN] = take_run,	      [MSG_RAN] = take_ran,
-	[MSG_RELEASE] = take_release, [MSG_VIEW_WANT] = take_want,
-	[MSG_VIEW] = take_view,	      [MSG_DOCUMENT_WANT] = take_document_want,
-};
-
-static void want_document(struct proxy *p, enum document_kind kind,
-			  uint64_t have, uint64_t theirs, uint64_t from,
-			  hm_time now, struct proxy_output *out)
-{
-	struct message *m;
-
-	if (theirs <= have)
-		return;
-	if (!p->behind_since[kind])
-		p->behind_since[kind] = now;
-	if (have && p->store_ok && now - p->behind_since[kind] < BEHIND_WAIT)
-		return;
-	p->behind_since[kind] = now;
-	if (now < p->want_next[kind])
-		return;
-	p->want_next[kind] = now + WANT_PAUSE;
-	m = proxy_send(p, from, MSG_DOCUMENT_WANT, out);
-	m->document.kind = kind;
-	m->document.version = have;
-	proxy_log(out, "event=document_want kind=%d have=%llu theirs=%llu",
-		  kind, (unsigned long long)have, (unsigned long long)theirs);
-}
-
-static void take_heartbeat(struct proxy *p, const struct message *m,
-			   hm_time now, struct proxy_output *out)
-{
-	want_document(p, DOCUMENT_CONFIG, p->config ? p->config->version : 0,
-		      m->heartbeat.config_version, m->from, now, out);
-	want_document(p, DOCUMENT_MEMBERS,
-		      p->members ? p->members->revision : 0,
-		      m->heartbeat.config_digest, m->from, now, out);
-}
-
-static void take_rate(struct proxy *p, const struct message *m, hm_time now,
-		      struct proxy_output *out)
-{
-	rate_message(p->rate, m, now, &out->peers);
-	sessions_admitted(p, now, out);
-	if (m->kind == MSG_GRANT)
-		sessions_over_rate(p, m->rate.account, now, out);
-}
-
-static void take_message(struct proxy *p, const struct message *m, hm_time now,
-			 struct proxy_output *out)
-{
-	if (m->from != p->options.core.life) {
-		if (peers_void(p->peers, m->from))
-			return;
-		peers_message(p->peers, m, now);
-	}
-	if (m->kind == MSG_HEARTBEAT)
-		take_heartbeat(p, m, now, out);
-	else if (m->kind == MSG_WANT || m->kind == MSG_GRANT)
-		take_rate(p, m, now, out);
-	else if (takers[m->kind])
-		takers[m->kind](p, m, now, out);
-}
-
-/* Turns finished statements and views into messages. */
-static void collect(struct proxy *p, hm_time now, struct proxy_output *out)
-{
-	struct service_view view, *copy;
-	struct run_result *r;
-	uint64_t to;
-	uint32_t i;
-
-	for (i = 0; i < p->pool_count; i++)
-		while (pool_next_result(p->pools[i], &to, &r))
-			proxy_send(p, to, MSG_RAN, out)->ran = r;
-	for (i = 0; i < p->service_count; i++)
-		while (keeper_next_view(p->keepers[i], &to, &view)) {
-			copy = malloc(sizeof(*copy));
-			if (!copy)
-				abort();
-			*copy = view;
-			proxy_send(p, to, MSG_VIEW, out)->view = copy;
-			if (!to)
-				view_take(p->views[i], &view, now);
-		}
-}
-
-/* Delivers what the modules have for one another until nothing is left. */
-static void flush(struct proxy *p, hm_time now, struct proxy_output *out)
-{
-	struct message m;
-	uint32_t done;
-
-	for (;;) {
-		collect(p, now, out);
-		if (!p->inbox_count)
-			return;
-		for (done = 0; done < p->inbox_count; done++) {
-			m = p->inbox[done]; /* the inbox may grow and move */
-			take_message(p, &m, now, out);
-			message_clear(&m);
-		}
-		p->inbox_count = 0;
-	}
-}
-
 static void send_heartbeat(struct proxy *p, bool stopped, hm_time now,
 			   struct proxy_output *out)
 {
@@ -493,7 +276,7 @@
 		session_gone(p, e->client, now, out);
 		break;
 	case PROXY_MESSAGE:
-		take_message(p, e->message, now, out);
+		proxy_take(p, e->message, now, out);
 		break;
 	case PROXY_MEMBER_READY:
 	case PROXY_MEMBER_REPLIED:
@@ -519,7 +302,7 @@
 		begin_stop(p, now, out);
 		break;
 	}
-	flush(p, now, out);
+	proxy_flush(p, now, out);
 }
 
 void proxy_figures(const struct proxy *p, struct proxy_figures *out)
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -165,7 +165,17 @@
 /** Life that holds the connections to a member, 0 for none. */
 uint64_t place_home(const struct proxy *p, const struct site_member *m);
 
-/* sessions.c */
+/* proxy_message.c */
+void proxy_take(struct proxy *p, const struct message *m, hm_time now,
+		struct proxy_output *out);
+/** Delivers what the modules have for one another until nothing is left. */
+void proxy_flush(struct proxy *p, hm_time now, struct proxy_output *out);
+
+/* sessions.c, and sessions_ask.c for what callers ask */
+
+/** Finds the account that the key of a session belongs to now. */
+enum error session_check_key(struct proxy *p, struct session *s,
+			     const struct route_spec *route);
 struct session *session_find(const struct proxy *p, uint64_t number);
 void session_opened(struct proxy *p, const struct proxy_event *e, hm_time now,
 		    struct proxy_output *out);
--- /dev/null
+++ b/core/sessions_ask.c
@@ -0,0 +1,325 @@
+/** @file sessions_ask.c What callers ask for on their sessions. */
+#include "proxy_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A token may be fetched from another instance before a caller is refused. */
+#define TOKEN_WAIT_PARTS 2  /* of the latency wanted */
+#define TOKEN_WAIT_TOKENS 3 /* or the time in which so many are minted, */
+#define TOKEN_WAIT_MOST (400 * HM_MS) /* but no longer than this */
+/* Prepared statements that one session may keep. */
+#define PREPARED_MAX 256
+
+static void answer_ok(struct proxy *p, struct session *s, hm_time now,
+		      struct proxy_output *out)
+{
+	session_answer(p, s, ERR_NONE, NULL, 0, now, out);
+}
+
+static void refuse(struct proxy *p, struct session *s, enum error error,
+		   hm_time now, struct proxy_output *out)
+{
+	session_answer(p, s, error, NULL, 0, now, out);
+}
+
+static void ask_set(struct proxy *p, struct session *s, hm_time now,
+		    struct proxy_output *out)
+{
+	struct session_value *v;
+	uint32_t i;
+
+	for (i = 0; i < s->value_count; i++)
+		if (!strcmp(s->values[i].name, s->pending.name))
+			break;
+	if (i == SESSION_VALUES_MAX) {
+		refuse(p, s, ERR_TOO_LARGE, now, out);
+		return;
+	}
+	if (i == s->value_count) {
+		v = realloc(s->values, (i + 1) * sizeof(*v));
+		if (!v)
+			abort();
+		s->values = v;
+		s->values[i] = (struct session_value){ 0 };
+		s->value_count++;
+	}
+	v = &s->values[i];
+	free(v->name);
+	free(v->value);
+	v->name = text_copy(s->pending.name);
+	v->value = text_copy(s->pending.text);
+	answer_ok(p, s, now, out);
+}
+
+static struct prepared *find_prepared(const struct session *s, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->prepared_count; i++)
+		if (!strcmp(s->prepared[i].name, name))
+			return &s->prepared[i];
+	return NULL;
+}
+
+static void ask_prepare(struct proxy *p, struct session *s, hm_time now,
+			struct proxy_output *out)
+{
+	struct prepared *f = find_prepared(s, s->pending.name);
+
+	if (!f && s->prepared_count == PREPARED_MAX) {
+		refuse(p, s, ERR_TOO_LARGE, now, out);
+		return;
+	}
+	if (!f) {
+		s->prepared = realloc(s->prepared,
+				      (s->prepared_count + 1) * sizeof(*f));
+		if (!s->prepared)
+			abort();
+		f = &s->prepared[s->prepared_count++];
+		*f = (struct prepared){ 0 };
+		f->name = text_copy(s->pending.name);
+	}
+	free(f->shape);
+	f->shape = text_copy(s->pending.text);
+	f->writes = s->pending.writes;
+	answer_ok(p, s, now, out);
+}
+
+static void ask_deallocate(struct proxy *p, struct session *s, hm_time now,
+			   struct proxy_output *out)
+{
+	struct prepared *f = find_prepared(s, s->pending.name);
+
+	if (!f) {
+		refuse(p, s, ERR_NO_STATEMENT, now, out);
+		return;
+	}
+	free(f->name);
+	free(f->shape);
+	*f = s->prepared[--s->prepared_count];
+	answer_ok(p, s, now, out);
+}
+
+/* The operation may begin: a token of its account was taken. */
+static void admitted(struct proxy *p, struct session *s, hm_time now,
+		     struct proxy_output *out)
+{
+	const struct route_spec *route = site_route(p->config, s->database);
+	enum statement_op op = s->pending.op;
+
+	if (op != STMT_BEGIN && op != STMT_BEGIN_READ) {
+		session_run(p, s, now, out);
+		return;
+	}
+	if (!route) {
+		session_end(p, s, ERR_NOT_FOUND, now, out);
+		return;
+	}
+	s->tx = (struct session_tx){ .state = SESSION_OPEN,
+				     .read_only = op == STMT_BEGIN_READ,
+				     .service = route->service,
+				     .route = *route };
+	answer_ok(p, s, now, out);
+}
+
+static void refuse_over_rate(struct proxy *p, struct session *s, hm_time now,
+			     struct proxy_output *out)
+{
+	session_answer(p, s, ERR_RATE_LIMITED, NULL,
+		       rate_retry_at(p->rate, s->account, 1, now), now, out);
+}
+
+static hm_time token_wait(const struct proxy *p, const struct session *s)
+{
+	const struct route_spec *route = site_route(p->config, s->database);
+	const struct contract *c = contracts_find(p->contracts, s->account);
+	hm_time wait = route ? route->target / TOKEN_WAIT_PARTS : 0;
+	hm_time minted = c ? TOKEN_WAIT_TOKENS * HM_SEC / c->rate : 0;
+
+	if (minted > TOKEN_WAIT_MOST)
+		minted = TOKEN_WAIT_MOST;
+	return wait > minted ? wait : minted;
+}
+
+static void admit_operation(struct proxy *p, struct session *s, hm_time now,
+			    struct proxy_output *out)
+{
+	struct statement st = { .id = s->pending.id,
+				.account = s->account,
+				.deadline = now + token_wait(p, s) };
+	hm_time retry_at = 0;
+
+	if (!s->account) {
+		admitted(p, s, now, out);
+		return;
+	}
+	if (rate_dry(p->rate, s->account, now)) {
+		refuse_over_rate(p, s, now, out);
+		return;
+	}
+	s->pending.phase = PENDING_TOKEN;
+	switch (admit_push(p->admit, &st, now, &retry_at, &out->peers)) {
+	case ADMIT_PASS:
+		admitted(p, s, now, out);
+		break;
+	case ADMIT_WAIT:
+		break;
+	case ADMIT_REFUSE:
+		session_answer(p, s, ERR_RATE_LIMITED, NULL, retry_at, now,
+			       out);
+		break;
+	}
+}
+
+/* Key and route hold for each new operation, the key for each statement. */
+static enum error check_rights(struct proxy *p, struct session *s)
+{
+	const struct route_spec *route = site_route(p->config, s->database);
+	bool in_tx = s->tx.state != SESSION_IDLE;
+
+	if (!in_tx && !route)
+		return ERR_NOT_FOUND;
+	return session_check_key(p, s, in_tx ? &s->tx.route : route);
+}
+
+static void ask_end(struct proxy *p, struct session *s, hm_time now,
+		    struct proxy_output *out)
+{
+	bool commit = s->pending.op == STMT_COMMIT;
+	enum session_state was = s->tx.state;
+
+	if (was == SESSION_IDLE) {
+		refuse(p, s, ERR_BAD_REQUEST, now, out);
+		return;
+	}
+	if (commit && was == SESSION_OPEN) {
+		session_run(p, s, now, out);
+		return;
+	}
+	session_release(p, s, out);
+	s->tx = (struct session_tx){ 0 };
+	/* A failed transaction is rolled back, whatever ends it. */
+	if (commit)
+		refuse(p, s, ERR_TX_GONE, now, out);
+	else
+		answer_ok(p, s, now, out);
+}
+
+static void ask_statement(struct proxy *p, struct session *s, hm_time now,
+			  struct proxy_output *out)
+{
+	const struct prepared *f;
+
+	if (s->pending.op == STMT_WRITE)
+		s->pending.writes = true;
+	if (s->pending.op == STMT_EXECUTE) {
+		f = find_prepared(s, s->pending.name);
+		if (!f) {
+			refuse(p, s, ERR_NO_STATEMENT, now, out);
+			return;
+		}
+		s->pending.writes = f->writes;
+	}
+	if (s->tx.state == SESSION_IDLE)
+		admit_operation(p, s, now, out);
+	else
+		session_run(p, s, now, out);
+}
+
+static void ask_begin(struct proxy *p, struct session *s, hm_time now,
+		      struct proxy_output *out)
+{
+	if (s->tx.state == SESSION_IDLE)
+		admit_operation(p, s, now, out);
+	else
+		refuse(p, s, ERR_BAD_REQUEST, now, out);
+}
+
+static void (*const askers[STMT_OP_COUNT])(struct proxy *p, struct session *s,
+					   hm_time now,
+					   struct proxy_output *out) = {
+	[STMT_BEGIN] = ask_begin,	[STMT_BEGIN_READ] = ask_begin,
+	[STMT_COMMIT] = ask_end,	[STMT_ROLLBACK] = ask_end,
+	[STMT_READ] = ask_statement,	[STMT_WRITE] = ask_statement,
+	[STMT_SET] = ask_set,		[STMT_PREPARE] = ask_prepare,
+	[STMT_EXECUTE] = ask_statement, [STMT_DEALLOCATE] = ask_deallocate,
+};
+
+static void begin_pending(struct proxy *p, struct session *s,
+			  const struct proxy_event *e, hm_time now)
+{
+	struct pending *q = &s->pending;
+
+	q->op = e->asked.op;
+	q->id.life = p->options.core.life;
+	q->id.seq = ++p->next_request;
+	snprintf(q->request, sizeof(q->request), "%s", e->asked.request);
+	q->name = text_copy(e->asked.name ? e->asked.name : "");
+	q->text = text_copy(e->asked.text ? e->asked.text : "");
+	q->writes = e->asked.writes;
+	q->since = now;
+	if (!table_put(&p->by_request, q->id.seq,
+		       table_get(&p->by_client, s->number)))
+		abort();
+}
+
+void session_asked(struct proxy *p, const struct proxy_event *e, hm_time now,
+		   struct proxy_output *out)
+{
+	struct session *s = session_find(p, e->asked.client);
+	enum error error;
+
+	if (!s || s->pending.request[0])
+		return; /* closed meanwhile; a front sends one at a time */
+	begin_pending(p, s, e, now);
+	error = check_rights(p, s);
+	if (error) {
+		session_end(p, s, error, now, out);
+		return;
+	}
+	if (e->asked.malformed ||
+	    (s->tx.state == SESSION_FAILED && e->asked.op != STMT_COMMIT &&
+	     e->asked.op != STMT_ROLLBACK)) {
+		refuse(p, s, ERR_BAD_REQUEST, now, out);
+		return;
+	}
+	askers[e->asked.op](p, s, now, out);
+}
+
+void sessions_admitted(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	struct admit_left left;
+	struct session *s;
+	uint32_t h;
+
+	while (admit_next(p->admit, now, &left)) {
+		h = table_get(&p->by_request, left.statement.id.seq);
+		if (h == TABLE_NONE)
+			continue;
+		s = p->sessions[h];
+		if (left.passed)
+			admitted(p, s, now, out);
+		else
+			session_answer(p, s, ERR_RATE_LIMITED, NULL,
+				       left.retry_at, now, out);
+	}
+}
+
+void sessions_over_rate(struct proxy *p, hm_id account, hm_time now,
+			struct proxy_output *out)
+{
+	uint32_t i;
+
+	if (!rate_dry(p->rate, account, now))
+		return;
+	for (i = 0; i < p->session_count; i++) {
+		struct session *s = p->sessions[i];
+
+		if (s->pending.phase != PENDING_TOKEN || s->account != account)
+			continue;
+		admit_drop(p->admit, s->pending.id);
+		refuse_over_rate(p, s, now, out);
+	}
+}
