--- a/core/keeper.c
+++ b/core/keeper.c
@@ -118,7 +118,7 @@
 	keeper_announce(k);
 }
 
-static void disconnect(struct kept_member *m, struct proxy_output *out)
+void kept_disconnect(struct kept_member *m, struct proxy_output *out)
 {
 	if (m->conn)
 		proxy_action(out, PROXY_CLOSE_MEMBER)->member.conn = m->conn;
@@ -155,7 +155,7 @@
 	k->active = false;
 	k->want_count = 0;
 	for (i = 0; i < k->member_count; i++) {
-		disconnect(&k->members[i], out);
+		kept_disconnect(&k->members[i], out);
 		k->members[i].leads = false;
 	}
 	proxy_log(out, "event=keeper_stop service=%s step=%s", k->service_name,
@@ -163,74 +163,6 @@
 	k->step = CHANGE_NONE;
 }
 
-static void update_member(struct keeper *k, struct kept_member *m,
-			  const struct site_member *spec,
-			  struct proxy_output *out)
-{
-	bool reborn = m->spec.started != spec->started ||
-		      strcmp(m->spec.address, spec->address) != 0;
-
-	(void)k;
-	m->spec = *spec;
-	if (!reborn)
-		return;
-	/* What it said before was said by another life. */
-	disconnect(m, out);
-	m->leads = false;
-	m->held_since = 0;
-}
-
-/*
- * A member that cannot reach the store loses its entry, and may go on to
- * acknowledge commits: it counts for as long as it answers.
- */
-static void drop_unlisted(struct keeper *k, struct proxy_output *out)
-{
-	uint32_t i;
-
-	for (i = k->member_count; i-- > 0;) {
-		struct kept_member *m = &k->members[i];
-
-		if (!m->unlisted || (m->ready && m->up))
-			continue;
-		departed_add(k, m);
-		proxy_log(out, "event=member_departed member=%s service=%s",
-			  m->spec.name, k->service_name);
-		disconnect(m, out);
-		*m = k->members[--k->member_count];
-	}
-}
-
-void keeper_members(struct keeper *k, const struct site_members *members,
-		    hm_time now, struct proxy_output *out)
-{
-	struct kept_member *m;
-	uint32_t i;
-
-	for (i = k->member_count; i-- > 0;) {
-		m = &k->members[i];
-		m->unlisted = !site_members_find(members, m->spec.endpoint);
-	}
-	drop_unlisted(k, out);
-	for (i = 0; i < members->count; i++) {
-		const struct site_member *s = &members->list[i];
-
-		if (s->service != k->service)
-			continue;
-		snprintf(k->service_name, sizeof(k->service_name), "%s",
-			 s->service_name);
-		departed_back(k, s->endpoint);
-		m = kept_find(k, s->endpoint);
-		if (m) {
-			update_member(k, m, s, out);
-		} else if (k->member_count < ENDPOINTS_MAX) {
-			m = &k->members[k->member_count++];
-			*m = (struct kept_member){ .spec = *s, .up = true };
-		}
-	}
-	k->ask_at = now;
-}
-
 bool kept_command(struct kept_member *m, enum asked asked,
 		  enum member_command_kind kind, uint64_t term, hm_time now,
 		  struct proxy_output *out)
@@ -352,7 +284,7 @@
 	enum asked asked;
 
 	if (!m->asked_count) {
-		disconnect(m, out);
+		kept_disconnect(m, out);
 		return;
 	}
 	asked = m->asked[0];
@@ -401,10 +333,10 @@
 	if (!m->conn)
 		return;
 	if (m->ready && m->asked_at && now - m->asked_at > silent) {
-		disconnect(m, out);
+		kept_disconnect(m, out);
 		m->connect_after = now;
 	} else if (!m->ready && now - m->opened_at > silent) {
-		disconnect(m, out);
+		kept_disconnect(m, out);
 		m->connect_after = now;
 		mark_down(k, m, "silent", now, out);
 	}
@@ -418,7 +350,7 @@
 		return;
 	for (i = 0; i < k->member_count; i++)
 		check_silence(k, &k->members[i], now, out);
-	drop_unlisted(k, out);
+	kept_drop_unlisted(k, out);
 	if (now >= k->ask_at) {
 		k->ask_at = now + k->site.options->keeper_every;
 		/* Nobody leads: the wants are answered without a sample. */
--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -99,69 +99,6 @@
 	ask_token(k, out);
 }
 
-/* The primary as last known: the one that led, or says that it does. */
-static bool is_believed_primary(const struct keeper *k,
-				const struct kept_member *m)
-{
-	uint32_t i;
-
-	for (i = 0; i < k->member_count; i++)
-		if (k->members[i].spec.endpoint == k->primary)
-			return m->spec.endpoint == k->primary;
-	return m->spec.says_primary;
-}
-
-/* Whether every commit that was acknowledged is held by a member that answers. */
-static bool replicas_answer(const struct keeper *k)
-{
-	uint32_t i;
-
-	if (departed_matter(k))
-		return false;
-	for (i = 0; i < k->member_count; i++) {
-		const struct kept_member *m = &k->members[i];
-
-		if (m->up && (!m->known || m->status.primary))
-			return false;
-		if (!m->up && !is_believed_primary(k, m))
-			return false;
-	}
-	return true;
-}
-
-static uint32_t count_up(const struct keeper *k)
-{
-	uint32_t i, n = 0;
-
-	for (i = 0; i < k->member_count; i++)
-		n += k->members[i].up && k->members[i].known;
-	return n;
-}
-
-/* Furthest replica; one that stays goes before one that leaves. */
-static struct kept_member *furthest(struct keeper *k, bool staying)
-{
-	struct kept_member *best = NULL;
-	uint32_t i;
-
-	for (i = 0; i < k->member_count; i++) {
-		struct kept_member *m = &k->members[i];
-		int order;
-
-		if (!m->up || !m->known || m->leads)
-			continue;
-		if (staying && m->spec.leaving)
-			continue;
-		order = best ? mark_compare(m->status.received,
-					    best->status.received)
-			     : 1;
-		if (order > 0 ||
-		    (!order && best->spec.leaving && !m->spec.leaving))
-			best = m;
-	}
-	return best;
-}
-
 static void begin_change(struct keeper *k, bool planned, hm_time now,
 			 struct proxy_output *out)
 {
@@ -194,23 +131,14 @@
 		k->planned = true;
 		cancel(k, now, out);
 	} else if (primary && primary->spec.leaving) {
-		if (furthest(k, true))
+		if (choice_furthest(k, true))
 			begin_change(k, true, now, out);
-	} else if (!primary && now >= *k->site.settled_at && count_up(k) &&
-		   replicas_answer(k)) {
+	} else if (!primary && now >= *k->site.settled_at &&
+		   choice_count_up(k) && choice_replicas_answer(k)) {
 		begin_change(k, false, now, out);
 	}
 }
 
-static bool is_held_back(const struct keeper *k, const struct kept_member *m)
-{
-	if (!m->up)
-		return false;
-	if (!k->planned)
-		return true;
-	return m->spec.endpoint != k->target && !m->leads;
-}
-
 /* Holds what must be held; true once all of it says so. */
 static bool hold_members(struct keeper *k, hm_time now,
 			 struct proxy_output *out)
@@ -221,7 +149,7 @@
 	for (i = 0; i < k->member_count; i++) {
 		struct kept_member *m = &k->members[i];
 
-		if (!is_held_back(k, m))
+		if (!choice_is_held_back(k, m))
 			continue;
 		if (m->told_held != k->hold_term &&
 		    kept_command(m, ASKED_HOLD, MEMBER_HOLD, k->hold_term, now,
@@ -233,24 +161,6 @@
 	return all;
 }
 
-/* Whether the target has received all that any held replica has. */
-static bool target_has_all(struct keeper *k)
-{
-	const struct kept_member *target = kept_find(k, k->target);
-	uint32_t i;
-
-	for (i = 0; i < k->member_count; i++) {
-		const struct kept_member *m = &k->members[i];
-
-		if (m == target || !is_held_back(k, m))
-			continue;
-		if (mark_compare(m->status.received, target->status.received) >
-		    0)
-			return false;
-	}
-	return true;
-}
-
 static void give_up_change(struct keeper *k, hm_time now,
 			   struct proxy_output *out)
 {
@@ -274,14 +184,15 @@
 		give_up_change(k, now, out);
 		return;
 	}
-	if (!held || (!k->planned && !replicas_answer(k)))
+	if (!held || (!k->planned && !choice_replicas_answer(k)))
 		return;
 	if (!k->planned) {
-		target = furthest(k, false);
+		target = choice_furthest(k, false);
 		k->target = target ? target->spec.endpoint : 0;
 	}
 	target = kept_find(k, k->target);
-	if (!target || !target->up || !target->known || !target_has_all(k))
+	if (!target || !target->up || !target->known ||
+	    !choice_target_has_all(k))
 		return;
 	proxy_log(out,
 		  "event=promote service=%s member=%s token=%llu term=%llu "
@@ -386,7 +297,7 @@
 		return;
 	}
 	k->hold_term = k->term + token;
-	target = k->planned ? furthest(k, true) : NULL;
+	target = k->planned ? choice_furthest(k, true) : NULL;
 	k->target = target ? target->spec.endpoint : 0;
 	go(k, CHANGE_HOLD, now + HOLD_LIMIT, out);
 	change_check(k, now, out);
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -102,6 +102,10 @@
 };
 
 struct kept_member *kept_find(struct keeper *k, hm_id endpoint);
+/** Ends the connection to a member. */
+void kept_disconnect(struct kept_member *m, struct proxy_output *out);
+/** Forgets members whose entry is gone and that do not answer. */
+void kept_drop_unlisted(struct keeper *k, struct proxy_output *out);
 /** The member that leads and answers, NULL when there is none. */
 struct kept_member *kept_primary(struct keeper *k);
 /** Sends a step on a member's connection; false when it has none. */
@@ -122,6 +126,16 @@
 void keeper_answer_wants(struct keeper *k, uint64_t asked, struct mark sample);
 /** Tells all instances what is known now. */
 void keeper_announce(struct keeper *k);
+/** Whether every acknowledged commit is held by a member that answers. */
+bool choice_replicas_answer(const struct keeper *k);
+/** Members that answer and told their state. */
+uint32_t choice_count_up(const struct keeper *k);
+/** Furthest replica; at the same position one that stays. */
+struct kept_member *choice_furthest(struct keeper *k, bool staying);
+/** Whether a member must be held before the target is promoted. */
+bool choice_is_held_back(const struct keeper *k, const struct kept_member *m);
+/** Whether the target has received all that any held replica has. */
+bool choice_target_has_all(struct keeper *k);
 /** Decides about a change of the primary; call after each event. */
 void change_check(struct keeper *k, hm_time now, struct proxy_output *out);
 /** Name of a step, for logs. */
--- /dev/null
+++ b/src/store_watch.c
@@ -0,0 +1,291 @@
+/** @file store_watch.c Threads that list, watch and poll the store. */
+#include "site_feed_state.h"
+
+#include <string.h>
+
+#include "log.h"
+
+/* Pauses after a refused call: the store's rate is shared by all. */
+#define PAUSE_FIRST (50 * HM_MS)
+#define PAUSE_MOST (800 * HM_MS)
+/*
+ * A watch may be deaf for seconds without a sign. The revision of the store
+ * is cheap to read, and tells whether there is anything to be read again.
+ */
+#define POLL_EVERY (2200 * HM_MS)
+/* Pauses are slept in slices, so that a stop is noticed. */
+#define PAUSE_SLICE (100 * HM_MS)
+
+static void deliver_health(struct site_feed *f, bool ok)
+{
+	struct delivery d = { .what = DELIVER_HEALTH, .ok = ok };
+
+	feed_deliver(f, &d);
+}
+
+static void pause_calls(struct watcher *w)
+{
+	hm_time until;
+
+	w->pause = CLAMP(w->pause * 2, PAUSE_FIRST, PAUSE_MOST);
+	until = loop_now() + w->pause / 2 +
+		(hm_time)rng_below(&w->rng, (uint64_t)w->pause);
+	while (loop_now() < until && !http_client_cancelled(w->http))
+		g_usleep((gulong)MIN(until - loop_now() + 1, PAUSE_SLICE));
+}
+
+static hm_time call_until(const struct watcher *w)
+{
+	return loop_now() + w->feed->options.call_limit;
+}
+
+static void deliver_config(struct watcher *w)
+{
+	json_t *value = g_hash_table_lookup(w->objects, "main");
+	struct delivery d = { .what = DELIVER_DOCUMENT,
+			      .kind = DOCUMENT_CONFIG };
+
+	if (!value)
+		return;
+	d.json = json_incref(value);
+	feed_deliver(w->feed, &d);
+}
+
+static void deliver_members(struct watcher *w)
+{
+	json_t *members = json_object();
+	struct delivery d = { .what = DELIVER_DOCUMENT,
+			      .kind = DOCUMENT_MEMBERS };
+	gpointer name, value;
+	GHashTableIter at;
+
+	g_hash_table_iter_init(&at, w->objects);
+	while (g_hash_table_iter_next(&at, &name, &value))
+		json_object_set(members, name, value);
+	d.json = json_pack("{s:I, s:o}", "revision", (json_int_t)w->revision,
+			   "members", members);
+	feed_deliver(w->feed, &d);
+}
+
+static void take_object(struct watcher *w, const struct store_object *o)
+{
+	if (o->gone || !o->value)
+		g_hash_table_remove(w->objects, o->name);
+	else
+		g_hash_table_replace(w->objects, g_strdup(o->name),
+				     json_incref(o->value));
+	if (o->revision > w->revision)
+		w->revision = o->revision;
+}
+
+static void take_all(struct watcher *w, const struct store_objects *objects,
+		     bool complete)
+{
+	size_t i;
+
+	if (complete) {
+		g_hash_table_remove_all(w->objects);
+		/* What was removed meanwhile left no trace but this. */
+		w->revision = MAX(w->revision, objects->revision);
+	}
+	for (i = 0; i < objects->count; i++)
+		take_object(w, &objects->list[i]);
+	if (w->kind == STORE_CONFIG)
+		deliver_config(w);
+	else
+		deliver_members(w);
+}
+
+/* A full list; 0 when the store does not answer, else where to watch from. */
+static uint64_t list_all(struct watcher *w, struct http_client *http)
+{
+	const struct site_feed_options *o = &w->feed->options;
+	struct store_objects objects;
+	enum store_outcome outcome;
+	uint64_t from;
+
+	outcome = o->api->list(http, w->kind, false, call_until(w), &objects);
+	if (outcome != STORE_OK)
+		return 0;
+	from = objects.revision;
+	take_all(w, &objects, true);
+	store_objects_clear(&objects);
+	return from;
+}
+
+/* One watch; the place to go on from, 0: a new list is needed. */
+static uint64_t watch_once(struct watcher *w, uint64_t from, bool *ok)
+{
+	const struct site_feed_options *o = &w->feed->options;
+	struct store_objects objects;
+	enum store_outcome outcome;
+
+	outcome = o->api->watch(w->http, w->kind, from, o->watch_wait,
+				loop_now() + o->watch_wait + o->call_limit,
+				&objects);
+	*ok = outcome == STORE_OK || outcome == STORE_HISTORY;
+	if (outcome == STORE_HISTORY)
+		return 0;
+	if (outcome != STORE_OK)
+		return from;
+	/*
+	 * A watch that was cut may end without the events that it missed, so
+	 * one without events says nothing of what happened: the next one
+	 * asks from the same place until the store drops that history.
+	 */
+	if (objects.count) {
+		from = objects.revision;
+		take_all(w, &objects, false);
+	}
+	store_objects_clear(&objects);
+	return from;
+}
+
+static gpointer watch_thread(gpointer arg)
+{
+	struct watcher *w = arg;
+	bool told = false, healthy = false, ok;
+	uint64_t from = 0;
+
+	while (!http_client_cancelled(w->http)) {
+		if (from) {
+			from = watch_once(w, from, &ok);
+		} else {
+			from = list_all(w, w->http);
+			ok = from != 0;
+		}
+		if (w->kind == STORE_CONFIG && (!told || ok != healthy))
+			deliver_health(w->feed, ok);
+		told = true;
+		healthy = ok;
+		if (ok)
+			w->pause = 0;
+		else
+			pause_calls(w);
+	}
+	return NULL;
+}
+
+/* Writes the own address; true once the store has it. */
+static bool register_self(struct watcher *w)
+{
+	const struct site_feed_options *o = &w->feed->options;
+	json_t *value = json_pack("{s:s}", "address", o->peer_address);
+	struct store_object held;
+	enum store_outcome outcome;
+
+	outcome = o->api->write(w->http, STORE_INSTANCES, o->instance, 0, value,
+				call_until(w));
+	if (outcome == STORE_CONFLICT &&
+	    o->api->read(w->http, STORE_INSTANCES, o->instance, call_until(w),
+			 &held) == STORE_OK) {
+		outcome = STORE_OK;
+		if (!json_equal(held.value, value))
+			outcome = o->api->write(w->http, STORE_INSTANCES,
+						o->instance, held.revision,
+						value, call_until(w));
+		store_object_clear(&held);
+	}
+	json_decref(value);
+	return outcome == STORE_OK;
+}
+
+static bool read_addresses(struct watcher *w, bool stale)
+{
+	const struct site_feed_options *o = &w->feed->options;
+	struct delivery d = { .what = DELIVER_ADDRESSES };
+	struct store_objects objects;
+	const char *address;
+	size_t i;
+
+	if (o->api->list(w->http, STORE_INSTANCES, stale, call_until(w),
+			 &objects) != STORE_OK)
+		return false;
+	d.json = json_array();
+	for (i = 0; i < objects.count; i++) {
+		address = json_string_value(
+			json_object_get(objects.list[i].value, "address"));
+		if (address && strlen(address) < ADDRESS_BYTES)
+			json_array_append_new(d.json, json_string(address));
+	}
+	store_objects_clear(&objects);
+	feed_deliver(w->feed, &d);
+	return true;
+}
+
+/* Reads the documents again when the store has changed since @a seen. */
+static void poll_store(struct watcher *w, uint64_t *seen)
+{
+	const struct site_feed_options *o = &w->feed->options;
+	struct store_objects none;
+	uint64_t revision;
+	int kind;
+
+	/* The smallest kind there is: only the revision is of interest. */
+	if (o->api->list(w->http, STORE_DUTIES, false, call_until(w), &none) !=
+	    STORE_OK)
+		return;
+	revision = none.revision;
+	store_objects_clear(&none);
+	if (revision == *seen)
+		return;
+	for (kind = 0; kind < DOCUMENT_KIND_COUNT; kind++)
+		if (!list_all(&w->feed->polled[kind], w->http))
+			return;
+	*seen = revision;
+}
+
+static void sleep_until(const struct watcher *w, hm_time until)
+{
+	while (loop_now() < until && !http_client_cancelled(w->http))
+		g_usleep((gulong)MIN(until - loop_now() + 1, PAUSE_SLICE * 3));
+}
+
+static gpointer instances_thread(gpointer arg)
+{
+	struct watcher *w = arg;
+	bool registered = false, read = false;
+	hm_time read_at = 0, poll_at;
+	uint64_t seen = 0;
+
+	while (!http_client_cancelled(w->http)) {
+		poll_at = loop_now() + POLL_EVERY -
+			  (hm_time)rng_below(&w->rng, POLL_EVERY / 4);
+		if (!registered)
+			registered = register_self(w);
+		if (registered && loop_now() >= read_at &&
+		    read_addresses(w, read)) {
+			read = true;
+			read_at = loop_now() + w->feed->options.list_every;
+		}
+		poll_store(w, &seen);
+		sleep_until(w, registered ? poll_at : loop_now() + PAUSE_FIRST);
+	}
+	return NULL;
+}
+
+void watcher_init(struct watcher *w, struct site_feed *f, enum store_kind kind)
+{
+	w->feed = f;
+	w->kind = kind;
+	w->rng.state = f->options.seed + kind;
+	w->objects = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   (GDestroyNotify)json_decref);
+}
+
+void watcher_start(struct watcher *w, struct site_feed *f, enum store_kind kind)
+{
+	watcher_init(w, f, kind);
+	w->http = http_client_new(f->options.store);
+	w->thread = g_thread_new(
+		"site-feed",
+		kind == STORE_INSTANCES ? instances_thread : watch_thread, w);
+}
+
+void watcher_stop(struct watcher *w)
+{
+	http_client_cancel(w->http);
+	g_thread_join(w->thread);
+	http_client_free(w->http);
+	g_hash_table_unref(w->objects);
+}
