--- a/core/keeper.c
+++ b/core/keeper.c
@@ -85,8 +85,6 @@
 static void connect_member(struct keeper *k, struct kept_member *m, hm_time now,
 			   struct proxy_output *out)
 {
-	struct proxy_action *a = proxy_action(out, PROXY_CONNECT);
-
 	m->conn = ++*k->site.next_conn;
 	m->ready = false;
 	m->known = false;
@@ -94,14 +92,7 @@
 	m->asked_count = 0;
 	m->told_held = 0;
 	m->opened_at = now;
-	a->member.conn = m->conn;
-	snprintf(a->member.address, sizeof(a->member.address), "%s",
-		 m->spec.address);
-	snprintf(a->member.service, sizeof(a->member.service), "%s",
-		 m->spec.service_name);
-	snprintf(a->member.endpoint, sizeof(a->member.endpoint), "%s",
-		 m->spec.name);
-	snprintf(a->member.who, sizeof(a->member.who), KEEPER_WHO);
+	proxy_connect(out, m->conn, &m->spec, KEEPER_WHO);
 }
 
 static void mark_down(struct keeper *k, struct kept_member *m,
--- a/core/pool_conn.c
+++ b/core/pool_conn.c
@@ -45,7 +45,6 @@
 struct pool_conn *conn_open(struct pool *p, hm_id account, const char *who,
 			    hm_time now, struct proxy_output *out)
 {
-	struct proxy_action *a = proxy_action(out, PROXY_CONNECT);
 	struct pool_conn *c;
 
 	if (p->conn_count == p->conn_room) {
@@ -61,14 +60,7 @@
 	*c = (struct pool_conn){ .number = ++*p->site.next_conn,
 				 .account = account };
 	conn_phase(c, PHASE_CONNECTING, now);
-	a->member.conn = c->number;
-	snprintf(a->member.address, sizeof(a->member.address), "%s",
-		 p->member.address);
-	snprintf(a->member.service, sizeof(a->member.service), "%s",
-		 p->member.service_name);
-	snprintf(a->member.endpoint, sizeof(a->member.endpoint), "%s",
-		 p->member.name);
-	snprintf(a->member.who, sizeof(a->member.who), "%s", who);
+	proxy_connect(out, c->number, &p->member, who);
 	return c;
 }
 
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -195,6 +195,9 @@
 
 struct proxy_action *proxy_action(struct proxy_output *out,
 				  enum proxy_action_kind kind);
+/** Appends PROXY_CONNECT: connection @a conn to a member, for @a who. */
+void proxy_connect(struct proxy_output *out, uint64_t conn,
+		   const struct site_member *member, const char *who);
 /** Appends PROXY_LOG with a line of key=value pairs. */
 void proxy_log(struct proxy_output *out, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
--- a/core/proxy_output.c
+++ b/core/proxy_output.c
@@ -40,6 +40,20 @@
 	proxy_action(out, PROXY_LOG)->line = text_copy(line);
 }
 
+void proxy_connect(struct proxy_output *out, uint64_t conn,
+		   const struct site_member *m, const char *who)
+{
+	struct proxy_action *a = proxy_action(out, PROXY_CONNECT);
+
+	a->member.conn = conn;
+	snprintf(a->member.address, sizeof(a->member.address), "%s",
+		 m->address);
+	snprintf(a->member.service, sizeof(a->member.service), "%s",
+		 m->service_name);
+	snprintf(a->member.endpoint, sizeof(a->member.endpoint), "%s", m->name);
+	snprintf(a->member.who, sizeof(a->member.who), "%s", who);
+}
+
 static void clear_action(struct proxy_action *a)
 {
 	switch (a->kind) {
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -215,6 +215,15 @@
 	return conn;
 }
 
+/* Opens a transaction of session 1, with one read. */
+static void open_tx(struct rig *r, uint64_t conn)
+{
+	ask(r, STMT_BEGIN, "b1", NULL, NULL);
+	ask(r, STMT_READ, "b2", NULL, "READ k");
+	reply(r, conn, ERR_NONE, SESSION_OPEN);
+	reply(r, conn, ERR_NONE, SESSION_OPEN);
+}
+
 START_TEST(strangers_are_turned_away)
 {
 	struct rig r;
@@ -312,10 +321,7 @@
 
 	rig_open(&r);
 	conn = warm(&r);
-	ask(&r, STMT_BEGIN, "b1", NULL, NULL);
-	ask(&r, STMT_READ, "b2", NULL, "READ k");
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
+	open_tx(&r, conn);
 	closed(&r, conn);
 	g_string_truncate(r.text, 0);
 	ask(&r, STMT_READ, "b3", NULL, "READ k");
@@ -331,10 +337,7 @@
 
 	rig_open(&r);
 	conn = warm(&r);
-	ask(&r, STMT_BEGIN, "b1", NULL, NULL);
-	ask(&r, STMT_READ, "b2", NULL, "READ k");
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
+	open_tx(&r, conn);
 	g_string_truncate(r.text, 0);
 	configure(&r, false, true, 100);
 	ck_assert_ptr_nonnull(strstr(r.text->str, "end 1\n"));
@@ -350,10 +353,7 @@
 
 	rig_open(&r);
 	conn = warm(&r);
-	ask(&r, STMT_BEGIN, "b1", NULL, NULL);
-	ask(&r, STMT_READ, "b2", NULL, "READ k");
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
+	open_tx(&r, conn);
 	configure(&r, true, false, 100);
 	ask(&r, STMT_COMMIT, "b3", NULL, "COMMIT");
 	reply(&r, conn, ERR_NONE, SESSION_IDLE);
@@ -455,10 +455,7 @@
 
 	rig_open(&r);
 	conn = warm(&r);
-	ask(&r, STMT_BEGIN, "b1", NULL, NULL);
-	ask(&r, STMT_READ, "b2", NULL, "READ k");
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
+	open_tx(&r, conn);
 	g_string_truncate(r.text, 0);
 	step(&r, &stop);
 	proxy_text_expect(r.text, "ready 0\n");
