--- a/core/core.h
+++ b/core/core.h
@@ -174,6 +174,8 @@
 	uint64_t seed;
 	hm_time heartbeat_every;
 	hm_time peer_silent;	/**< a peer not heard for this is dead */
+	hm_time start_wait;	/**< a new process mints no rate before this;
+				 0: peer_silent */
 	hm_time probe_every;	/**< pace of probes of held endpoints */
 	hm_time probe_silent;	/**< a control step without answer failed */
 	hm_time evidence_valid; /**< age limit of proof that a term stands */
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -15,6 +15,8 @@
 	core_options_default(&o->core);
 	o->core.heartbeat_every = 300 * HM_MS;
 	o->core.peer_silent = 1000 * HM_MS;
+	/* Its peers know a new process, and stop, within one heartbeat. */
+	o->core.start_wait = 500 * HM_MS;
 	o->drain_limit = 5 * HM_SEC;
 	o->stop_limit = 3 * HM_SEC;
 	o->connect_limit = 400 * HM_MS;
--- a/core/rate.c
+++ b/core/rate.c
@@ -17,11 +17,6 @@
 #define LINE_OLD (300 * HM_MS)	/* after this the pace tells the drain rate */
 #define HELD_MAX 16
 #define TAKEOVER_SILENCES 2 /* wait of a new owner, in peer_silent */
-/*
- * A new process tells its peers that it lives within one heartbeat; the owner
- * before it has stopped minting by then.
- */
-#define START_WAIT (500 * HM_MS)
 
 /* Tokens of one grant. */
 struct held {
@@ -73,7 +68,8 @@
 /*
  * Two instances that do not hear each other because a link went silent hear
  * each other again, over a new link, before either mints for the other. The
- * links of a new process are new: it waits for START_WAIT only.
+ * links of a new process are new: it waits for peer_silent only, or for as
+ * long as the options say.
  */
 static hm_time takeover_wait(const struct rate *r)
 {
@@ -90,9 +86,8 @@
 	r->options = options;
 	r->peers = peers;
 	r->last_at = now;
-	r->mint_after = now + START_WAIT;
-	if (START_WAIT > options->peer_silent)
-		r->mint_after = now + options->peer_silent;
+	r->mint_after = now + (options->start_wait ? options->start_wait
+						   : options->peer_silent);
 	return r;
 }
 
