--- a/core/place.c
+++ b/core/place.c
@@ -15,7 +15,7 @@
 #define TOLD_VALID (200 * HM_MS)
 /* A view not renewed for this long says nothing of who answers. */
 #define VIEW_VALID (2 * HM_SEC)
-/* A home not heard for more than a heartbeat and a half gets nothing new. */
+/* A home not heard for more than 1.5 heartbeats gets no new work. */
 #define HOME_SUSPECT (500 * HM_MS)
 /* Come back when nobody leads: half of what a change takes at least. */
 #define PRIMARY_RETRY (300 * HM_MS)
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -93,7 +93,7 @@
 		reply->error ? error_answer(reply->error)->execution : EXEC_RUN;
 	r->state = state;
 	r->at = reply->at;
-	r->receipt = text_copy(reply->receipt);
+	r->signature = text_copy(reply->signature);
 	if (reply->row_bytes) {
 		r->rows = malloc(reply->row_bytes);
 		if (!r->rows)
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -59,7 +59,7 @@
 	struct mark at;	  /**< term 0: not told */
 	const char *rows; /**< one a line; borrowed for the call */
 	uint32_t row_bytes;
-	const char *receipt; /**< borrowed, NULL for none */
+	const char *signature; /**< borrowed, NULL for none */
 	bool has_status;
 	struct member_status status;
 };
@@ -159,7 +159,7 @@
 			hm_time took;	  /**< since the request came */
 			char *rows;
 			uint32_t row_bytes;
-			char *receipt;
+			char *signature;
 		} answer;
 		uint64_t client;
 		struct {
--- a/core/proxy_output.c
+++ b/core/proxy_output.c
@@ -59,7 +59,7 @@
 	switch (a->kind) {
 	case PROXY_ANSWER:
 		free(a->answer.rows);
-		free(a->answer.receipt);
+		free(a->answer.signature);
 		break;
 	case PROXY_COMMAND:
 		free(a->member.command.name);
--- a/core/run.c
+++ b/core/run.c
@@ -79,7 +79,7 @@
 	struct run_result *copy = must_alloc(sizeof(*copy));
 
 	*copy = *from;
-	copy->receipt = text_copy(from->receipt);
+	copy->signature = text_copy(from->signature);
 	copy->rows = NULL;
 	if (from->rows) {
 		copy->rows = must_alloc(from->row_bytes + 1);
@@ -93,6 +93,6 @@
 	if (!r)
 		return;
 	free(r->rows);
-	free(r->receipt);
+	free(r->signature);
 	free(r);
 }
--- a/core/run.h
+++ b/core/run.h
@@ -83,7 +83,7 @@
 	hm_time wait;		  /**< expected wait at the home */
 	char *rows;		  /**< one a line, each ended by a newline */
 	uint32_t row_bytes;
-	char *receipt; /**< proof of the member, NULL for none */
+	char *signature; /**< proof of the member, NULL for none */
 };
 
 /** A copy on the heap that owns its texts. Aborts when memory is short. */
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -106,7 +106,7 @@
 		a->answer.retry_in = retry_at - now;
 	if (result) {
 		a->answer.at = result->at;
-		a->answer.receipt = text_copy(result->receipt);
+		a->answer.signature = text_copy(result->signature);
 		if (result->row_bytes) {
 			a->answer.rows = malloc(result->row_bytes);
 			if (!a->answer.rows)
--- a/src/line_protocol.h
+++ b/src/line_protocol.h
@@ -41,8 +41,8 @@
 /** A reply as far as it was read. */
 struct reply_builder {
 	GString *rows;
-	GString *receipt; /**< empty: none */
-	bool ended;	  /**< an outcome was read */
+	GString *signature; /**< empty: none */
+	bool ended;	    /**< an outcome was read */
 	struct member_reply reply;
 };
 
--- a/src/member_link.c
+++ b/src/member_link.c
@@ -42,7 +42,7 @@
 		g_ptr_array_remove_fast(m->links->dirty, m);
 	g_byte_array_unref(m->kinds);
 	g_string_free(m->builder.rows, TRUE);
-	g_string_free(m->builder.receipt, TRUE);
+	g_string_free(m->builder.signature, TRUE);
 	g_free(m);
 }
 
@@ -97,7 +97,7 @@
 static void begin_reply(struct member_link *m)
 {
 	g_string_truncate(m->builder.rows, 0);
-	g_string_truncate(m->builder.receipt, 0);
+	g_string_truncate(m->builder.signature, 0);
 	m->builder.ended = false;
 	memset(&m->builder.reply, 0, sizeof(m->builder.reply));
 }
@@ -119,16 +119,16 @@
 	struct proxy_event e = { .kind = PROXY_MEMBER_REPLIED,
 				 .member.conn = m->number,
 				 .member.reply = &reply };
-	GString *rows = m->builder.rows, *receipt = m->builder.receipt;
+	GString *rows = m->builder.rows, *signature = m->builder.signature;
 
 	/* The link may be gone once the event is handled. */
 	m->builder.rows = g_string_new(NULL);
-	m->builder.receipt = g_string_new(NULL);
+	m->builder.signature = g_string_new(NULL);
 	g_byte_array_remove_index(m->kinds, 0);
 	begin_reply(m);
 	proxy_sink_event(&m->links->sink, &e);
 	g_string_free(rows, TRUE);
-	g_string_free(receipt, TRUE);
+	g_string_free(signature, TRUE);
 }
 
 static void on_opening_line(struct member_link *m, char *line)
@@ -225,7 +225,7 @@
 	m->number = a->member.conn;
 	m->kinds = g_byte_array_new();
 	m->builder.rows = g_string_new(NULL);
-	m->builder.receipt = g_string_new(NULL);
+	m->builder.signature = g_string_new(NULL);
 	g_strlcpy(m->service, a->member.service, sizeof(m->service));
 	g_strlcpy(m->who, a->member.who, sizeof(m->who));
 	g_strlcpy(m->endpoint, a->member.endpoint, sizeof(m->endpoint));
--- a/src/wire_run.c
+++ b/src/wire_run.c
@@ -71,7 +71,7 @@
 	code_deadline(c, &r->retry_at);
 	code_span(c, &r->wait);
 	c->table->bytes(c, &r->rows, &r->row_bytes);
-	code_string(c, &r->receipt);
+	code_string(c, &r->signature);
 }
 
 void wire_view(struct wire_codec *c, struct service_view **view)
--- a/tests/proxy_text.c
+++ b/tests/proxy_text.c
@@ -40,8 +40,9 @@
 	g_string_append_printf(to, "answer %" NUM " %s %c", a->answer.client,
 			       error_answer(a->answer.error)->code,
 			       states[a->answer.state]);
-	if (a->answer.receipt)
-		g_string_append_printf(to, " receipt=%s", a->answer.receipt);
+	if (a->answer.signature)
+		g_string_append_printf(to, " signature=%s",
+				       a->answer.signature);
 	if (a->answer.retry_in)
 		g_string_append(to, " later");
 	g_string_append_c(to, '\n');
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -144,14 +144,14 @@
 }
 END_TEST
 
-START_TEST(answers_carry_rows_and_receipt)
+START_TEST(answers_carry_rows_and_signature)
 {
 	struct proxy_action a = { .kind = PROXY_ANSWER };
 	GString *out = g_string_new(NULL);
 
 	a.answer.rows = (char *)"one\n\nlast one\n";
 	a.answer.row_bytes = 14;
-	a.answer.receipt = (char *)"7.1f3";
+	a.answer.signature = (char *)"7.1f3";
 	a.answer.state = SESSION_OPEN;
 	a.answer.at = (struct mark){ 3, 1209 };
 	platform_lines.write_answer(out, &a);
@@ -227,7 +227,7 @@
 START_TEST(replies_are_read_line_by_line)
 {
 	struct reply_builder b = { .rows = g_string_new(NULL),
-				   .receipt = g_string_new(NULL) };
+				   .signature = g_string_new(NULL) };
 
 	ck_assert_int_eq(feed(&b, "ROW a b", MEMBER_STATEMENT), REPLY_MORE);
 	ck_assert_int_eq(feed(&b, "READY I 1.2", MEMBER_STATEMENT), REPLY_BAD);
@@ -237,7 +237,7 @@
 			 REPLY_BAD);
 	ck_assert_int_eq(feed(&b, "READY T 3.1209", MEMBER_STATEMENT),
 			 REPLY_COMPLETE);
-	ck_assert_str_eq(b.reply.receipt, "7.1f");
+	ck_assert_str_eq(b.reply.signature, "7.1f");
 	ck_assert_uint_eq(b.reply.at.pos, 1209);
 	ck_assert_int_eq(b.reply.state, SESSION_OPEN);
 	memset(&b.reply, 0, sizeof(b.reply));
@@ -250,7 +250,7 @@
 	ck_assert_int_eq(feed(&b, "ROW king 3 3.1 0 1 2 3", MEMBER_STATUS),
 			 REPLY_BAD);
 	g_string_free(b.rows, TRUE);
-	g_string_free(b.receipt, TRUE);
+	g_string_free(b.signature, TRUE);
 }
 END_TEST
 
@@ -283,7 +283,7 @@
 START_TEST(random_lines_do_no_harm)
 {
 	struct reply_builder b = { .rows = g_string_new(NULL),
-				   .receipt = g_string_new(NULL) };
+				   .signature = g_string_new(NULL) };
 	struct rng rng = { SEED };
 	struct caller_request r;
 	char line[128], copy[128];
@@ -306,7 +306,7 @@
 		g_string_truncate(b.rows, 0);
 	}
 	g_string_free(b.rows, TRUE);
-	g_string_free(b.receipt, TRUE);
+	g_string_free(b.signature, TRUE);
 }
 END_TEST
 
@@ -318,7 +318,7 @@
 			    G_N_ELEMENTS(lines));
 	tcase_add_test(tc, session_opens_with_database_and_key);
 	tcase_add_test(tc, commands_are_written_whole);
-	tcase_add_test(tc, answers_carry_rows_and_receipt);
+	tcase_add_test(tc, answers_carry_rows_and_signature);
 	tcase_add_test(tc, promises_are_made_for_what_has_not_run);
 	tcase_add_test(tc, members_tell_why_they_admit_nobody);
 	tcase_add_test(tc, replies_are_read_line_by_line);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -94,7 +94,7 @@
 	struct member_reply m = { .error = error,
 				  .state = state,
 				  .at = { 1, 50 },
-				  .receipt = error ? NULL : "proof" };
+				  .signature = error ? NULL : "proof" };
 
 	pool_replied(r->pool, conn, &m, r->now, &r->out);
 	proxy_text(r->text, &r->out);
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -170,7 +170,7 @@
 	struct member_reply m = { .error = error,
 				  .state = state,
 				  .at = { 1, 50 },
-				  .receipt = error ? NULL : "proof" };
+				  .signature = error ? NULL : "proof" };
 	struct proxy_event e = { .kind = PROXY_MEMBER_REPLIED };
 
 	e.member.conn = conn;
@@ -210,7 +210,7 @@
 	ready(r, conn);
 	reply(r, conn, ERR_NONE, SESSION_IDLE);
 	ck_assert(g_str_has_suffix(r->text->str,
-				   "answer 1 ok I receipt=proof\n"));
+				   "answer 1 ok I signature=proof\n"));
 	g_string_truncate(r->text, 0);
 	return conn;
 }
@@ -272,9 +272,9 @@
 	reply(&r, conn, ERR_NONE, SESSION_OPEN);
 	ask(&r, STMT_COMMIT, "b3", NULL, "COMMIT");
 	reply(&r, conn, ERR_NONE, SESSION_IDLE);
-	ck_assert(
-		g_str_has_suffix(r.text->str, "answer 1 ok I receipt=proof\n"));
-	ck_assert_ptr_nonnull(strstr(r.text->str, "answer 1 ok T receipt"));
+	ck_assert(g_str_has_suffix(r.text->str,
+				   "answer 1 ok I signature=proof\n"));
+	ck_assert_ptr_nonnull(strstr(r.text->str, "answer 1 ok T signature"));
 	rig_close(&r);
 }
 END_TEST
@@ -357,8 +357,8 @@
 	configure(&r, true, false, 100);
 	ask(&r, STMT_COMMIT, "b3", NULL, "COMMIT");
 	reply(&r, conn, ERR_NONE, SESSION_IDLE);
-	ck_assert(
-		g_str_has_suffix(r.text->str, "answer 1 ok I receipt=proof\n"));
+	ck_assert(g_str_has_suffix(r.text->str,
+				   "answer 1 ok I signature=proof\n"));
 	g_string_truncate(r.text, 0);
 	ask(&r, STMT_READ, "c1", NULL, "READ k");
 	proxy_text_expect(r.text, "answer 1 not_found I\nend 1\n");
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -121,7 +121,7 @@
 	r->wait = 40;
 	r->rows = text_copy("one\ntwo\n");
 	r->row_bytes = 8;
-	r->receipt = text_copy("7.1f3");
+	r->signature = text_copy("7.1f3");
 	m->ran = r;
 }
 
@@ -216,7 +216,7 @@
 	ck_assert_mem_eq(a, b, offsetof(struct run_result, rows));
 	ck_assert_uint_eq(b->row_bytes, 8);
 	ck_assert_mem_eq(a->rows, b->rows, 8);
-	ck_assert_str_eq(a->receipt, b->receipt);
+	ck_assert_str_eq(a->signature, b->signature);
 }
 
 START_TEST(comes_back)
