--- a/core/proxy.c
+++ b/core/proxy.c
@@ -300,6 +300,10 @@
 	case PROXY_PROMOTED:
 		take_promoted(p, e, now, out);
 		break;
+	case PROXY_LIMITS:
+		p->options.drain_limit = e->limits.drain_limit;
+		p->options.stop_limit = e->limits.stop_limit;
+		break;
 	case PROXY_STOP:
 		begin_stop(p, now, out);
 		break;
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -86,6 +86,7 @@
 	PROXY_STORE, /**< the store answers, or does not */
 	PROXY_TOKEN, /**< a fencing token was taken, or could not be */
 	PROXY_PROMOTED,
+	PROXY_LIMITS, /**< the settings have changed */
 	PROXY_STOP
 };
 
@@ -118,6 +119,10 @@
 		struct site_config *config;   /**< owned by the callee */
 		struct site_members *members; /**< owned by the callee */
 		bool store_ok;
+		struct {
+			hm_time drain_limit;
+			hm_time stop_limit;
+		} limits;
 		struct {
 			hm_id service;
 			bool taken;
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -214,9 +214,22 @@
 	return changed;
 }
 
+/* New work to a leaving member ends well before the member does. */
+static hm_time drain_limit(const struct proxy_instance *i)
+{
+	return i->settings.drain_limit * 3 / 4;
+}
+
+/* Open transactions have half of the grace. */
+static hm_time stop_limit(const struct proxy_instance *i)
+{
+	return MIN(i->settings.grace / 2, i->settings.grace - STOP_RESERVE);
+}
+
 /* What can change while it runs is taken over; the rest needs a restart. */
 static void reload(struct proxy_instance *i)
 {
+	struct proxy_event e = { .kind = PROXY_LIMITS };
 	char fault[SETTINGS_FAULT_BYTES];
 	struct proxy_settings s;
 
@@ -227,6 +240,9 @@
 	}
 	i->settings.drain_limit = s.drain_limit;
 	i->settings.grace = s.grace;
+	e.limits.drain_limit = drain_limit(i);
+	e.limits.stop_limit = stop_limit(i);
+	step(i, &e);
 	log_event(G_LOG_LEVEL_INFO, "reload", "file", i->file, NULL);
 }
 
@@ -273,11 +289,8 @@
 	o.core.zone = i->settings.zone_index;
 	o.core.zone_count = i->settings.zone_count;
 	o.core.seed = random_id();
-	/* New work ends well before the member does. */
-	o.drain_limit = i->settings.drain_limit * 3 / 4;
-	o.stop_limit = i->settings.grace / 2;
-	if (o.stop_limit > i->settings.grace - STOP_RESERVE)
-		o.stop_limit = i->settings.grace - STOP_RESERVE;
+	o.drain_limit = drain_limit(i);
+	o.stop_limit = stop_limit(i);
 	i->proxy = proxy_new(&o, loop_now());
 }
 
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -447,6 +447,25 @@
 }
 END_TEST
 
+START_TEST(changed_limit_ends_a_stop_sooner)
+{
+	struct proxy_event limits = { .kind = PROXY_LIMITS };
+	struct proxy_event stop = { .kind = PROXY_STOP };
+	struct rig r;
+
+	rig_open(&r);
+	open_tx(&r, warm(&r));
+	limits.limits.drain_limit = 5 * HM_SEC;
+	limits.limits.stop_limit = HM_SEC;
+	step(&r, &limits);
+	step(&r, &stop);
+	g_string_truncate(r.text, 0);
+	run(&r, 1100 * HM_MS);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "end 1\n"));
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(stop_lets_a_transaction_end)
 {
 	struct proxy_event stop = { .kind = PROXY_STOP };
@@ -486,6 +505,7 @@
 	tcase_add_test(tc, older_configuration_is_ignored);
 	tcase_add_test(tc, over_rate_is_refused_at_once);
 	tcase_add_test(tc, home_that_falls_silent_gets_nothing_new);
+	tcase_add_test(tc, changed_limit_ends_a_stop_sooner);
 	tcase_add_test(tc, stop_lets_a_transaction_end);
 	return suite_run("sessions", tc);
 }
