Drop fields and functions of the proxy that nothing uses

keeper_service, keeper_active, the time of a member's loss, the option "fenced", and fields of the instance and of the duties were written or declared and never read. Behaviour stays as it is.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -26,16 +26,6 @@
 	free(k);
 }
 
-hm_id keeper_service(const struct keeper *k)
-{
-	return k->service;
-}
-
-bool keeper_active(const struct keeper *k)
-{
-	return k->active;
-}
-
 uint64_t keeper_promotions(const struct keeper *k)
 {
 	return k->promotions;
@@ -96,14 +86,13 @@
 }
 
 static void mark_down(struct keeper *k, struct kept_member *m,
-		      const char *reason, hm_time now, struct proxy_output *out)
+		      const char *reason, struct proxy_output *out)
 {
 	m->leads = false;
 	m->known = false;
 	if (!m->up)
 		return;
 	m->up = false;
-	m->down_since = now;
 	proxy_log(out, "event=member_down member=%s service=%s reason=%s",
 		  m->spec.name, k->service_name, reason);
 	keeper_announce(k);
@@ -311,7 +300,7 @@
 	if (was_ready)
 		m->connect_after = now; /* one more try tells */
 	else
-		mark_down(k, m, "refused", now, out);
+		mark_down(k, m, "refused", out);
 	change_check(k, now, out);
 }
 
@@ -329,7 +318,7 @@
 	} else if (!m->ready && now - m->opened_at > silent) {
 		kept_disconnect(m, out);
 		m->connect_after = now;
-		mark_down(k, m, "silent", now, out);
+		mark_down(k, m, "silent", out);
 	}
 }
 
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -29,11 +29,9 @@
 struct keeper *keeper_new(hm_id service, struct keeper_site site);
 /** Closes nothing by itself: call keeper_stop() first. */
 void keeper_free(struct keeper *k);
-hm_id keeper_service(const struct keeper *k);
 /** This instance keeps the service from now on, or no more. */
 void keeper_start(struct keeper *k, hm_time now, struct proxy_output *out);
 void keeper_stop(struct keeper *k, struct proxy_output *out);
-bool keeper_active(const struct keeper *k);
 /** Members as registered. */
 void keeper_members(struct keeper *k, const struct site_members *members,
 		    hm_time now, struct proxy_output *out);
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -37,8 +37,7 @@
 	uint32_t asked_count;
 	bool unlisted; /**< its entry is gone, it answers all the same */
 	bool up;       /**< answered the last question, or is being asked */
-	hm_time down_since;
-	bool leads;	     /**< proved by its last answer */
+	bool leads;    /**< proved by its last answer */
 	uint64_t lead_order; /**< of the last question whether it leads */
 	bool known; /**< status was heard since the connection is ready */
 	struct member_status status;
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -25,7 +25,6 @@
 	o->status_every = 3 * HM_SEC;
 	o->keeper_silent = 400 * HM_MS;
 	o->view_every = 400 * HM_MS;
-	o->fenced = true;
 }
 
 struct proxy *proxy_new(const struct proxy_options *options, hm_time now)
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -220,7 +220,6 @@
 	hm_time status_every;	  /**< pace of the costlier question of state */
 	hm_time keeper_silent;	  /**< a question without answer failed */
 	hm_time view_every;	  /**< pace of questions to keepers */
-	bool fenced;		  /**< the promote call checks the token */
 	uint32_t guards_off;	  /**< mutation tests only */
 };
 
--- a/src/duty.h
+++ b/src/duty.h
@@ -19,7 +19,6 @@
 	const char *instance; /**< own name, the holder */
 	hm_time token_limit;  /**< a token is taken by then, or is not */
 	hm_time call_limit;
-	uint64_t seed;
 };
 
 struct duty *duty_new(struct loop *loop, const struct duty_options *options,
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -48,8 +48,6 @@
 	uint64_t life;
 	uint64_t next_seq; /* of messages to peers */
 	bool stepping;
-	bool ready;
-	hm_time asked_at; /* of the event in hand */
 	char file[PATH_BYTES];
 	struct timespec file_time;
 	hm_time file_check_at;
@@ -108,7 +106,6 @@
 
 static void do_ready(struct proxy_instance *i, const struct proxy_action *a)
 {
-	i->ready = a->ready;
 	health_http_ready(i->health, a->ready);
 }
 
