Let reads run at a primary of the caller's own zone

Change: the primary costs 6 ms, less than another zone. Its queue, told by its home, still turns reads away when it is busy.

--- a/core/place.c
+++ b/core/place.c
@@ -6,7 +6,7 @@
 /* A round trip to another zone, next to one in the own zone. */
 #define ZONE_COST (8 * HM_MS)
 /* Only the primary can write: reads go there when replicas are this busy. */
-#define PRIMARY_COST (15 * HM_MS)
+#define PRIMARY_COST (6 * HM_MS)
 /* A replica that was behind a moment ago: another try costs a round trip. */
 #define BEHIND_COST (100 * HM_MS)
 /* Expected slot time of a statement that was sent and not answered yet. */
