Acknowledge a commit only where a promotion elsewhere would be heard of

A zone was cut off with a primary at 17.0 s, commits hung there. At 18.0 s the planned replacement of that primary started a member in the same zone, which nobody outside could know: it received the log, the hanging commits were answered and acknowledged, and the other zones, having held all replicas that they knew, promoted one that lacked them.

Change: the home of a primary passes a commit on only with a fresh view that shows a replica and no change under way, or while it hears half of the instances of other zones; else the outcome is unknown. A commit of a transaction that wrote nothing is passed on as before.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -90,6 +90,7 @@
 {
 	m->leads = false;
 	m->known = false;
+	m->answered = false;
 	if (!m->up)
 		return;
 	m->up = false;
@@ -120,6 +121,7 @@
 	k->retry_at = now;
 	for (i = 0; i < k->member_count; i++) {
 		k->members[i].up = true; /* until it is asked in vain */
+		k->members[i].answered = false;
 		k->members[i].held_since = 0;
 	}
 	proxy_log(out, "event=keeper_start service=%s members=%u",
@@ -197,6 +199,7 @@
 	struct kept_member *m = find_conn(k, conn);
 
 	m->ready = true;
+	m->answered = true;
 	ask_member(k, m, now, out);
 }
 
@@ -295,8 +298,10 @@
 	m->asked_at = 0;
 	m->known = false;
 	m->connect_after = now + RECONNECT_PAUSE;
-	if (error == ERR_CONNECTION_LIMIT)
-		return; /* it lives, and is full */
+	if (error == ERR_CONNECTION_LIMIT) {
+		m->answered = true; /* it lives, and is full */
+		return;
+	}
 	if (was_ready)
 		m->connect_after = now; /* one more try tells */
 	else
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -37,6 +37,7 @@
 	uint32_t asked_count;
 	bool unlisted; /**< its entry is gone, it answers all the same */
 	bool up;       /**< answered the last question, or is being asked */
+	bool answered; /**< since this instance keeps the service */
 	bool leads;    /**< proved by its last answer */
 	uint64_t lead_order; /**< of the last question whether it leads */
 	bool known; /**< status was heard since the connection is ready */
--- a/core/keeper_view.c
+++ b/core/keeper_view.c
@@ -16,6 +16,7 @@
 		v->members[i] = (struct member_view){
 			.endpoint = m->spec.endpoint,
 			.up = m->up,
+			.reached = m->up && m->answered,
 			.primary = m == primary,
 			.at = m->status.received,
 			.held = m->status.held,
--- a/core/pool.c
+++ b/core/pool.c
@@ -60,6 +60,11 @@
 	return p->member.endpoint;
 }
 
+hm_id pool_service(const struct pool *p)
+{
+	return p->member.service;
+}
+
 static bool has_connection(const struct pool *p, hm_id account)
 {
 	uint32_t i;
--- a/core/pool.h
+++ b/core/pool.h
@@ -29,6 +29,7 @@
 void pool_member(struct pool *p, const struct site_member *member,
 		 uint32_t connections, hm_time now);
 hm_id pool_endpoint(const struct pool *p);
+hm_id pool_service(const struct pool *p);
 
 /** Queues a statement for the instance @a reply_to, or refuses it. */
 void pool_submit(struct pool *p, const struct run_order *order,
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -46,6 +46,12 @@
 	turns_ended(p->turns, &j->turn, now - j->started_at, whole, now);
 }
 
+/* A statement inside a transaction changes nothing before its commit. */
+static bool commits(const struct run_order *o)
+{
+	return o->writes && (o->scope == RUN_SINGLE || o->op == STMT_COMMIT);
+}
+
 static struct run_result *new_result(const struct pool *p, const struct job *j,
 				     hm_time now)
 {
@@ -54,6 +60,8 @@
 	if (!r)
 		abort();
 	r->id = j->order->id;
+	r->commits = commits(j->order);
+	memcpy(r->request, j->order->request, sizeof(r->request));
 	r->endpoint = p->member.endpoint;
 	r->wait = job_wait(p, j->order->account, now);
 	return r;
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -225,11 +225,12 @@
 
 /** Guards that mutation tests switch off one at a time. */
 enum proxy_guard {
-	PROXY_GUARD_LEAD = 1,	/**< a read at the primary proves it leads */
-	PROXY_GUARD_FLOOR = 2,	/**< a read at a replica names a position */
-	PROXY_GUARD_VALUES = 4, /**< a connection has its session's values */
-	PROXY_GUARD_HOLD = 8,	/**< replicas are held before a promote */
-	PROXY_GUARD_ONCE = 16	/**< what may have run is not sent again */
+	PROXY_GUARD_LEAD = 1,	 /**< a read at the primary proves it leads */
+	PROXY_GUARD_FLOOR = 2,	 /**< a read at a replica names a position */
+	PROXY_GUARD_VALUES = 4,	 /**< a connection has its session's values */
+	PROXY_GUARD_HOLD = 8,	 /**< replicas are held before a promote */
+	PROXY_GUARD_ONCE = 16,	 /**< what may have run is not sent again */
+	PROXY_GUARD_CONFIRM = 32 /**< no commit is kept that may be undone */
 };
 
 void proxy_options_default(struct proxy_options *o);
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -189,8 +189,11 @@
 	uint32_t i;
 
 	for (i = 0; i < p->pool_count; i++)
-		while (pool_next_result(p->pools[i], &to, &r))
+		while (pool_next_result(p->pools[i], &to, &r)) {
+			confirm_commit(p, pool_service(p->pools[i]), r, now,
+				       out);
 			proxy_send(p, to, MSG_RAN, out)->ran = r;
+		}
 	for (i = 0; i < p->service_count; i++)
 		while (keeper_next_view(p->keepers[i], &to, &view)) {
 			copy = malloc(sizeof(*copy));
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -57,6 +57,7 @@
 	enum session_state state;
 	bool read_only;
 	bool started;  /**< a member holds it */
+	bool wrote;    /**< a statement of it may have changed data */
 	struct rid id; /**< of the statement that opened it */
 	hm_id service;
 	hm_id endpoint;
@@ -168,6 +169,12 @@
 /** Life that holds the connections to a member, 0 for none. */
 uint64_t place_home(const struct proxy *p, const struct site_member *m);
 
+/* confirm.c */
+
+/** Turns a success that a promotion elsewhere may undo into doubt. */
+void confirm_commit(const struct proxy *p, hm_id service, struct run_result *r,
+		    hm_time now, struct proxy_output *out);
+
 /* proxy_message.c */
 void proxy_take(struct proxy *p, const struct message *m, hm_time now,
 		struct proxy_output *out);
--- a/core/run.h
+++ b/core/run.h
@@ -53,9 +53,9 @@
 	uint32_t weight;
 	enum statement_op op;
 	enum run_scope scope;
-	bool read_only;	    /**< RUN_FIRST: transaction that only reads */
-	bool writes;	    /**< it may change data when it runs */
-	bool lead;	    /**< only a member that leads may answer */
+	bool read_only; /**< RUN_FIRST: transaction that only reads */
+	bool writes;	/**< it may change data; a commit: its statements did */
+	bool lead;	/**< only a member that leads may answer */
 	struct mark floor;  /**< the log must hold this */
 	hm_time max_age;    /**< and all that is older than this; 0: no such */
 	hm_time start_by;   /**< not started by then: refuse it */
@@ -84,6 +84,9 @@
 	char *rows;		  /**< one a line, each ended by a newline */
 	uint32_t row_bytes;
 	char *signature; /**< proof of the member, NULL for none */
+	/* At the home alone: */
+	bool commits; /**< success says that changes are kept */
+	char request[REQUEST_ID_BYTES]; /**< the caller's own id */
 };
 
 /** A copy on the heap that owns its texts. Aborts when memory is short. */
--- a/core/sessions_ask.c
+++ b/core/sessions_ask.c
@@ -214,6 +214,7 @@
 		return;
 	}
 	if (commit && was == SESSION_OPEN) {
+		s->pending.writes = s->tx.wrote;
 		session_run(p, s, now, out);
 		return;
 	}
@@ -241,10 +242,12 @@
 		}
 		s->pending.writes = f->writes;
 	}
-	if (s->tx.state == SESSION_IDLE)
+	if (s->tx.state == SESSION_IDLE) {
 		admit_operation(p, s, now, out);
-	else
-		session_run(p, s, now, out);
+		return;
+	}
+	s->tx.wrote |= s->pending.writes;
+	session_run(p, s, now, out);
 }
 
 static void ask_begin(struct proxy *p, struct session *s, hm_time now,
--- a/core/view.h
+++ b/core/view.h
@@ -22,7 +22,8 @@
 /** A member as its keeper saw it last. */
 struct member_view {
 	hm_id endpoint;
-	bool up; /**< it answers */
+	bool up;      /**< it answers, or was not asked in vain yet */
+	bool reached; /**< it answered its keeper, and was not lost since */
 	bool primary;
 	struct mark at; /**< end of its log */
 	uint64_t held;	/**< term under which it receives nothing, or 0 */
--- a/src/wire_run.c
+++ b/src/wire_run.c
@@ -92,6 +92,7 @@
 
 		code_u64(c, &m->endpoint);
 		code_bool(c, &m->up);
+		code_bool(c, &m->reached);
 		code_bool(c, &m->primary);
 		code_mark(c, &m->at);
 		code_u64(c, &m->held);
--- a/tests/proxy_rig.c
+++ b/tests/proxy_rig.c
@@ -1,6 +1,8 @@
 /** @file proxy_rig.c One proxy by itself, with what it needs to serve. */
 #include "proxy_rig.h"
 
+#include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -56,6 +58,7 @@
 	c->service_count = 1;
 	c->services[0].service = name_id("db");
 	c->services[0].connections = 16;
+	c->services[0].sync_replicas = 1;
 	c->accounts = calloc(1, sizeof(*c->accounts));
 	c->account_count = 1;
 	g_strlcpy(c->accounts[0].name, "acme", NAME_BYTES);
@@ -152,3 +155,45 @@
 {
 	rig_ask_as(r, 1, op, request, name, text);
 }
+
+void rig_reply(struct rig *r, uint64_t conn, enum error error,
+	       enum session_state state)
+{
+	struct member_reply m = { .error = error,
+				  .state = state,
+				  .at = { 1, 50 },
+				  .signature = error ? NULL : "proof" };
+	struct proxy_event e = { .kind = PROXY_MEMBER_REPLIED };
+
+	e.member.conn = conn;
+	e.member.reply = &m;
+	rig_step(r, &e);
+}
+
+void rig_ready(struct rig *r, uint64_t conn)
+{
+	struct proxy_event e = { .kind = PROXY_MEMBER_READY,
+				 .member.conn = conn };
+
+	rig_step(r, &e);
+}
+
+/* Opens session 1 and makes connection @a conn to m1 for it. */
+uint64_t rig_warm(struct rig *r)
+{
+	uint64_t conn;
+
+	rig_open_session(r, 1, "rota", "secret");
+	proxy_text_expect(r->text, "answer 1 ok I\n");
+	rig_ask(r, STMT_WRITE, "a1", NULL, "WRITE k v");
+	ck_assert_int_eq(sscanf(r->text->str,
+				"connect %" G_GUINT64_FORMAT " m1 acme\n",
+				&conn),
+			 1);
+	rig_ready(r, conn);
+	rig_reply(r, conn, ERR_NONE, SESSION_IDLE);
+	ck_assert(g_str_has_suffix(r->text->str,
+				   "answer 1 ok I signature=proof\n"));
+	g_string_truncate(r->text, 0);
+	return conn;
+}
--- a/tests/proxy_rig.h
+++ b/tests/proxy_rig.h
@@ -36,5 +36,11 @@
 	     const char *name, const char *text);
 void rig_ask_as(struct rig *r, uint64_t client, enum statement_op op,
 		const char *request, const char *name, const char *text);
+/** What a member answers on a connection, or that it took the connection. */
+void rig_reply(struct rig *r, uint64_t conn, enum error error,
+	       enum session_state state);
+void rig_ready(struct rig *r, uint64_t conn);
+/** Opens session 1 and a connection to m1 for it. @return its number */
+uint64_t rig_warm(struct rig *r);
 
 #endif
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -12,28 +12,6 @@
 #include "proxy_rig.h"
 #include "suite.h"
 
-static void reply(struct rig *r, uint64_t conn, enum error error,
-		  enum session_state state)
-{
-	struct member_reply m = { .error = error,
-				  .state = state,
-				  .at = { 1, 50 },
-				  .signature = error ? NULL : "proof" };
-	struct proxy_event e = { .kind = PROXY_MEMBER_REPLIED };
-
-	e.member.conn = conn;
-	e.member.reply = &m;
-	rig_step(r, &e);
-}
-
-static void ready(struct rig *r, uint64_t conn)
-{
-	struct proxy_event e = { .kind = PROXY_MEMBER_READY,
-				 .member.conn = conn };
-
-	rig_step(r, &e);
-}
-
 static void closed(struct rig *r, uint64_t conn)
 {
 	struct proxy_event e = { .kind = PROXY_MEMBER_CLOSED };
@@ -43,33 +21,13 @@
 	rig_step(r, &e);
 }
 
-/* Opens session 1 and makes connection @a conn to m1 for it. */
-static uint64_t warm(struct rig *r)
-{
-	uint64_t conn;
-
-	rig_open_session(r, 1, "rota", "secret");
-	proxy_text_expect(r->text, "answer 1 ok I\n");
-	rig_ask(r, STMT_WRITE, "a1", NULL, "WRITE k v");
-	ck_assert_int_eq(sscanf(r->text->str,
-				"connect %" G_GUINT64_FORMAT " m1 acme\n",
-				&conn),
-			 1);
-	ready(r, conn);
-	reply(r, conn, ERR_NONE, SESSION_IDLE);
-	ck_assert(g_str_has_suffix(r->text->str,
-				   "answer 1 ok I signature=proof\n"));
-	g_string_truncate(r->text, 0);
-	return conn;
-}
-
 /* Opens a transaction of session 1, with one read. */
 static void open_tx(struct rig *r, uint64_t conn)
 {
 	rig_ask(r, STMT_BEGIN, "b1", NULL, NULL);
 	rig_ask(r, STMT_READ, "b2", NULL, "READ k");
-	reply(r, conn, ERR_NONE, SESSION_OPEN);
-	reply(r, conn, ERR_NONE, SESSION_OPEN);
+	rig_reply(r, conn, ERR_NONE, SESSION_OPEN);
+	rig_reply(r, conn, ERR_NONE, SESSION_OPEN);
 }
 
 START_TEST(strangers_are_turned_away)
@@ -112,14 +70,14 @@
 	struct rig r;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	rig_ask(&r, STMT_BEGIN, "b1", NULL, NULL);
 	proxy_text_expect(r.text, "answer 1 ok T\n");
 	rig_ask(&r, STMT_READ, "b2", NULL, "READ k");
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
+	rig_reply(&r, conn, ERR_NONE, SESSION_OPEN);
+	rig_reply(&r, conn, ERR_NONE, SESSION_OPEN);
 	rig_ask(&r, STMT_COMMIT, "b3", NULL, "COMMIT");
-	reply(&r, conn, ERR_NONE, SESSION_IDLE);
+	rig_reply(&r, conn, ERR_NONE, SESSION_IDLE);
 	ck_assert(g_str_has_suffix(r.text->str,
 				   "answer 1 ok I signature=proof\n"));
 	ck_assert_ptr_nonnull(strstr(r.text->str, "answer 1 ok T signature"));
@@ -133,11 +91,11 @@
 	struct rig r;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	rig_ask(&r, STMT_BEGIN, "b1", NULL, NULL);
 	rig_ask(&r, STMT_READ, "b2", NULL, "READ k");
-	reply(&r, conn, ERR_NONE, SESSION_OPEN);
-	reply(&r, conn, ERR_STATEMENT, SESSION_FAILED);
+	rig_reply(&r, conn, ERR_NONE, SESSION_OPEN);
+	rig_reply(&r, conn, ERR_STATEMENT, SESSION_FAILED);
 	g_string_truncate(r.text, 0);
 	rig_ask(&r, STMT_READ, "b3", NULL, "READ k");
 	rig_ask(&r, STMT_COMMIT, "b4", NULL, "COMMIT");
@@ -153,7 +111,7 @@
 	struct rig r;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	rig_ask(&r, STMT_WRITE, "a2", NULL, "WRITE k v");
 	closed(&r, conn);
 	ck_assert_ptr_nonnull(strstr(r.text->str, "answer 1 outcome_unknown"));
@@ -168,7 +126,7 @@
 	struct rig r;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	open_tx(&r, conn);
 	closed(&r, conn);
 	g_string_truncate(r.text, 0);
@@ -184,7 +142,7 @@
 	struct rig r;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	open_tx(&r, conn);
 	g_string_truncate(r.text, 0);
 	rig_configure(&r, false, true, 100);
@@ -200,11 +158,11 @@
 	struct rig r;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	open_tx(&r, conn);
 	rig_configure(&r, true, false, 100);
 	rig_ask(&r, STMT_COMMIT, "b3", NULL, "COMMIT");
-	reply(&r, conn, ERR_NONE, SESSION_IDLE);
+	rig_reply(&r, conn, ERR_NONE, SESSION_IDLE);
 	ck_assert(g_str_has_suffix(r.text->str,
 				   "answer 1 ok I signature=proof\n"));
 	g_string_truncate(r.text, 0);
@@ -236,13 +194,13 @@
 	int i;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	rig_configure(&r, true, true, 2);
 	for (i = 0; i < 3; i++) {
 		g_string_truncate(r.text, 0);
 		rig_ask(&r, STMT_WRITE, "a2", NULL, "WRITE k v");
 		if (strstr(r.text->str, "statement"))
-			reply(&r, conn, ERR_NONE, SESSION_IDLE);
+			rig_reply(&r, conn, ERR_NONE, SESSION_IDLE);
 	}
 	proxy_text_expect(r.text, "answer 1 rate_limited I later\n");
 	rig_close(&r);
@@ -302,7 +260,7 @@
 	struct rig r;
 
 	rig_open(&r);
-	open_tx(&r, warm(&r));
+	open_tx(&r, rig_warm(&r));
 	limits.limits.drain_limit = 5 * HM_SEC;
 	limits.limits.stop_limit = HM_SEC;
 	rig_step(&r, &limits);
@@ -321,7 +279,7 @@
 	struct rig r;
 
 	rig_open(&r);
-	conn = warm(&r);
+	conn = rig_warm(&r);
 	open_tx(&r, conn);
 	g_string_truncate(r.text, 0);
 	rig_step(&r, &stop);
@@ -329,7 +287,7 @@
 	rig_run(&r, 2500 * HM_MS);
 	ck_assert_ptr_null(strstr(r.text->str, "end 1"));
 	rig_ask(&r, STMT_COMMIT, "b3", NULL, "COMMIT");
-	reply(&r, conn, ERR_NONE, SESSION_IDLE);
+	rig_reply(&r, conn, ERR_NONE, SESSION_IDLE);
 	rig_run(&r, 200 * HM_MS);
 	ck_assert_ptr_nonnull(strstr(r.text->str, "end 1\n"));
 	rig_run(&r, HM_SEC);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -136,6 +136,7 @@
 	v->count = 2;
 	v->members[1].endpoint = 77;
 	v->members[1].up = true;
+	v->members[1].reached = true;
 	v->members[1].held = 9;
 	m->view = v;
 }
