Plan a change of primary on states told after the others are held

The keeper of a zone that had been cut off came back 20 ms after the cut, did not know the primary promoted meanwhile, held two replicas and promoted the old one. The next keeper planned a change on what it had been told up to 3 s before: its target was one of the held replicas, which received nothing, and the member that had led before still passed for a primary, was not held and let the commits through.

Change: a planned change needs a target that is not held and a primary that leads, both told since the hold began; one member leads at a time, an older proof of another ends; a change that is given up voids older calls before it resumes members; an instance that heard no other zone promotes nobody until 1 s after it does.

--- a/core/confirm.c
+++ b/core/confirm.c
@@ -51,6 +51,13 @@
 	return n;
 }
 
+bool proxy_is_cut_off(const struct proxy *p, hm_time now)
+{
+	struct others n = count_others(p, now);
+
+	return n.recent && !n.heard;
+}
+
 static const char *doubt(const struct proxy *p, const struct service_state *v,
 			 hm_id endpoint, hm_time now)
 {
--- a/core/keeper.c
+++ b/core/keeper.c
@@ -51,7 +51,9 @@
 
 		if (!m->up || !m->leads)
 			continue;
-		if (!best || m->lead_at.term > best->lead_at.term)
+		if (!best || m->lead_at.term > best->lead_at.term ||
+		    (m->lead_at.term == best->lead_at.term &&
+		     m->lead_order > best->lead_order))
 			best = m;
 	}
 	return best;
@@ -80,6 +82,7 @@
 	m->known = false;
 	m->asked_at = 0;
 	m->asked_count = 0;
+	m->old_answers = 0;
 	m->told_held = 0;
 	m->opened_at = now;
 	proxy_connect(out, m->conn, &m->spec, KEEPER_WHO);
@@ -108,6 +111,20 @@
 	m->known = false;
 	m->asked_at = 0;
 	m->asked_count = 0;
+	m->old_answers = 0;
+}
+
+void kept_forget_answers(struct keeper *k)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->member_count; i++) {
+		struct kept_member *m = &k->members[i];
+
+		m->old_answers = m->asked_count;
+		m->fresh_status = false;
+		m->fresh_lead = false;
+	}
 }
 
 void keeper_start(struct keeper *k, hm_time now, struct proxy_output *out)
@@ -203,12 +220,31 @@
 	ask_member(k, m, now, out);
 }
 
+/* One member leads at a time: older proofs of others hold no more. */
+static void disprove_others(struct keeper *k, const struct kept_member *leader,
+			    struct proxy_output *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->member_count; i++) {
+		struct kept_member *m = &k->members[i];
+
+		if (m == leader || !m->leads ||
+		    m->lead_order > leader->lead_order)
+			continue;
+		m->leads = false;
+		proxy_log(out, "event=lead_lost service=%s member=%s",
+			  k->service_name, m->spec.name);
+	}
+}
+
 static void took_lead(struct keeper *k, struct kept_member *m, hm_time now,
 		      struct proxy_output *out)
 {
 	(void)now;
 	if (m->lead_at.term > k->term)
 		k->term = m->lead_at.term;
+	disprove_others(k, m, out);
 	if (k->primary == m->spec.endpoint)
 		return;
 	k->primary = m->spec.endpoint;
@@ -265,6 +301,7 @@
 {
 	struct kept_member *m = find_conn(k, conn);
 	enum asked asked;
+	bool old;
 
 	if (!m->asked_count) {
 		kept_disconnect(m, out);
@@ -272,6 +309,8 @@
 	}
 	asked = m->asked[0];
 	m->asked_count--;
+	old = m->old_answers > 0;
+	m->old_answers -= old;
 	memmove(m->asked, m->asked + 1, m->asked_count * sizeof(asked));
 	m->asked_at = m->asked_count ? now : 0;
 	if (!m->up) {
@@ -279,10 +318,13 @@
 		proxy_log(out, "event=member_up member=%s service=%s",
 			  m->spec.name, k->service_name);
 	}
-	if (asked == ASKED_LEAD)
+	if (asked == ASKED_LEAD) {
 		take_lead_answer(k, m, reply, now, out);
-	else if (asked == ASKED_STATUS || asked == ASKED_HOLD)
+		m->fresh_lead = m->leads && !old;
+	} else if (asked == ASKED_STATUS || asked == ASKED_HOLD) {
 		take_status(k, m, reply, now);
+		m->fresh_status |= reply->has_status && !old;
+	}
 	change_check(k, now, out);
 }
 
@@ -295,6 +337,7 @@
 	m->conn = 0;
 	m->ready = false;
 	m->asked_count = 0;
+	m->old_answers = 0;
 	m->asked_at = 0;
 	m->known = false;
 	m->connect_after = now + RECONNECT_PAUSE;
--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -166,10 +166,22 @@
 {
 	proxy_log(out, "event=change_given_up service=%s call_open=%d",
 		  k->service_name, k->call_open);
-	if (k->call_open)
-		cancel(k, now, out);
-	else
-		finish(k, now, out);
+	/*
+	 * Another keeper may have held the same members for a call of its own
+	 * that is still to come: that one is void first, too.
+	 */
+	cancel(k, now, out);
+}
+
+/*
+ * The primary goes on to commit: it must be the one that leads now, and the
+ * target must receive, both told since the others are held.
+ */
+static bool planned_is_safe(const struct kept_member *primary,
+			    const struct kept_member *target)
+{
+	return primary && primary->fresh_lead && target->fresh_status &&
+	       !target->status.held;
 }
 
 static void hold_step(struct keeper *k, hm_time now, struct proxy_output *out)
@@ -192,7 +204,8 @@
 	}
 	target = kept_find(k, k->target);
 	if (!target || !target->up || !target->known ||
-	    !choice_target_has_all(k))
+	    !choice_target_has_all(k) ||
+	    (k->planned && !planned_is_safe(primary, target)))
 		return;
 	proxy_log(out,
 		  "event=promote service=%s member=%s token=%llu term=%llu "
@@ -300,6 +313,7 @@
 	target = k->planned ? choice_furthest(k, true) : NULL;
 	k->target = target ? target->spec.endpoint : 0;
 	go(k, CHANGE_HOLD, now + HOLD_LIMIT, out);
+	kept_forget_answers(k);
 	change_check(k, now, out);
 }
 
--- a/core/keeper_choice.c
+++ b/core/keeper_choice.c
@@ -40,8 +40,11 @@
 	return n;
 }
 
-/* Furthest replica; one that stays goes before one that leaves. */
-struct kept_member *choice_furthest(struct keeper *k, bool staying)
+/*
+ * Furthest replica; one that stays goes before one that leaves. A planned
+ * change needs a target that stays and receives what is committed meanwhile.
+ */
+struct kept_member *choice_furthest(struct keeper *k, bool planned)
 {
 	struct kept_member *best = NULL;
 	uint32_t i;
@@ -52,7 +55,7 @@
 
 		if (!m->up || !m->known || m->leads)
 			continue;
-		if (staying && m->spec.leaving)
+		if (planned && (m->spec.leaving || m->status.held))
 			continue;
 		order = best ? mark_compare(m->status.received,
 					    best->status.received)
@@ -64,13 +67,13 @@
 	return best;
 }
 
-bool choice_is_held_back(const struct keeper *k, const struct kept_member *m)
+bool choice_is_held_back(struct keeper *k, const struct kept_member *m)
 {
 	if (!m->up)
 		return false;
 	if (!k->planned)
 		return true;
-	return m->spec.endpoint != k->target && !m->leads;
+	return m->spec.endpoint != k->target && m != kept_primary(k);
 }
 
 /* Whether the target has received all that any held replica has. */
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -45,6 +45,10 @@
 	struct mark lead_at; /**< position at the last proof */
 	uint64_t told_held;  /**< hold ordered on this connection, or 0 */
 	hm_time held_since;  /**< seen held, outside of a change */
+	/* Since the present change began to hold members: */
+	uint32_t old_answers; /**< due to questions from before it */
+	bool fresh_status;    /**< it told its state */
+	bool fresh_lead;      /**< it proved that it leads */
 };
 
 /**
@@ -131,9 +135,11 @@
 /** Members that answer and told their state. */
 uint32_t choice_count_up(const struct keeper *k);
 /** Furthest replica; at the same position one that stays. */
-struct kept_member *choice_furthest(struct keeper *k, bool staying);
+struct kept_member *choice_furthest(struct keeper *k, bool planned);
+/** From here on only answers to new questions count as fresh. */
+void kept_forget_answers(struct keeper *k);
 /** Whether a member must be held before the target is promoted. */
-bool choice_is_held_back(const struct keeper *k, const struct kept_member *m);
+bool choice_is_held_back(struct keeper *k, const struct kept_member *m);
 /** Whether the target has received all that any held replica has. */
 bool choice_target_has_all(struct keeper *k);
 /** Decides about a change of the primary; call after each event. */
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -171,6 +171,8 @@
 
 /* confirm.c */
 
+/** No instance of another zone was heard a moment ago, though there are. */
+bool proxy_is_cut_off(const struct proxy *p, hm_time now);
 /** Turns a success that a promotion elsewhere may undo into doubt. */
 void confirm_commit(const struct proxy *p, hm_id service, struct run_result *r,
 		    hm_time now, struct proxy_output *out);
--- a/core/services.c
+++ b/core/services.c
@@ -8,6 +8,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * What peers know of the members is here within a second of hearing them
+ * again (heartbeat 300 ms, document 400 ms); a primary may have changed.
+ */
+#define REGAIN_SETTLE (1 * HM_SEC)
 /* The members' entries may be late after an outage of the store. */
 #define MISSING_GRACE (2500 * HM_MS)
 /* Nobody keeps a service before the peers could have been heard. */
@@ -324,6 +329,8 @@
 {
 	uint32_t i;
 
+	if (proxy_is_cut_off(p, now) && p->settled_at < now + REGAIN_SETTLE)
+		p->settled_at = now + REGAIN_SETTLE;
 	drop_missing(p, now, out);
 	tick_pools(p, now, out);
 	for (i = 0; i < p->service_count; i++)
--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -6,6 +6,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "../core/proxy_state.h"
 #include "../src/names.h"
 #include "proxy_rig.h"
 #include "suite.h"
@@ -147,6 +148,29 @@
 }
 END_TEST
 
+/*
+ * twinkle-pool, primaries-zone-cut seed 31: a zone that was cut off promoted
+ * a member before it heard that another one had been promoted meanwhile.
+ */
+START_TEST(zone_that_was_cut_off_promotes_nobody_at_once)
+{
+	struct rig r;
+
+	rig_open(&r);
+	heartbeat(&r, 2, OTHER_ZONE);
+	rig_run(&r, 300 * HM_MS);
+	ck_assert(!proxy_is_cut_off(r.proxy, r.now));
+	ck_assert_int_le(r.proxy->settled_at, r.now);
+	rig_run(&r, 600 * HM_MS);
+	ck_assert(proxy_is_cut_off(r.proxy, r.now));
+	heartbeat(&r, 2, OTHER_ZONE);
+	rig_run(&r, PROXY_TICK);
+	ck_assert(!proxy_is_cut_off(r.proxy, r.now));
+	ck_assert_int_gt(r.proxy->settled_at, r.now + 900 * HM_MS);
+	rig_close(&r);
+}
+END_TEST
+
 /* A commit that changed nothing can be repeated, or told as it is. */
 START_TEST(commit_that_wrote_nothing_needs_no_proof)
 {
@@ -198,6 +222,7 @@
 	tcase_add_test(tc, commit_without_a_known_replica_is_in_doubt);
 	tcase_add_test(tc, commit_that_wrote_nothing_needs_no_proof);
 	tcase_add_test(tc, lost_sight_of_replicas_alone_is_no_doubt);
+	tcase_add_test(tc, zone_that_was_cut_off_promotes_nobody_at_once);
 	tcase_add_test(tc, view_of_a_new_keeper_says_nothing);
 	return suite_run("confirm", tc);
 }
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -433,6 +433,52 @@
  * token has made that impossible, no replica may acknowledge a commit that
  * the target lacks.
  */
+/*
+ * twinkle-pool, primaries-zone-cut seed 31, LOST at 22.3 s: the keeper of a
+ * zone that was cut off had promoted m2 and left m3 held. The next keeper
+ * planned a change to m3, which received nothing, and took the member that
+ * had led before for the primary: it was not held and let commits through.
+ */
+START_TEST(planned_change_takes_no_held_target)
+{
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	lead(&r, 1);
+	r.fakes[0].pos = 90;
+	run(&r, 3500 * HM_MS);
+	r.fakes[2].held = 9;
+	r.fakes[1].spec.leaving = true;
+	publish(&r);
+	/* m3 is further, and was not held when it was last asked. */
+	run(&r, HM_SEC);
+	proxy_text_expect(r.text, "hold m1\n");
+	/* Given up: older calls are void before anything is resumed. */
+	run(&r, 1200 * HM_MS);
+	proxy_text_expect(r.text, "promote m2 token=2\nresume m1\nresume m3\n");
+	ck_assert_uint_eq(r.fakes[2].held, 0);
+	rig_close(&r);
+}
+END_TEST
+
+START_TEST(planned_change_waits_while_its_target_is_held)
+{
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	r.fakes[1].held = 9;
+	r.fakes[2].held = 9;
+	run(&r, 3500 * HM_MS);
+	r.fakes[0].spec.leaving = true;
+	publish(&r);
+	run(&r, HM_SEC);
+	proxy_text_expect(r.text, "");
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(lost_call_keeps_replicas_held)
 {
 	struct rig r;
@@ -513,6 +559,8 @@
 		       nobody_is_promoted_when_a_replica_left_with_the_primary);
 	tcase_add_test(tc, replica_that_left_before_counts_no_more);
 	tcase_add_test(tc, planned_change_waits_for_its_target);
+	tcase_add_test(tc, planned_change_takes_no_held_target);
+	tcase_add_test(tc, planned_change_waits_while_its_target_is_held);
 	tcase_add_test(tc, lost_call_keeps_replicas_held);
 	tcase_add_test(tc, hold_that_nobody_owns_is_voided_then_resumed);
 	tcase_add_test(tc, nothing_is_held_without_a_token);
