Share the polls of the store, and gather events of members

Traced on one instance: a poll of the revision every 1.9 s and two lists after each change, at start one more pair though the watches had just read all, and one watch for each of 24 members that registered.

Change: an instance polls every 2.2 s times a third of the instances alive, 12 s at most, since heartbeats tell of newer versions; the first poll comes after one pace; watches of members pause for a sixteenth of the pace, 0.75 s at most, so that events of a moment come together. Watches of the configuration do not pause.

--- a/core/proxy.c
+++ b/core/proxy.c
@@ -6,6 +6,16 @@
 
 /* Callers come once the peers had a chance to be heard. */
 #define READY_AFTER (400 * HM_MS)
+/*
+ * A watch may be deaf for seconds without a sign. The revision of the store
+ * is cheap to read, and tells whether there is anything to be read again.
+ * An instance alone asks as often as a change has to be in force within 3 s;
+ * others tell of newer versions in their heartbeats, so that they share the
+ * work. A store that drops its history has 15 s.
+ */
+#define POLL_PACE (2200 * HM_MS)
+#define POLL_SHARERS 3
+#define POLL_PACE_MOST (12 * HM_SEC)
 /* A process that stops tells so and lets others take over first. */
 #define STOP_LEAST (2500 * HM_MS)
 
@@ -76,6 +86,20 @@
 	return p->stop_since != HM_NEVER;
 }
 
+hm_time proxy_poll_pace(const struct proxy *p)
+{
+	const struct peer *peer;
+	uint32_t i, alive = 1;
+	hm_time pace;
+
+	for (i = 0; (peer = peers_at(p->peers, i)); i++)
+		alive += peer->alive;
+	pace = POLL_PACE * alive / POLL_SHARERS;
+	if (pace > POLL_PACE_MOST)
+		pace = POLL_PACE_MOST;
+	return pace > POLL_PACE ? pace : POLL_PACE;
+}
+
 static void send_heartbeat(struct proxy *p, bool stopped, hm_time now,
 			   struct proxy_output *out)
 {
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -242,6 +242,9 @@
 void proxy_step(struct proxy *p, const struct proxy_event *event, hm_time now,
 		struct proxy_output *out);
 
+/** How often this instance asks the store whether anything changed. */
+hm_time proxy_poll_pace(const struct proxy *p);
+
 /** Figures for metrics. */
 struct proxy_figures {
 	uint32_t clients;
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -270,6 +270,7 @@
 	check_signals(i);
 	if (now >= i->file_check_at) {
 		i->file_check_at = now + FILE_CHECK_EVERY;
+		site_feed_poll_pace(i->feed, proxy_poll_pace(i->proxy));
 		if (file_changed(i))
 			reload(i);
 	}
@@ -349,6 +350,7 @@
 		.call_limit = s->store_call_limit,
 		.watch_wait = s->store_watch_wait,
 		.list_every = s->store_list_every,
+		.poll_pace = proxy_poll_pace(i->proxy),
 		.seed = random_id(),
 		.addresses = on_addresses,
 		.owner = i,
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -120,6 +120,7 @@
 	f->loop = loop;
 	f->options = *options;
 	f->sink = sink;
+	f->poll_pace = options->poll_pace;
 	watcher_start(&f->config, f, STORE_CONFIG);
 	watcher_start(&f->members, f, STORE_MEMBERS);
 	watcher_init(&f->polled[DOCUMENT_CONFIG], f, STORE_CONFIG);
@@ -167,6 +168,11 @@
 	json_decref(json);
 }
 
+void site_feed_poll_pace(struct site_feed *f, hm_time pace)
+{
+	atomic_store(&f->poll_pace, pace);
+}
+
 uint64_t site_feed_calls(const struct site_feed *f)
 {
 	return http_client_calls(f->config.http) +
--- a/src/site_feed_state.h
+++ b/src/site_feed_state.h
@@ -6,6 +6,8 @@
 #ifndef SITE_FEED_STATE_H
 #define SITE_FEED_STATE_H
 
+#include <stdatomic.h>
+
 #include "../core/rng.h"
 #include "site_feed.h"
 
@@ -36,6 +38,7 @@
 	struct watcher polled[DOCUMENT_KIND_COUNT]; /* on its thread */
 	struct held documents[DOCUMENT_KIND_COUNT];
 	bool stopping; /* set before the clients are cancelled */
+	_Atomic hm_time poll_pace;
 };
 
 /* What a thread hands to the loop; owned by the receiver. */
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -8,11 +8,12 @@
 /* Pauses after a refused call: the store's rate is shared by all. */
 #define PAUSE_FIRST (50 * HM_MS)
 #define PAUSE_MOST (800 * HM_MS)
-/*
- * A watch may be deaf for seconds without a sign. The revision of the store
- * is cheap to read, and tells whether there is anything to be read again.
- */
-#define POLL_EVERY (2200 * HM_MS)
+/* Events of members are gathered for a part of the pace of polls, */
+#define GATHER_PARTS 16
+/* and no longer than is still early in a drain of seconds. */
+#define GATHER_MOST (750 * HM_MS)
+/* A poll comes up to a quarter of its pace early, in steps of a percent. */
+#define POLL_PARTS 100
 /* Pauses are slept in slices, so that a stop is noticed. */
 #define PAUSE_SLICE (100 * HM_MS)
 
@@ -23,17 +24,19 @@
 	feed_deliver(f, &d);
 }
 
-static void pause_calls(struct watcher *w)
+static void sleep_while(const struct watcher *w, hm_time until)
 {
-	hm_time until;
-
-	w->pause = CLAMP(w->pause * 2, PAUSE_FIRST, PAUSE_MOST);
-	until = loop_now() + w->pause / 2 +
-		(hm_time)rng_below(&w->rng, (uint64_t)w->pause);
 	while (loop_now() < until && !http_client_cancelled(w->http))
 		g_usleep((gulong)MIN(until - loop_now() + 1, PAUSE_SLICE));
 }
 
+static void pause_calls(struct watcher *w)
+{
+	w->pause = CLAMP(w->pause * 2, PAUSE_FIRST, PAUSE_MOST);
+	sleep_while(w, loop_now() + w->pause / 2 +
+			       (hm_time)rng_below(&w->rng, (uint64_t)w->pause));
+}
+
 static hm_time call_until(const struct watcher *w)
 {
 	return loop_now() + w->feed->options.call_limit;
@@ -141,6 +144,17 @@
 	return from;
 }
 
+/*
+ * Members register and change in groups, at a start or a release: the events
+ * of a moment come in one answer. A larger fleet waits longer, as each event
+ * wakes every instance.
+ */
+static hm_time gather_time(const struct watcher *w)
+{
+	return MIN(atomic_load(&w->feed->poll_pace) / GATHER_PARTS,
+		   GATHER_MOST);
+}
+
 static gpointer watch_thread(gpointer arg)
 {
 	struct watcher *w = arg;
@@ -158,6 +172,8 @@
 			deliver_health(w->feed, ok);
 		told = true;
 		healthy = ok;
+		if (ok && w->kind == STORE_MEMBERS)
+			sleep_while(w, loop_now() + gather_time(w));
 		if (ok)
 			w->pause = 0;
 		else
@@ -235,31 +251,59 @@
 	*seen = revision;
 }
 
-static void sleep_until(const struct watcher *w, hm_time until)
+/* When to read the addresses and to poll; @a early spreads the instances. */
+struct schedule {
+	hm_time read_at;
+	hm_time polled_at;
+	uint64_t early; /* parts of POLL_PARTS that are left out */
+};
+
+static hm_time poll_at(const struct watcher *w, const struct schedule *s)
 {
-	while (loop_now() < until && !http_client_cancelled(w->http))
+	hm_time pace = atomic_load(&w->feed->poll_pace);
+
+	return s->polled_at + pace - pace * (hm_time)s->early / POLL_PARTS;
+}
+
+/* The pace may change meanwhile. */
+static void sleep_until_due(const struct watcher *w, const struct schedule *s)
+{
+	hm_time until;
+
+	while (!http_client_cancelled(w->http)) {
+		until = MIN(s->read_at, poll_at(w, s));
+		if (loop_now() >= until)
+			return;
 		g_usleep((gulong)MIN(until - loop_now() + 1, PAUSE_SLICE * 3));
+	}
 }
 
 static gpointer instances_thread(gpointer arg)
 {
 	struct watcher *w = arg;
-	bool registered = false, read = false;
-	hm_time read_at = 0, poll_at;
+	hm_time every = w->feed->options.list_every;
+	bool registered = false, read = false, ok;
+	/* The watches have just read everything. */
+	struct schedule s = { .polled_at = loop_now() };
 	uint64_t seen = 0;
 
 	while (!http_client_cancelled(w->http)) {
-		poll_at = loop_now() + POLL_EVERY -
-			  (hm_time)rng_below(&w->rng, POLL_EVERY / 4);
 		if (!registered)
 			registered = register_self(w);
-		if (registered && loop_now() >= read_at &&
-		    read_addresses(w, read)) {
-			read = true;
-			read_at = loop_now() + w->feed->options.list_every;
+		if (registered && loop_now() >= s.read_at) {
+			ok = read_addresses(w, read);
+			read |= ok;
+			s.read_at = loop_now() + (ok ? every : PAUSE_MOST);
+		}
+		if (loop_now() >= poll_at(w, &s)) {
+			s.polled_at = loop_now();
+			s.early = rng_below(&w->rng, POLL_PARTS / 4);
+			poll_store(w, &seen);
 		}
-		poll_store(w, &seen);
-		sleep_until(w, registered ? poll_at : loop_now() + PAUSE_FIRST);
+		if (registered)
+			sleep_until_due(w, &s);
+		else
+			g_usleep(PAUSE_FIRST);
 	}
 	return NULL;
 }
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -253,6 +253,27 @@
 }
 END_TEST
 
+/* Seven instances ask as often together as three would by themselves. */
+START_TEST(instances_share_the_polls_of_the_store)
+{
+	uint64_t instance;
+	struct rig r;
+
+	rig_open(&r);
+	ck_assert_int_eq(proxy_poll_pace(r.proxy), 2200 * HM_MS);
+	for (instance = 1; instance <= 6; instance++)
+		heartbeat(&r, instance);
+	ck_assert_int_eq(proxy_poll_pace(r.proxy), 2200 * HM_MS * 7 / 3);
+	for (; instance <= 67; instance++)
+		heartbeat(&r, instance);
+	ck_assert_int_eq(proxy_poll_pace(r.proxy), 12 * HM_SEC);
+	/* Who hears nobody asks for itself again. */
+	rig_run(&r, 1500 * HM_MS);
+	ck_assert_int_eq(proxy_poll_pace(r.proxy), 2200 * HM_MS);
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(changed_limit_ends_a_stop_sooner)
 {
 	struct proxy_event limits = { .kind = PROXY_LIMITS };
@@ -311,6 +332,7 @@
 	tcase_add_test(tc, older_configuration_is_ignored);
 	tcase_add_test(tc, over_rate_is_refused_at_once);
 	tcase_add_test(tc, home_that_falls_silent_gets_nothing_new);
+	tcase_add_test(tc, instances_share_the_polls_of_the_store);
 	tcase_add_test(tc, changed_limit_ends_a_stop_sooner);
 	tcase_add_test(tc, stop_lets_a_transaction_end);
 	return suite_run("sessions", tc);
