Replace a primary that the store does not hear while it serves

Change: an entry that does not come back within 2.2 s makes its primary a leaving one, replaced by a planned change; a member without an entry serves on for 4.5 s, or the limit of a drain if that is shorter, and is no target.

--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -15,6 +15,8 @@
 #define CALL_PAUSE (200 * HM_MS)
 /* Members are asked at this pace while a change is under way. */
 #define CHANGE_ASK_EVERY (40 * HM_MS)
+/* Entries that an outage of the store removed are back within 2 s. */
+#define MISSING_LEAVES (2200 * HM_MS)
 /* Held outside of a change for so long: whoever held it is gone. */
 #define ORPHAN_HOLD (3 * HM_SEC)
 
@@ -121,6 +123,15 @@
 	return false;
 }
 
+/* It announced its end, or its entry does not come back. */
+static bool is_leaving(const struct kept_member *m, hm_time now)
+{
+	hm_time missing_since = m->spec.missing_since;
+
+	return m->spec.leaving ||
+	       (missing_since && now - missing_since > MISSING_LEAVES);
+}
+
 static void decide(struct keeper *k, hm_time now, struct proxy_output *out)
 {
 	struct kept_member *primary = kept_primary(k);
@@ -130,7 +141,7 @@
 	if (primary && has_orphan_hold(k, now)) {
 		k->planned = true;
 		cancel(k, now, out);
-	} else if (primary && primary->spec.leaving) {
+	} else if (primary && is_leaving(primary, now)) {
 		if (choice_furthest(k, true))
 			begin_change(k, true, now, out);
 	} else if (!primary && now >= *k->site.settled_at &&
--- a/core/keeper_choice.c
+++ b/core/keeper_choice.c
@@ -55,7 +55,8 @@
 
 		if (!m->up || !m->known || m->leads)
 			continue;
-		if (planned && (m->spec.leaving || m->status.held))
+		if (planned && (m->spec.leaving || m->spec.missing_since ||
+				m->status.held))
 			continue;
 		order = best ? mark_compare(m->status.received,
 					    best->status.received)
--- a/core/services.c
+++ b/core/services.c
@@ -13,8 +13,12 @@
  * again (heartbeat 300 ms, document 400 ms); a primary may have changed.
  */
 #define REGAIN_SETTLE (1 * HM_SEC)
-/* The members' entries may be late after an outage of the store. */
-#define MISSING_GRACE (2500 * HM_MS)
+/*
+ * A member without an entry is gone when it is not back within 2 s; one that
+ * the store alone does not hear serves on while its primary is replaced
+ * (1 s at most measured sites), and never past the limit of a drain.
+ */
+#define MISSING_GRACE (4500 * HM_MS)
 /* Nobody keeps a service before the peers could have been heard. */
 #define KEEP_AFTER (700 * HM_MS)
 /* A keeper that does not answer a want is asked again. */
@@ -229,13 +233,16 @@
 
 static void drop_missing(struct proxy *p, hm_time now, struct proxy_output *out)
 {
+	hm_time grace = MISSING_GRACE < p->options.drain_limit
+				? MISSING_GRACE
+				: p->options.drain_limit;
 	struct site_members *m = p->members;
 	bool changed = false;
 	uint32_t i;
 
 	for (i = m ? m->count : 0; i-- > 0;) {
 		if (!m->list[i].missing_since ||
-		    now - m->list[i].missing_since < MISSING_GRACE)
+		    now - m->list[i].missing_since < grace)
 			continue;
 		proxy_log(out, "event=member_gone member=%s", m->list[i].name);
 		m->list[i] = m->list[--m->count];
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -433,6 +433,46 @@
  * token has made that impossible, no replica may acknowledge a commit that
  * the target lacks.
  */
+/*
+ * primary_cut from the core, 6 s: a primary that the store alone does not
+ * hear lost its entry, and its service 1.2 s of writes.
+ */
+START_TEST(primary_without_an_entry_is_replaced_while_it_serves)
+{
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	r.fakes[0].spec.missing_since = r.now;
+	publish(&r);
+	run(&r, 2 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, "hold m3\npromote m2 token=1\n");
+	lead(&r, 1);
+	run(&r, HM_SEC);
+	proxy_text_expect(r.text, "resume m3\n");
+	rig_close(&r);
+}
+END_TEST
+
+/* After an outage of the store all entries are late. */
+START_TEST(member_without_an_entry_is_no_target)
+{
+	struct rig r;
+	uint32_t i;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	for (i = 0; i < MEMBERS; i++)
+		r.fakes[i].spec.missing_since = r.now;
+	publish(&r);
+	run(&r, 4 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	rig_close(&r);
+}
+END_TEST
+
 /*
  * twinkle-pool, primaries-zone-cut seed 31, LOST at 22.3 s: the keeper of a
  * zone that was cut off had promoted m2 and left m3 held. The next keeper
@@ -559,6 +599,9 @@
 		       nobody_is_promoted_when_a_replica_left_with_the_primary);
 	tcase_add_test(tc, replica_that_left_before_counts_no_more);
 	tcase_add_test(tc, planned_change_waits_for_its_target);
+	tcase_add_test(tc,
+		       primary_without_an_entry_is_replaced_while_it_serves);
+	tcase_add_test(tc, member_without_an_entry_is_no_target);
 	tcase_add_test(tc, planned_change_takes_no_held_target);
 	tcase_add_test(tc, planned_change_waits_while_its_target_is_held);
 	tcase_add_test(tc, lost_call_keeps_replicas_held);
