Take turns to poll the store

Change: heartbeats tell how long ago the store was read. The oldest life asks every 1.5 s, the next one when it has not heard of that after 1.9 s, the others from 2.3 s on; an instance that hears nobody asks for itself. A line of an account is logged only when its limits or number of keys change: 76 lines for each version pushed others out of the bounded log.

Ruled out: random phases alone (seven instances asking every 5 s leave 1 in 100 gaps of 2.4 s).

--- a/core/message.h
+++ b/core/message.h
@@ -82,6 +82,7 @@
 	uint64_t config_version; /**< highest contract version in force */
 	uint64_t config_digest;	 /**< over all (account, version) pairs */
 	uint64_t echo;		 /**< receiver's last sequence number */
+	hm_time store_read_ago;	 /**< since it or a peer read the store */
 };
 
 /** A statement sent to the home of @a endpoint. */
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -8,14 +8,22 @@
 #define READY_AFTER (400 * HM_MS)
 /*
  * A watch may be deaf for seconds without a sign. The revision of the store
- * is cheap to read, and tells whether there is anything to be read again.
- * An instance alone asks as often as a change has to be in force within 3 s;
- * others tell of newer versions in their heartbeats, so that they share the
- * work. A store that drops its history has 15 s.
+ * is cheap to read, and tells whether there is anything to be read again. One
+ * instance asks for all: the others take their turns when it has not done so,
+ * soon enough for a change to be in force within 3 s (2.3 s and a heartbeat).
  */
-#define POLL_PACE (2200 * HM_MS)
-#define POLL_SHARERS 3
-#define POLL_PACE_MOST (12 * HM_SEC)
+#define POLL_EVERY (1500 * HM_MS)
+#define POLL_TURN (400 * HM_MS) /* a heartbeat, and the call */
+#define POLL_TURNS 2
+#define POLL_SPREAD (10 * HM_MS) /* of all those whose turn comes last */
+#define POLL_TURN_MOST (1200 * HM_MS)
+/*
+ * Members register and change in groups, at a start or a release: the events
+ * of a moment come in one answer. A larger fleet waits longer, as each event
+ * wakes every instance, and no longer than is still early in a drain.
+ */
+#define GATHER_EACH (45 * HM_MS)
+#define GATHER_MOST (750 * HM_MS)
 /* A process that stops tells so and lets others take over first. */
 #define STOP_LEAST (2500 * HM_MS)
 
@@ -86,18 +94,38 @@
 	return p->stop_since != HM_NEVER;
 }
 
-hm_time proxy_poll_pace(const struct proxy *p)
+hm_time proxy_poll_at(const struct proxy *p)
 {
+	hm_time from = p->store_read_at, turn;
 	const struct peer *peer;
-	uint32_t i, alive = 1;
-	hm_time pace;
+	uint32_t i, rank = 0;
 
 	for (i = 0; (peer = peers_at(p->peers, i)); i++)
-		alive += peer->alive;
-	pace = POLL_PACE * alive / POLL_SHARERS;
-	if (pace > POLL_PACE_MOST)
-		pace = POLL_PACE_MOST;
-	return pace > POLL_PACE ? pace : POLL_PACE;
+		rank += peer->alive && peer->life < p->options.core.life;
+	turn = rank * POLL_TURN;
+	if (rank > POLL_TURNS) {
+		turn = POLL_TURNS * POLL_TURN +
+		       (rank - POLL_TURNS) * POLL_SPREAD;
+		if (turn > POLL_TURN_MOST)
+			turn = POLL_TURN_MOST;
+	}
+	/* The lists of the start have just read everything. */
+	if (from < p->started_at)
+		from = p->started_at;
+	return from + POLL_EVERY + turn;
+}
+
+hm_time proxy_gather_time(const struct proxy *p)
+{
+	hm_time time = GATHER_EACH * (peers_count(p->peers) + 1);
+
+	return time < GATHER_MOST ? time : GATHER_MOST;
+}
+
+static void take_store_read(struct proxy *p, hm_time read_at)
+{
+	if (read_at > p->store_read_at)
+		p->store_read_at = read_at;
 }
 
 static void send_heartbeat(struct proxy *p, bool stopped, hm_time now,
@@ -113,6 +141,7 @@
 	m->heartbeat.platform_ok = p->store_ok;
 	m->heartbeat.config_version = p->config ? p->config->version : 0;
 	m->heartbeat.config_digest = p->members ? p->members->revision : 0;
+	m->heartbeat.store_read_ago = now - p->store_read_at;
 }
 
 /* States of a peer that were logged, by its life. */
@@ -319,6 +348,9 @@
 	case PROXY_STORE:
 		take_store(p, e->store_ok, now, out);
 		break;
+	case PROXY_STORE_READ:
+		take_store_read(p, e->read_at);
+		break;
 	case PROXY_TOKEN:
 		take_token(p, e, now, out);
 		break;
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -83,8 +83,9 @@
 	PROXY_MEMBER_CLOSED,
 	PROXY_CONFIG,
 	PROXY_MEMBERS,
-	PROXY_STORE, /**< the store answers, or does not */
-	PROXY_TOKEN, /**< a fencing token was taken, or could not be */
+	PROXY_STORE,	  /**< the store answers, or does not */
+	PROXY_STORE_READ, /**< its revision was read, and what is new */
+	PROXY_TOKEN,	  /**< a fencing token was taken, or could not be */
 	PROXY_PROMOTED,
 	PROXY_LIMITS, /**< the settings have changed */
 	PROXY_STOP
@@ -119,6 +120,7 @@
 		struct site_config *config;   /**< owned by the callee */
 		struct site_members *members; /**< owned by the callee */
 		bool store_ok;
+		hm_time read_at; /**< PROXY_STORE_READ: when it was asked */
 		struct {
 			hm_time drain_limit;
 			hm_time stop_limit;
@@ -242,8 +244,10 @@
 void proxy_step(struct proxy *p, const struct proxy_event *event, hm_time now,
 		struct proxy_output *out);
 
-/** How often this instance asks the store whether anything changed. */
-hm_time proxy_poll_pace(const struct proxy *p);
+/** When this instance is to ask the store whether anything changed. */
+hm_time proxy_poll_at(const struct proxy *p);
+/** Pause between two watches of the members, so that events come together. */
+hm_time proxy_gather_time(const struct proxy *p);
 
 /** Figures for metrics. */
 struct proxy_figures {
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -148,6 +148,10 @@
 static void take_heartbeat(struct proxy *p, const struct message *m,
 			   hm_time now, struct proxy_output *out)
 {
+	hm_time read_at = now - m->heartbeat.store_read_ago;
+
+	if (read_at > p->store_read_at)
+		p->store_read_at = read_at;
 	want_document(p, DOCUMENT_CONFIG, p->config ? p->config->version : 0,
 		      m->heartbeat.config_version, m->from, now, out);
 	want_document(p, DOCUMENT_MEMBERS,
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -132,6 +132,7 @@
 	hm_time heartbeat_at;
 	hm_time stop_since; /**< HM_NEVER until the shutdown began */
 	bool store_ok;
+	hm_time store_read_at; /**< revision of the store, here or by a peer */
 	bool ready;
 	bool stopped;
 	struct table logged_peers; /**< enum logged_peer by life */
--- a/core/services.c
+++ b/core/services.c
@@ -45,6 +45,21 @@
 	}
 }
 
+static void log_account(const struct contract *a, struct proxy_output *out)
+{
+	proxy_log(out,
+		  "event=account account=%s rate=%u burst=%u keys=%u "
+		  "version=%llu",
+		  a->name, a->rate, a->burst, a->key_count,
+		  (unsigned long long)a->version);
+}
+
+static bool limits_differ(const struct contract *a, const struct contract *b)
+{
+	return !a || a->withdrawn || a->rate != b->rate ||
+	       a->burst != b->burst || a->key_count != b->key_count;
+}
+
 static void apply_accounts(struct proxy *p, const struct site_config *c,
 			   hm_time now, struct proxy_output *out)
 {
@@ -54,14 +69,14 @@
 	withdraw_absent(p, c, now);
 	for (i = 0; i < c->account_count; i++) {
 		const struct contract *a = &c->accounts[i];
+		bool differs = limits_differ(
+			contracts_find(p->contracts, a->account), a);
 
 		if (contracts_apply(p->contracts, a, &fault)) {
 			rate_contract(p->rate, a, now);
-			proxy_log(out,
-				  "event=account account=%s rate=%u burst=%u "
-				  "keys=%u version=%llu",
-				  a->name, a->rate, a->burst, a->key_count,
-				  (unsigned long long)a->version);
+			/* Versions come often, and change few accounts. */
+			if (differs)
+				log_account(a, out);
 		}
 		if (fault)
 			proxy_log(out,
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -24,6 +24,8 @@
 
 /* The file of settings is looked at this often. */
 #define FILE_CHECK_EVERY (1 * HM_SEC)
+/* The thread that polls the store looks every 100 ms, too. */
+#define PACE_EVERY (100 * HM_MS)
 #define TOKEN_LIMIT (2500 * HM_MS)
 #define PROMOTE_LIMIT (1500 * HM_MS)
 /* Left of the grace for the last answers and the end of the process. */
@@ -51,6 +53,7 @@
 	char file[PATH_BYTES];
 	struct timespec file_time;
 	hm_time file_check_at;
+	hm_time pace_at;
 	volatile sig_atomic_t stops;
 	volatile sig_atomic_t reloads;
 	bool stop_begun;
@@ -270,10 +273,14 @@
 	check_signals(i);
 	if (now >= i->file_check_at) {
 		i->file_check_at = now + FILE_CHECK_EVERY;
-		site_feed_poll_pace(i->feed, proxy_poll_pace(i->proxy));
 		if (file_changed(i))
 			reload(i);
 	}
+	if (now >= i->pace_at) {
+		i->pace_at = now + PACE_EVERY;
+		site_feed_pace(i->feed, proxy_poll_at(i->proxy),
+			       proxy_gather_time(i->proxy));
+	}
 	step(i, &e);
 }
 
@@ -350,7 +357,6 @@
 		.call_limit = s->store_call_limit,
 		.watch_wait = s->store_watch_wait,
 		.list_every = s->store_list_every,
-		.poll_pace = proxy_poll_pace(i->proxy),
 		.seed = random_id(),
 		.addresses = on_addresses,
 		.owner = i,
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -96,6 +96,10 @@
 		offer_document(d->feed, d->kind, d->json);
 	} else if (d->what == DELIVER_ADDRESSES) {
 		offer_addresses(d->feed, d->json);
+	} else if (d->what == DELIVER_READ) {
+		e.kind = PROXY_STORE_READ;
+		e.read_at = d->read_at;
+		proxy_sink_event(&d->feed->sink, &e);
 	} else {
 		proxy_sink_event(&d->feed->sink, &e);
 	}
@@ -120,7 +124,7 @@
 	f->loop = loop;
 	f->options = *options;
 	f->sink = sink;
-	f->poll_pace = options->poll_pace;
+	f->poll_at = HM_NEVER;
 	watcher_start(&f->config, f, STORE_CONFIG);
 	watcher_start(&f->members, f, STORE_MEMBERS);
 	watcher_init(&f->polled[DOCUMENT_CONFIG], f, STORE_CONFIG);
@@ -168,9 +172,10 @@
 	json_decref(json);
 }
 
-void site_feed_poll_pace(struct site_feed *f, hm_time pace)
+void site_feed_pace(struct site_feed *f, hm_time poll_at, hm_time gather)
 {
-	atomic_store(&f->poll_pace, pace);
+	atomic_store(&f->poll_at, poll_at);
+	atomic_store(&f->gather, gather);
 }
 
 uint64_t site_feed_calls(const struct site_feed *f)
--- a/src/site_feed.h
+++ b/src/site_feed.h
@@ -22,7 +22,6 @@
 	hm_time call_limit;
 	hm_time watch_wait;
 	hm_time list_every; /**< pace of reading the addresses of instances */
-	hm_time poll_pace;  /**< at first, see site_feed_poll_pace */
 	uint64_t seed;
 	/** Addresses of all instances, on the loop's thread. */
 	void (*addresses)(void *owner, const char (*list)[ADDRESS_BYTES],
@@ -40,8 +39,11 @@
 			       enum document_kind kind, uint64_t *version);
 /** A document that a peer sent. */
 void site_feed_take(struct site_feed *f, const struct document *document);
-/** How often to ask the store whether anything changed. */
-void site_feed_poll_pace(struct site_feed *f, hm_time pace);
+/**
+ * When to ask the store next whether anything changed, and how long to gather
+ * events of members between two watches.
+ */
+void site_feed_pace(struct site_feed *f, hm_time poll_at, hm_time gather);
 uint64_t site_feed_calls(const struct site_feed *f);
 
 #endif
--- a/src/site_feed_state.h
+++ b/src/site_feed_state.h
@@ -38,17 +38,24 @@
 	struct watcher polled[DOCUMENT_KIND_COUNT]; /* on its thread */
 	struct held documents[DOCUMENT_KIND_COUNT];
 	bool stopping; /* set before the clients are cancelled */
-	_Atomic hm_time poll_pace;
+	_Atomic hm_time poll_at;
+	_Atomic hm_time gather;
 };
 
 /* What a thread hands to the loop; owned by the receiver. */
 struct delivery {
 	struct site_feed *feed;
-	enum { DELIVER_DOCUMENT, DELIVER_ADDRESSES, DELIVER_HEALTH } what;
+	enum {
+		DELIVER_DOCUMENT,
+		DELIVER_ADDRESSES,
+		DELIVER_HEALTH,
+		DELIVER_READ
+	} what;
 	enum document_kind kind;
 	json_t *json;
 	uint64_t version;
 	bool ok;
+	hm_time read_at; /* DELIVER_READ: when the store was asked */
 };
 
 /** Hands something to the loop; takes over what @a d points to. */
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -8,12 +8,8 @@
 /* Pauses after a refused call: the store's rate is shared by all. */
 #define PAUSE_FIRST (50 * HM_MS)
 #define PAUSE_MOST (800 * HM_MS)
-/* Events of members are gathered for a part of the pace of polls, */
-#define GATHER_PARTS 16
-/* and no longer than is still early in a drain of seconds. */
-#define GATHER_MOST (750 * HM_MS)
-/* A poll comes up to a quarter of its pace early, in steps of a percent. */
-#define POLL_PARTS 100
+/* A poll that failed is made again. */
+#define POLL_PAUSE (1500 * HM_MS)
 /* Pauses are slept in slices, so that a stop is noticed. */
 #define PAUSE_SLICE (100 * HM_MS)
 
@@ -144,17 +140,6 @@
 	return from;
 }
 
-/*
- * Members register and change in groups, at a start or a release: the events
- * of a moment come in one answer. A larger fleet waits longer, as each event
- * wakes every instance.
- */
-static hm_time gather_time(const struct watcher *w)
-{
-	return MIN(atomic_load(&w->feed->poll_pace) / GATHER_PARTS,
-		   GATHER_MOST);
-}
-
 static gpointer watch_thread(gpointer arg)
 {
 	struct watcher *w = arg;
@@ -173,7 +158,8 @@
 		told = true;
 		healthy = ok;
 		if (ok && w->kind == STORE_MEMBERS)
-			sleep_while(w, loop_now() + gather_time(w));
+			sleep_while(w,
+				    loop_now() + atomic_load(&w->feed->gather));
 		if (ok)
 			w->pause = 0;
 		else
@@ -229,8 +215,11 @@
 	return true;
 }
 
-/* Reads the documents again when the store has changed since @a seen. */
-static void poll_store(struct watcher *w, uint64_t *seen)
+/*
+ * Reads the documents again when the store has changed since @a seen; false
+ * when it does not answer.
+ */
+static bool poll_store(struct watcher *w, uint64_t *seen)
 {
 	const struct site_feed_options *o = &w->feed->options;
 	struct store_objects none;
@@ -240,42 +229,37 @@
 	/* The smallest kind there is: only the revision is of interest. */
 	if (o->api->list(w->http, STORE_DUTIES, false, call_until(w), &none) !=
 	    STORE_OK)
-		return;
+		return false;
 	revision = none.revision;
 	store_objects_clear(&none);
 	if (revision == *seen)
-		return;
+		return true;
 	for (kind = 0; kind < DOCUMENT_KIND_COUNT; kind++)
 		if (!list_all(&w->feed->polled[kind], w->http))
-			return;
+			return false;
 	*seen = revision;
+	return true;
 }
 
-/* When to read the addresses and to poll; @a early spreads the instances. */
+/* When to read the addresses of instances, and to poll at the earliest. */
 struct schedule {
 	hm_time read_at;
-	hm_time polled_at;
-	uint64_t early; /* parts of POLL_PARTS that are left out */
+	hm_time poll_after;
 };
 
-static hm_time poll_at(const struct watcher *w, const struct schedule *s)
+static bool poll_due(const struct watcher *w, const struct schedule *s)
 {
-	hm_time pace = atomic_load(&w->feed->poll_pace);
-
-	return s->polled_at + pace - pace * (hm_time)s->early / POLL_PARTS;
+	return loop_now() >= MAX(s->poll_after, atomic_load(&w->feed->poll_at));
 }
 
-/* The pace may change meanwhile. */
-static void sleep_until_due(const struct watcher *w, const struct schedule *s)
+static void poll(struct watcher *w, struct schedule *s, uint64_t *seen)
 {
-	hm_time until;
+	struct delivery d = { .what = DELIVER_READ, .read_at = loop_now() };
 
-	while (!http_client_cancelled(w->http)) {
-		until = MIN(s->read_at, poll_at(w, s));
-		if (loop_now() >= until)
-			return;
-		g_usleep((gulong)MIN(until - loop_now() + 1, PAUSE_SLICE * 3));
-	}
+	/* The loop says when the next one is due, from what it hears next. */
+	s->poll_after = d.read_at + POLL_PAUSE;
+	if (poll_store(w, seen))
+		feed_deliver(w->feed, &d);
 }
 
 static gpointer instances_thread(gpointer arg)
@@ -283,8 +267,7 @@
 	struct watcher *w = arg;
 	hm_time every = w->feed->options.list_every;
 	bool registered = false, read = false, ok;
-	/* The watches have just read everything. */
-	struct schedule s = { .polled_at = loop_now() };
+	struct schedule s = { 0 };
 	uint64_t seen = 0;
 
 	while (!http_client_cancelled(w->http)) {
@@ -295,15 +278,9 @@
 			read |= ok;
 			s.read_at = loop_now() + (ok ? every : PAUSE_MOST);
 		}
-		if (loop_now() >= poll_at(w, &s)) {
-			s.polled_at = loop_now();
-			s.early = rng_below(&w->rng, POLL_PARTS / 4);
-			poll_store(w, &seen);
-		}
-		if (registered)
-			sleep_until_due(w, &s);
-		else
-			g_usleep(PAUSE_FIRST);
+		if (poll_due(w, &s))
+			poll(w, &s, &seen);
+		g_usleep(registered ? PAUSE_SLICE : PAUSE_FIRST);
 	}
 	return NULL;
 }
--- a/src/wire.c
+++ b/src/wire.c
@@ -20,6 +20,7 @@
 	code_u64(c, &h->config_version);
 	code_u64(c, &h->config_digest);
 	code_u64(c, &h->echo);
+	code_span(c, &h->store_read_ago);
 }
 
 static void code_statement(struct wire_codec *c, struct statement *s)
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -169,6 +169,7 @@
 		m->heartbeat.zone = 3;
 		m->heartbeat.leaving = true;
 		m->heartbeat.echo = 55;
+		m->heartbeat.store_read_ago = 70 * HM_MS;
 	} else if (kind == MSG_RUN) {
 		fill_run(m);
 	} else if (kind == MSG_RAN) {
