--- a/standin/object_store.c
+++ b/standin/object_store.c
@@ -33,6 +33,7 @@
 	GPtrArray *threads;
 	GArray *fds;
 	bool down;
+	bool deaf;
 	bool stopping;
 };
 
@@ -130,12 +131,12 @@
 		     gint64 wait_ms)
 {
 	gint64 until = g_get_monotonic_time() + wait_ms * 1000;
-	json_t *array = events(s, kind, from);
+	json_t *array = s->deaf ? json_array() : events(s, kind, from);
 
 	while (!json_array_size(array) && !s->stopping &&
 	       g_cond_wait_until(&s->changed, &s->lock, until)) {
 		json_decref(array);
-		array = events(s, kind, from);
+		array = s->deaf ? json_array() : events(s, kind, from);
 	}
 	return json_pack("{s:o, s:I}", "events", array, "AtRev",
 			 (json_int_t)s->revision);
@@ -383,3 +384,10 @@
 	s->down = down;
 	g_mutex_unlock(&s->lock);
 }
+
+void object_store_deaf(struct object_store *s, bool deaf)
+{
+	g_mutex_lock(&s->lock);
+	s->deaf = deaf;
+	g_mutex_unlock(&s->lock);
+}
--- a/standin/object_store.h
+++ b/standin/object_store.h
@@ -20,6 +20,8 @@
 /** Removes an object, which leaves a tombstone for watches. */
 void object_store_remove(struct object_store *s, const char *kind,
 			 const char *name);
+/** Watches hear nothing while @a deaf, and end as if nothing had happened. */
+void object_store_deaf(struct object_store *s, bool deaf);
 /** Refuses all calls while @a down. */
 void object_store_down(struct object_store *s, bool down);
 
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -346,6 +346,20 @@
 }
 END_TEST
 
+/* abh-rota scale-1, CONFIG: a watch that is deaf ends like one without news. */
+START_TEST(change_is_seen_though_watches_are_deaf)
+{
+	until_served(0, "rota", "QUERY a0 WRITE shift ann");
+	object_store_deaf(bed.store, true);
+	/* Watches that were under way have ended, and hear nothing now. */
+	g_usleep(1200 * 1000);
+	configure("other", "");
+	until_opened(0, "rota", "other", "READY I -");
+	until_opened(1, "rota", "other", "READY I -");
+	until_opened(0, "rota", "secret", "ERROR UNAUTH");
+}
+END_TEST
+
 START_TEST(instance_stops_while_a_transaction_is_open)
 {
 	struct caller c;
@@ -390,6 +404,7 @@
 	tcase_add_test(tc, primary_dies);
 	tcase_add_test(tc, primary_is_drained);
 	tcase_add_test(tc, key_and_routes_change);
+	tcase_add_test(tc, change_is_seen_though_watches_are_deaf);
 	tcase_add_test(tc, instance_stops_while_a_transaction_is_open);
 	tcase_add_test(tc, serves_while_the_store_is_down);
 	return suite_run("path", tc);
