Hold 64 keys of an account in place of 16

Cause: an account with more keys than fit was left out as a whole, and all its callers were turned away. test_documents account_has_all_its_keys (40 keys) failed before; entries of other writers have a test now, too.

--- a/core/types.h
+++ b/core/types.h
@@ -25,7 +25,7 @@
 #define ENDPOINTS_MAX 7
 #define LINEAGE_MAX 8
 #define CONTRACT_DATABASES_MAX 16
-#define CONTRACT_KEYS_MAX 16
+#define CONTRACT_KEYS_MAX 64
 #define ZONES_MAX 32
 
 /** Position @a pos in the log of a database group, written under @a term. */
--- /dev/null
+++ b/tests/test_documents.c
@@ -0,0 +1,93 @@
+/**
+ * @file test_documents.c
+ * What the operator and the members write to the users' platform, as it is
+ * taken: whole, or not at all where it cannot be read.
+ */
+#include <check.h>
+#include <string.h>
+
+#include "../platform/adapter.h"
+#include "../src/names.h"
+#include "suite.h"
+
+#define KEYS 40
+
+static json_t *account_with_keys(int count)
+{
+	json_t *keys = json_array();
+	int i;
+
+	for (i = 0; i < count; i++)
+		json_array_append_new(keys, json_sprintf("key-%d", i));
+	return json_pack("{s:s, s:o, s:i, s:i}", "Name", "acme", "ApiKeys",
+			 keys, "PerS", 10, "Burst", 20);
+}
+
+/* One key too many took the whole account out of force: 16 were held. */
+START_TEST(account_has_all_its_keys)
+{
+	json_t *json = json_pack("{s:i, s:[], s:[], s:{}, s:[o]}", "Version", 3,
+				 "Routes", "Services", "Limits", "Tenants",
+				 account_with_keys(KEYS));
+	struct key_id last = key_hash("key-39", 6);
+	const char *fault = "";
+	struct site_config *c = platform_site.parse_config(json, &fault);
+
+	ck_assert_msg(c != NULL, "%s", fault);
+	ck_assert_uint_eq(c->account_count, 1);
+	ck_assert_uint_eq(c->accounts[0].key_count, KEYS);
+	ck_assert(!memcmp(&c->accounts[0].keys[KEYS - 1], &last, sizeof(last)));
+	site_config_free(c);
+	json_decref(json);
+}
+END_TEST
+
+/* Entries of other writers; the first is a member's own. */
+static const struct {
+	const char *text;
+	bool member;
+} entries[] = {
+	{ "{'Service':'db','Address':'10.0.0.1:5','Zone':'a','Capacity':2,"
+	  "'State':'ready','DbRole':'replica','born':1}",
+	  true },
+	{ "{'Address':'10.0.0.1:5','Zone':'a','Capacity':2,'State':'ready',"
+	  "'DbRole':'replica','born':1}",
+	  false },
+	{ "{'Service':'db','Address':7,'Zone':'a','Capacity':2,"
+	  "'State':'ready','DbRole':'replica','born':1}",
+	  false },
+	{ "{'Service':'db','Address':'10.0.0.1:5','Zone':'a','Capacity':2,"
+	  "'State':'resting','DbRole':'replica','born':1}",
+	  false },
+	{ "{'Service':['db'],'Address':'10.0.0.1:5','Zone':'a','Capacity':2,"
+	  "'State':'ready','DbRole':'replica','born':1}",
+	  false },
+	{ "['ready']", false },
+	{ "{}", false },
+};
+
+START_TEST(entry_that_cannot_be_read_names_no_member)
+{
+	static const char *const zones[] = { "a" };
+	struct zone_names names = { zones, 1 };
+	char *text = g_strdelimit(g_strdup(entries[_i].text), "'", '"');
+	json_t *json = json_loads(text, 0, NULL);
+	struct site_member m;
+
+	ck_assert_ptr_nonnull(json);
+	ck_assert_int_eq(platform_site.parse_member("i-1", json, names, &m),
+			 entries[_i].member);
+	json_decref(json);
+	g_free(text);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("documents");
+
+	tcase_add_test(tc, account_has_all_its_keys);
+	tcase_add_loop_test(tc, entry_that_cannot_be_read_names_no_member, 0,
+			    G_N_ELEMENTS(entries));
+	return suite_run("documents", tc);
+}
