Refuse writes at once while replicas are held

A call for a promotion had no answer, the primary came back, and its replicas stayed held until a newer call made the old one void, here for 8 s: commits filled the two slots of the primary up to their time limits, and what waited behind them was held to its deadline.

Change: the keeper's view says that replicas are held, also while calls are made void. The entry instance refuses single writes and ends transactions that wrote, as not run and with a time to come back; reads go on.

--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -99,6 +99,7 @@
 	k->target = 0;
 	go(k, CHANGE_CANCEL, now + TOKEN_LIMIT, out);
 	ask_token(k, out);
+	keeper_announce(k);
 }
 
 static void begin_change(struct keeper *k, bool planned, hm_time now,
--- a/core/keeper_view.c
+++ b/core/keeper_view.c
@@ -8,7 +8,8 @@
 
 	*v = (struct service_view){ .service = k->service, .term = k->term };
 	v->primary = primary ? primary->spec.endpoint : 0;
-	v->replacing = k->step != CHANGE_NONE && !k->planned;
+	v->replacing = k->step == CHANGE_CANCEL ||
+		       (k->step != CHANGE_NONE && !k->planned);
 	v->count = k->member_count;
 	for (i = 0; i < k->member_count; i++) {
 		const struct kept_member *m = &k->members[i];
--- a/core/place.c
+++ b/core/place.c
@@ -74,6 +74,13 @@
 	       (peer && now - peer->heard_at < HOME_SUSPECT);
 }
 
+bool place_is_held(const struct proxy *p, hm_id service, hm_time now)
+{
+	const struct service_state *v = services_view(p, service);
+
+	return view_is_fresh(v, now) && v->latest.replacing;
+}
+
 /* Cost of a member in microseconds; HM_NEVER: not to be used. */
 static hm_time cost_of(struct proxy *p, const struct need *need,
 		       const struct site_member *m,
@@ -93,6 +100,9 @@
 		return HM_NEVER;
 	if (!home_answers(p, m, now))
 		return HM_NEVER;
+	/* Its replicas are held: a commit would keep its slot in vain. */
+	if (need->writes && place_is_held(p, need->service, now))
+		return HM_NEVER;
 	if (primary)
 		cost += PRIMARY_COST;
 	else if (now < l->behind_until)
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -151,6 +151,7 @@
 struct need {
 	hm_id service;
 	bool lead;	   /**< the primary alone will do */
+	bool writes;	   /**< it ends with a commit of its own */
 	struct mark floor; /**< its log must hold this */
 	const hm_id *tried;
 	uint32_t tried_count;
@@ -166,6 +167,8 @@
 
 struct placement place_choose(struct proxy *p, const struct need *need,
 			      hm_time now);
+/** The replicas of a service are held: no commit is answered. */
+bool place_is_held(const struct proxy *p, hm_id service, hm_time now);
 struct load *place_load(struct proxy *p, hm_id endpoint);
 /** Life that holds the connections to a member, 0 for none. */
 uint64_t place_home(const struct proxy *p, const struct site_member *m);
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -178,6 +178,7 @@
 	}
 	need = (struct need){ .service = route->service,
 			      .lead = needs_primary(s, route),
+			      .writes = s->pending.writes,
 			      .floor = own_floor(s, route, now),
 			      .tried = s->pending.tried,
 			      .tried_count = s->pending.tried_count };
--- a/core/view.h
+++ b/core/view.h
@@ -36,7 +36,7 @@
 	hm_id primary;	    /**< leads, 0 for none */
 	uint64_t term;	    /**< newest one seen */
 	struct mark sample; /**< term 0 for none */
-	bool replacing;	    /**< a change of the primary is under way */
+	bool replacing;	    /**< replicas are held, no commit is answered */
 	uint32_t count;
 	struct member_view members[ENDPOINTS_MAX];
 };
