--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -61,6 +61,17 @@
 	proxy_text_expect(r->text, expected);
 }
 
+/* A proxy with a connection to m1, and a view of its service. */
+static uint64_t open_seeing(struct rig *r, bool replacing, bool replica)
+{
+	uint64_t conn;
+
+	rig_open(r);
+	conn = rig_warm(r);
+	view(r, replacing, replica);
+	return conn;
+}
+
 #define ACKNOWLEDGED "answer 1 ok I signature=proof\n"
 #define IN_DOUBT "answer 1 outcome_unknown I\n"
 
@@ -71,13 +82,10 @@
  */
 START_TEST(commit_in_a_zone_that_hears_no_other_is_in_doubt)
 {
-	uint64_t conn;
 	struct rig r;
+	uint64_t conn = open_seeing(&r, false, true);
 
-	rig_open(&r);
-	conn = rig_warm(&r);
 	heartbeat(&r, 2, OTHER_ZONE);
-	view(&r, false, true);
 	rig_run(&r, 400 * HM_MS);
 	write_once(&r, conn, ACKNOWLEDGED);
 	rig_run(&r, 400 * HM_MS);
@@ -126,12 +134,9 @@
 /* Who let the commit through is none of the known replicas. */
 START_TEST(commit_without_a_known_replica_is_in_doubt)
 {
-	uint64_t conn;
 	struct rig r;
+	uint64_t conn = open_seeing(&r, false, false);
 
-	rig_open(&r);
-	conn = rig_warm(&r);
-	view(&r, false, false);
 	write_once(&r, conn, IN_DOUBT);
 	rig_close(&r);
 }
@@ -140,13 +145,10 @@
 /* The fleet is in touch: nobody else could promote unheard. */
 START_TEST(lost_sight_of_replicas_alone_is_no_doubt)
 {
-	uint64_t conn;
 	struct rig r;
+	uint64_t conn = open_seeing(&r, false, false);
 
-	rig_open(&r);
-	conn = rig_warm(&r);
 	heartbeat(&r, 2, OTHER_ZONE);
-	view(&r, false, false);
 	write_once(&r, conn, ACKNOWLEDGED);
 	rig_close(&r);
 }
@@ -183,9 +185,7 @@
 {
 	struct rig r;
 
-	rig_open(&r);
-	rig_warm(&r);
-	view(&r, true, true);
+	open_seeing(&r, true, true);
 	rig_ask(&r, STMT_WRITE, "w1", NULL, "WRITE k v");
 	proxy_text_expect(r.text, "answer 1 no_primary I later\n");
 	/* What only reads goes on. */
@@ -219,12 +219,9 @@
 /* A commit that changed nothing can be repeated, or told as it is. */
 START_TEST(commit_that_wrote_nothing_needs_no_proof)
 {
-	uint64_t conn;
 	struct rig r;
+	uint64_t conn = open_seeing(&r, false, false);
 
-	rig_open(&r);
-	conn = rig_warm(&r);
-	view(&r, false, false);
 	rig_ask(&r, STMT_BEGIN, "b1", NULL, "BEGIN");
 	rig_ask(&r, STMT_READ, "b2", NULL, "READ k");
 	rig_reply(&r, conn, ERR_NONE, SESSION_OPEN);
