Say the same things once

Read the change again; behaviour stays as it is.

- The newest read of the store is kept by one function for this instance and its peers; the turn to poll is one expression.
- Whether replicas are held is asked once for a choice of a member in place of once for each member, and at one place for statements of an open transaction; there is one time to come back for both.
- A commit's confirmation counts peers only when the view does not decide.
- The end of a keeper's connection is one function in place of three copies; parameters that nothing used are gone.
- The test of deaf watches need not sleep: a watch under way hears nothing either (it still fails without the polls).

--- a/core/confirm.c
+++ b/core/confirm.c
@@ -62,20 +62,21 @@
 			 hm_id endpoint, hm_time now)
 {
 	const struct service_view *latest = &v->latest;
-	struct others n = count_others(p, now);
-	bool in_touch = n.heard * 2 >= n.recent;
+	bool fresh = v->heard_at && now - v->heard_at <= VIEW_TELLS;
+	bool in_touch;
+	struct others n;
 
-	if (v->heard_at && now - v->heard_at <= VIEW_TELLS) {
-		if (latest->replacing)
-			return "replacing";
-		if (latest->primary && latest->primary != endpoint)
-			return "other_primary";
-		if (latest->primary && has_replica(latest, endpoint))
-			return NULL;
-		/* The keeper may be as cut off as this instance is. */
-		if (latest->primary && !(in_touch && n.heard))
-			return "no_replica";
-	}
+	if (fresh && latest->replacing)
+		return "replacing";
+	if (fresh && latest->primary && latest->primary != endpoint)
+		return "other_primary";
+	if (fresh && latest->primary && has_replica(latest, endpoint))
+		return NULL;
+	n = count_others(p, now);
+	in_touch = n.heard * 2 >= n.recent;
+	/* The keeper may be as cut off as this instance is. */
+	if (fresh && latest->primary)
+		return in_touch && n.heard ? NULL : "no_replica";
 	/* No keeper, or one that knows nothing yet: it would have to begin. */
 	return in_touch ? NULL : "cut_off";
 }
--- a/core/keeper.c
+++ b/core/keeper.c
@@ -74,15 +74,22 @@
 	return find_conn(k, conn) != NULL;
 }
 
-static void connect_member(struct keeper *k, struct kept_member *m, hm_time now,
-			   struct proxy_output *out)
+/* What was asked and heard on a connection ends with it. */
+static void forget_conn(struct kept_member *m)
 {
-	m->conn = ++*k->site.next_conn;
+	m->conn = 0;
 	m->ready = false;
 	m->known = false;
 	m->asked_at = 0;
 	m->asked_count = 0;
 	m->old_answers = 0;
+}
+
+static void connect_member(struct keeper *k, struct kept_member *m, hm_time now,
+			   struct proxy_output *out)
+{
+	forget_conn(m);
+	m->conn = ++*k->site.next_conn;
 	m->told_held = 0;
 	m->opened_at = now;
 	proxy_connect(out, m->conn, &m->spec, KEEPER_WHO);
@@ -106,12 +113,7 @@
 {
 	if (m->conn)
 		proxy_action(out, PROXY_CLOSE_MEMBER)->member.conn = m->conn;
-	m->conn = 0;
-	m->ready = false;
-	m->known = false;
-	m->asked_at = 0;
-	m->asked_count = 0;
-	m->old_answers = 0;
+	forget_conn(m);
 }
 
 void kept_forget_answers(struct keeper *k)
@@ -238,10 +240,9 @@
 	}
 }
 
-static void took_lead(struct keeper *k, struct kept_member *m, hm_time now,
+static void took_lead(struct keeper *k, struct kept_member *m,
 		      struct proxy_output *out)
 {
-	(void)now;
 	if (m->lead_at.term > k->term)
 		k->term = m->lead_at.term;
 	disprove_others(k, m, out);
@@ -256,7 +257,7 @@
 }
 
 static void take_lead_answer(struct keeper *k, struct kept_member *m,
-			     const struct member_reply *r, hm_time now,
+			     const struct member_reply *r,
 			     struct proxy_output *out)
 {
 	bool led = m->leads;
@@ -266,7 +267,7 @@
 	m->leads = !r->error && r->at.term;
 	if (m->leads) {
 		m->lead_at = r->at;
-		took_lead(k, m, now, out);
+		took_lead(k, m, out);
 		if (kept_primary(k) != m)
 			return;
 		departed_lead(k, m);
@@ -319,7 +320,7 @@
 			  m->spec.name, k->service_name);
 	}
 	if (asked == ASKED_LEAD) {
-		take_lead_answer(k, m, reply, now, out);
+		take_lead_answer(k, m, reply, out);
 		m->fresh_lead = m->leads && !old;
 	} else if (asked == ASKED_STATUS || asked == ASKED_HOLD) {
 		take_status(k, m, reply, now);
@@ -334,12 +335,7 @@
 	struct kept_member *m = find_conn(k, conn);
 	bool was_ready = m->ready;
 
-	m->conn = 0;
-	m->ready = false;
-	m->asked_count = 0;
-	m->old_answers = 0;
-	m->asked_at = 0;
-	m->known = false;
+	forget_conn(m);
 	m->connect_after = now + RECONNECT_PAUSE;
 	if (error == ERR_CONNECTION_LIMIT) {
 		m->answered = true; /* it lives, and is full */
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -36,8 +36,7 @@
 void keeper_members(struct keeper *k, const struct site_members *members,
 		    hm_time now, struct proxy_output *out);
 /** Somebody wants a view; the answer comes by keeper_next_view(). */
-void keeper_want(struct keeper *k, uint64_t from, uint64_t seq, hm_time now,
-		 struct proxy_output *out);
+void keeper_want(struct keeper *k, uint64_t from, uint64_t seq);
 
 bool keeper_has(const struct keeper *k, uint64_t conn);
 void keeper_ready(struct keeper *k, uint64_t conn, hm_time now,
--- a/core/keeper_view.c
+++ b/core/keeper_view.c
@@ -73,13 +73,10 @@
 	k->want_count = kept;
 }
 
-void keeper_want(struct keeper *k, uint64_t from, uint64_t seq, hm_time now,
-		 struct proxy_output *out)
+void keeper_want(struct keeper *k, uint64_t from, uint64_t seq)
 {
 	uint32_t i;
 
-	(void)now;
-	(void)out;
 	if (!k->active)
 		return;
 	for (i = 0; i < k->want_count; i++)
--- a/core/place.c
+++ b/core/place.c
@@ -17,8 +17,6 @@
 #define VIEW_VALID (2 * HM_SEC)
 /* A home not heard for more than 1.5 heartbeats gets no new work. */
 #define HOME_SUSPECT (500 * HM_MS)
-/* Come back when nobody leads: half of what a change takes at least. */
-#define PRIMARY_RETRY (300 * HM_MS)
 #define MEMBER_RETRY (100 * HM_MS)
 
 struct load *place_load(struct proxy *p, hm_id endpoint)
@@ -100,9 +98,6 @@
 		return HM_NEVER;
 	if (!home_answers(p, m, now))
 		return HM_NEVER;
-	/* Its replicas are held: a commit would keep its slot in vain. */
-	if (need->writes && place_is_held(p, need->service, now))
-		return HM_NEVER;
 	if (primary)
 		cost += PRIMARY_COST;
 	else if (now < l->behind_until)
@@ -121,10 +116,12 @@
 	struct placement best = { .reason = need->lead ? "no_primary"
 						       : "no_member" };
 	const struct service_state *v = services_view(p, need->service);
+	/* While replicas are held, a commit would keep its slot in vain. */
+	bool in_vain = need->writes && place_is_held(p, need->service, now);
 	hm_time least = HM_NEVER;
 	uint32_t i;
 
-	for (i = 0; p->members && i < p->members->count; i++) {
+	for (i = 0; !in_vain && p->members && i < p->members->count; i++) {
 		const struct site_member *m = &p->members->list[i];
 		bool primary = is_primary(v, m, now);
 		hm_time cost = cost_of(p, need, m, v, primary, now);
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -98,17 +98,14 @@
 {
 	hm_time from = p->store_read_at, turn;
 	const struct peer *peer;
-	uint32_t i, rank = 0;
+	uint32_t i, turns, rank = 0;
 
 	for (i = 0; (peer = peers_at(p->peers, i)); i++)
 		rank += peer->alive && peer->life < p->options.core.life;
-	turn = rank * POLL_TURN;
-	if (rank > POLL_TURNS) {
-		turn = POLL_TURNS * POLL_TURN +
-		       (rank - POLL_TURNS) * POLL_SPREAD;
-		if (turn > POLL_TURN_MOST)
-			turn = POLL_TURN_MOST;
-	}
+	turns = rank < POLL_TURNS ? rank : POLL_TURNS;
+	turn = turns * POLL_TURN + (rank - turns) * POLL_SPREAD;
+	if (turn > POLL_TURN_MOST)
+		turn = POLL_TURN_MOST;
 	/* The lists of the start have just read everything. */
 	if (from < p->started_at)
 		from = p->started_at;
@@ -122,7 +119,7 @@
 	return time < GATHER_MOST ? time : GATHER_MOST;
 }
 
-static void take_store_read(struct proxy *p, hm_time read_at)
+void proxy_store_read(struct proxy *p, hm_time read_at)
 {
 	if (read_at > p->store_read_at)
 		p->store_read_at = read_at;
@@ -349,7 +346,7 @@
 		take_store(p, e->store_ok, now, out);
 		break;
 	case PROXY_STORE_READ:
-		take_store_read(p, e->read_at);
+		proxy_store_read(p, e->read_at);
 		break;
 	case PROXY_TOKEN:
 		take_token(p, e, now, out);
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -72,8 +72,10 @@
 {
 	struct keeper *k = services_keeper(p, m->view_want.service);
 
+	(void)now;
+	(void)out;
 	if (k)
-		keeper_want(k, m->from, m->view_want.seq, now, out);
+		keeper_want(k, m->from, m->view_want.seq);
 }
 
 static void take_view(struct proxy *p, const struct message *m, hm_time now,
@@ -148,10 +150,7 @@
 static void take_heartbeat(struct proxy *p, const struct message *m,
 			   hm_time now, struct proxy_output *out)
 {
-	hm_time read_at = now - m->heartbeat.store_read_ago;
-
-	if (read_at > p->store_read_at)
-		p->store_read_at = read_at;
+	proxy_store_read(p, now - m->heartbeat.store_read_ago);
 	want_document(p, DOCUMENT_CONFIG, p->config ? p->config->version : 0,
 		      m->heartbeat.config_version, m->from, now, out);
 	want_document(p, DOCUMENT_MEMBERS,
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -20,6 +20,8 @@
 #include "view.h"
 
 #define TRIED_MAX 4
+/* Come back when no commit is answered: half of the shortest change. */
+#define PRIMARY_RETRY (300 * HM_MS)
 
 /** A statement that a session prepared. */
 struct prepared {
@@ -144,6 +146,8 @@
 struct message *proxy_send(struct proxy *p, uint64_t to, enum message_kind kind,
 			   struct proxy_output *out);
 bool proxy_stopping(const struct proxy *p);
+/** This instance or a peer has read the revision of the store. */
+void proxy_store_read(struct proxy *p, hm_time read_at);
 
 /* place.c */
 
--- a/core/sessions_ask.c
+++ b/core/sessions_ask.c
@@ -11,8 +11,6 @@
 #define TOKEN_WAIT_MOST (400 * HM_MS) /* but no longer than this */
 /* What a statement takes on the mean, waiting included, on measured days. */
 #define STATEMENT_TIME (25 * HM_MS)
-/* Come back when replicas may be free again: half of what a change takes. */
-#define HELD_RETRY (300 * HM_MS)
 /* Prepared statements that one session may keep. */
 #define PREPARED_MAX 256
 
@@ -205,14 +203,22 @@
 	return session_check_key(p, s, in_tx ? &s->tx.route : route);
 }
 
-/* Nobody lets its commit through now: rolled back, it can be tried again. */
-static void abort_held(struct proxy *p, struct session *s,
-		       enum session_state state, hm_time now,
-		       struct proxy_output *out)
+/*
+ * A statement of an open transaction. While nobody lets its commit through, one
+ * that writes is rolled back and can be tried again; the session is then in
+ * state @a aborted.
+ */
+static void run_in_tx(struct proxy *p, struct session *s,
+		      enum session_state aborted, hm_time now,
+		      struct proxy_output *out)
 {
+	if (!s->pending.writes || !place_is_held(p, s->tx.service, now)) {
+		session_run(p, s, now, out);
+		return;
+	}
 	session_release(p, s, out);
-	s->tx = (struct session_tx){ .state = state, .route = s->tx.route };
-	session_answer(p, s, ERR_TX_GONE, NULL, now + HELD_RETRY, now, out);
+	s->tx = (struct session_tx){ .state = aborted, .route = s->tx.route };
+	session_answer(p, s, ERR_TX_GONE, NULL, now + PRIMARY_RETRY, now, out);
 }
 
 static void ask_end(struct proxy *p, struct session *s, hm_time now,
@@ -225,14 +231,9 @@
 		refuse(p, s, ERR_BAD_REQUEST, now, out);
 		return;
 	}
-	if (commit && was == SESSION_OPEN && s->tx.wrote &&
-	    place_is_held(p, s->tx.service, now)) {
-		abort_held(p, s, SESSION_IDLE, now, out);
-		return;
-	}
 	if (commit && was == SESSION_OPEN) {
 		s->pending.writes = s->tx.wrote;
-		session_run(p, s, now, out);
+		run_in_tx(p, s, SESSION_IDLE, now, out);
 		return;
 	}
 	session_release(p, s, out);
@@ -263,13 +264,8 @@
 		admit_operation(p, s, now, out);
 		return;
 	}
-	if (s->pending.writes && s->tx.state == SESSION_OPEN &&
-	    place_is_held(p, s->tx.service, now)) {
-		abort_held(p, s, SESSION_FAILED, now, out);
-		return;
-	}
 	s->tx.wrote |= s->pending.writes;
-	session_run(p, s, now, out);
+	run_in_tx(p, s, SESSION_FAILED, now, out);
 }
 
 static void ask_begin(struct proxy *p, struct session *s, hm_time now,
--- a/src/fields.c
+++ b/src/fields.c
@@ -32,6 +32,16 @@
 	return fault_set(fault, "$", found, "a JSON object");
 }
 
+json_t *fields_load(const char *text, struct fault *fault)
+{
+	json_error_t error;
+	json_t *root = json_loads(text, JSON_REJECT_DUPLICATES, &error);
+
+	if (!root)
+		fault_syntax(fault, &error);
+	return root;
+}
+
 /* Copies text with control characters and quotes made visible. */
 static void printable(const char *text, char *out, size_t bytes)
 {
--- a/src/fields.h
+++ b/src/fields.h
@@ -56,6 +56,11 @@
 		 const char *allowed);
 /** The same for text that is no JSON. */
 bool fault_syntax(struct fault *fault, const json_error_t *error);
+/**
+ * Parses the text of a settings file; the caller owns the result.
+ * @return NULL, with the fault told, when it is not JSON
+ */
+json_t *fields_load(const char *text, struct fault *fault);
 /** False unless @a value is an array of @a least to @a most items. */
 bool fault_array(struct fault *fault, const char *path, const json_t *value,
 		 size_t least, size_t most);
--- a/src/settings.c
+++ b/src/settings.c
@@ -228,15 +228,14 @@
 		    char fault[SETTINGS_FAULT_BYTES])
 {
 	struct fault f = { .file = file, .text = fault };
-	json_error_t error;
 	json_t *root;
 	bool ok;
 
 	fault[0] = '\0';
 	settings_default(s);
-	root = json_loads(text, JSON_REJECT_DUPLICATES, &error);
+	root = fields_load(text, &f);
 	if (!root)
-		return fault_syntax(&f, &error);
+		return false;
 	ok = fields_read(fields, FIELD_COUNT_ALL, root, s, &f) &&
 	     list_zones(root, s->zones, &s->zone_count, &f) &&
 	     list_addresses(root, "seeds", s->seeds, &s->seed_count, &f) &&
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -63,17 +63,17 @@
 	proxy_sink_event(&f->sink, &e);
 }
 
-static void offer_document(struct site_feed *f, enum document_kind kind,
-			   const json_t *json)
+static void offer_document(struct site_feed *f, const struct delivery *d)
 {
-	if (kind == DOCUMENT_CONFIG)
-		offer_config(f, json);
+	if (d->kind == DOCUMENT_CONFIG)
+		offer_config(f, d->json);
 	else
-		offer_members(f, json);
+		offer_members(f, d->json);
 }
 
-static void offer_addresses(struct site_feed *f, const json_t *json)
+static void offer_addresses(struct site_feed *f, const struct delivery *d)
 {
+	const json_t *json = d->json;
 	size_t n = json_array_size(json), i;
 	char(*list)[ADDRESS_BYTES] = g_malloc0((n + 1) * ADDRESS_BYTES);
 
@@ -85,24 +85,36 @@
 	g_free(list);
 }
 
+static void offer_health(struct site_feed *f, const struct delivery *d)
+{
+	struct proxy_event e = { .kind = PROXY_STORE, .store_ok = d->ok };
+
+	proxy_sink_event(&f->sink, &e);
+}
+
+static void offer_read(struct site_feed *f, const struct delivery *d)
+{
+	struct proxy_event e = { .kind = PROXY_STORE_READ,
+				 .read_at = d->read_at };
+
+	proxy_sink_event(&f->sink, &e);
+}
+
+static void (*const offerers[])(struct site_feed *f,
+				const struct delivery *d) = {
+	[DELIVER_DOCUMENT] = offer_document,
+	[DELIVER_ADDRESSES] = offer_addresses,
+	[DELIVER_HEALTH] = offer_health,
+	[DELIVER_READ] = offer_read,
+};
+
 static void on_delivery(void *arg)
 {
 	struct delivery *d = arg;
-	struct proxy_event e = { .kind = PROXY_STORE, .store_ok = d->ok };
 
-	if (d->feed->stopping) {
-		/* Nobody listens any more. */
-	} else if (d->what == DELIVER_DOCUMENT) {
-		offer_document(d->feed, d->kind, d->json);
-	} else if (d->what == DELIVER_ADDRESSES) {
-		offer_addresses(d->feed, d->json);
-	} else if (d->what == DELIVER_READ) {
-		e.kind = PROXY_STORE_READ;
-		e.read_at = d->read_at;
-		proxy_sink_event(&d->feed->sink, &e);
-	} else {
-		proxy_sink_event(&d->feed->sink, &e);
-	}
+	/* Once it stops nobody listens any more. */
+	if (!d->feed->stopping)
+		offerers[d->what](d->feed, d);
 	json_decref(d->json);
 	g_free(d);
 }
@@ -166,7 +178,8 @@
 		return;
 	json = json_loadb(d->data, d->bytes, 0, NULL);
 	if (json)
-		offer_document(f, d->kind, json);
+		offer_document(
+			f, &(struct delivery){ .kind = d->kind, .json = json });
 	else
 		log_event(G_LOG_LEVEL_WARNING, "document_malformed", NULL);
 	json_decref(json);
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -20,7 +20,7 @@
 	feed_deliver(f, &d);
 }
 
-static void sleep_while(const struct watcher *w, hm_time until)
+static void sleep_until(const struct watcher *w, hm_time until)
 {
 	while (loop_now() < until && !http_client_cancelled(w->http))
 		g_usleep((gulong)MIN(until - loop_now() + 1, PAUSE_SLICE));
@@ -29,7 +29,7 @@
 static void pause_calls(struct watcher *w)
 {
 	w->pause = CLAMP(w->pause * 2, PAUSE_FIRST, PAUSE_MOST);
-	sleep_while(w, loop_now() + w->pause / 2 +
+	sleep_until(w, loop_now() + w->pause / 2 +
 			       (hm_time)rng_below(&w->rng, (uint64_t)w->pause));
 }
 
@@ -157,13 +157,14 @@
 			deliver_health(w->feed, ok);
 		told = true;
 		healthy = ok;
-		if (ok && w->kind == STORE_MEMBERS)
-			sleep_while(w,
-				    loop_now() + atomic_load(&w->feed->gather));
-		if (ok)
-			w->pause = 0;
-		else
+		if (!ok) {
 			pause_calls(w);
+			continue;
+		}
+		w->pause = 0;
+		if (w->kind == STORE_MEMBERS)
+			sleep_until(w,
+				    loop_now() + atomic_load(&w->feed->gather));
 	}
 	return NULL;
 }
@@ -252,7 +253,7 @@
 	return loop_now() >= MAX(s->poll_after, atomic_load(&w->feed->poll_at));
 }
 
-static void poll(struct watcher *w, struct schedule *s, uint64_t *seen)
+static void poll_now(struct watcher *w, struct schedule *s, uint64_t *seen)
 {
 	struct delivery d = { .what = DELIVER_READ, .read_at = loop_now() };
 
@@ -279,7 +280,7 @@
 			s.read_at = loop_now() + (ok ? every : PAUSE_MOST);
 		}
 		if (poll_due(w, &s))
-			poll(w, &s, &seen);
+			poll_now(w, &s, &seen);
 		g_usleep(registered ? PAUSE_SLICE : PAUSE_FIRST);
 	}
 	return NULL;
--- a/tests/proxy_rig.c
+++ b/tests/proxy_rig.c
@@ -21,6 +21,14 @@
 	proxy_text(r->text, &r->out);
 }
 
+void rig_message(struct rig *r, struct message *m)
+{
+	struct proxy_event e = { .kind = PROXY_MESSAGE, .message = m };
+
+	m->seq = ++r->peer_seq;
+	rig_step(r, &e);
+}
+
 void rig_run(struct rig *r, hm_time span)
 {
 	struct proxy_event tick = { .kind = PROXY_TICKED };
--- a/tests/proxy_rig.h
+++ b/tests/proxy_rig.h
@@ -23,6 +23,8 @@
 void rig_close(struct rig *r);
 /** One event; what the proxy does is appended to the text. */
 void rig_step(struct rig *r, const struct proxy_event *e);
+/** A message of a peer; its sequence is set here. */
+void rig_message(struct rig *r, struct message *m);
 /** Ticks until @a span has passed. */
 void rig_run(struct rig *r, hm_time span);
 /** The next version of the configuration. */
--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -14,14 +14,6 @@
 
 #define OTHER_ZONE 1
 
-static void peer_says(struct rig *r, struct message *m)
-{
-	struct proxy_event e = { .kind = PROXY_MESSAGE, .message = m };
-
-	m->seq = ++r->peer_seq;
-	rig_step(r, &e);
-}
-
 static void heartbeat(struct rig *r, uint64_t instance, uint16_t zone)
 {
 	struct message m = { .kind = MSG_HEARTBEAT };
@@ -29,7 +21,7 @@
 	m.from = 1000 + instance;
 	m.heartbeat.instance = instance;
 	m.heartbeat.zone = zone;
-	peer_says(r, &m);
+	rig_message(r, &m);
 }
 
 /* A keeper's view of "db": m1 leads, m2 is there or not. */
@@ -48,7 +40,7 @@
 	v->members[0] = (struct member_view){ 1, true, true, true, { 0 }, 0 };
 	v->members[1] =
 		(struct member_view){ 2, true, replica, false, { 0 }, 0 };
-	peer_says(r, &m);
+	rig_message(r, &m);
 	free(v);
 }
 
@@ -247,7 +239,7 @@
 	heartbeat(&r, 2, OTHER_ZONE);
 	m.from = 1001;
 	m.view = &v;
-	peer_says(&r, &m);
+	rig_message(&r, &m);
 	write_once(&r, conn, ACKNOWLEDGED);
 	rig_close(&r);
 }
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -255,7 +255,7 @@
 	/* A question is under way when the want comes. */
 	r.fakes[0].dark = true;
 	run(&r, 300 * HM_MS);
-	keeper_want(r.keeper, 77, 4, r.now, &r.out);
+	keeper_want(r.keeper, 77, 4);
 	r.fakes[0].dark = false;
 	answer(&r, &r.fakes[0],
 	       &(struct member_command){ .kind = MEMBER_BEGIN });
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -351,8 +351,6 @@
 {
 	until_served(0, "rota", "QUERY a0 WRITE shift ann");
 	object_store_deaf(bed.store, true);
-	/* Watches that were under way have ended, and hear nothing now. */
-	g_usleep(1200 * 1000);
 	configure("other", "");
 	until_opened(0, "rota", "other", "READY I -");
 	until_opened(1, "rota", "other", "READY I -");
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -216,12 +216,10 @@
 static void heartbeat(struct rig *r, uint64_t instance)
 {
 	struct message m = { .kind = MSG_HEARTBEAT };
-	struct proxy_event e = { .kind = PROXY_MESSAGE, .message = &m };
 
 	m.from = 1000 + instance;
-	m.seq = ++r->peer_seq;
 	m.heartbeat.instance = instance;
-	rig_step(r, &e);
+	rig_message(r, &m);
 }
 
 /* Heartbeats come every 300 ms: after 500 ms without one work goes no more. */
@@ -256,13 +254,11 @@
 static void heartbeat_read(struct rig *r, uint64_t instance, hm_time ago)
 {
 	struct message m = { .kind = MSG_HEARTBEAT };
-	struct proxy_event e = { .kind = PROXY_MESSAGE, .message = &m };
 
 	m.from = instance;
-	m.seq = ++r->peer_seq;
 	m.heartbeat.instance = 1000 + instance;
 	m.heartbeat.store_read_ago = ago;
-	rig_step(r, &e);
+	rig_message(r, &m);
 }
 
 /*
