Plan a change of primary only to a replica that has what a silent one let through

A replica that was left behind a cut had let commits through, and the primary was replaced, as planned, by one that had not caught up yet. Change: while a replica is silent or gone, the target of a planned change must have received all that the primary had when it first proved its lead after the others were held. The test in test_keeper fails without the change.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -126,6 +126,7 @@
 		m->old_answers = m->asked_count;
 		m->fresh_status = false;
 		m->fresh_lead = false;
+		m->first_lead = (struct mark){ 0 };
 	}
 }
 
@@ -321,6 +322,8 @@
 	}
 	if (asked == ASKED_LEAD) {
 		take_lead_answer(k, m, reply, out);
+		if (m->leads && !old && !m->first_lead.term)
+			m->first_lead = m->lead_at;
 		m->fresh_lead = m->leads && !old;
 	} else if (asked == ASKED_STATUS || asked == ASKED_HOLD) {
 		take_status(k, m, reply, now);
--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -185,17 +185,6 @@
 	cancel(k, now, out);
 }
 
-/*
- * The primary goes on to commit: it must be the one that leads now, and the
- * target must receive, both told since the others are held.
- */
-static bool planned_is_safe(const struct kept_member *primary,
-			    const struct kept_member *target)
-{
-	return primary && primary->fresh_lead && target->fresh_status &&
-	       !target->status.held;
-}
-
 static void hold_step(struct keeper *k, hm_time now, struct proxy_output *out)
 {
 	struct kept_member *primary = kept_primary(k);
@@ -217,7 +206,7 @@
 	target = kept_find(k, k->target);
 	if (!target || !target->up || !target->known ||
 	    !choice_target_has_all(k) ||
-	    (k->planned && !planned_is_safe(primary, target)))
+	    (k->planned && !choice_planned_is_safe(k)))
 		return;
 	proxy_log(out,
 		  "event=promote service=%s member=%s token=%llu term=%llu "
--- a/core/keeper_choice.c
+++ b/core/keeper_choice.c
@@ -77,6 +77,35 @@
 	return m->spec.endpoint != k->target && m != kept_primary(k);
 }
 
+/* A replica that cannot be asked may have let commits through until now. */
+static bool has_silent_replica(struct keeper *k)
+{
+	const struct kept_member *primary = kept_primary(k);
+	uint32_t i;
+
+	for (i = 0; i < k->member_count; i++)
+		if (!k->members[i].up && &k->members[i] != primary)
+			return true;
+	return departed_matter(k);
+}
+
+/*
+ * The primary goes on to commit: it must be the one that leads now, and the
+ * target must receive, both told since the others are held. What a silent
+ * replica let through is in the primary's log.
+ */
+bool choice_planned_is_safe(struct keeper *k)
+{
+	const struct kept_member *primary = kept_primary(k);
+	const struct kept_member *target = kept_find(k, k->target);
+
+	if (!primary || !primary->fresh_lead || !target->fresh_status ||
+	    target->status.held)
+		return false;
+	return !has_silent_replica(k) ||
+	       mark_compare(target->status.received, primary->first_lead) >= 0;
+}
+
 /* Whether the target has received all that any held replica has. */
 bool choice_target_has_all(struct keeper *k)
 {
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -46,9 +46,10 @@
 	uint64_t told_held;  /**< hold ordered on this connection, or 0 */
 	hm_time held_since;  /**< seen held, outside of a change */
 	/* Since the present change began to hold members: */
-	uint32_t old_answers; /**< due to questions from before it */
-	bool fresh_status;    /**< it told its state */
-	bool fresh_lead;      /**< it proved that it leads */
+	uint32_t old_answers;	/**< due to questions from before it */
+	bool fresh_status;	/**< it told its state */
+	bool fresh_lead;	/**< it proved that it leads */
+	struct mark first_lead; /**< its log at the first such proof */
 };
 
 /**
@@ -140,6 +141,8 @@
 void kept_forget_answers(struct keeper *k);
 /** Whether a member must be held before the target is promoted. */
 bool choice_is_held_back(struct keeper *k, const struct kept_member *m);
+/** Whether a planned change to the target loses no commit. */
+bool choice_planned_is_safe(struct keeper *k);
 /** Whether the target has received all that any held replica has. */
 bool choice_target_has_all(struct keeper *k);
 /** Decides about a change of the primary; call after each event. */
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -502,6 +502,33 @@
 }
 END_TEST
 
+/*
+ * twinkle-pool, primaries-zone-cut --vary --seed 888509524187, LOST at 30.8 s:
+ * a replica that left behind a cut had let commits through, and the primary
+ * was replaced by one that had not caught up yet.
+ */
+START_TEST(planned_change_waits_for_what_a_silent_replica_had)
+{
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	r.fakes[2].dead = true;
+	r.fakes[2].conn = 0;
+	r.fakes[2].dark = true;
+	run(&r, 2 * HM_SEC);
+	r.fakes[1].pos = 95; /* m3 had all 100 of m1 */
+	r.fakes[0].spec.leaving = true;
+	publish(&r);
+	run(&r, HM_SEC);
+	proxy_text_expect(r.text, "");
+	r.fakes[1].pos = 100;
+	run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, "promote m2 token=1\n");
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(planned_change_waits_while_its_target_is_held)
 {
 	struct rig r;
@@ -603,6 +630,7 @@
 		       primary_without_an_entry_is_replaced_while_it_serves);
 	tcase_add_test(tc, member_without_an_entry_is_no_target);
 	tcase_add_test(tc, planned_change_takes_no_held_target);
+	tcase_add_test(tc, planned_change_waits_for_what_a_silent_replica_had);
 	tcase_add_test(tc, planned_change_waits_while_its_target_is_held);
 	tcase_add_test(tc, lost_call_keeps_replicas_held);
 	tcase_add_test(tc, hold_that_nobody_owns_is_voided_then_resumed);
