--- a/core/keeper.c
+++ b/core/keeper.c
@@ -5,11 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Pause before a member that refused a connection is tried again. */
-#define RECONNECT_PAUSE (100 * HM_MS)
-/* Who the keeper's own connections say they are. */
-#define KEEPER_WHO "keeper"
-
 struct keeper *keeper_new(hm_id service, struct keeper_site site)
 {
 	struct keeper *k = calloc(1, sizeof(*k));
@@ -18,9 +13,15 @@
 		abort();
 	k->service = service;
 	k->site = site;
+	k->sync = true;
 	return k;
 }
 
+void keeper_sync(struct keeper *k, bool sync)
+{
+	k->sync = sync;
+}
+
 void keeper_free(struct keeper *k)
 {
 	free(k);
@@ -49,7 +50,7 @@
 	for (i = 0; i < k->member_count; i++) {
 		struct kept_member *m = &k->members[i];
 
-		if (!m->up || !m->leads)
+		if (!m->up || !m->leads || m->lead_at.term < k->term)
 			continue;
 		if (!best || m->lead_at.term > best->lead_at.term ||
 		    (m->lead_at.term == best->lead_at.term &&
@@ -64,7 +65,7 @@
 	uint32_t i;
 
 	for (i = 0; i < k->member_count; i++)
-		if (conn && k->members[i].conn == conn)
+		if (conn && k->members[i].inquiry.conn == conn)
 			return (struct kept_member *)&k->members[i];
 	return NULL;
 }
@@ -77,11 +78,8 @@
 /* What was asked and heard on a connection ends with it. */
 static void forget_conn(struct kept_member *m)
 {
-	m->conn = 0;
-	m->ready = false;
+	inquiry_forget(&m->inquiry);
 	m->known = false;
-	m->asked_at = 0;
-	m->asked_count = 0;
 	m->old_answers = 0;
 }
 
@@ -89,10 +87,8 @@
 			   struct proxy_output *out)
 {
 	forget_conn(m);
-	m->conn = ++*k->site.next_conn;
 	m->told_held = 0;
-	m->opened_at = now;
-	proxy_connect(out, m->conn, &m->spec, KEEPER_WHO);
+	inquiry_connect(&m->inquiry, &m->spec, k->site.next_conn, now, out);
 }
 
 static void mark_down(struct keeper *k, struct kept_member *m,
@@ -111,8 +107,7 @@
 
 void kept_disconnect(struct kept_member *m, struct proxy_output *out)
 {
-	if (m->conn)
-		proxy_action(out, PROXY_CLOSE_MEMBER)->member.conn = m->conn;
+	inquiry_disconnect(&m->inquiry, out);
 	forget_conn(m);
 }
 
@@ -123,7 +118,7 @@
 	for (i = 0; i < k->member_count; i++) {
 		struct kept_member *m = &k->members[i];
 
-		m->old_answers = m->asked_count;
+		m->old_answers = m->inquiry.count;
 		m->fresh_status = false;
 		m->fresh_lead = false;
 		m->first_lead = (struct mark){ 0 };
@@ -165,51 +160,55 @@
 	k->step = CHANGE_NONE;
 }
 
-bool kept_command(struct kept_member *m, enum asked asked,
-		  enum member_command_kind kind, uint64_t term, hm_time now,
-		  struct proxy_output *out)
+/*
+ * Asks whether the member leads, and what it has. The state takes a slot of
+ * the member: it is asked when it matters.
+ */
+static void ask_member(struct keeper *k, struct kept_member *m, bool state,
+		       hm_time now, struct proxy_output *out)
 {
-	struct proxy_action *a;
-
-	if (!m->ready || m->asked_count == ASKED_MAX)
-		return false;
-	a = proxy_action(out, PROXY_COMMAND);
-	a->member.conn = m->conn;
-	a->member.command.kind = kind;
-	a->member.command.term = term;
-	m->asked[m->asked_count++] = asked;
-	if (!m->asked_at)
-		m->asked_at = now;
-	return true;
-}
+	struct inquiry *q = &m->inquiry;
 
-/* Asks whether the member leads, and what it has. */
-static void ask_member(struct keeper *k, struct kept_member *m, hm_time now,
-		       struct proxy_output *out)
-{
-	if (m->asked_count)
+	if (q->count)
 		return;
 	m->lead_order = ++k->order;
-	kept_command(m, ASKED_LEAD, MEMBER_BEGIN, 0, now, out);
-	kept_command(m, ASKED_LEAD_END, MEMBER_ROLLBACK, 0, now, out);
-	/* The state takes a slot of the member: asked when it matters. */
-	if (k->step == CHANGE_NONE && m->known && now < m->status_at)
+	inquiry_ask(q, ASKED_LEAD, MEMBER_BEGIN, 0, now, out);
+	inquiry_ask(q, ASKED_LEAD_END, MEMBER_ROLLBACK, 0, now, out);
+	if (k->step == CHANGE_NONE && !state && m->known && now < m->status_at)
 		return;
 	m->status_at = now + k->site.options->status_every;
-	kept_command(m, ASKED_STATUS, MEMBER_STATUS, 0, now, out);
+	m->state_order = m->lead_order;
+	inquiry_ask(q, ASKED_STATUS, MEMBER_STATUS, 0, now, out);
+}
+
+/* While a member is silent the states of the others prove who leads. */
+static bool is_any_silent(const struct keeper *k,
+			  const struct kept_member *primary)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->member_count; i++) {
+		const struct kept_member *m = &k->members[i];
+
+		if (m != primary && (!m->inquiry.ready || m->inquiry.count))
+			return true;
+	}
+	return k->departed_count > 0;
 }
 
 static void ask_all(struct keeper *k, hm_time now, struct proxy_output *out)
 {
+	const struct kept_member *primary = kept_primary(k);
+	bool silent = primary && is_any_silent(k, primary);
 	uint32_t i;
 
 	for (i = 0; i < k->member_count; i++) {
 		struct kept_member *m = &k->members[i];
 
-		if (!m->conn && now >= m->connect_after)
+		if (!m->inquiry.conn && now >= m->inquiry.connect_after)
 			connect_member(k, m, now, out);
 		else
-			ask_member(k, m, now, out);
+			ask_member(k, m, silent && m != primary, now, out);
 	}
 }
 
@@ -218,12 +217,12 @@
 {
 	struct kept_member *m = find_conn(k, conn);
 
-	m->ready = true;
+	m->inquiry.ready = true;
 	m->answered = true;
-	ask_member(k, m, now, out);
+	ask_member(k, m, false, now, out);
 }
 
-/* One member leads at a time: older proofs of others hold no more. */
+/* Older proofs of others hold no more, but for a later term. */
 static void disprove_others(struct keeper *k, const struct kept_member *leader,
 			    struct proxy_output *out)
 {
@@ -233,6 +232,7 @@
 		struct kept_member *m = &k->members[i];
 
 		if (m == leader || !m->leads ||
+		    m->lead_at.term > leader->lead_at.term ||
 		    m->lead_order > leader->lead_order)
 			continue;
 		m->leads = false;
@@ -257,22 +257,41 @@
 	keeper_announce(k);
 }
 
+/* A superseded primary goes on until it is told, also more than once. */
+static void step_down(struct keeper *k, struct kept_member *m, hm_time now,
+		      struct proxy_output *out)
+{
+	m->state_order = m->lead_order;
+	if (!inquiry_ask(&m->inquiry, ASKED_HOLD, MEMBER_STEP_DOWN, k->term,
+			 now, out))
+		return;
+	proxy_log(out,
+		  "event=step_down service=%s member=%s term=%llu newest=%llu",
+		  k->service_name, m->spec.name,
+		  (unsigned long long)m->lead_at.term,
+		  (unsigned long long)k->term);
+}
+
 static void take_lead_answer(struct keeper *k, struct kept_member *m,
-			     const struct member_reply *r,
+			     const struct member_reply *r, hm_time now,
 			     struct proxy_output *out)
 {
 	bool led = m->leads;
 
 	if (r->error && r->error != ERR_READ_ONLY)
 		return; /* it does not say */
+	m->shown.asked = m->lead_order;
+	m->shown.term = r->at.term;
 	m->leads = !r->error && r->at.term;
 	if (m->leads) {
 		m->lead_at = r->at;
-		took_lead(k, m, out);
-		if (kept_primary(k) != m)
+		if (r->at.term < k->term) {
+			step_down(k, m, now, out);
 			return;
-		departed_lead(k, m);
-		keeper_answer_wants(k, m->lead_order, r->at);
+		}
+		took_lead(k, m, out);
+		if (kept_primary(k) == m)
+			departed_lead(k, m);
 	} else if (led) {
 		proxy_log(out, "event=lead_lost service=%s member=%s",
 			  k->service_name, m->spec.name);
@@ -287,6 +306,8 @@
 		return; /* busy: alive, and nothing is known */
 	m->status = r->status;
 	m->known = true;
+	m->shown.state_asked = m->state_order;
+	m->shown.received_term = r->status.received.term;
 	if (!r->status.primary)
 		departed_received(k, r->status.received);
 	if (r->status.term > k->term)
@@ -302,26 +323,22 @@
 		    struct proxy_output *out)
 {
 	struct kept_member *m = find_conn(k, conn);
-	enum asked asked;
+	uint8_t asked;
 	bool old;
 
-	if (!m->asked_count) {
+	if (!inquiry_answered(&m->inquiry, now, &asked)) {
 		kept_disconnect(m, out);
 		return;
 	}
-	asked = m->asked[0];
-	m->asked_count--;
 	old = m->old_answers > 0;
 	m->old_answers -= old;
-	memmove(m->asked, m->asked + 1, m->asked_count * sizeof(asked));
-	m->asked_at = m->asked_count ? now : 0;
 	if (!m->up) {
 		m->up = true;
 		proxy_log(out, "event=member_up member=%s service=%s",
 			  m->spec.name, k->service_name);
 	}
 	if (asked == ASKED_LEAD) {
-		take_lead_answer(k, m, reply, out);
+		take_lead_answer(k, m, reply, now, out);
 		if (m->leads && !old && !m->first_lead.term)
 			m->first_lead = m->lead_at;
 		m->fresh_lead = m->leads && !old;
@@ -329,6 +346,7 @@
 		take_status(k, m, reply, now);
 		m->fresh_status |= reply->has_status && !old;
 	}
+	keeper_answer_proved(k);
 	change_check(k, now, out);
 }
 
@@ -336,16 +354,16 @@
 		   hm_time now, struct proxy_output *out)
 {
 	struct kept_member *m = find_conn(k, conn);
-	bool was_ready = m->ready;
+	bool was_ready = m->inquiry.ready;
 
 	forget_conn(m);
-	m->connect_after = now + RECONNECT_PAUSE;
+	m->inquiry.connect_after = now + INQUIRY_RECONNECT;
 	if (error == ERR_CONNECTION_LIMIT) {
 		m->answered = true; /* it lives, and is full */
 		return;
 	}
 	if (was_ready)
-		m->connect_after = now; /* one more try tells */
+		m->inquiry.connect_after = now; /* one more try tells */
 	else
 		mark_down(k, m, "refused", out);
 	change_check(k, now, out);
@@ -355,18 +373,15 @@
 static void check_silence(struct keeper *k, struct kept_member *m, hm_time now,
 			  struct proxy_output *out)
 {
-	hm_time silent = k->site.options->keeper_silent;
+	bool was_ready = m->inquiry.ready;
 
-	if (!m->conn)
+	if (!inquiry_is_silent(&m->inquiry, k->site.options->keeper_silent,
+			       now))
 		return;
-	if (m->ready && m->asked_at && now - m->asked_at > silent) {
-		kept_disconnect(m, out);
-		m->connect_after = now;
-	} else if (!m->ready && now - m->opened_at > silent) {
-		kept_disconnect(m, out);
-		m->connect_after = now;
+	kept_disconnect(m, out);
+	m->inquiry.connect_after = now;
+	if (!was_ready)
 		mark_down(k, m, "silent", out);
-	}
 }
 
 void keeper_tick(struct keeper *k, hm_time now, struct proxy_output *out)
@@ -380,9 +395,7 @@
 	kept_drop_unlisted(k, out);
 	if (now >= k->ask_at) {
 		k->ask_at = now + k->site.options->keeper_every;
-		/* Nobody leads: the wants are answered without a sample. */
-		if (!kept_primary(k))
-			keeper_answer_wants(k, k->order, (struct mark){ 0 });
+		keeper_answer_unproved(k);
 		ask_all(k, now, out);
 	}
 	change_check(k, now, out);
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -35,6 +35,8 @@
 /** Members as registered. */
 void keeper_members(struct keeper *k, const struct site_members *members,
 		    hm_time now, struct proxy_output *out);
+/** Whether a commit of the service waits for a replica; it does at first. */
+void keeper_sync(struct keeper *k, bool sync);
 /** Somebody wants a view; the answer comes by keeper_next_view(). */
 void keeper_want(struct keeper *k, uint64_t from, uint64_t seq);
 
--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -77,7 +77,8 @@
 
 		if (!m->told_held && !m->status.held)
 			continue;
-		if (!kept_command(m, ASKED_HOLD, MEMBER_RESUME, 0, now, out))
+		if (!inquiry_ask(&m->inquiry, ASKED_HOLD, MEMBER_RESUME, 0, now,
+				 out))
 			continue;
 		m->told_held = 0;
 		m->held_since = 0;
@@ -164,8 +165,8 @@
 		if (!choice_is_held_back(k, m))
 			continue;
 		if (m->told_held != k->hold_term &&
-		    kept_command(m, ASKED_HOLD, MEMBER_HOLD, k->hold_term, now,
-				 out))
+		    inquiry_ask(&m->inquiry, ASKED_HOLD, MEMBER_HOLD,
+				k->hold_term, now, out))
 			m->told_held = k->hold_term;
 		if (!m->known || m->status.held != k->hold_term)
 			all = false;
--- a/core/keeper_members.c
+++ b/core/keeper_members.c
@@ -19,6 +19,7 @@
 	kept_disconnect(m, out);
 	m->leads = false;
 	m->held_since = 0;
+	m->shown = (struct standing_answer){ 0 };
 }
 
 /*
@@ -32,7 +33,7 @@
 	for (i = k->member_count; i-- > 0;) {
 		struct kept_member *m = &k->members[i];
 
-		if (!m->unlisted || (m->ready && m->up))
+		if (!m->unlisted || (m->inquiry.ready && m->up))
 			continue;
 		departed_add(k, m);
 		proxy_log(out, "event=member_departed member=%s service=%s",
--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -6,10 +6,11 @@
 #ifndef KEEPER_STATE_H
 #define KEEPER_STATE_H
 
+#include "inquiry.h"
 #include "keeper.h"
+#include "standing.h"
 
 #define WANTS_MAX 64
-#define ASKED_MAX 12
 
 /** Steps of a change of the primary, in their order. */
 enum change_step {
@@ -27,19 +28,15 @@
 
 struct kept_member {
 	struct site_member spec;
-	uint64_t conn; /**< 0: none */
-	bool ready;    /**< the connection is */
-	hm_time connect_after;
+	struct inquiry inquiry;
 	hm_time status_at; /**< when its state is asked next */
-	hm_time asked_at;  /**< oldest unanswered question, 0 for none */
-	hm_time opened_at; /**< when the connection was begun */
-	enum asked asked[ASKED_MAX];
-	uint32_t asked_count;
-	bool unlisted; /**< its entry is gone, it answers all the same */
-	bool up;       /**< answered the last question, or is being asked */
-	bool answered; /**< since this instance keeps the service */
-	bool leads;    /**< proved by its last answer */
-	uint64_t lead_order; /**< of the last question whether it leads */
+	bool unlisted;	   /**< its entry is gone, it answers all the same */
+	bool up;	   /**< answered the last question, or is being asked */
+	bool answered;	   /**< since this instance keeps the service */
+	bool leads;	   /**< proved by its last answer */
+	uint64_t lead_order;  /**< of the last question whether it leads */
+	uint64_t state_order; /**< of the last question of its state */
+	struct standing_answer shown;
 	bool known; /**< status was heard since the connection is ready */
 	struct member_status status;
 	struct mark lead_at; /**< position at the last proof */
@@ -78,6 +75,7 @@
 	char service_name[NAME_BYTES];
 	struct keeper_site site;
 	bool active;
+	bool sync; /**< a commit waits for a replica */
 	struct kept_member members[ENDPOINTS_MAX];
 	uint32_t member_count;
 	struct departed departed[DEPARTED_MAX];
@@ -113,10 +111,6 @@
 void kept_drop_unlisted(struct keeper *k, struct proxy_output *out);
 /** The member that leads and answers, NULL when there is none. */
 struct kept_member *kept_primary(struct keeper *k);
-/** Sends a step on a member's connection; false when it has none. */
-bool kept_command(struct kept_member *m, enum asked asked,
-		  enum member_command_kind kind, uint64_t term, hm_time now,
-		  struct proxy_output *out);
 /** The primary answered: what it has now is all that departed ones had. */
 void departed_lead(struct keeper *k, const struct kept_member *primary);
 /** A replica told what it has received. */
@@ -127,8 +121,10 @@
 void departed_back(struct keeper *k, hm_id endpoint);
 /** Whether one of them may hold commits that the others lack. */
 bool departed_matter(const struct keeper *k);
-/** Answers the wants that came before the question @a asked. */
-void keeper_answer_wants(struct keeper *k, uint64_t asked, struct mark sample);
+/** Answers the wants for which the primary's position is proved. */
+void keeper_answer_proved(struct keeper *k);
+/** Answers, without a sample, those for which the proof is overdue. */
+void keeper_answer_unproved(struct keeper *k);
 /** Tells all instances what is known now. */
 void keeper_announce(struct keeper *k);
 /** Whether every acknowledged commit is held by a member that answers. */
--- a/core/keeper_view.c
+++ b/core/keeper_view.c
@@ -55,7 +55,7 @@
 }
 
 /* Answers the wants that came before a question. */
-void keeper_answer_wants(struct keeper *k, uint64_t asked, struct mark sample)
+static void answer_wants(struct keeper *k, uint64_t asked, struct mark sample)
 {
 	struct service_view v;
 	uint32_t i, kept = 0;
@@ -73,6 +73,41 @@
 	k->want_count = kept;
 }
 
+/* Newest question since which the primary led alone, 0 for none. */
+static uint64_t stood_since(const struct keeper *k,
+			    const struct kept_member *primary)
+{
+	struct standing_answer others[ENDPOINTS_MAX + DEPARTED_MAX] = { 0 };
+	uint64_t since, asked = primary->shown.asked;
+	uint32_t i, n = 0;
+
+	if (k->site.options->guards_off & PROXY_GUARD_STANDING)
+		return asked;
+	for (i = 0; i < k->member_count; i++)
+		if (&k->members[i] != primary)
+			others[n++] = k->members[i].shown;
+	/* Those that are gone answer nothing, and may lead elsewhere. */
+	n += k->departed_count;
+	since = standing_since(others, n, primary->lead_at.term, k->sync);
+	return since < asked ? since : asked;
+}
+
+void keeper_answer_proved(struct keeper *k)
+{
+	const struct kept_member *primary = kept_primary(k);
+
+	if (primary && k->want_count)
+		answer_wants(k, stood_since(k, primary), primary->lead_at);
+}
+
+void keeper_answer_unproved(struct keeper *k)
+{
+	const struct kept_member *primary = kept_primary(k);
+
+	answer_wants(k, primary ? primary->shown.asked : k->order,
+		     (struct mark){ 0 });
+}
+
 void keeper_want(struct keeper *k, uint64_t from, uint64_t seq)
 {
 	uint32_t i;
--- a/core/pool.c
+++ b/core/pool.c
@@ -13,6 +13,9 @@
 		abort();
 	p->site = site;
 	p->turns = turns_new();
+	p->check = lead_check_new(
+		member->endpoint,
+		(struct lead_check_site){ site.options, site.next_conn });
 	pool_member(p, member, connections, now);
 	return p;
 }
@@ -38,6 +41,7 @@
 			job_free(p->conns[i].job);
 	}
 	turns_free(p->turns);
+	lead_check_free(p->check);
 	free(p->jobs);
 	free(p->conns);
 	free(p->ended);
@@ -65,6 +69,11 @@
 	return p->member.service;
 }
 
+struct lead_check *pool_check(const struct pool *p)
+{
+	return p->check;
+}
+
 static bool has_connection(const struct pool *p, hm_id account)
 {
 	uint32_t i;
@@ -76,6 +85,13 @@
 	return false;
 }
 
+/* A read, or the transaction of one, that misses nothing of a later term. */
+static bool must_stand(const struct run_order *o)
+{
+	return o->lead && (o->scope == RUN_FIRST ||
+			   (o->scope == RUN_SINGLE && !o->writes));
+}
+
 /* Why a new statement is not taken in, ERR_NONE when it is. */
 static enum error refusal(const struct pool *p, const struct run_order *o,
 			  hm_time now, hm_time *retry_at)
@@ -90,6 +106,10 @@
 		return ERR_NO_ENDPOINT;
 	if (p->down && now < p->connect_after)
 		return ERR_NO_ENDPOINT;
+	if (must_stand(o) && lead_check_fails(p->check, now)) {
+		*retry_at = now + UNPROVED_RETRY;
+		return ERR_NO_PRIMARY;
+	}
 	/* One waits for a connection already: a second one would in vain. */
 	if (p->parked && !has_connection(p, o->account))
 		return ERR_OVERLOADED;
@@ -111,6 +131,8 @@
 		abort();
 	j->order = run_order_copy(order);
 	j->reply_to = reply_to;
+	if (must_stand(order))
+		j->ticket = lead_check_begin(p->check, now, out);
 	error = refusal(p, order, now, &retry_at);
 	if (error) {
 		job_refuse(p, j, error, EXEC_NOT_RUN, retry_at, now);
@@ -170,15 +192,20 @@
 
 bool pool_has(const struct pool *p, uint64_t conn)
 {
-	return conn_find(p, conn) != NULL;
+	return conn_find(p, conn) || lead_check_has(p->check, conn);
 }
 
 void pool_ready(struct pool *p, uint64_t conn, hm_time now,
 		struct proxy_output *out)
 {
 	struct pool_conn *c = conn_find(p, conn);
-	struct job *j = c->job;
+	struct job *j;
 
+	if (!c) {
+		lead_check_ready(p->check, conn, now, out);
+		return;
+	}
+	j = c->job;
 	p->down = false;
 	p->connect_pause = 0;
 	c->job = NULL;
@@ -193,7 +220,14 @@
 		  const struct member_reply *reply, hm_time now,
 		  struct proxy_output *out)
 {
-	conn_replied(p, conn_find(p, conn), reply, now, out);
+	struct pool_conn *c = conn_find(p, conn);
+
+	if (c) {
+		conn_replied(p, c, reply, now, out);
+	} else {
+		lead_check_replied(p->check, conn, reply, now, out);
+		conns_prove(p, now, out);
+	}
 	pool_dispatch(p, now, out);
 	conns_sweep(p);
 }
@@ -242,6 +276,10 @@
 {
 	struct pool_conn *c = conn_find(p, conn);
 
+	if (!c) {
+		lead_check_closed(p->check, conn, now);
+		return;
+	}
 	if (c->phase == PHASE_CONNECTING) {
 		connect_failed(p, error, now);
 		if (error == ERR_CONNECTION_LIMIT || error == ERR_OVERLOADED)
@@ -291,6 +329,12 @@
 		conn_drop(p, c, ERR_NONE, now, out);
 		return;
 	case PHASE_SETUP:
+		if (!c->expect_count) {
+			if (since > LEAD_PROOF_LIMIT)
+				conn_unproved(p, c, now, out);
+			return;
+		}
+		/* fallthrough */
 	case PHASE_CLEARING:
 		if (since > SETUP_SILENT)
 			conn_drop(p, c, ERR_NONE, now, out);
@@ -318,6 +362,8 @@
 {
 	uint32_t i;
 
+	lead_check_tick(p->check, now, out);
+	conns_prove(p, now, out);
 	jobs_end(p, is_late, &now, ERR_OVERLOADED, now);
 	job_end_parked(p, now);
 	for (i = 0; i < p->conn_count; i++)
@@ -343,6 +389,7 @@
 		if (p->conns[i].phase != PHASE_CLOSED)
 			conn_drop(p, &p->conns[i], ERR_NONE, now, out);
 	conns_sweep(p);
+	lead_check_close(p->check, out);
 }
 
 void pool_load(const struct pool *p, struct pool_load *out)
--- a/core/pool_conn.c
+++ b/core/pool_conn.c
@@ -137,27 +137,78 @@
 	job_refuse(p, j, failed, EXEC_NOT_RUN, 0, now);
 }
 
-static void setup_done(struct pool *p, struct pool_conn *c, hm_time now,
-		       struct proxy_output *out)
+/* The statement is not sent; the connection is as it was. */
+static void refuse_setup(struct pool *p, struct pool_conn *c, enum error error,
+			 hm_time retry_at, hm_time now,
+			 struct proxy_output *out)
 {
 	struct job *j = c->job;
-	enum error failed = c->failed;
 
-	if (!failed) {
-		send_statement(c, now, out);
-		return;
-	}
-	if (c->unsound) {
-		give_up(p, c, now, out);
-		return;
-	}
-	/* A member that refuses to begin leaves the connection as it was. */
 	release_job(c);
 	if (c->tx.seq)
 		conn_clear(c, now, out);
 	else
 		conn_phase(c, PHASE_IDLE, now);
-	job_refuse(p, j, failed, EXEC_NOT_RUN, 0, now);
+	job_refuse(p, j, error, EXEC_NOT_RUN, retry_at, now);
+}
+
+static void log_unproved(const struct pool *p, const struct pool_conn *c,
+			 const char *reason, struct proxy_output *out)
+{
+	proxy_log(out,
+		  "event=lead_unproved request=%s member=%s term=%llu "
+		  "ticket=%llu reason=%s",
+		  c->job->order->request, p->member.name,
+		  (unsigned long long)c->lead_term,
+		  (unsigned long long)c->job->ticket, reason);
+}
+
+static void refuse_unproved(struct pool *p, struct pool_conn *c,
+			    const char *reason, hm_time now,
+			    struct proxy_output *out)
+{
+	log_unproved(p, c, reason, out);
+	refuse_setup(p, c, ERR_NO_PRIMARY, now + UNPROVED_RETRY, now, out);
+}
+
+/* Sends or refuses the statement, or waits for the proof of the lead. */
+static void setup_done(struct pool *p, struct pool_conn *c, hm_time now,
+		       struct proxy_output *out)
+{
+	if (c->unsound) {
+		give_up(p, c, now, out);
+		return;
+	}
+	if (c->failed) {
+		refuse_setup(p, c, c->failed, 0, now, out);
+		return;
+	}
+	switch (lead_check_proof(p->check, c->job->ticket, c->lead_term)) {
+	case LEAD_PROVED:
+		send_statement(c, now, out);
+		break;
+	case LEAD_OPEN:
+		break;
+	case LEAD_REFUTED:
+		refuse_unproved(p, c, "superseded", now, out);
+		break;
+	}
+}
+
+void conns_prove(struct pool *p, hm_time now, struct proxy_output *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->conn_count; i++)
+		if (p->conns[i].phase == PHASE_SETUP &&
+		    !p->conns[i].expect_count)
+			setup_done(p, &p->conns[i], now, out);
+}
+
+void conn_unproved(struct pool *p, struct pool_conn *c, hm_time now,
+		   struct proxy_output *out)
+{
+	refuse_unproved(p, c, "no_answer", now, out);
 }
 
 void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
@@ -193,7 +244,7 @@
 	if (o->scope != RUN_INSIDE)
 		conn_begin(p, c, o, floor, out);
 	if (!c->expect_count)
-		send_statement(c, now, out);
+		setup_done(p, c, now, out);
 }
 
 /* Ends the job with the answer and tells what the connection is now. */
@@ -246,6 +297,7 @@
 		c->unsound |= reply->error != ERR_NONE;
 		/* fallthrough */
 	case EXPECT_BEGIN:
+		c->lead_term = reply->at.term;
 		if (reply->error && !c->failed)
 			c->failed = reply->error;
 		break;
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -24,6 +24,10 @@
 #define CONNECTION_LIMIT_PAUSE (50 * HM_MS)
 /* A member that was full may have a free connection again after this. */
 #define FULL_VALID (150 * HM_MS)
+/* A lead that is not proved by then is refused. */
+#define LEAD_PROOF_LIMIT (400 * HM_MS)
+/* Come back when a lead was not proved: half of a short change of primary. */
+#define UNPROVED_RETRY (150 * HM_MS)
 /* Connections left to the keeper and to a home that takes over. */
 #define CONNECTIONS_SPARED 2
 
@@ -51,7 +55,8 @@
 	struct run_order *order;
 	uint64_t reply_to;
 	struct turn turn;
-	bool popped; /**< the turn was taken and is to be ended */
+	bool popped;	 /**< the turn was taken and is to be ended */
+	uint64_t ticket; /**< of the check that the member leads, 0: none */
 	hm_time started_at;
 };
 
@@ -60,6 +65,7 @@
 	enum conn_phase phase;
 	hm_id account;
 	struct job *job;
+	uint64_t lead_term; /**< told by its last BEGIN */
 	struct rid tx;	    /**< open on it, seq 0 for none */
 	hm_time idle_until; /**< PHASE_OPEN */
 	hm_time since;	    /**< of the phase */
@@ -85,6 +91,7 @@
 	uint32_t connections; /**< most, of all instances */
 	hm_time leaving_since;
 	struct turns *turns;
+	struct lead_check *check;
 	struct job **jobs; /**< queued, by handle; NULL is free */
 	uint32_t job_room;
 	struct job *parked; /**< has its turn, waits for a connection */
@@ -152,6 +159,11 @@
 			    hm_time now, struct proxy_output *out);
 struct pool_conn *conn_find(const struct pool *p, uint64_t number);
 struct pool_conn *conn_of_tx(const struct pool *p, struct rid tx);
+/** Statements that waited for the proof that the member leads go on. */
+void conns_prove(struct pool *p, hm_time now, struct proxy_output *out);
+/** Refuses the statement of a connection whose proof does not come. */
+void conn_unproved(struct pool *p, struct pool_conn *c, hm_time now,
+		   struct proxy_output *out);
 void conn_replied(struct pool *p, struct pool_conn *c,
 		  const struct member_reply *reply, hm_time now,
 		  struct proxy_output *out);
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -28,6 +28,7 @@
 	MEMBER_STATUS,
 	MEMBER_HOLD, /**< receive nothing under terms below @a term */
 	MEMBER_RESUME,
+	MEMBER_STEP_DOWN, /**< lead no more under terms below @a term */
 	MEMBER_STATEMENT,
 	MEMBER_COMMAND_COUNT
 };
@@ -36,7 +37,7 @@
 struct member_command {
 	enum member_command_kind kind;
 	enum statement_op op; /**< MEMBER_STATEMENT */
-	uint64_t term;	      /**< MEMBER_HOLD */
+	uint64_t term;	      /**< MEMBER_HOLD, MEMBER_STEP_DOWN */
 	struct mark floor;    /**< the log must hold it, term 0: any */
 	char request[REQUEST_ID_BYTES]; /**< MEMBER_STATEMENT */
 	char *name;
@@ -227,12 +228,13 @@
 
 /** Guards that mutation tests switch off one at a time. */
 enum proxy_guard {
-	PROXY_GUARD_LEAD = 1,	 /**< a read at the primary proves it leads */
-	PROXY_GUARD_FLOOR = 2,	 /**< a read at a replica names a position */
-	PROXY_GUARD_VALUES = 4,	 /**< a connection has its session's values */
-	PROXY_GUARD_HOLD = 8,	 /**< replicas are held before a promote */
-	PROXY_GUARD_ONCE = 16,	 /**< what may have run is not sent again */
-	PROXY_GUARD_CONFIRM = 32 /**< no commit is kept that may be undone */
+	PROXY_GUARD_LEAD = 1,	  /**< a read at the primary proves it leads */
+	PROXY_GUARD_FLOOR = 2,	  /**< a read at a replica names a position */
+	PROXY_GUARD_VALUES = 4,	  /**< a connection has its session's values */
+	PROXY_GUARD_HOLD = 8,	  /**< replicas are held before a promote */
+	PROXY_GUARD_ONCE = 16,	  /**< what may have run is not sent again */
+	PROXY_GUARD_CONFIRM = 32, /**< no commit is kept that may be undone */
+	PROXY_GUARD_STANDING = 64 /**< no read of a superseded primary */
 };
 
 void proxy_options_default(struct proxy_options *o);
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -37,7 +37,7 @@
 static void take_run(struct proxy *p, const struct message *m, hm_time now,
 		     struct proxy_output *out)
 {
-	struct pool *pool = services_pool(p, m->run->endpoint, now);
+	struct pool *pool = services_pool(p, m->run->endpoint, now, out);
 	struct run_result r = { .id = m->run->id,
 				.endpoint = m->run->endpoint,
 				.error = ERR_NO_ENDPOINT,
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -240,7 +240,8 @@
 			    hm_time now, struct proxy_output *out);
 struct service_state *services_view(const struct proxy *p, hm_id service);
 struct keeper *services_keeper(const struct proxy *p, hm_id service);
-struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now);
+struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now,
+			   struct proxy_output *out);
 void services_tick(struct proxy *p, hm_time now, struct proxy_output *out);
 void services_free(struct proxy *p);
 
--- a/core/services.c
+++ b/core/services.c
@@ -137,12 +137,25 @@
 	return s ? s->connections : 0;
 }
 
-static void update_pools(struct proxy *p, hm_time now)
+/* Who else may lead the service of a pool. */
+static void update_check(const struct proxy *p, struct pool *pool,
+			 struct proxy_output *out)
+{
+	const struct service_spec *s =
+		site_service(p->config, pool_service(pool));
+
+	lead_check_sync(pool_check(pool), !s || s->sync_replicas);
+	lead_check_members(pool_check(pool), p->members, pool_service(pool),
+			   out);
+}
+
+static void update_pools(struct proxy *p, hm_time now, struct proxy_output *out)
 {
 	const struct site_member *m;
 	uint32_t i;
 
 	for (i = 0; i < p->pool_count; i++) {
+		update_check(p, p->pools[i], out);
 		m = site_members_find(p->members, pool_endpoint(p->pools[i]));
 		if (m)
 			pool_member(p->pools[i], m, connections_of(p, m), now);
@@ -163,9 +176,12 @@
 	p->config = c;
 	p->behind_since[DOCUMENT_CONFIG] = 0;
 	apply_accounts(p, c, now, out);
-	for (i = 0; i < c->service_count; i++)
+	for (i = 0; i < c->service_count; i++) {
 		add_service(p, c->services[i].service, now, out);
-	update_pools(p, now);
+		keeper_sync(services_keeper(p, c->services[i].service),
+			    c->services[i].sync_replicas > 0);
+	}
+	update_pools(p, now, out);
 	proxy_log(out,
 		  "event=config version=%llu before=%llu routes=%u accounts=%u",
 		  (unsigned long long)c->version, (unsigned long long)old,
@@ -226,7 +242,7 @@
 
 	for (i = 0; i < p->service_count; i++)
 		keeper_members(p->keepers[i], p->members, now, out);
-	update_pools(p, now);
+	update_pools(p, now, out);
 }
 
 void services_apply_members(struct proxy *p, struct site_members *m,
@@ -267,7 +283,8 @@
 		members_changed(p, now, out);
 }
 
-struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now)
+struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now,
+			   struct proxy_output *out)
 {
 	const struct site_member *m = site_members_find(p->members, endpoint);
 	struct pool_site site = { &p->options, NULL, &p->next_conn };
@@ -282,8 +299,10 @@
 	p->pools = realloc(p->pools, (p->pool_count + 1) * sizeof(void *));
 	if (!p->pools)
 		abort();
-	p->pools[p->pool_count] = pool_new(m, connections_of(p, m), site, now);
-	return p->pools[p->pool_count++];
+	p->pools[p->pool_count++] =
+		pool_new(m, connections_of(p, m), site, now);
+	update_check(p, p->pools[p->pool_count - 1], out);
+	return p->pools[p->pool_count - 1];
 }
 
 static void tick_pools(struct proxy *p, hm_time now, struct proxy_output *out)
--- /dev/null
+++ b/core/standing.h
@@ -0,0 +1,31 @@
+/**
+ * @file standing.h
+ * Whether the term of a primary stood: no member of a later term had
+ * acknowledged a commit. A superseded primary goes on to answer for as long
+ * as nobody steps it down, so that it cannot prove this itself; the other
+ * members can.
+ */
+#ifndef STANDING_H
+#define STANDING_H
+
+#include "types.h"
+
+/** What a member other than the primary showed; orders are the asker's. */
+struct standing_answer {
+	uint64_t asked;	      /**< question that it answered last, 0 for none */
+	uint64_t term;	      /**< of the log that it has applied */
+	uint64_t state_asked; /**< the same for questions of its state */
+	uint64_t received_term; /**< of the log that it has received */
+};
+
+/**
+ * Newest question such that nothing of a term later than @a term had been
+ * acknowledged when it was asked. A new primary shows its term at once, which
+ * all others together disprove. With @a sync each acknowledged commit has been
+ * received by two members, so that the states of all others but one do so too.
+ * @return 0 without proof
+ */
+uint64_t standing_since(const struct standing_answer *others, uint32_t count,
+			uint64_t term, bool sync);
+
+#endif
--- a/standin/line_members.c
+++ b/standin/line_members.c
@@ -16,6 +16,7 @@
 	char address[ADDRESS_BYTES];
 	GThread *thread;
 	bool dead;
+	bool frozen;
 	uint64_t held;
 	GPtrArray *threads; /* of connections */
 	GArray *fds;	    /* of open connections */
@@ -30,6 +31,12 @@
 	uint64_t pos;
 	uint64_t runs;
 	int primary;
+	GCond thawed;
+	bool go_on;
+	int old; /* primary that goes on, -1 for none */
+	uint64_t old_term;
+	uint64_t old_pos;
+	GHashTable *old_values;
 };
 
 /* One connection; belongs to its thread. */
@@ -70,12 +77,25 @@
 	g_free(text);
 }
 
-static void say_ready(struct conn *c)
+static bool is_old(const struct conn *c)
 {
-	struct line_members *m = c->member->set;
+	return c->member->set->old == c->member->index;
+}
 
+static uint64_t term_of(const struct conn *c)
+{
+	return is_old(c) ? c->member->set->old_term : c->member->set->term;
+}
+
+static uint64_t pos_of(const struct conn *c)
+{
+	return is_old(c) ? c->member->set->old_pos : c->member->set->pos;
+}
+
+static void say_ready(struct conn *c)
+{
 	say(c, "READY %c %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "\r\n",
-	    c->open ? 'T' : 'I', m->term, m->pos);
+	    c->open ? 'T' : 'I', term_of(c), pos_of(c));
 }
 
 static void done(struct conn *c, const char *receipt)
@@ -92,7 +112,7 @@
 
 static bool leads(const struct conn *c)
 {
-	return c->member->set->primary == c->member->index;
+	return c->member->set->primary == c->member->index || is_old(c);
 }
 
 static void apply(struct line_members *m, GPtrArray *writes)
@@ -118,7 +138,9 @@
 
 static void run_read(struct conn *c, const char *item)
 {
-	const char *value = g_hash_table_lookup(c->member->set->values, item);
+	const struct line_members *m = c->member->set;
+	const char *value = g_hash_table_lookup(
+		is_old(c) ? m->old_values : m->values, item);
 
 	say(c, "ROW %s\r\n", value ? value : "");
 	ran(c);
@@ -130,6 +152,10 @@
 		refuse(c, "READONLY");
 		return;
 	}
+	if (!c->open && is_old(c)) {
+		refuse(c, "TIMEOUT"); /* no replica receives it */
+		return;
+	}
 	g_ptr_array_add(c->writes, g_strdup(item));
 	g_ptr_array_add(c->writes, g_strdup(value));
 	if (!c->open)
@@ -169,6 +195,12 @@
 		refuse(c, "READONLY");
 		return;
 	}
+	if (is_old(c) && c->writes->len) {
+		g_ptr_array_set_size(c->writes, 0);
+		c->open = false;
+		refuse(c, "TIMEOUT");
+		return;
+	}
 	apply(c->member->set, c->writes);
 	c->open = false;
 	ran(c);
@@ -176,16 +208,21 @@
 
 static void run_status(struct conn *c)
 {
-	struct line_members *m = c->member->set;
-
 	say(c,
 	    "ROW %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
 	    ".%" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT " 0 0 1\r\n",
-	    leads(c) ? "primary" : "replica", m->term, m->term, m->pos,
+	    leads(c) ? "primary" : "replica", term_of(c), term_of(c), pos_of(c),
 	    c->member->held);
 	done(c, "-");
 }
 
+static void run_step_down(struct conn *c, uint64_t term)
+{
+	if (is_old(c) && term > c->member->set->old_term)
+		c->member->set->old = -1;
+	run_status(c);
+}
+
 static void run_text(struct conn *c, char **words)
 {
 	char *rest;
@@ -222,6 +259,8 @@
 	} else if (!strcmp(words[0], "RESUME")) {
 		c->member->held = 0;
 		run_status(c);
+	} else if (!strcmp(words[0], "STEPDOWN")) {
+		run_step_down(c, g_ascii_strtoull(words[1], NULL, 10));
 	} else if (!strcmp(words[0], "STATUS")) {
 		run_status(c);
 	} else {
@@ -252,6 +291,8 @@
 	line[strcspn(line, "\r\n")] = '\0';
 	words = g_strsplit(line, " ", 8);
 	g_mutex_lock(&m->lock);
+	while (c->member->frozen && !c->member->dead)
+		g_cond_wait(&m->thawed, &m->lock);
 	if (!*admitted)
 		*admitted = ok = admit(c, words);
 	else
@@ -326,9 +367,13 @@
 
 	g_strlcpy(m->service, service, sizeof(m->service));
 	g_mutex_init(&m->lock);
+	g_cond_init(&m->thawed);
 	m->values =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	m->term = 1;
+	m->old = -1;
+	m->old_values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (i = 0; i < LINE_MEMBERS; i++) {
 		struct member *member = &m->list[i];
 
@@ -350,7 +395,10 @@
 
 	if (member->dead)
 		return;
+	g_mutex_lock(&m->lock);
 	member->dead = true;
+	g_cond_broadcast(&m->thawed);
+	g_mutex_unlock(&m->lock);
 	shutdown(member->listener, SHUT_RDWR);
 	g_thread_join(member->thread);
 	close(member->listener);
@@ -374,10 +422,62 @@
 		g_array_unref(m->list[i].fds);
 	}
 	g_hash_table_unref(m->values);
+	g_hash_table_unref(m->old_values);
+	g_cond_clear(&m->thawed);
 	g_mutex_clear(&m->lock);
 	g_free(m);
 }
 
+/* The primary keeps what it has, and goes on with that. */
+static void keep_old(struct line_members *m)
+{
+	GHashTableIter iter;
+	gpointer item, value;
+
+	m->old = m->primary;
+	m->old_term = m->term;
+	m->old_pos = m->pos;
+	g_hash_table_remove_all(m->old_values);
+	g_hash_table_iter_init(&iter, m->values);
+	while (g_hash_table_iter_next(&iter, &item, &value))
+		g_hash_table_insert(m->old_values, g_strdup(item),
+				    g_strdup(value));
+}
+
+void line_members_go_on(struct line_members *m)
+{
+	g_mutex_lock(&m->lock);
+	m->go_on = true;
+	g_mutex_unlock(&m->lock);
+}
+
+bool line_members_two_lead(struct line_members *m)
+{
+	bool two;
+
+	g_mutex_lock(&m->lock);
+	two = m->old >= 0;
+	g_mutex_unlock(&m->lock);
+	return two;
+}
+
+void line_members_freeze(struct line_members *m, int index, bool frozen)
+{
+	g_mutex_lock(&m->lock);
+	m->list[index].frozen = frozen;
+	g_cond_broadcast(&m->thawed);
+	g_mutex_unlock(&m->lock);
+}
+
+void line_members_commit(struct line_members *m, const char *item,
+			 const char *value)
+{
+	g_mutex_lock(&m->lock);
+	g_hash_table_replace(m->values, g_strdup(item), g_strdup(value));
+	m->pos++;
+	g_mutex_unlock(&m->lock);
+}
+
 bool line_members_promote(struct line_members *m, const char *name)
 {
 	bool found = false;
@@ -388,6 +488,10 @@
 		if (strcmp(names[i], name) != 0 || m->list[i].dead)
 			continue;
 		found = true;
+		if (m->old == i)
+			m->old = -1;
+		if (m->go_on && m->primary != i)
+			keep_old(m);
 		m->term += m->primary != i;
 		m->primary = i;
 	}
--- a/standin/line_members.h
+++ b/standin/line_members.h
@@ -2,8 +2,10 @@
  * @file line_members.h
  * Stand-in for the members of one service on the users' platform: one primary
  * and its replicas, in this process, each on a port of loopback. Replicas
- * receive a commit the moment it is made. As much as a test of the whole path
- * needs, and no more.
+ * receive a commit the moment it is made. A primary that another one replaces
+ * leads no more from that moment or, where members go on, until it is told to
+ * step down: it then answers reads from what it had, and commits nothing. As
+ * much as a test of the whole path needs, and no more.
  */
 #ifndef LINE_MEMBERS_H
 #define LINE_MEMBERS_H
@@ -24,7 +26,16 @@
 void line_members_kill(struct line_members *m, int index);
 /** That member leads the next term; false when it does not run. */
 bool line_members_promote(struct line_members *m, const char *name);
-/** Index of the member that leads. */
+/** From now on a replaced primary goes on. */
+void line_members_go_on(struct line_members *m);
+/** Whether a replaced primary still goes on. */
+bool line_members_two_lead(struct line_members *m);
+/** Member @a index answers nothing, on any connection, until it thaws. */
+void line_members_freeze(struct line_members *m, int index, bool frozen);
+/** A commit at the primary by somebody else, acknowledged. */
+void line_members_commit(struct line_members *m, const char *item,
+			 const char *value);
+/** Index of the member that leads the newest term. */
 int line_members_primary(struct line_members *m);
 /** Value of an item as the primary has it; free with g_free(), or NULL. */
 char *line_members_value(struct line_members *m, const char *item);
--- a/tests/proxy_rig.c
+++ b/tests/proxy_rig.c
@@ -10,11 +10,40 @@
 
 #define START (100 * HM_SEC)
 
+/* Takes out the next step of a question to m2 and answers it. */
+static bool answer_replica(struct rig *r)
+{
+	struct member_reply m = { .error = ERR_READ_ONLY, .at = { 1, 50 } };
+	struct proxy_event e = { .kind = PROXY_MEMBER_REPLIED };
+	size_t i;
+
+	for (i = 0; i < r->out.count; i++) {
+		struct proxy_action *a = &r->out.list[i];
+
+		if (a->kind == PROXY_CONNECT &&
+		    !strcmp(a->member.who, "keeper")) {
+			r->asked_conn = a->member.conn;
+			e.kind = PROXY_MEMBER_READY;
+		} else if (a->kind != PROXY_COMMAND ||
+			   a->member.conn != r->asked_conn) {
+			continue;
+		}
+		*a = (struct proxy_action){ .kind = PROXY_LOG };
+		e.member.conn = r->asked_conn;
+		e.member.reply = &m;
+		proxy_step(r->proxy, &e, r->now, &r->out);
+		return true;
+	}
+	return false;
+}
+
 void rig_step(struct rig *r, const struct proxy_event *e)
 {
 	size_t i;
 
 	proxy_step(r->proxy, e, r->now, &r->out);
+	while (answer_replica(r))
+		;
 	memset(r->sent, 0, sizeof(r->sent));
 	for (i = 0; i < r->out.peers.count; i++)
 		r->sent[r->out.peers.list[i].send.message.kind]++;
--- a/tests/proxy_rig.h
+++ b/tests/proxy_rig.h
@@ -2,7 +2,8 @@
  * @file proxy_rig.h
  * One proxy by itself, a primary m1 and a replica m2 of the service "db",
  * the routes "rota" (primary) and "view" (bounded), and the account "acme"
- * whose key is "secret".
+ * whose key is "secret". Asked whether it leads, m2 says no at once; these
+ * questions are left out of the text.
  */
 #ifndef PROXY_RIG_H
 #define PROXY_RIG_H
@@ -17,6 +18,7 @@
 	uint64_t version;
 	uint64_t peer_seq;
 	uint32_t sent[MSG_KIND_COUNT]; /* to peers, by the last step */
+	uint64_t asked_conn;	       /* on which m2 is asked who leads */
 };
 
 void rig_open(struct rig *r);
--- a/tests/proxy_text.c
+++ b/tests/proxy_text.c
@@ -6,11 +6,17 @@
 #define NUM G_GUINT64_FORMAT
 
 static const char *const commands[MEMBER_COMMAND_COUNT] = {
-	[MEMBER_BEGIN] = "begin",	[MEMBER_BEGIN_READ] = "begin_read",
-	[MEMBER_ROLLBACK] = "rollback", [MEMBER_RESET] = "reset",
-	[MEMBER_SET] = "set",		[MEMBER_PREPARE] = "prepare",
-	[MEMBER_STATUS] = "status",	[MEMBER_HOLD] = "hold",
-	[MEMBER_RESUME] = "resume",	[MEMBER_STATEMENT] = "statement",
+	[MEMBER_BEGIN] = "begin",
+	[MEMBER_BEGIN_READ] = "begin_read",
+	[MEMBER_ROLLBACK] = "rollback",
+	[MEMBER_RESET] = "reset",
+	[MEMBER_SET] = "set",
+	[MEMBER_PREPARE] = "prepare",
+	[MEMBER_STATUS] = "status",
+	[MEMBER_HOLD] = "hold",
+	[MEMBER_RESUME] = "resume",
+	[MEMBER_STEP_DOWN] = "step_down",
+	[MEMBER_STATEMENT] = "statement",
 };
 
 static void add_command(GString *to, const struct proxy_action *a)
@@ -19,7 +25,7 @@
 
 	g_string_append_printf(to, "%s %" NUM, commands[c->kind],
 			       a->member.conn);
-	if (c->kind == MEMBER_HOLD)
+	if (c->kind == MEMBER_HOLD || c->kind == MEMBER_STEP_DOWN)
 		g_string_append_printf(to, " %" NUM, c->term);
 	if (c->request[0])
 		g_string_append_printf(to, " %s", c->request);
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -121,8 +121,10 @@
 		f->held = c->term;
 	if (c->kind == MEMBER_RESUME)
 		f->held = 0;
-	if (c->kind == MEMBER_STATUS || c->kind == MEMBER_HOLD ||
-	    c->kind == MEMBER_RESUME) {
+	if (c->kind == MEMBER_STEP_DOWN && f->term < c->term)
+		f->leads = false;
+	if (c->kind == MEMBER_STEP_DOWN || c->kind == MEMBER_STATUS ||
+	    c->kind == MEMBER_HOLD || c->kind == MEMBER_RESUME) {
 		m.has_status = true;
 		m.status.primary = f->leads;
 		m.status.term = f->term;
@@ -153,6 +155,10 @@
 	struct fake *f = fake_of_conn(r, a->member.conn);
 	enum member_command_kind kind = a->member.command.kind;
 
+	if (f && kind == MEMBER_STEP_DOWN)
+		g_string_append_printf(r->text,
+				       "step_down %s %" G_GUINT64_FORMAT "\n",
+				       f->spec.name, a->member.command.term);
 	if (f && (kind == MEMBER_HOLD || kind == MEMBER_RESUME))
 		g_string_append_printf(r->text, "%s %s\n",
 				       kind == MEMBER_HOLD ? "hold" : "resume",
@@ -272,6 +278,93 @@
 }
 END_TEST
 
+/* The promotion of m2 is carried out, and m1 goes on: two lead. */
+static void lead_beside(struct rig *r)
+{
+	r->fakes[1].leads = true;
+	r->fakes[1].term = 2;
+	r->fakes[1].held = 0;
+}
+
+START_TEST(superseded_primary_is_told_until_it_stepped_down)
+{
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	lead_beside(&r);
+	run(&r, 300 * HM_MS);
+	ck_assert_uint_eq(last_view(&r).primary, 2);
+	proxy_text_expect(r.text, "step_down m1 2\n");
+	run(&r, HM_SEC);
+	proxy_text_expect(r.text, "");
+	r.fakes[0].leads = true; /* the order was lost */
+	run(&r, 200 * HM_MS);
+	proxy_text_expect(r.text, "step_down m1 2\n");
+	rig_close(&r);
+}
+END_TEST
+
+/*
+ * The old primary leads for all that it can tell, and the new one is out of
+ * reach: it counts as no primary, and its position is no sample.
+ */
+START_TEST(superseded_primary_is_none_while_the_new_one_is_silent)
+{
+	struct service_view v;
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	lead_beside(&r);
+	run(&r, 200 * HM_MS);
+	r.fakes[0].leads = true;
+	r.fakes[1].dark = true;
+	run(&r, 2 * HM_SEC);
+	last_view(&r);
+	keeper_want(r.keeper, 77, 4);
+	run(&r, 500 * HM_MS);
+	v = last_view(&r);
+	ck_assert_uint_eq(v.seq, 4);
+	ck_assert_uint_eq(v.primary, 0);
+	ck_assert_uint_eq(v.sample.term, 0);
+	rig_close(&r);
+}
+END_TEST
+
+/*
+ * akb-utility: a zone's instances reach the old primary alone. What it holds
+ * proves nothing of what another one has acknowledged since.
+ */
+START_TEST(position_of_a_primary_alone_is_no_sample)
+{
+	struct service_view v;
+	struct rig r;
+
+	rig_open(&r);
+	run(&r, HM_SEC);
+	r.fakes[1].dark = true;
+	r.fakes[2].dark = true;
+	run(&r, HM_SEC);
+	last_view(&r);
+	keeper_want(r.keeper, 77, 4);
+	run(&r, 500 * HM_MS);
+	v = last_view(&r);
+	ck_assert_uint_eq(v.seq, 4);
+	ck_assert_uint_eq(v.primary, 1);
+	ck_assert_uint_eq(v.sample.term, 0);
+	/* One replica's state is enough again. */
+	r.fakes[2].dark = false;
+	run(&r, HM_SEC);
+	keeper_want(r.keeper, 77, 5);
+	run(&r, 500 * HM_MS);
+	v = last_view(&r);
+	ck_assert_uint_eq(v.seq, 5);
+	ck_assert_uint_eq(v.sample.pos, 100);
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(furthest_replica_follows_a_crash)
 {
 	struct rig r;
@@ -617,6 +710,10 @@
 
 	tcase_add_test(tc, calm_service_is_only_watched);
 	tcase_add_test(tc, sample_covers_what_came_before_the_want);
+	tcase_add_test(tc, superseded_primary_is_told_until_it_stepped_down);
+	tcase_add_test(tc,
+		       superseded_primary_is_none_while_the_new_one_is_silent);
+	tcase_add_test(tc, position_of_a_primary_alone_is_no_sample);
 	tcase_add_test(tc, furthest_replica_follows_a_crash);
 	tcase_add_test(tc, dark_primary_is_replaced_after_a_second_connection);
 	tcase_add_test(tc, nobody_is_promoted_past_a_silent_replica);
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -136,10 +136,13 @@
 	platform_lines.write_command(out, &c);
 	c = (struct member_command){ .kind = MEMBER_HOLD, .term = 9 };
 	platform_lines.write_command(out, &c);
+	c = (struct member_command){ .kind = MEMBER_STEP_DOWN, .term = 4 };
+	platform_lines.write_command(out, &c);
 	platform_lines.write_open(out, "huvo", "acme", "i-7f");
 	ck_assert_str_eq(out->str,
 			 "QUERY 5c0e AFTER 3.1207 EXECUTE r1 1a4 two  blanks"
-			 "\r\nQUERY - PAUSE 9\r\nSTARTUP huvo acme i-7f\r\n");
+			 "\r\nQUERY - PAUSE 9\r\nQUERY - STEPDOWN 4\r\n"
+			 "STARTUP huvo acme i-7f\r\n");
 	g_string_free(out, TRUE);
 }
 END_TEST
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -311,6 +311,83 @@
 }
 END_TEST
 
+/* Reads again and again: what is answered is @a expected, never older. */
+static void never_older(const char *item, const char *expected, int times)
+{
+	char *line = g_strdup_printf("QUERY r READ %s", item);
+	char *row = g_strdup_printf("ROW %s|", expected);
+	struct caller c;
+	int i;
+
+	for (i = 0; i < times; i++) {
+		open_session(&c, i % INSTANCES, "rota", "secret");
+		if (strstr(say(&c, line), "COMPLETE"))
+			ck_assert_msg(strstr(c.answer, row) != NULL, "%s",
+				      c.answer);
+		hang_up(&c);
+		g_usleep(POLL_US / 2);
+	}
+	g_free(line);
+	g_free(row);
+}
+
+static void until_one_leads(void)
+{
+	gint64 until = g_get_monotonic_time() + WAIT_US;
+
+	while (line_members_two_lead(bed.members) &&
+	       g_get_monotonic_time() < until)
+		g_usleep(POLL_US);
+	ck_assert(!line_members_two_lead(bed.members));
+}
+
+/* akb-utility, STALE: a replaced primary goes on until it is told. */
+START_TEST(replaced_primary_that_goes_on_serves_no_reads)
+{
+	until_served(0, "rota", "QUERY a0 WRITE shift ann");
+	until_served(1, "rota", "QUERY a1 READ shift");
+	line_members_go_on(bed.members);
+	ck_assert(line_members_promote(bed.members, "i-2"));
+	line_members_commit(bed.members, "shift", "ben");
+	never_older("shift", "ben", 40);
+	until_one_leads();
+	until_served(0, "rota", "QUERY a2 READ shift");
+}
+END_TEST
+
+/* The instances reach the old primary alone; others have replaced it. */
+START_TEST(primary_that_alone_is_reached_serves_no_reads)
+{
+	until_served(0, "rota", "QUERY a0 WRITE shift ann");
+	until_served(1, "rota", "QUERY a1 READ shift");
+	line_members_go_on(bed.members);
+	line_members_freeze(bed.members, 1, true);
+	line_members_freeze(bed.members, 2, true);
+	ck_assert(line_members_promote(bed.members, "i-2"));
+	line_members_commit(bed.members, "shift", "ben");
+	never_older("shift", "ben", 40);
+	ck_assert(line_members_two_lead(bed.members));
+	line_members_freeze(bed.members, 1, false);
+	line_members_freeze(bed.members, 2, false);
+	until_one_leads();
+	until_served(1, "rota", "QUERY a2 READ shift");
+}
+END_TEST
+
+START_TEST(frozen_primary_is_replaced_and_steps_down_once_it_wakes)
+{
+	until_served(0, "rota", "QUERY a0 WRITE shift ann");
+	until_served(1, "rota", "QUERY a1 READ shift");
+	line_members_go_on(bed.members);
+	line_members_freeze(bed.members, 0, true);
+	until_served(0, "rota", "QUERY a2 WRITE shift ben");
+	ck_assert(line_members_two_lead(bed.members));
+	line_members_freeze(bed.members, 0, false);
+	never_older("shift", "ben", 40);
+	until_one_leads();
+}
+END_TEST
+
 /* Asks on a session of its own until the answer begins so. */
 static void until_opened(int instance, const char *database, const char *key,
 			 const char *expected)
@@ -401,6 +478,10 @@
 	tcase_add_test(tc, lines_may_come_in_any_pieces);
 	tcase_add_test(tc, primary_dies);
 	tcase_add_test(tc, primary_is_drained);
+	tcase_add_test(tc, replaced_primary_that_goes_on_serves_no_reads);
+	tcase_add_test(tc, primary_that_alone_is_reached_serves_no_reads);
+	tcase_add_test(tc,
+		       frozen_primary_is_replaced_and_steps_down_once_it_wakes);
 	tcase_add_test(tc, key_and_routes_change);
 	tcase_add_test(tc, change_is_seen_though_watches_are_deaf);
 	tcase_add_test(tc, instance_stops_while_a_transaction_is_open);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -41,6 +41,8 @@
 	g_strlcpy(r->member.service_name, "db", NAME_BYTES);
 	g_strlcpy(r->member.address, "10.0.0.1:1", ADDRESS_BYTES);
 	r->pool = pool_new(&r->member, connections, site, r->now);
+	/* It is the only member: nobody else can lead. */
+	lead_check_sync(pool_check(r->pool), false);
 	r->text = g_string_new(NULL);
 }
 
