Look up the newest token before a promote call that nobody checks

Cause: with RequireFence false the call takes any token. A keeper that was held up between its token and its call would send an older one than was seen; and a call that a partition holds back would arrive after it was given up on. Any HTTP call without an answer is ended by a reset, so that what was held back of it is lost. Without the reset call_without_an_answer_is_reset fails.

--- a/src/duty.c
+++ b/src/duty.c
@@ -8,6 +8,8 @@
 
 #define THREADS_MOST 3
 #define RETRY_PAUSE (30 * HM_MS)
+/* A call leaves this soon after its token was seen to be the newest. */
+#define NEWEST_VALID (100 * HM_MS)
 
 struct duty {
 	struct loop *loop;
@@ -122,11 +124,61 @@
 	http_client_free(http);
 }
 
+/* What is known of a token before its call is made. */
+enum token_state { TOKEN_NEWEST, TOKEN_OLDER, TOKEN_UNKNOWN };
+
+static enum token_state look_up_token(const struct errand *e)
+{
+	const struct duty_options *o = &e->duty->options;
+	struct http_client *http = http_client_new(o->store);
+	hm_time asked_at = loop_now();
+	enum token_state state = TOKEN_UNKNOWN;
+	struct store_object held;
+
+	if (o->api->read(http, STORE_DUTIES, e->service_name,
+			 asked_at + o->call_limit, &held) == STORE_OK) {
+		if (token_of(&held) > e->token)
+			state = TOKEN_OLDER;
+		else if (loop_now() - asked_at <= NEWEST_VALID)
+			state = TOKEN_NEWEST;
+		store_object_clear(&held);
+	}
+	http_client_free(http);
+	return state;
+}
+
+/*
+ * Where nobody refuses an older token than was seen, it is not sent: another
+ * keeper may have taken a newer one while this one held the members.
+ */
+static bool may_call(struct errand *e)
+{
+	static const enum promote_outcome outcomes[] = {
+		[TOKEN_OLDER] = PROMOTE_REJECTED,
+		[TOKEN_UNKNOWN] = PROMOTE_REFUSED,
+	};
+	enum token_state state =
+		e->duty->options.fenced ? TOKEN_NEWEST : look_up_token(e);
+	char token[24];
+
+	if (state == TOKEN_NEWEST)
+		return true;
+	e->outcome = outcomes[state];
+	g_snprintf(token, sizeof(token), "%" G_GUINT64_FORMAT, e->token);
+	log_event(G_LOG_LEVEL_INFO, "promote_withheld", "service",
+		  e->service_name, "token", token, "reason",
+		  state == TOKEN_OLDER ? "older_token" : "store", NULL);
+	return false;
+}
+
 static void promote(struct errand *e)
 {
 	struct duty *d = e->duty;
-	struct http_client *http = http_client_new(d->options.calls);
+	struct http_client *http;
 
+	if (!may_call(e))
+		return;
+	http = http_client_new(d->options.calls);
 	e->outcome = d->options.api->promote(
 		http, d->options.instance, e->service_name, e->endpoint,
 		e->token, loop_now() + d->options.call_limit);
--- a/src/duty.h
+++ b/src/duty.h
@@ -17,7 +17,8 @@
 	const char *store;    /**< "IP:port" of the store */
 	const char *calls;    /**< "IP:port" that takes the promote call */
 	const char *instance; /**< own name, the holder */
-	hm_time token_limit;  /**< a token is taken by then, or is not */
+	bool fenced; /**< that call is refused after one of a newer token */
+	hm_time token_limit; /**< a token is taken by then, or is not */
 	hm_time call_limit;
 };
 
--- a/src/http_call.c
+++ b/src/http_call.c
@@ -4,7 +4,10 @@
 #include <curl/curl.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "log.h"
 #include "loop.h"
 
 #define POLL_MOST_MS 1000
@@ -16,6 +19,7 @@
 	CURL *easy;
 	atomic_bool cancelled;
 	atomic_ulong calls;
+	bool given_up; /**< the call that ends was not answered */
 };
 
 static void init_curl(void)
@@ -110,6 +114,21 @@
 	}
 }
 
+/*
+ * A call that was given up on is not to be carried out later: what a partition
+ * holds back of it is lost once its connection is reset.
+ */
+static int close_socket(void *arg, curl_socket_t fd)
+{
+	const struct linger reset = { .l_onoff = 1 };
+	const struct http_client *c = arg;
+
+	if (c->given_up &&
+	    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)))
+		log_event(G_LOG_LEVEL_WARNING, "http_no_reset", NULL);
+	return close(fd);
+}
+
 static void prepare(struct http_client *c, const char *method, const char *path,
 		    const char *body, GString *into)
 {
@@ -120,6 +139,8 @@
 	curl_easy_setopt(c->easy, CURLOPT_PROTOCOLS_STR, "http");
 	curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(c->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(c->easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+	curl_easy_setopt(c->easy, CURLOPT_CLOSESOCKETDATA, c);
 	curl_easy_setopt(c->easy, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, take_bytes);
 	curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, into);
@@ -156,7 +177,9 @@
 	curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &reply->status);
 	curl_easy_getinfo(c->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
 	reply->sent = connected > 0;
+	c->given_up = !reply->answered;
 	curl_multi_remove_handle(c->multi, c->easy);
+	c->given_up = false;
 	curl_slist_free_all(list);
 }
 
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -366,6 +366,7 @@
 		.store = s->store,
 		.calls = s->promote_calls,
 		.instance = s->instance,
+		.fenced = s->promote_fenced,
 		.token_limit = TOKEN_LIMIT,
 		.call_limit = PROMOTE_LIMIT,
 	};
--- a/src/proxy_settings.c
+++ b/src/proxy_settings.c
@@ -35,6 +35,7 @@
 	FIELD("store", FIELD_ADDRESS, store, true, 0, SIZE(store)),
 	FIELD("promote_calls", FIELD_ADDRESS, promote_calls, true, 0,
 	      SIZE(promote_calls)),
+	FIELD("promote_fenced", FIELD_BOOL, promote_fenced, false, 0, 0),
 	FIELD("log_level", FIELD_TEXT, log_level, false, 0, SIZE(log_level)),
 	FIELD("limits.sessions", FIELD_COUNT, connection_limit, false, 1,
 	      1000000),
@@ -64,6 +65,7 @@
 	snprintf(s->log_level, sizeof(s->log_level), "info");
 	snprintf(s->health_path, sizeof(s->health_path), "/health");
 	snprintf(s->metrics_path, sizeof(s->metrics_path), "/metrics");
+	s->promote_fenced = true;
 	s->connection_limit = 4000;
 	s->drain_limit = 7 * HM_SEC;
 	s->grace = 6 * HM_SEC;
--- a/src/proxy_settings.h
+++ b/src/proxy_settings.h
@@ -24,6 +24,7 @@
 	uint32_t seed_count;
 	char store[ADDRESS_BYTES];
 	char promote_calls[ADDRESS_BYTES];
+	bool promote_fenced; /**< older tokens than the newest are refused */
 	char log_level[16];
 	uint32_t connection_limit; /**< sessions of callers */
 	hm_time drain_limit;	   /**< a leaving member serves for so long */
