Know the term of a new primary by its state until its first commit

Change: the term under which a member leads is that of its state or of its position, whichever is later; who leads by an older term is told to step down only once its state says so. Measured: test_keeper new_primary_leads_before_its_first_commit fails without the change.

--- a/core/keeper.c
+++ b/core/keeper.c
@@ -42,6 +42,17 @@
 	return NULL;
 }
 
+/*
+ * Term under which a member leads. The position names it from the first commit
+ * on; until then its state does.
+ */
+static uint64_t term_led(const struct kept_member *m)
+{
+	uint64_t told = m->status.primary ? m->status.term : 0;
+
+	return told > m->lead_at.term ? told : m->lead_at.term;
+}
+
 struct kept_member *kept_primary(struct keeper *k)
 {
 	struct kept_member *best = NULL;
@@ -50,10 +61,10 @@
 	for (i = 0; i < k->member_count; i++) {
 		struct kept_member *m = &k->members[i];
 
-		if (!m->up || !m->leads || m->lead_at.term < k->term)
+		if (!m->up || !m->leads || term_led(m) < k->term)
 			continue;
-		if (!best || m->lead_at.term > best->lead_at.term ||
-		    (m->lead_at.term == best->lead_at.term &&
+		if (!best || term_led(m) > term_led(best) ||
+		    (term_led(m) == term_led(best) &&
 		     m->lead_order > best->lead_order))
 			best = m;
 	}
@@ -232,7 +243,7 @@
 		struct kept_member *m = &k->members[i];
 
 		if (m == leader || !m->leads ||
-		    m->lead_at.term > leader->lead_at.term ||
+		    term_led(m) > term_led(leader) ||
 		    m->lead_order > leader->lead_order)
 			continue;
 		m->leads = false;
@@ -244,15 +255,15 @@
 static void took_lead(struct keeper *k, struct kept_member *m,
 		      struct proxy_output *out)
 {
-	if (m->lead_at.term > k->term)
-		k->term = m->lead_at.term;
+	if (term_led(m) > k->term)
+		k->term = term_led(m);
 	disprove_others(k, m, out);
 	if (k->primary == m->spec.endpoint)
 		return;
 	k->primary = m->spec.endpoint;
 	proxy_log(out, "event=primary service=%s member=%s term=%llu pos=%llu",
 		  k->service_name, m->spec.name,
-		  (unsigned long long)m->lead_at.term,
+		  (unsigned long long)term_led(m),
 		  (unsigned long long)m->lead_at.pos);
 	keeper_announce(k);
 }
@@ -268,8 +279,22 @@
 	proxy_log(out,
 		  "event=step_down service=%s member=%s term=%llu newest=%llu",
 		  k->service_name, m->spec.name,
-		  (unsigned long long)m->lead_at.term,
-		  (unsigned long long)k->term);
+		  (unsigned long long)term_led(m), (unsigned long long)k->term);
+}
+
+/* It leads, by its last answer and by what is known of its term. */
+static void take_leader(struct keeper *k, struct kept_member *m, hm_time now,
+			struct proxy_output *out)
+{
+	if (term_led(m) >= k->term) {
+		took_lead(k, m, out);
+		if (kept_primary(k) == m)
+			departed_lead(k, m);
+	} else if (m->known && m->status.primary) {
+		step_down(k, m, now, out);
+	} else {
+		m->status_at = now; /* its term is not known yet */
+	}
 }
 
 static void take_lead_answer(struct keeper *k, struct kept_member *m,
@@ -285,13 +310,7 @@
 	m->leads = !r->error && r->at.term;
 	if (m->leads) {
 		m->lead_at = r->at;
-		if (r->at.term < k->term) {
-			step_down(k, m, now, out);
-			return;
-		}
-		took_lead(k, m, out);
-		if (kept_primary(k) == m)
-			departed_lead(k, m);
+		take_leader(k, m, now, out);
 	} else if (led) {
 		proxy_log(out, "event=lead_lost service=%s member=%s",
 			  k->service_name, m->spec.name);
@@ -300,7 +319,8 @@
 }
 
 static void take_status(struct keeper *k, struct kept_member *m,
-			const struct member_reply *r, hm_time now)
+			const struct member_reply *r, hm_time now,
+			struct proxy_output *out)
 {
 	if (!r->has_status)
 		return; /* busy: alive, and nothing is known */
@@ -312,6 +332,8 @@
 		departed_received(k, r->status.received);
 	if (r->status.term > k->term)
 		k->term = r->status.term;
+	if (r->status.primary && m->leads)
+		take_leader(k, m, now, out);
 	if (!r->status.held)
 		m->held_since = 0;
 	else if (!m->held_since)
@@ -343,7 +365,7 @@
 			m->first_lead = m->lead_at;
 		m->fresh_lead = m->leads && !old;
 	} else if (asked == ASKED_STATUS || asked == ASKED_HOLD) {
-		take_status(k, m, reply, now);
+		take_status(k, m, reply, now, out);
 		m->fresh_status |= reply->has_status && !old;
 	}
 	keeper_answer_proved(k);
