Leave the rotation behind a partition that others serve better

A zone that is cut off refuses most of what it is asked since reads need the proof of another zone's member.

--- a/core/proxy.c
+++ b/core/proxy.c
@@ -181,6 +181,7 @@
 static void set_ready(struct proxy *p, hm_time now, struct proxy_output *out)
 {
 	bool ready = p->config && p->members && !proxy_stopping(p) &&
+		     !p->partitioned_since &&
 		     now - p->started_at >= READY_AFTER;
 
 	if (ready == p->ready)
@@ -235,6 +236,7 @@
 	sessions_tick(p, now, out);
 	if (now >= p->heartbeat_at)
 		send_heartbeat(p, false, now, out);
+	partition_check(p, now, out);
 	set_ready(p, now, out);
 	check_stop(p, now, out);
 }
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -133,6 +133,7 @@
 	hm_time settled_at; /**< entries that an outage removed are back */
 	hm_time heartbeat_at;
 	hm_time stop_since; /**< HM_NEVER until the shutdown began */
+	hm_time partitioned_since; /**< 0: it is not */
 	bool store_ok;
 	hm_time store_read_at; /**< revision of the store, here or by a peer */
 	bool ready;
@@ -185,6 +186,11 @@
 void confirm_commit(const struct proxy *p, hm_id service, struct run_result *r,
 		    hm_time now, struct proxy_output *out);
 
+/* partition.c */
+
+/** Notes when a partition leaves callers better served elsewhere. */
+void partition_check(struct proxy *p, hm_time now, struct proxy_output *out);
+
 /* proxy_message.c */
 void proxy_take(struct proxy *p, const struct message *m, hm_time now,
 		struct proxy_output *out);
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* After a stop began, callers go elsewhere from then on: idle sessions end. */
+/* Out of rotation for so long, callers go elsewhere: idle sessions end. */
 #define STOP_CLOSE_AFTER (2200 * HM_MS)
 
 struct session *session_find(const struct proxy *p, uint64_t number)
@@ -228,14 +228,19 @@
 	}
 }
 
+static bool is_at_rest(const struct session *s)
+{
+	return s->tx.state == SESSION_IDLE && !s->pending.request[0];
+}
+
 /* During a shutdown: sessions at rest end, open transactions have a while. */
 static void check_stop(struct proxy *p, struct session *s, hm_time now,
 		       struct proxy_output *out)
 {
 	hm_time since = now - p->stop_since;
-	bool at_rest = s->tx.state == SESSION_IDLE && !s->pending.request[0];
 
-	if (at_rest ? since > STOP_CLOSE_AFTER : since > p->options.stop_limit)
+	if (is_at_rest(s) ? since > STOP_CLOSE_AFTER
+			  : since > p->options.stop_limit)
 		session_end(p, s, ERR_STOPPING, now, out);
 }
 
@@ -250,6 +255,9 @@
 		session_lost(p, s, false, now, out);
 	else if (proxy_stopping(p))
 		check_stop(p, s, now, out);
+	else if (p->partitioned_since && is_at_rest(s) &&
+		 now - p->partitioned_since > STOP_CLOSE_AFTER)
+		close_session(p, s, now, out);
 }
 
 void sessions_tick(struct proxy *p, hm_time now, struct proxy_output *out)
