--- a/core/keeper_state.h
+++ b/core/keeper_state.h
@@ -111,6 +111,16 @@
 void kept_drop_unlisted(struct keeper *k, struct proxy_output *out);
 /** The member that leads and answers, NULL when there is none. */
 struct kept_member *kept_primary(struct keeper *k);
+/** Takes a member's answer to the question whether it leads. */
+void lead_answered(struct keeper *k, struct kept_member *m,
+		   const struct member_reply *r, hm_time now,
+		   struct proxy_output *out);
+/**
+ * It said that it leads: it is the primary, or is told to step down when its
+ * state names an older term than the newest one seen.
+ */
+void lead_take(struct keeper *k, struct kept_member *m, hm_time now,
+	       struct proxy_output *out);
 /** The primary answered: what it has now is all that departed ones had. */
 void departed_lead(struct keeper *k, const struct kept_member *primary);
 /** A replica told what it has received. */
--- a/core/lead_check.c
+++ b/core/lead_check.c
@@ -197,50 +197,43 @@
 	return c->begun;
 }
 
-static uint64_t stood_since(const struct lead_check *c, uint64_t term)
+/* What the others showed; @return how many they are. */
+static uint32_t answers_of(const struct lead_check *c,
+			   struct standing_answer out[ENDPOINTS_MAX])
 {
-	struct standing_answer others[ENDPOINTS_MAX];
 	uint32_t i;
 
 	for (i = 0; i < c->count; i++)
-		others[i] = c->others[i].shown;
-	return standing_since(others, c->count, term, c->sync);
-}
-
-/* Another member has shown a later term. */
-static bool is_superseded(const struct lead_check *c, uint64_t term)
-{
-	uint32_t i;
-
-	for (i = 0; i < c->count; i++)
-		if (c->others[i].shown.term > term ||
-		    c->others[i].shown.received_term > term)
-			return true;
-	return false;
+		out[i] = c->others[i].shown;
+	return c->count;
 }
 
 enum lead_proof lead_check_proof(const struct lead_check *c, uint64_t ticket,
 				 uint64_t term)
 {
-	if (!ticket || ticket <= stood_since(c, term))
+	struct standing_answer others[ENDPOINTS_MAX];
+	uint32_t count = answers_of(c, others);
+
+	if (!ticket || ticket <= standing_since(others, count, term, c->sync))
 		return LEAD_PROVED;
-	return is_superseded(c, term) ? LEAD_REFUTED : LEAD_OPEN;
+	return standing_is_over(others, count, term) ? LEAD_REFUTED : LEAD_OPEN;
 }
 
 /* Members answered: tickets drawn before that question are proved. */
 static void note_progress(struct lead_check *c, hm_time now)
 {
-	uint64_t newest = 0;
-	uint32_t i;
-
-	for (i = 0; i < c->count; i++)
-		if (c->others[i].shown.term > newest)
-			newest = c->others[i].shown.term;
-	newest = stood_since(c, newest);
-	if (newest <= c->proved)
+	struct standing_answer others[ENDPOINTS_MAX];
+	uint32_t i, count = answers_of(c, others);
+	uint64_t since, newest = 0;
+
+	for (i = 0; i < count; i++)
+		if (others[i].term > newest)
+			newest = others[i].term;
+	since = standing_since(others, count, newest, c->sync);
+	if (since <= c->proved)
 		return;
-	c->proved = newest;
-	c->open_since = c->begun > newest ? now : 0;
+	c->proved = since;
+	c->open_since = c->begun > since ? now : 0;
 }
 
 bool lead_check_fails(const struct lead_check *c, hm_time now)
--- /dev/null
+++ b/core/pool_submit.c
@@ -0,0 +1,72 @@
+/** @file pool_submit.c Whether a statement is taken in at a member. */
+#include "pool_state.h"
+
+#include <stdlib.h>
+
+static bool has_connection(const struct pool *p, hm_id account)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->conn_count; i++)
+		if (p->conns[i].phase != PHASE_CLOSED &&
+		    p->conns[i].account == account)
+			return true;
+	return false;
+}
+
+/* A read, or the transaction of one, that misses nothing of a later term. */
+static bool must_stand(const struct run_order *o)
+{
+	return o->lead && (o->scope == RUN_FIRST ||
+			   (o->scope == RUN_SINGLE && !o->writes));
+}
+
+/* Why a new statement is not taken in, ERR_NONE when it is. */
+static enum error refusal(const struct pool *p, const struct run_order *o,
+			  hm_time now, hm_time *retry_at)
+{
+	hm_time wait;
+
+	*retry_at = now + RETRY_SOON;
+	if (o->scope == RUN_INSIDE)
+		return conn_of_tx(p, o->tx) ? ERR_NONE : ERR_TX_GONE;
+	if (p->member.leaving &&
+	    now - p->leaving_since > p->site.options->drain_limit)
+		return ERR_NO_ENDPOINT;
+	if (p->down && now < p->connect_after)
+		return ERR_NO_ENDPOINT;
+	if (must_stand(o) && lead_check_fails(p->check, now)) {
+		*retry_at = now + UNPROVED_RETRY;
+		return ERR_NO_PRIMARY;
+	}
+	/* One waits for a connection already: a second one would in vain. */
+	if (p->parked && !has_connection(p, o->account))
+		return ERR_OVERLOADED;
+	wait = job_wait(p, o->account, now);
+	if (now + wait <= o->start_by)
+		return ERR_NONE;
+	*retry_at = now + wait;
+	return ERR_OVERLOADED;
+}
+
+void pool_submit(struct pool *p, const struct run_order *order,
+		 uint64_t reply_to, hm_time now, struct proxy_output *out)
+{
+	struct job *j = calloc(1, sizeof(*j));
+	enum error error;
+	hm_time retry_at;
+
+	if (!j)
+		abort();
+	j->order = run_order_copy(order);
+	j->reply_to = reply_to;
+	if (must_stand(order))
+		j->ticket = lead_check_begin(p->check, now, out);
+	error = refusal(p, order, now, &retry_at);
+	if (error) {
+		job_refuse(p, j, error, EXEC_NOT_RUN, retry_at, now);
+		return;
+	}
+	job_queue(p, j, now);
+	pool_dispatch(p, now, out);
+}
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -132,7 +132,7 @@
 	hm_time started_at;
 	hm_time settled_at; /**< entries that an outage removed are back */
 	hm_time heartbeat_at;
-	hm_time stop_since; /**< HM_NEVER until the shutdown began */
+	hm_time stop_since;	   /**< HM_NEVER until the shutdown began */
 	hm_time partitioned_since; /**< 0: it is not */
 	bool store_ok;
 	hm_time store_read_at; /**< revision of the store, here or by a peer */
--- a/core/standing.c
+++ b/core/standing.c
@@ -1,8 +1,8 @@
 /** @file standing.c Whether the term of a primary stood. */
 #include "standing.h"
 
-static bool is_superseded(const struct standing_answer *others, uint32_t count,
-			  uint64_t term)
+bool standing_is_over(const struct standing_answer *others, uint32_t count,
+		      uint64_t term)
 {
 	uint32_t i;
 
@@ -50,7 +50,7 @@
 {
 	uint64_t by_all, by_states;
 
-	if (is_superseded(others, count, term))
+	if (standing_is_over(others, count, term))
 		return 0;
 	if (!count)
 		return sync ? 0 : UINT64_MAX;
--- a/core/standing.h
+++ b/core/standing.h
@@ -18,6 +18,9 @@
 	uint64_t received_term; /**< of the log that it has received */
 };
 
+/** Whether one of them has shown a later term than @a term. */
+bool standing_is_over(const struct standing_answer *others, uint32_t count,
+		      uint64_t term);
 /**
  * Newest question such that nothing of a term later than @a term had been
  * acknowledged when it was asked. A new primary shows its term at once, which
