--- a/core/confirm.c
+++ b/core/confirm.c
@@ -13,10 +13,6 @@
 
 /* Views come every 400 ms, and a want may wait for a question of 200 ms. */
 #define VIEW_TELLS (700 * HM_MS)
-/* Heartbeats come every 300 ms: one and a half, and the way here. */
-#define PEER_TELLS (500 * HM_MS)
-/* A peer that was heard this lately belongs to those that could tell. */
-#define PEER_RECENT (5 * HM_SEC)
 
 static bool has_replica(const struct service_view *v, hm_id endpoint)
 {
@@ -28,43 +24,13 @@
 	return false;
 }
 
-/* Instances of other zones, or all others where there is one zone. */
-struct others {
-	uint32_t recent; /* heard within PEER_RECENT */
-	uint32_t heard;	 /* of these, a moment ago */
-};
-
-static struct others count_others(const struct proxy *p, hm_time now)
-{
-	const struct core_options *o = &p->options.core;
-	struct others n = { 0 };
-	const struct peer *peer;
-	uint32_t i;
-
-	for (i = 0; (peer = peers_at(p->peers, i)); i++) {
-		if ((o->zone_count > 1 && peer->zone == o->zone) ||
-		    peer->gave_up || now - peer->heard_at > PEER_RECENT)
-			continue;
-		n.recent++;
-		n.heard += now - peer->heard_at <= PEER_TELLS;
-	}
-	return n;
-}
-
-bool proxy_is_cut_off(const struct proxy *p, hm_time now)
-{
-	struct others n = count_others(p, now);
-
-	return n.recent && !n.heard;
-}
-
 static const char *doubt(const struct proxy *p, const struct service_state *v,
 			 hm_id endpoint, hm_time now)
 {
 	const struct service_view *latest = &v->latest;
 	bool fresh = v->heard_at && now - v->heard_at <= VIEW_TELLS;
 	bool in_touch;
-	struct others n;
+	struct heard_peers n;
 
 	if (fresh && latest->replacing)
 		return "replacing";
@@ -72,11 +38,11 @@
 		return "other_primary";
 	if (fresh && latest->primary && has_replica(latest, endpoint))
 		return NULL;
-	n = count_others(p, now);
-	in_touch = n.heard * 2 >= n.recent;
+	n = partition_heard(p, true, now);
+	in_touch = n.now * 2 >= n.recent;
 	/* The keeper may be as cut off as this instance is. */
 	if (fresh && latest->primary)
-		return in_touch && n.heard ? NULL : "no_replica";
+		return in_touch && n.now ? NULL : "no_replica";
 	/* No keeper, or one that knows nothing yet: it would have to begin. */
 	return in_touch ? NULL : "cut_off";
 }
--- a/core/keeper.h
+++ b/core/keeper.h
@@ -9,6 +9,11 @@
  * it holds all that was ever acknowledged. Held replicas are resumed only
  * when no promote call can be carried out late: after the change was seen, or
  * after a newer fencing token was used.
+ *
+ * A primary that was replaced may go on for as long as nobody tells it. Who
+ * leads is therefore who leads by the newest term seen; others are told to step
+ * down, and a position is a sample only when the other members show no later
+ * term.
  */
 #ifndef KEEPER_H
 #define KEEPER_H
--- a/core/partition.c
+++ b/core/partition.c
@@ -1,12 +1,6 @@
-/** @file partition.c Whether callers are served better by other instances. */
+/** @file partition.c Which peers are heard, and whether that is too few. */
 #include "proxy_state.h"
 
-/*
- * Behind a partition with few others an instance proves no primary, and has
- * to refuse what the other side would serve. It then leaves the rotation, so
- * that callers reach others, and goes on to serve those who come.
- */
-
 /* Heartbeats come every 300 ms: one and a half, and the way here. */
 #define PEER_TELLS (500 * HM_MS)
 /* A peer that was heard this lately was on this side before. */
@@ -16,18 +10,37 @@
 /* Whoever is still behind a partition then serves what it can. */
 #define PARTITION_MOST (15 * HM_SEC)
 
-static bool hears_few(const struct proxy *p, hm_time now)
+struct heard_peers partition_heard(const struct proxy *p, bool other_zones,
+				   hm_time now)
 {
-	uint32_t i, recent = 0, heard = 0;
+	const struct core_options *o = &p->options.core;
+	struct heard_peers n = { 0 };
 	const struct peer *peer;
+	uint32_t i;
 
 	for (i = 0; (peer = peers_at(p->peers, i)); i++) {
-		if (peer->gave_up || now - peer->heard_at > PEER_RECENT)
+		if ((other_zones && o->zone_count > 1 &&
+		     peer->zone == o->zone) ||
+		    peer->gave_up || now - peer->heard_at > PEER_RECENT)
 			continue;
-		recent++;
-		heard += now - peer->heard_at <= PEER_TELLS;
+		n.recent++;
+		n.now += now - peer->heard_at <= PEER_TELLS;
 	}
-	return heard * 2 < recent;
+	return n;
+}
+
+bool proxy_is_cut_off(const struct proxy *p, hm_time now)
+{
+	struct heard_peers n = partition_heard(p, true, now);
+
+	return n.recent && !n.now;
+}
+
+static bool hears_few(const struct proxy *p, hm_time now)
+{
+	struct heard_peers n = partition_heard(p, false, now);
+
+	return n.now * 2 < n.recent;
 }
 
 /* Whether half of the services have no primary that is proved. */
@@ -48,6 +61,11 @@
 	return count && lacking * 2 >= count;
 }
 
+/*
+ * Behind a partition with few others an instance proves no primary, and has
+ * to refuse what the other side would serve. It then leaves the rotation, so
+ * that callers reach others, and goes on to serve those who come.
+ */
 void partition_check(struct proxy *p, hm_time now, struct proxy_output *out)
 {
 	bool lacking = lacks_primaries(p, now);
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -180,14 +180,23 @@
 
 /* confirm.c */
 
-/** No instance of another zone was heard a moment ago, though there are. */
-bool proxy_is_cut_off(const struct proxy *p, hm_time now);
 /** Turns a success that a promotion elsewhere may undo into doubt. */
 void confirm_commit(const struct proxy *p, hm_id service, struct run_result *r,
 		    hm_time now, struct proxy_output *out);
 
 /* partition.c */
 
+/** Peers heard in the last seconds and, of these, a moment ago. */
+struct heard_peers {
+	uint32_t recent;
+	uint32_t now;
+};
+
+/** @a other_zones: leaves out those of the own zone, where there are more. */
+struct heard_peers partition_heard(const struct proxy *p, bool other_zones,
+				   hm_time now);
+/** No instance of another zone was heard a moment ago, though there are. */
+bool proxy_is_cut_off(const struct proxy *p, hm_time now);
 /** Notes when a partition leaves callers better served elsewhere. */
 void partition_check(struct proxy *p, hm_time now, struct proxy_output *out);
 
