--- a/core/lead_check.c
+++ b/core/lead_check.c
@@ -13,6 +13,7 @@
 #define FAILS_AFTER (400 * HM_MS)
 /* Connections that nobody needed for so long are closed. */
 #define IDLE_CLOSE (10 * HM_SEC)
+
 enum checked { CHECKED_LEAD, CHECKED_END, CHECKED_STATE };
 
 struct checked_member {
--- a/core/pool_submit.c
+++ b/core/pool_submit.c
@@ -63,6 +63,12 @@
 	if (must_stand(order))
 		j->ticket = lead_check_begin(p->check, now, out);
 	error = refusal(p, order, now, &retry_at);
+	if (error == ERR_NO_PRIMARY)
+		proxy_log(out,
+			  "event=lead_unproved request=%s member=%s "
+			  "ticket=%llu reason=no_answer_of_late",
+			  order->request, p->member.name,
+			  (unsigned long long)j->ticket);
 	if (error) {
 		job_refuse(p, j, error, EXEC_NOT_RUN, retry_at, now);
 		return;
