Let no replica that started again prove a lead alone

Change: the state of a member whose life was seen to change counts only once all others were asked since and none leads a later term (core/standing.c). Measured: test_keeper replica_that_started_again_proves_no_sample_alone fails without it; test_lead_check has the same for reads.

--- a/core/keeper_members.c
+++ b/core/keeper_members.c
@@ -11,7 +11,6 @@
 	bool reborn = m->spec.started != spec->started ||
 		      strcmp(m->spec.address, spec->address) != 0;
 
-	(void)k;
 	m->spec = *spec;
 	if (!reborn)
 		return;
@@ -19,7 +18,7 @@
 	kept_disconnect(m, out);
 	m->leads = false;
 	m->held_since = 0;
-	m->shown = (struct standing_answer){ 0 };
+	m->shown = (struct standing_answer){ .reborn = ++k->order };
 }
 
 /*
--- a/core/lead_check.c
+++ b/core/lead_check.c
@@ -86,7 +86,7 @@
 		   strcmp(m->spec.address, spec->address) != 0) {
 		/* What it showed was shown by another life. */
 		inquiry_disconnect(&m->inquiry, out);
-		*m = (struct checked_member){ .spec = *spec };
+		*m = (struct checked_member){ .shown.reborn = ++c->order };
 	}
 	m->spec = *spec;
 	m->listed = true;
--- a/core/standing.c
+++ b/core/standing.c
@@ -27,13 +27,14 @@
 
 /* Since when all but one were asked what they have received. */
 static uint64_t states_asked(const struct standing_answer *others,
-			     uint32_t count)
+			     uint32_t count, uint64_t by_all)
 {
 	uint64_t least = UINT64_MAX, second = UINT64_MAX;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		uint64_t asked = others[i].state_asked;
+		bool forgot = others[i].reborn && by_all <= others[i].reborn;
+		uint64_t asked = forgot ? 0 : others[i].state_asked;
 
 		if (asked < least) {
 			second = least;
@@ -55,6 +56,6 @@
 	if (!count)
 		return sync ? 0 : UINT64_MAX;
 	by_all = all_asked(others, count);
-	by_states = sync ? states_asked(others, count) : 0;
+	by_states = sync ? states_asked(others, count, by_all) : 0;
 	return by_all > by_states ? by_all : by_states;
 }
--- a/core/standing.h
+++ b/core/standing.h
@@ -16,6 +16,7 @@
 	uint64_t term;	      /**< of the log that it has applied */
 	uint64_t state_asked; /**< the same for questions of its state */
 	uint64_t received_term; /**< of the log that it has received */
+	uint64_t reborn; /**< when its life was seen to change, 0: never */
 };
 
 /** Whether one of them has shown a later term than @a term. */
@@ -26,6 +27,8 @@
  * acknowledged when it was asked. A new primary shows its term at once, which
  * all others together disprove. With @a sync each acknowledged commit has been
  * received by two members, so that the states of all others but one do so too.
+ * A member that has started again knows nothing of what it had received: its
+ * state counts once all others have been asked since.
  * @return 0 without proof
  */
 uint64_t standing_since(const struct standing_answer *others, uint32_t count,
--- a/tests/test_keeper.c
+++ b/tests/test_keeper.c
@@ -394,6 +394,41 @@
 }
 END_TEST
 
+/*
+ * The one replica that proves the samples starts again with an empty log under
+ * its id: it does not know any more what it had received from whom.
+ */
+START_TEST(replica_that_started_again_proves_no_sample_alone)
+{
+	struct service_view v;
+	struct rig r;
+
+	rig_open(&r);
+	r.fakes[2].dark = true;
+	run(&r, 2 * HM_SEC);
+	last_view(&r);
+	keeper_want(r.keeper, 77, 4);
+	run(&r, 300 * HM_MS);
+	v = last_view(&r);
+	ck_assert_uint_eq(v.sample.pos, 100);
+	r.fakes[1].spec.started = 1234;
+	publish(&r);
+	run(&r, HM_SEC);
+	last_view(&r);
+	keeper_want(r.keeper, 77, 5);
+	run(&r, 500 * HM_MS);
+	v = last_view(&r);
+	ck_assert_uint_eq(v.seq, 5);
+	ck_assert_uint_eq(v.sample.term, 0);
+	r.fakes[2].dark = false;
+	run(&r, HM_SEC);
+	keeper_want(r.keeper, 77, 6);
+	run(&r, 500 * HM_MS);
+	ck_assert_uint_eq(last_view(&r).sample.pos, 100);
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(furthest_replica_follows_a_crash)
 {
 	struct rig r;
@@ -744,6 +779,7 @@
 	tcase_add_test(tc,
 		       superseded_primary_is_none_while_the_new_one_is_silent);
 	tcase_add_test(tc, position_of_a_primary_alone_is_no_sample);
+	tcase_add_test(tc, replica_that_started_again_proves_no_sample_alone);
 	tcase_add_test(tc, furthest_replica_follows_a_crash);
 	tcase_add_test(tc, dark_primary_is_replaced_after_a_second_connection);
 	tcase_add_test(tc, nobody_is_promoted_past_a_silent_replica);
--- a/tests/test_lead_check.c
+++ b/tests/test_lead_check.c
@@ -17,7 +17,7 @@
 #define SERVICE 5
 #define MEMBERS 3
 
-/* Nothing later than term 4 since when: asked, term, state asked, received. */
+/* Since when no later term than 4: asked, term, state asked, received, reborn. */
 static const struct {
 	uint32_t count;
 	bool sync;
@@ -25,24 +25,36 @@
 	uint64_t since;
 } cases[] = {
 	/* All others follow: as old as the oldest answer. */
-	{ 2, true, { { 7, 4, 0, 0 }, { 9, 3, 0, 0 } }, 7 },
-	{ 3, true, { { 7, 4, 0, 0 }, { 9, 4, 0, 0 }, { 8, 4, 0, 0 } }, 7 },
+	{ 2, true, { { 7, 4, 0, 0, 0 }, { 9, 3, 0, 0, 0 } }, 7 },
+	{ 3,
+	  true,
+	  { { 7, 4, 0, 0, 0 }, { 9, 4, 0, 0, 0 }, { 8, 4, 0, 0, 0 } },
+	  7 },
 	/* One shows a later term, whatever the others say. */
-	{ 2, true, { { 7, 5, 0, 0 }, { 9, 4, 0, 0 } }, 0 },
-	{ 2, true, { { 7, 4, 7, 5 }, { 9, 4, 9, 4 } }, 0 },
+	{ 2, true, { { 7, 5, 0, 0, 0 }, { 9, 4, 0, 0, 0 } }, 0 },
+	{ 2, true, { { 7, 4, 7, 5, 0 }, { 9, 4, 9, 4, 0 } }, 0 },
 	/* One is silent: what it leads is received by one more member. */
-	{ 2, true, { { 0, 0, 0, 0 }, { 9, 4, 0, 0 } }, 0 },
-	{ 2, true, { { 0, 0, 0, 0 }, { 9, 4, 8, 4 } }, 8 },
-	{ 3, true, { { 0, 0, 0, 0 }, { 9, 4, 8, 4 }, { 9, 4, 0, 0 } }, 0 },
-	{ 3, true, { { 0, 0, 0, 0 }, { 9, 4, 8, 4 }, { 9, 4, 6, 4 } }, 6 },
+	{ 2, true, { { 0, 0, 0, 0, 0 }, { 9, 4, 0, 0, 0 } }, 0 },
+	{ 2, true, { { 0, 0, 0, 0, 0 }, { 9, 4, 8, 4, 0 } }, 8 },
+	{ 3,
+	  true,
+	  { { 0, 0, 0, 0, 0 }, { 9, 4, 8, 4, 0 }, { 9, 4, 0, 0, 0 } },
+	  0 },
+	{ 3,
+	  true,
+	  { { 0, 0, 0, 0, 0 }, { 9, 4, 8, 4, 0 }, { 9, 4, 6, 4, 0 } },
+	  6 },
 	/* Without such a rule silence proves nothing. */
-	{ 2, false, { { 0, 0, 0, 0 }, { 9, 4, 8, 4 } }, 0 },
-	{ 2, false, { { 6, 4, 0, 0 }, { 9, 4, 8, 4 } }, 6 },
+	{ 2, false, { { 0, 0, 0, 0, 0 }, { 9, 4, 8, 4, 0 } }, 0 },
+	{ 2, false, { { 6, 4, 0, 0, 0 }, { 9, 4, 8, 4, 0 } }, 6 },
 	/* Nobody else is known: somebody must have received, or nobody. */
 	{ 0, true, { { 0 } }, 0 },
 	{ 0, false, { { 0 } }, UINT64_MAX },
-	{ 1, true, { { 0, 0, 3, 4 } }, 3 },
-	{ 1, true, { { 0, 0, 0, 0 } }, 0 },
+	{ 1, true, { { 0, 0, 3, 4, 0 } }, 3 },
+	/* It started again at 6: it counts once all were asked since. */
+	{ 2, true, { { 5, 4, 0, 0, 0 }, { 9, 4, 9, 4, 6 } }, 5 },
+	{ 2, true, { { 7, 4, 0, 0, 0 }, { 9, 4, 9, 4, 6 } }, 9 },
+	{ 1, true, { { 0, 0, 0, 0, 0 } }, 0 },
 };
 
 START_TEST(others_prove_that_a_term_stood)
@@ -329,6 +341,34 @@
 }
 END_TEST
 
+/*
+ * The new primary is out of reach, and the one replica that had received what
+ * it acknowledged starts again, empty, and receives from the old primary.
+ */
+START_TEST(empty_replica_proves_nothing_alone)
+{
+	struct rig r;
+	uint64_t ticket;
+
+	rig_open(&r);
+	warm(&r);
+	r.list[1].started = 1234;
+	publish(&r);
+	ticket = begin(&r); /* connection 3 to m2; m3 is silent on 2 */
+	ready(&r, 3);
+	tick(&r, 80 * HM_MS);
+	follows(&r, 3, 1);
+	tick(&r, 80 * HM_MS);
+	follows(&r, 3, 1);
+	tells(&r, 3, 1);
+	ck_assert_int_eq(lead_check_proof(r.check, ticket, 1), LEAD_OPEN);
+	/* The other one answers, too: nobody leads but the primary. */
+	follows(&r, 2, 1);
+	ck_assert_int_eq(lead_check_proof(r.check, ticket, 1), LEAD_PROVED);
+	rig_close(&r);
+}
+END_TEST
+
 START_TEST(connections_nobody_needs_are_closed)
 {
 	struct rig r;
@@ -370,6 +410,7 @@
 	tcase_add_test(tc, busy_member_is_asked_again);
 	tcase_add_test(tc, cut_off_check_fails_and_recovers);
 	tcase_add_test(tc, answers_of_an_earlier_life_do_not_count);
+	tcase_add_test(tc, empty_replica_proves_nothing_alone);
 	tcase_add_test(tc, connections_nobody_needs_are_closed);
 	tcase_add_test(tc, guard_off_asks_nobody);
 	return suite_run("lead_check", tc);
