Tell two lives of a member apart in one place

The keeper and the lead check compared start and address of two entries each by themselves: site_member_reborn() serves both. The walk over two leaders draws numbers by rng_below().

--- a/core/keeper_members.c
+++ b/core/keeper_members.c
@@ -2,14 +2,12 @@
 #include "keeper_state.h"
 
 #include <stdio.h>
-#include <string.h>
 
 static void update_member(struct keeper *k, struct kept_member *m,
 			  const struct site_member *spec,
 			  struct proxy_output *out)
 {
-	bool reborn = m->spec.started != spec->started ||
-		      strcmp(m->spec.address, spec->address) != 0;
+	bool reborn = site_member_reborn(&m->spec, spec);
 
 	m->spec = *spec;
 	if (!reborn)
--- a/core/lead_check.c
+++ b/core/lead_check.c
@@ -2,7 +2,6 @@
 #include "lead_check.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "inquiry.h"
 #include "standing.h"
@@ -82,8 +81,7 @@
 			return;
 		m = &c->others[c->count++];
 		*m = (struct checked_member){ .spec = *spec };
-	} else if (m->spec.started != spec->started ||
-		   strcmp(m->spec.address, spec->address) != 0) {
+	} else if (site_member_reborn(&m->spec, spec)) {
 		/* What it showed was shown by another life. */
 		inquiry_disconnect(&m->inquiry, out);
 		*m = (struct checked_member){ .shown.reborn = ++c->order };
--- a/core/site_config.c
+++ b/core/site_config.c
@@ -2,6 +2,7 @@
 #include "site_config.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 void site_config_free(struct site_config *c)
 {
@@ -49,6 +50,13 @@
 	free(m);
 }
 
+bool site_member_reborn(const struct site_member *before,
+			const struct site_member *after)
+{
+	return before->started != after->started ||
+	       strcmp(before->address, after->address) != 0;
+}
+
 const struct site_member *site_members_find(const struct site_members *m,
 					    hm_id endpoint)
 {
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -81,6 +81,12 @@
 				    hm_id database);
 const struct service_spec *site_service(const struct site_config *c,
 					hm_id service);
+/**
+ * Whether two entries of one member are of different lives: what it said in
+ * the one it does not know in the other.
+ */
+bool site_member_reborn(const struct site_member *before,
+			const struct site_member *after);
 void site_members_free(struct site_members *m);
 const struct site_member *site_members_find(const struct site_members *m,
 					    hm_id endpoint);
--- a/tests/test_two_leaders.c
+++ b/tests/test_two_leaders.c
@@ -57,7 +57,7 @@
 
 static uint32_t pick(struct walk *w, uint32_t n)
 {
-	return (uint32_t)(rng_next(&w->rng) % n);
+	return (uint32_t)rng_below(&w->rng, n);
 }
 
 static int bits(uint64_t log)
