--- a/core/keeper_change.c
+++ b/core/keeper_change.c
@@ -126,12 +126,14 @@
 }
 
 /* It announced its end, or its entry does not come back. */
-static bool is_leaving(const struct kept_member *m, hm_time now)
+static bool is_leaving(const struct keeper *k, const struct kept_member *m,
+		       hm_time now)
 {
 	hm_time missing_since = m->spec.missing_since;
 
 	return m->spec.leaving ||
-	       (missing_since && now - missing_since > MISSING_LEAVES);
+	       (missing_since && now - missing_since > MISSING_LEAVES &&
+		now >= *k->site.settled_at);
 }
 
 static void decide(struct keeper *k, hm_time now, struct proxy_output *out)
@@ -143,7 +145,7 @@
 	if (primary && has_orphan_hold(k, now)) {
 		k->planned = true;
 		cancel(k, now, out);
-	} else if (primary && is_leaving(primary, now)) {
+	} else if (primary && is_leaving(k, primary, now)) {
 		if (choice_furthest(k, true))
 			begin_change(k, true, now, out);
 	} else if (!primary && now >= *k->site.settled_at &&
--- a/core/message.h
+++ b/core/message.h
@@ -83,6 +83,8 @@
 	uint64_t config_digest;	 /**< over all (account, version) pairs */
 	uint64_t echo;		 /**< receiver's last sequence number */
 	hm_time store_read_ago;	 /**< since it or a peer read the store */
+	uint64_t store_era;	 /**< newest one of the store that it knows */
+	struct store_version members; /**< its list of members */
 };
 
 /** A statement sent to the home of @a endpoint. */
@@ -126,7 +128,8 @@
 /** A document as the platform holds it. */
 struct document {
 	enum document_kind kind;
-	uint64_t version; /**< asked for: anything newer than this */
+	struct store_version version; /**< asked for: anything newer; of a
+					   configuration the revision alone */
 	uint32_t bytes;
 	char *data; /**< owned, NULL in a question */
 };
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -6,6 +6,8 @@
 
 /* Callers come once the peers had a chance to be heard. */
 #define READY_AFTER (400 * HM_MS)
+/* Peers that have a newer configuration and do not send it are waited for. */
+#define CATCH_UP_MOST (3 * HM_SEC)
 /*
  * A watch may be deaf for seconds without a sign. The revision of the store
  * is cheap to read, and tells whether there is anything to be read again. One
@@ -94,6 +96,11 @@
 	return p->stop_since != HM_NEVER;
 }
 
+uint64_t proxy_store_era(const struct proxy *p)
+{
+	return p->store_era;
+}
+
 hm_time proxy_poll_at(const struct proxy *p)
 {
 	hm_time from = p->store_read_at, turn;
@@ -137,8 +144,10 @@
 	m->heartbeat.stopped = stopped;
 	m->heartbeat.platform_ok = p->store_ok;
 	m->heartbeat.config_version = p->config ? p->config->version : 0;
-	m->heartbeat.config_digest = p->members ? p->members->revision : 0;
 	m->heartbeat.store_read_ago = now - p->store_read_at;
+	m->heartbeat.store_era = p->store_era;
+	if (p->members)
+		m->heartbeat.members = p->members->at;
 }
 
 /* States of a peer that were logged, by its life. */
@@ -178,19 +187,43 @@
 	}
 }
 
+/*
+ * The store of a process that has just started may be a copy with an older
+ * configuration than its peers have in force.
+ */
+static bool starts_behind(const struct proxy *p, hm_time now)
+{
+	const struct peer *peer;
+	uint32_t i;
+
+	if (p->was_ready || now - p->started_at >= CATCH_UP_MOST)
+		return false;
+	for (i = 0; (peer = peers_at(p->peers, i)); i++)
+		if (peer->alive && peer->config_version > p->config->version)
+			return true;
+	return false;
+}
+
 static void set_ready(struct proxy *p, hm_time now, struct proxy_output *out)
 {
+	struct store_version members = { 0 };
 	bool ready = p->config && p->members && !proxy_stopping(p) &&
 		     !p->partitioned_since &&
-		     now - p->started_at >= READY_AFTER;
+		     now - p->started_at >= READY_AFTER &&
+		     !starts_behind(p, now);
 
 	if (ready == p->ready)
 		return;
 	p->ready = ready;
+	p->was_ready |= ready;
+	if (p->members)
+		members = p->members->at;
 	proxy_action(out, PROXY_READY)->ready = ready;
-	proxy_log(out, "event=ready ready=%d config=%llu members=%llu", ready,
+	proxy_log(out, "event=ready ready=%d config=%llu era=%llu members=%llu",
+		  ready,
 		  (unsigned long long)(p->config ? p->config->version : 0),
-		  (unsigned long long)(p->members ? p->members->revision : 0));
+		  (unsigned long long)members.era,
+		  (unsigned long long)members.revision);
 }
 
 /* Whether a session or a member still waits for this instance. */
@@ -342,7 +375,7 @@
 		services_apply_config(p, e->config, now, out);
 		break;
 	case PROXY_MEMBERS:
-		services_apply_members(p, e->members, now, out);
+		roster_apply(p, e->members, now, out);
 		break;
 	case PROXY_STORE:
 		take_store(p, e->store_ok, now, out);
@@ -350,6 +383,9 @@
 	case PROXY_STORE_READ:
 		proxy_store_read(p, e->read_at);
 		break;
+	case PROXY_STORE_ERA:
+		roster_take_era(p, e->store_era, "store", now, out);
+		break;
 	case PROXY_TOKEN:
 		take_token(p, e, now, out);
 		break;
@@ -375,7 +411,9 @@
 	*out = p->figures;
 	out->clients = p->session_count;
 	out->config_version = p->config ? p->config->version : 0;
-	out->members_revision = p->members ? p->members->revision : 0;
+	out->store_era = p->store_era;
+	if (p->members)
+		out->members = p->members->at;
 	out->peers_alive = 0;
 	for (i = 0; i < peers_count(p->peers); i++)
 		out->peers_alive += peers_at(p->peers, i)->alive;
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -86,6 +86,7 @@
 	PROXY_MEMBERS,
 	PROXY_STORE,	  /**< the store answers, or does not */
 	PROXY_STORE_READ, /**< its revision was read, and what is new */
+	PROXY_STORE_ERA,  /**< its era, as an answer told */
 	PROXY_TOKEN,	  /**< a fencing token was taken, or could not be */
 	PROXY_PROMOTED,
 	PROXY_LIMITS, /**< the settings have changed */
@@ -122,6 +123,7 @@
 		struct site_members *members; /**< owned by the callee */
 		bool store_ok;
 		hm_time read_at; /**< PROXY_STORE_READ: when it was asked */
+		uint64_t store_era;
 		struct {
 			hm_time drain_limit;
 			hm_time stop_limit;
@@ -246,6 +248,8 @@
 void proxy_step(struct proxy *p, const struct proxy_event *event, hm_time now,
 		struct proxy_output *out);
 
+/** Newest era of the store that is known here, 0 for none. */
+uint64_t proxy_store_era(const struct proxy *p);
 /** When this instance is to ask the store whether anything changed. */
 hm_time proxy_poll_at(const struct proxy *p);
 /** Pause between two watches of the members, so that events come together. */
@@ -259,7 +263,9 @@
 	uint32_t connections;
 	uint32_t peers_alive;
 	uint64_t config_version;
-	uint64_t members_revision;
+	struct store_version members; /**< list in force */
+	uint64_t store_era;
+	uint64_t store_returns; /**< of the store from an older copy */
 	uint64_t answered;
 	uint64_t errors[ERR_COUNT];
 	uint64_t reads_replica;
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -96,19 +96,28 @@
 			  (unsigned long long)m->from);
 }
 
+/* What is in force here; zero for nothing. */
+static struct store_version document_held(const struct proxy *p,
+					  enum document_kind kind)
+{
+	struct store_version none = { 0 };
+
+	if (kind == DOCUMENT_MEMBERS)
+		return p->members ? p->members->at : none;
+	/* Versions of the configuration grow whatever becomes of the store. */
+	none.revision = p->config ? p->config->version : 0;
+	return none;
+}
+
 static void take_document_want(struct proxy *p, const struct message *m,
 			       hm_time now, struct proxy_output *out)
 {
 	enum document_kind kind = m->document.kind;
-	uint64_t have = 0;
 	struct proxy_action *a;
 
 	(void)now;
-	if (kind == DOCUMENT_CONFIG && p->config)
-		have = p->config->version;
-	if (kind == DOCUMENT_MEMBERS && p->members)
-		have = p->members->revision;
-	if (have <= m->document.version)
+	if (store_version_compare(document_held(p, kind),
+				  m->document.version) <= 0)
 		return;
 	a = proxy_action(out, PROXY_SHARE_DOCUMENT);
 	a->share.to = m->from;
@@ -125,16 +134,18 @@
 };
 
 static void want_document(struct proxy *p, enum document_kind kind,
-			  uint64_t have, uint64_t theirs, uint64_t from,
+			  struct store_version theirs, uint64_t from,
 			  hm_time now, struct proxy_output *out)
 {
+	struct store_version have = document_held(p, kind);
 	struct message *m;
 
-	if (theirs <= have)
+	if (store_version_compare(theirs, have) <= 0)
 		return;
 	if (!p->behind_since[kind])
 		p->behind_since[kind] = now;
-	if (have && p->store_ok && now - p->behind_since[kind] < BEHIND_WAIT)
+	if (p->was_ready && p->store_ok &&
+	    now - p->behind_since[kind] < BEHIND_WAIT)
 		return;
 	p->behind_since[kind] = now;
 	if (now < p->want_next[kind])
@@ -143,19 +154,24 @@
 	m = proxy_send(p, from, MSG_DOCUMENT_WANT, out);
 	m->document.kind = kind;
 	m->document.version = have;
-	proxy_log(out, "event=document_want kind=%d have=%llu theirs=%llu",
-		  kind, (unsigned long long)have, (unsigned long long)theirs);
+	proxy_log(out,
+		  "event=document_want kind=%d have=%llu.%llu theirs=%llu.%llu",
+		  kind, (unsigned long long)have.era,
+		  (unsigned long long)have.revision,
+		  (unsigned long long)theirs.era,
+		  (unsigned long long)theirs.revision);
 }
 
 static void take_heartbeat(struct proxy *p, const struct message *m,
 			   hm_time now, struct proxy_output *out)
 {
+	struct store_version config = { 0, m->heartbeat.config_version };
+
 	proxy_store_read(p, now - m->heartbeat.store_read_ago);
-	want_document(p, DOCUMENT_CONFIG, p->config ? p->config->version : 0,
-		      m->heartbeat.config_version, m->from, now, out);
-	want_document(p, DOCUMENT_MEMBERS,
-		      p->members ? p->members->revision : 0,
-		      m->heartbeat.config_digest, m->from, now, out);
+	roster_take_era(p, m->heartbeat.store_era, "peer", now, out);
+	want_document(p, DOCUMENT_CONFIG, config, m->from, now, out);
+	want_document(p, DOCUMENT_MEMBERS, m->heartbeat.members, m->from, now,
+		      out);
 }
 
 static void take_rate(struct proxy *p, const struct message *m, hm_time now,
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -15,6 +15,7 @@
 #include "pool.h"
 #include "proxy.h"
 #include "rate.h"
+#include "recall.h"
 #include "returning.h"
 #include "rng.h"
 #include "view.h"
@@ -108,6 +109,8 @@
 	struct contracts *contracts;
 	struct site_config *config;
 	struct site_members *members;
+	uint64_t store_era;   /**< newest one heard of, 0: none yet */
+	struct recall recall; /**< of members, when the store comes back */
 	hm_time behind_since
 		[DOCUMENT_KIND_COUNT];		/**< a peer has a newer one */
 	hm_time want_next[DOCUMENT_KIND_COUNT]; /**< asked for again then */
@@ -137,6 +140,7 @@
 	bool store_ok;
 	hm_time store_read_at; /**< revision of the store, here or by a peer */
 	bool ready;
+	bool was_ready; /**< once since the start */
 	bool stopped;
 	struct table logged_peers; /**< enum logged_peer by life */
 	uint64_t peers_generation; /**< when lost peers were last looked for */
@@ -251,8 +255,9 @@
 /* services.c */
 void services_apply_config(struct proxy *p, struct site_config *c, hm_time now,
 			   struct proxy_output *out);
-void services_apply_members(struct proxy *p, struct site_members *m,
-			    hm_time now, struct proxy_output *out);
+/** Members have come, gone or changed: tells all who work with them. */
+void services_members_changed(struct proxy *p, hm_time now,
+			      struct proxy_output *out);
 struct service_state *services_view(const struct proxy *p, hm_id service);
 struct keeper *services_keeper(const struct proxy *p, hm_id service);
 struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now,
@@ -260,4 +265,14 @@
 void services_tick(struct proxy *p, hm_time now, struct proxy_output *out);
 void services_free(struct proxy *p);
 
+/* roster.c */
+
+/** Takes over a list of members, unless a newer one is in force. */
+void roster_apply(struct proxy *p, struct site_members *m, hm_time now,
+		  struct proxy_output *out);
+/** The store is of this era, as @a source (static text) tells. */
+void roster_take_era(struct proxy *p, uint64_t era, const char *source,
+		     hm_time now, struct proxy_output *out);
+void roster_tick(struct proxy *p, hm_time now, struct proxy_output *out);
+
 #endif
--- a/core/services.c
+++ b/core/services.c
@@ -1,7 +1,7 @@
 /**
  * @file services.c
- * Configuration and members in force at one instance, and what follows from
- * them: accounts, pools of connections, views and keepers.
+ * The configuration in force at one instance, and what follows from it and
+ * from the members: accounts, pools of connections, views and keepers.
  */
 #include "proxy_state.h"
 
@@ -13,12 +13,6 @@
  * again (heartbeat 300 ms, document 400 ms); a primary may have changed.
  */
 #define REGAIN_SETTLE (1 * HM_SEC)
-/*
- * A member without an entry is gone when it is not back within 2 s; one that
- * the store alone does not hear serves on while its primary is replaced
- * (1 s at most measured sites), and never past the limit of a drain.
- */
-#define MISSING_GRACE (4500 * HM_MS)
 /* Nobody keeps a service before the peers could have been heard. */
 #define KEEP_AFTER (700 * HM_MS)
 /* A keeper that does not answer a want is asked again. */
@@ -169,6 +163,12 @@
 	uint32_t i;
 
 	if (c->version <= old) {
+		/* The copy that a store came back from may be older. */
+		if (c->version < old)
+			proxy_log(out,
+				  "event=config_older version=%llu held=%llu",
+				  (unsigned long long)c->version,
+				  (unsigned long long)old);
 		site_config_free(c);
 		return;
 	}
@@ -189,54 +189,8 @@
 	sessions_check(p, now, out);
 }
 
-/* Members whose entry is gone stay for a moment. */
-static void keep_missing(struct proxy *p, struct site_members *m, hm_time now,
-			 struct proxy_output *out)
-{
-	uint32_t i;
-
-	for (i = 0; p->members && i < p->members->count; i++) {
-		struct site_member old = p->members->list[i];
-
-		if (site_members_find(m, old.endpoint))
-			continue;
-		if (!old.missing_since) {
-			old.missing_since = now;
-			proxy_log(out, "event=member_missing member=%s",
-				  old.name);
-		}
-		m->list = realloc(m->list, (m->count + 1) * sizeof(*m->list));
-		if (!m->list)
-			abort();
-		m->list[m->count++] = old;
-	}
-}
-
-static void log_changes(const struct site_members *before,
-			const struct site_members *after,
-			struct proxy_output *out)
-{
-	uint32_t i;
-
-	for (i = 0; i < after->count; i++) {
-		const struct site_member *m = &after->list[i];
-		const struct site_member *old =
-			site_members_find(before, m->endpoint);
-
-		if (old && old->leaving == m->leaving &&
-		    old->says_primary == m->says_primary &&
-		    old->started == m->started)
-			continue;
-		proxy_log(out,
-			  "event=member member=%s service=%s address=%s "
-			  "leaving=%d primary=%d revision=%llu",
-			  m->name, m->service_name, m->address, m->leaving,
-			  m->says_primary, (unsigned long long)after->revision);
-	}
-}
-
-static void members_changed(struct proxy *p, hm_time now,
-			    struct proxy_output *out)
+void services_members_changed(struct proxy *p, hm_time now,
+			      struct proxy_output *out)
 {
 	uint32_t i;
 
@@ -245,44 +199,6 @@
 	update_pools(p, now, out);
 }
 
-void services_apply_members(struct proxy *p, struct site_members *m,
-			    hm_time now, struct proxy_output *out)
-{
-	if (p->members && m->revision <= p->members->revision) {
-		site_members_free(m);
-		return;
-	}
-	p->behind_since[DOCUMENT_MEMBERS] = 0;
-	if (!p->members)
-		p->settled_at = now + p->options.settle_time;
-	keep_missing(p, m, now, out);
-	log_changes(p->members, m, out);
-	site_members_free(p->members);
-	p->members = m;
-	members_changed(p, now, out);
-}
-
-static void drop_missing(struct proxy *p, hm_time now, struct proxy_output *out)
-{
-	hm_time grace = MISSING_GRACE < p->options.drain_limit
-				? MISSING_GRACE
-				: p->options.drain_limit;
-	struct site_members *m = p->members;
-	bool changed = false;
-	uint32_t i;
-
-	for (i = m ? m->count : 0; i-- > 0;) {
-		if (!m->list[i].missing_since ||
-		    now - m->list[i].missing_since < grace)
-			continue;
-		proxy_log(out, "event=member_gone member=%s", m->list[i].name);
-		m->list[i] = m->list[--m->count];
-		changed = true;
-	}
-	if (changed)
-		members_changed(p, now, out);
-}
-
 struct pool *services_pool(struct proxy *p, hm_id endpoint, hm_time now,
 			   struct proxy_output *out)
 {
@@ -372,7 +288,7 @@
 
 	if (proxy_is_cut_off(p, now) && p->settled_at < now + REGAIN_SETTLE)
 		p->settled_at = now + REGAIN_SETTLE;
-	drop_missing(p, now, out);
+	roster_tick(p, now, out);
 	tick_pools(p, now, out);
 	for (i = 0; i < p->service_count; i++)
 		tick_service(p, i, now, out);
@@ -394,4 +310,5 @@
 	free(p->loads);
 	site_config_free(p->config);
 	site_members_free(p->members);
+	recall_free(&p->recall);
 }
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -66,9 +66,9 @@
 	hm_time missing_since; /**< its entry is gone, 0: it is there */
 };
 
-/** All members, at one revision of the store. */
+/** All members, at one state of the store. */
 struct site_members {
-	uint64_t revision;
+	struct store_version at;
 	struct site_member *list;
 	uint32_t count;
 };
--- a/core/types.h
+++ b/core/types.h
@@ -34,6 +34,15 @@
 	uint64_t pos;
 };
 
+/**
+ * A state of the platform's store. When the store comes back from an older
+ * copy its era rises, and revisions are given out again.
+ */
+struct store_version {
+	uint64_t era;
+	uint64_t revision;
+};
+
 /**
  * The newest terms of a log, oldest first. Term begin[i].term starts after
  * position begin[i].pos; the last entry is the term being written.
@@ -168,4 +177,15 @@
 	return 0;
 }
 
+/** Orders states by era, then revision: <0, 0, >0. */
+static inline int store_version_compare(struct store_version a,
+					struct store_version b)
+{
+	if (a.era != b.era)
+		return a.era < b.era ? -1 : 1;
+	if (a.revision != b.revision)
+		return a.revision < b.revision ? -1 : 1;
+	return 0;
+}
+
 #endif
--- a/src/duty.c
+++ b/src/duty.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "../core/fencing.h"
 #include "log.h"
 #include "names.h"
 
@@ -77,47 +78,74 @@
 }
 
 /*
- * One round: reads the newest token and writes the next one on condition that
- * it still is. A write whose answer was lost is found by its nonce.
+ * Tokens of each era lie in an object of their own, so that a write which is
+ * carried out late, in another history, cannot meet its condition there.
  */
-static bool take_once(struct duty *d, struct http_client *http,
-		      const char *name, uint64_t nonce, hm_time until,
-		      uint64_t *token)
+static void object_name(const struct errand *e, uint64_t era,
+			char name[OBJECT_NAME_BYTES])
 {
-	const struct site_api *api = d->options.api;
+	if (era)
+		g_snprintf(name, OBJECT_NAME_BYTES, "%s.%" G_GUINT64_FORMAT,
+			   e->service_name, era);
+	else
+		g_strlcpy(name, e->service_name, OBJECT_NAME_BYTES);
+}
+
+static struct store_client store_client_of(const struct duty *d,
+					   struct http_client *http)
+{
+	return (struct store_client){ d->options.api, http, d->options.era };
+}
+
+/*
+ * One round: reads the newest token of the era and writes the next one on
+ * condition that it still is, and that the era is. A write whose answer was
+ * lost is found by its nonce.
+ */
+static bool take_once(struct errand *e, struct store_client *store,
+		      uint64_t nonce, hm_time until)
+{
+	uint64_t era = store_era_newest(store->era), told = 0;
+	char name[OBJECT_NAME_BYTES];
 	enum store_outcome outcome;
 	struct store_object held;
+	bool mine = false;
 	json_t *value;
 
-	outcome = api->read(http, STORE_DUTIES, name, until, &held);
-	if (outcome != STORE_OK && outcome != STORE_MISSING)
-		return false;
-	*token = token_of(&held);
-	if (is_mine(&held, nonce)) {
-		store_object_clear(&held);
-		return true;
-	}
-	(*token)++;
-	value = token_value(d, *token, nonce);
-	outcome = api->write(http, STORE_DUTIES, name, held.revision, value,
-			     until);
+	object_name(e, era, name);
+	outcome = store_client_read(store, STORE_DUTIES, name, until, &held);
+	if ((outcome != STORE_OK && outcome != STORE_MISSING) ||
+	    held.at.era != era)
+		goto out;
+	e->token = token_of(&held);
+	mine = is_mine(&held, nonce);
+	if (mine)
+		goto out;
+	e->token = fencing_next(e->token, era);
+	if (!e->token)
+		goto out;
+	value = token_value(e->duty, e->token, nonce);
+	outcome = store_client_write(store, STORE_DUTIES, name,
+				     held.at.revision, value, until, &told);
+	mine = outcome == STORE_OK && told == era;
 	json_decref(value);
+out:
 	store_object_clear(&held);
-	return outcome == STORE_OK;
+	return mine;
 }
 
 static void take_token(struct errand *e)
 {
 	struct duty *d = e->duty;
 	struct http_client *http = http_client_new(d->options.store);
+	struct store_client store = store_client_of(d, http);
 	hm_time until = loop_now() + d->options.token_limit;
 	uint64_t nonce = random_id();
 
 	while (!e->taken && loop_now() < until && !d->stopping) {
 		e->taken = take_once(
-			d, http, e->service_name, nonce,
-			MIN(until, loop_now() + d->options.call_limit),
-			&e->token);
+			e, &store, nonce,
+			MIN(until, loop_now() + d->options.call_limit));
 		if (!e->taken)
 			g_usleep((gulong)RETRY_PAUSE);
 	}
@@ -131,18 +159,23 @@
 {
 	const struct duty_options *o = &e->duty->options;
 	struct http_client *http = http_client_new(o->store);
+	struct store_client store = store_client_of(e->duty, http);
+	uint64_t era = fencing_era(e->token);
 	hm_time asked_at = loop_now();
 	enum token_state state = TOKEN_UNKNOWN;
+	char name[OBJECT_NAME_BYTES];
+	enum store_outcome outcome;
 	struct store_object held;
 
-	if (o->api->read(http, STORE_DUTIES, e->service_name,
-			 asked_at + o->call_limit, &held) == STORE_OK) {
-		if (token_of(&held) > e->token)
-			state = TOKEN_OLDER;
-		else if (loop_now() - asked_at <= NEWEST_VALID)
-			state = TOKEN_NEWEST;
-		store_object_clear(&held);
-	}
+	object_name(e, era, name);
+	outcome = store_client_read(&store, STORE_DUTIES, name,
+				    asked_at + o->call_limit, &held);
+	if ((outcome == STORE_OK || outcome == STORE_MISSING) &&
+	    !fencing_is_newest(e->token, token_of(&held), held.at.era))
+		state = TOKEN_OLDER;
+	else if (outcome == STORE_OK && loop_now() - asked_at <= NEWEST_VALID)
+		state = TOKEN_NEWEST;
+	store_object_clear(&held);
 	http_client_free(http);
 	return state;
 }
--- a/src/duty.h
+++ b/src/duty.h
@@ -8,15 +8,16 @@
 
 #include "loop.h"
 #include "proxy_sink.h"
-#include "site_api.h"
+#include "store_client.h"
 
 struct duty;
 
 struct duty_options {
 	const struct site_api *api;
-	const char *store;    /**< "IP:port" of the store */
-	const char *calls;    /**< "IP:port" that takes the promote call */
-	const char *instance; /**< own name, the holder */
+	const char *store;     /**< "IP:port" of the store */
+	struct store_era *era; /**< of the store, borrowed */
+	const char *calls;     /**< "IP:port" that takes the promote call */
+	const char *instance;  /**< own name, the holder */
 	bool fenced; /**< that call is refused after one of a newer token */
 	hm_time token_limit; /**< a token is taken by then, or is not */
 	hm_time call_limit;
--- a/src/http_call.c
+++ b/src/http_call.c
@@ -183,6 +183,15 @@
 	curl_slist_free_all(list);
 }
 
+const char *http_client_header(const struct http_client *c, const char *name)
+{
+	struct curl_header *header;
+
+	if (curl_easy_header(c->easy, name, 0, CURLH_HEADER, -1, &header))
+		return NULL;
+	return header->value;
+}
+
 void http_reply_clear(struct http_reply *reply)
 {
 	if (reply->text)
--- a/src/http_call.h
+++ b/src/http_call.h
@@ -35,6 +35,8 @@
 void http_call(struct http_client *c, const char *method, const char *path,
 	       const char *const *headers, const char *body, hm_time until,
 	       struct http_reply *reply);
+/** A header of the last answer, NULL when it has none; until the next call. */
+const char *http_client_header(const struct http_client *c, const char *name);
 void http_reply_clear(struct http_reply *reply);
 
 #endif
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -43,6 +43,7 @@
 	struct peer_links *peers;
 	struct site_feed *feed;
 	struct duty *duty;
+	struct store_era era; /* of the store, as answers and peers tell */
 	struct health_http *health;
 	struct timer *tick;
 	struct proxy_output out;
@@ -263,6 +264,19 @@
 	}
 }
 
+/* Threads hear of a new era of the store from answers, the loop from peers. */
+static void exchange_era(struct proxy_instance *i)
+{
+	struct proxy_event e = { .kind = PROXY_STORE_ERA };
+	uint64_t known = proxy_store_era(i->proxy);
+
+	e.store_era = store_era_newest(&i->era);
+	if (e.store_era > known)
+		step(i, &e);
+	else
+		store_era_take(&i->era, known);
+}
+
 static void on_tick(void *arg)
 {
 	struct proxy_instance *i = arg;
@@ -278,6 +292,7 @@
 	}
 	if (now >= i->pace_at) {
 		i->pace_at = now + PACE_EVERY;
+		exchange_era(i);
 		site_feed_pace(i->feed, proxy_poll_at(i->proxy),
 			       proxy_gather_time(i->proxy));
 	}
@@ -351,6 +366,7 @@
 	struct site_feed_options feed = {
 		.api = i->platform.site,
 		.store = s->store,
+		.era = &i->era,
 		.zones = { i->zones, s->zone_count },
 		.instance = s->instance,
 		.peer_address = s->listen_peers,
@@ -364,6 +380,7 @@
 	struct duty_options duty = {
 		.api = i->platform.site,
 		.store = s->store,
+		.era = &i->era,
 		.calls = s->promote_calls,
 		.instance = s->instance,
 		.fenced = s->promote_fenced,
--- a/src/site_api.h
+++ b/src/site_api.h
@@ -30,21 +30,28 @@
 	STORE_LOST	   /**< not answered; a change may still be made */
 };
 
+/** Room for a name and a number behind it. */
+#define OBJECT_NAME_BYTES (NAME_BYTES + 24)
+
 /** One object; an event when it comes from a watch. */
 struct store_object {
-	char name[NAME_BYTES];
-	uint64_t revision;
+	char name[OBJECT_NAME_BYTES];
+	struct store_version at; /**< its last change; era of the answer */
 	bool gone;
 	json_t *value; /**< owned, NULL when gone or unreadable */
 };
 
-/** Objects of one kind as of a revision of the store. */
+/** Objects of one kind as of a state of the store. */
 struct store_objects {
 	struct store_object *list;
 	size_t count;
-	uint64_t revision;
+	struct store_version at;
 };
 
+/**
+ * Each answer tells the era of the store, 0 where it has none; a read that
+ * finds nothing and a watch of dropped history tell it, too.
+ */
 struct site_api {
 	/** All objects of a kind; @a stale: cheap, may be seconds old. */
 	enum store_outcome (*list)(struct http_client *http,
@@ -58,11 +65,14 @@
 	enum store_outcome (*read)(struct http_client *http,
 				   enum store_kind kind, const char *name,
 				   hm_time until, struct store_object *out);
-	/** Creates (@a revision 0) or replaces the object of that revision. */
+	/**
+	 * Creates (@a revision 0) or replaces the object of that revision.
+	 * @a era receives the era of the answer.
+	 */
 	enum store_outcome (*write)(struct http_client *http,
 				    enum store_kind kind, const char *name,
 				    uint64_t revision, const json_t *value,
-				    hm_time until);
+				    hm_time until, uint64_t *era);
 	/** Asks that @a endpoint take over as primary of @a service. */
 	enum promote_outcome (*promote)(struct http_client *http,
 					const char *holder, const char *service,
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -5,10 +5,20 @@
 
 #include "log.h"
 
+/* Keeps a document for peers, unless a newer one is held. */
+static void hold(struct held *held, const json_t *json,
+		 struct store_version version)
+{
+	if (store_version_compare(version, held->version) <= 0)
+		return;
+	free(held->text);
+	held->text = json_dumps(json, JSON_COMPACT);
+	held->version = version;
+}
+
 static void offer_config(struct site_feed *f, const json_t *json)
 {
 	struct proxy_event e = { .kind = PROXY_CONFIG };
-	struct held *held = &f->documents[DOCUMENT_CONFIG];
 	const char *fault;
 
 	e.config = f->options.api->parse_config(json, &fault);
@@ -17,11 +27,8 @@
 			  NULL);
 		return;
 	}
-	if (e.config->version > held->version) {
-		free(held->text);
-		held->text = json_dumps(json, JSON_COMPACT);
-		held->version = e.config->version;
-	}
+	hold(&f->documents[DOCUMENT_CONFIG], json,
+	     (struct store_version){ 0, e.config->version });
 	proxy_sink_event(&f->sink, &e);
 }
 
@@ -37,11 +44,15 @@
 			  NULL);
 }
 
-/* The document is {"revision": R, "members": {NAME: ENTRY, ...}}. */
+static uint64_t read_number(const json_t *json, const char *name)
+{
+	return (uint64_t)json_integer_value(json_object_get(json, name));
+}
+
+/* The document is {"era": E, "revision": R, "members": {NAME: ENTRY, ...}}. */
 static void offer_members(struct site_feed *f, const json_t *json)
 {
 	struct proxy_event e = { .kind = PROXY_MEMBERS };
-	struct held *held = &f->documents[DOCUMENT_MEMBERS];
 	json_t *members = json_object_get(json, "members");
 	const char *name;
 	json_t *value;
@@ -49,17 +60,13 @@
 	if (!json_is_object(members))
 		return;
 	e.members = g_new0(struct site_members, 1);
-	e.members->revision =
-		(uint64_t)json_integer_value(json_object_get(json, "revision"));
+	e.members->at.era = read_number(json, "era");
+	e.members->at.revision = read_number(json, "revision");
 	e.members->list =
 		g_new0(struct site_member, json_object_size(members) + 1);
 	json_object_foreach(members, name, value)
 		add_member(f, e.members, name, value);
-	if (e.members->revision > held->version) {
-		free(held->text);
-		held->text = json_dumps(json, JSON_COMPACT);
-		held->version = e.members->revision;
-	}
+	hold(&f->documents[DOCUMENT_MEMBERS], json, e.members->at);
 	proxy_sink_event(&f->sink, &e);
 }
 
@@ -164,7 +171,8 @@
 }
 
 const char *site_feed_document(const struct site_feed *f,
-			       enum document_kind kind, uint64_t *version)
+			       enum document_kind kind,
+			       struct store_version *version)
 {
 	*version = f->documents[kind].version;
 	return f->documents[kind].text;
@@ -174,7 +182,8 @@
 {
 	json_t *json;
 
-	if (!d->data || d->version <= f->documents[d->kind].version)
+	if (!d->data || store_version_compare(
+				d->version, f->documents[d->kind].version) <= 0)
 		return;
 	json = json_loadb(d->data, d->bytes, 0, NULL);
 	if (json)
--- a/src/site_feed.h
+++ b/src/site_feed.h
@@ -9,13 +9,14 @@
 
 #include "loop.h"
 #include "proxy_sink.h"
-#include "site_api.h"
+#include "store_client.h"
 
 struct site_feed;
 
 struct site_feed_options {
 	const struct site_api *api;
-	const char *store; /**< "IP:port" */
+	const char *store;     /**< "IP:port" */
+	struct store_era *era; /**< of the store, borrowed */
 	struct zone_names zones;
 	const char *instance;	  /**< own name */
 	const char *peer_address; /**< own address for peers */
@@ -36,7 +37,8 @@
 void site_feed_free(struct site_feed *f);
 /** A document that is in force, NULL when there is none; borrowed. */
 const char *site_feed_document(const struct site_feed *f,
-			       enum document_kind kind, uint64_t *version);
+			       enum document_kind kind,
+			       struct store_version *version);
 /** A document that a peer sent. */
 void site_feed_take(struct site_feed *f, const struct document *document);
 /**
--- a/src/site_feed_state.h
+++ b/src/site_feed_state.h
@@ -17,15 +17,15 @@
 	struct http_client *http;
 	struct rng rng;
 	GThread *thread;
-	GHashTable *objects; /* json_t by name; this thread's alone */
-	uint64_t revision;   /* of what was delivered last */
+	GHashTable *objects;	 /* json_t by name; this thread's alone */
+	struct store_version at; /* of what was delivered last */
 	hm_time pause;
 };
 
 /* Text of a document and its version. */
 struct held {
 	char *text;
-	uint64_t version;
+	struct store_version version; /* of a configuration without an era */
 };
 
 struct site_feed {
@@ -53,7 +53,6 @@
 	} what;
 	enum document_kind kind;
 	json_t *json;
-	uint64_t version;
 	bool ok;
 	hm_time read_at; /* DELIVER_READ: when the store was asked */
 };
--- /dev/null
+++ b/src/store_client.h
@@ -0,0 +1,49 @@
+/**
+ * @file store_client.h
+ * Calls of the store by one thread, with an eye on its era: when the store
+ * comes back from an older copy its era rises, and whatever is answered late
+ * by the one before says nothing any more.
+ */
+#ifndef STORE_CLIENT_H
+#define STORE_CLIENT_H
+
+#include <stdatomic.h>
+
+#include "site_api.h"
+
+/** Newest era that this process knows, shared by its threads. */
+struct store_era {
+	_Atomic uint64_t newest;
+};
+
+/** Notes an era; @return false when a newer one is known. */
+bool store_era_take(struct store_era *e, uint64_t era);
+uint64_t store_era_newest(const struct store_era *e);
+
+struct store_client {
+	const struct site_api *api;
+	struct http_client *http;
+	struct store_era *era;
+};
+
+/*
+ * As in the table of site_api.h. An answer of an earlier era than is known is
+ * none: STORE_UNAVAILABLE, for a write STORE_LOST.
+ */
+enum store_outcome store_client_list(struct store_client *c,
+				     enum store_kind kind, bool stale,
+				     hm_time until, struct store_objects *out);
+enum store_outcome store_client_watch(struct store_client *c,
+				      enum store_kind kind, uint64_t from,
+				      hm_time wait, hm_time until,
+				      struct store_objects *out);
+enum store_outcome store_client_read(struct store_client *c,
+				     enum store_kind kind, const char *name,
+				     hm_time until, struct store_object *out);
+/** @a era receives the one of the answer. */
+enum store_outcome store_client_write(struct store_client *c,
+				      enum store_kind kind, const char *name,
+				      uint64_t revision, const json_t *value,
+				      hm_time until, uint64_t *era);
+
+#endif
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -61,8 +61,9 @@
 	g_hash_table_iter_init(&at, w->objects);
 	while (g_hash_table_iter_next(&at, &name, &value))
 		json_object_set(members, name, value);
-	d.json = json_pack("{s:I, s:o}", "revision", (json_int_t)w->revision,
-			   "members", members);
+	d.json = json_pack("{s:I, s:I, s:o}", "era", (json_int_t)w->at.era,
+			   "revision", (json_int_t)w->at.revision, "members",
+			   members);
 	feed_deliver(w->feed, &d);
 }
 
@@ -73,8 +74,8 @@
 	else
 		g_hash_table_replace(w->objects, g_strdup(o->name),
 				     json_incref(o->value));
-	if (o->revision > w->revision)
-		w->revision = o->revision;
+	if (store_version_compare(o->at, w->at) > 0)
+		w->at = o->at;
 }
 
 static void take_all(struct watcher *w, const struct store_objects *objects,
@@ -85,7 +86,8 @@
 	if (complete) {
 		g_hash_table_remove_all(w->objects);
 		/* What was removed meanwhile left no trace but this. */
-		w->revision = MAX(w->revision, objects->revision);
+		if (store_version_compare(objects->at, w->at) > 0)
+			w->at = objects->at;
 	}
 	for (i = 0; i < objects->count; i++)
 		take_object(w, &objects->list[i]);
@@ -95,36 +97,55 @@
 		deliver_members(w);
 }
 
-/* A full list; 0 when the store does not answer, else where to watch from. */
-static uint64_t list_all(struct watcher *w, struct http_client *http)
+static struct store_client store_client_of(const struct watcher *w,
+					   struct http_client *http)
 {
 	const struct site_feed_options *o = &w->feed->options;
+
+	return (struct store_client){ o->api, http, o->era };
+}
+
+/* A full list; zero when the store does not answer, else where to go on. */
+static struct store_version list_all(struct watcher *w,
+				     struct http_client *http)
+{
+	struct store_client store = store_client_of(w, http);
+	struct store_version from = { 0 };
 	struct store_objects objects;
-	enum store_outcome outcome;
-	uint64_t from;
 
-	outcome = o->api->list(http, w->kind, false, call_until(w), &objects);
-	if (outcome != STORE_OK)
-		return 0;
-	from = objects.revision;
+	if (store_client_list(&store, w->kind, false, call_until(w),
+			      &objects) != STORE_OK)
+		return from;
+	from = objects.at;
 	take_all(w, &objects, true);
 	store_objects_clear(&objects);
 	return from;
 }
 
-/* One watch; the place to go on from, 0: a new list is needed. */
-static uint64_t watch_once(struct watcher *w, uint64_t from, bool *ok)
+/* One watch; the place to go on from, zero: a new list is needed. */
+static struct store_version watch_once(struct watcher *w,
+				       struct store_version from, bool *ok)
 {
 	const struct site_feed_options *o = &w->feed->options;
+	struct store_client store = store_client_of(w, w->http);
+	const struct store_version anew = { 0 };
 	struct store_objects objects;
 	enum store_outcome outcome;
 
-	outcome = o->api->watch(w->http, w->kind, from, o->watch_wait,
-				loop_now() + o->watch_wait + o->call_limit,
-				&objects);
+	/* The revision may have been given out again, for another change. */
+	if (store_era_newest(o->era) != from.era) {
+		*ok = true;
+		return anew;
+	}
+	outcome = store_client_watch(
+		&store, w->kind, from.revision, o->watch_wait,
+		loop_now() + o->watch_wait + o->call_limit, &objects);
 	*ok = outcome == STORE_OK || outcome == STORE_HISTORY;
-	if (outcome == STORE_HISTORY)
-		return 0;
+	if (outcome == STORE_HISTORY ||
+	    (outcome == STORE_OK && objects.at.era != from.era)) {
+		store_objects_clear(&objects);
+		return anew;
+	}
 	if (outcome != STORE_OK)
 		return from;
 	/*
@@ -133,7 +154,7 @@
 	 * asks from the same place until the store drops that history.
 	 */
 	if (objects.count) {
-		from = objects.revision;
+		from = objects.at;
 		take_all(w, &objects, false);
 	}
 	store_objects_clear(&objects);
@@ -144,14 +165,14 @@
 {
 	struct watcher *w = arg;
 	bool told = false, healthy = false, ok;
-	uint64_t from = 0;
+	struct store_version from = { 0 };
 
 	while (!http_client_cancelled(w->http)) {
-		if (from) {
+		if (from.revision) {
 			from = watch_once(w, from, &ok);
 		} else {
 			from = list_all(w, w->http);
-			ok = from != 0;
+			ok = from.revision != 0;
 		}
 		if (w->kind == STORE_CONFIG && (!told || ok != healthy))
 			deliver_health(w->feed, ok);
@@ -169,40 +190,57 @@
 	return NULL;
 }
 
-/* Writes the own address; true once the store has it. */
-static bool register_self(struct watcher *w)
+/*
+ * Writes the own address; true once the store has it, under the era that is
+ * told. Nobody else writes this object.
+ */
+static bool register_self(struct watcher *w, uint64_t *era)
 {
 	const struct site_feed_options *o = &w->feed->options;
+	struct store_client store = store_client_of(w, w->http);
 	json_t *value = json_pack("{s:s}", "address", o->peer_address);
 	struct store_object held;
 	enum store_outcome outcome;
 
-	outcome = o->api->write(w->http, STORE_INSTANCES, o->instance, 0, value,
-				call_until(w));
+	outcome = store_client_write(&store, STORE_INSTANCES, o->instance, 0,
+				     value, call_until(w), era);
 	if (outcome == STORE_CONFLICT &&
-	    o->api->read(w->http, STORE_INSTANCES, o->instance, call_until(w),
-			 &held) == STORE_OK) {
+	    store_client_read(&store, STORE_INSTANCES, o->instance,
+			      call_until(w), &held) == STORE_OK) {
 		outcome = STORE_OK;
+		*era = held.at.era;
 		if (!json_equal(held.value, value))
-			outcome = o->api->write(w->http, STORE_INSTANCES,
-						o->instance, held.revision,
-						value, call_until(w));
+			outcome = store_client_write(
+				&store, STORE_INSTANCES, o->instance,
+				held.at.revision, value, call_until(w), era);
 		store_object_clear(&held);
 	}
 	json_decref(value);
 	return outcome == STORE_OK;
 }
 
+/* At the start, and when the era has changed. */
+static bool register_again(struct watcher *w, uint64_t *era)
+{
+	char text[24];
+
+	if (!register_self(w, era))
+		return false;
+	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, *era);
+	log_event(G_LOG_LEVEL_INFO, "registered", "era", text, NULL);
+	return true;
+}
+
 static bool read_addresses(struct watcher *w, bool stale)
 {
-	const struct site_feed_options *o = &w->feed->options;
+	struct store_client store = store_client_of(w, w->http);
 	struct delivery d = { .what = DELIVER_ADDRESSES };
 	struct store_objects objects;
 	const char *address;
 	size_t i;
 
-	if (o->api->list(w->http, STORE_INSTANCES, stale, call_until(w),
-			 &objects) != STORE_OK)
+	if (store_client_list(&store, STORE_INSTANCES, stale, call_until(w),
+			      &objects) != STORE_OK)
 		return false;
 	d.json = json_array();
 	for (i = 0; i < objects.count; i++) {
@@ -220,25 +258,25 @@
  * Reads the documents again when the store has changed since @a seen; false
  * when it does not answer.
  */
-static bool poll_store(struct watcher *w, uint64_t *seen)
+static bool poll_store(struct watcher *w, struct store_version *seen)
 {
-	const struct site_feed_options *o = &w->feed->options;
+	struct store_client store = store_client_of(w, w->http);
 	struct store_objects none;
-	uint64_t revision;
+	struct store_version at;
 	int kind;
 
 	/* The smallest kind there is: only the revision is of interest. */
-	if (o->api->list(w->http, STORE_DUTIES, false, call_until(w), &none) !=
-	    STORE_OK)
+	if (store_client_list(&store, STORE_DUTIES, false, call_until(w),
+			      &none) != STORE_OK)
 		return false;
-	revision = none.revision;
+	at = none.at;
 	store_objects_clear(&none);
-	if (revision == *seen)
+	if (!store_version_compare(at, *seen))
 		return true;
 	for (kind = 0; kind < DOCUMENT_KIND_COUNT; kind++)
-		if (!list_all(&w->feed->polled[kind], w->http))
+		if (!list_all(&w->feed->polled[kind], w->http).revision)
 			return false;
-	*seen = revision;
+	*seen = at;
 	return true;
 }
 
@@ -253,7 +291,8 @@
 	return loop_now() >= MAX(s->poll_after, atomic_load(&w->feed->poll_at));
 }
 
-static void poll_now(struct watcher *w, struct schedule *s, uint64_t *seen)
+static void poll_now(struct watcher *w, struct schedule *s,
+		     struct store_version *seen)
 {
 	struct delivery d = { .what = DELIVER_READ, .read_at = loop_now() };
 
@@ -268,12 +307,15 @@
 	struct watcher *w = arg;
 	hm_time every = w->feed->options.list_every;
 	bool registered = false, read = false, ok;
+	struct store_version seen = { 0 };
 	struct schedule s = { 0 };
-	uint64_t seen = 0;
+	uint64_t era = 0; /* the own entry was written or read under */
 
 	while (!http_client_cancelled(w->http)) {
-		if (!registered)
-			registered = register_self(w);
+		/* A copy that the store came back from may lack it. */
+		if (!registered ||
+		    era != store_era_newest(w->feed->options.era))
+			registered = register_again(w, &era);
 		if (registered && loop_now() >= s.read_at) {
 			ok = read_addresses(w, read);
 			read |= ok;
--- a/src/wire_codec.c
+++ b/src/wire_codec.c
@@ -227,6 +227,12 @@
 	code_u64(c, &m->pos);
 }
 
+void code_store_version(struct wire_codec *c, struct store_version *v)
+{
+	code_u64(c, &v->era);
+	code_u64(c, &v->revision);
+}
+
 void code_tx(struct wire_codec *c, struct tx_id *tx)
 {
 	code_rid(c, &tx->id);
--- a/src/wire_codec.h
+++ b/src/wire_codec.h
@@ -52,6 +52,7 @@
 void code_deadline(struct wire_codec *c, hm_time *v);
 void code_rid(struct wire_codec *c, struct rid *id);
 void code_mark(struct wire_codec *c, struct mark *m);
+void code_store_version(struct wire_codec *c, struct store_version *v);
 void code_tx(struct wire_codec *c, struct tx_id *tx);
 /** A text on the heap, NULL stays NULL. */
 void code_string(struct wire_codec *c, char **text);
--- a/src/wire_run.c
+++ b/src/wire_run.c
@@ -102,6 +102,6 @@
 void wire_document(struct wire_codec *c, struct document *d)
 {
 	CODE_ENUM(c, d->kind, DOCUMENT_KIND_COUNT);
-	code_u64(c, &d->version);
+	code_store_version(c, &d->version);
 	c->table->bytes(c, &d->data, &d->bytes);
 }
--- a/standin/object_store.c
+++ b/standin/object_store.c
@@ -10,28 +10,23 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LINE_ROOM 4096
+#include "object_history.h"
 
-struct object {
-	char *kind;
-	char *name;
-	uint64_t revision;
-	bool gone;
-	json_t *spec;
-};
+#define LINE_ROOM 4096
 
 struct object_store {
 	struct line_members *members;
 	GMutex lock;
 	GCond changed;
-	GPtrArray *objects;
-	uint64_t revision;
+	struct object_history *history;
 	uint64_t token; /* highest one seen by promote calls */
 	int listener;
 	char address[ADDRESS_BYTES];
 	GThread *thread;
 	GPtrArray *threads;
 	GArray *fds;
+	char slow_path[NAME_BYTES]; /* its lists are answered late */
+	uint32_t waiting;	    /* answers that are held back so */
 	bool down;
 	bool deaf;
 	bool stopping;
@@ -45,101 +40,32 @@
 	json_t *body;
 };
 
-static struct object *find(struct object_store *s, const char *kind,
-			   const char *name)
-{
-	guint i;
-
-	for (i = 0; i < s->objects->len; i++) {
-		struct object *o = g_ptr_array_index(s->objects, i);
-
-		if (!strcmp(o->kind, kind) && !strcmp(o->name, name))
-			return o;
-	}
-	return NULL;
-}
-
-static void free_object(gpointer data)
-{
-	struct object *o = data;
-
-	g_free(o->kind);
-	g_free(o->name);
-	json_decref(o->spec);
-	g_free(o);
-}
-
-/* The lock is held. */
-static struct object *put(struct object_store *s, const char *kind,
-			  const char *name, json_t *spec)
-{
-	struct object *o = find(s, kind, name);
-
-	if (!o) {
-		o = g_new0(struct object, 1);
-		o->kind = g_strdup(kind);
-		o->name = g_strdup(name);
-		g_ptr_array_add(s->objects, o);
-	}
-	json_decref(o->spec);
-	o->spec = json_incref(spec);
-	o->gone = !spec;
-	o->revision = ++s->revision;
-	g_cond_broadcast(&s->changed);
-	return o;
-}
-
-static json_t *object_json(const struct object *o)
-{
-	return json_pack("{s:{s:s, s:I}, s:O?}", "meta", "Name", o->name,
-			 "Revision", (json_int_t)o->revision, "spec", o->spec);
-}
-
-static json_t *list(struct object_store *s, const char *kind)
-{
-	json_t *items = json_array();
-	guint i;
-
-	for (i = 0; i < s->objects->len; i++) {
-		const struct object *o = g_ptr_array_index(s->objects, i);
-
-		if (!strcmp(o->kind, kind) && !o->gone)
-			json_array_append_new(items, object_json(o));
-	}
-	return json_pack("{s:o, s:b, s:I}", "items", items, "HasMore", 0,
-			 "AtRev", (json_int_t)s->revision);
-}
-
-static json_t *events(struct object_store *s, const char *kind, uint64_t from)
+/* What a watch from there has to tell now. */
+static json_t *watched(const struct object_store *s, const char *kind,
+		       uint64_t from)
 {
-	json_t *array = json_array();
-	guint i;
-
-	for (i = 0; i < s->objects->len; i++) {
-		const struct object *o = g_ptr_array_index(s->objects, i);
-
-		if (!strcmp(o->kind, kind) && o->revision > from)
-			json_array_append_new(
-				array,
-				json_pack("{s:b, s:o}", "Tombstone", o->gone,
-					  "Object", object_json(o)));
-	}
-	return array;
+	return s->deaf ? json_array() : history_events(s->history, kind, from);
 }
 
-static json_t *watch(struct object_store *s, const char *kind, uint64_t from,
-		     gint64 wait_ms)
+static int watch(struct object_store *s, const char *kind, uint64_t from,
+		 gint64 wait_ms, json_t **out)
 {
 	gint64 until = g_get_monotonic_time() + wait_ms * 1000;
-	json_t *array = s->deaf ? json_array() : events(s, kind, from);
+	json_t *array = watched(s, kind, from);
 
 	while (!json_array_size(array) && !s->stopping &&
+	       from <= history_revision(s->history) &&
 	       g_cond_wait_until(&s->changed, &s->lock, until)) {
 		json_decref(array);
-		array = s->deaf ? json_array() : events(s, kind, from);
+		array = watched(s, kind, from);
+	}
+	if (from > history_revision(s->history)) {
+		json_decref(array);
+		return 410;
 	}
-	return json_pack("{s:o, s:I}", "events", array, "AtRev",
-			 (json_int_t)s->revision);
+	*out = json_pack("{s:o, s:I}", "events", array, "AtRev",
+			 (json_int_t)history_revision(s->history));
+	return 200;
 }
 
 static uint64_t query_number(const char *query, const char *field)
@@ -152,19 +78,19 @@
 static int read_call(struct object_store *s, char **parts, const char *query,
 		     json_t **out)
 {
-	struct object *o;
-
-	if (parts[1]) {
-		o = find(s, parts[0], parts[1]);
-		if (!o || o->gone)
-			return 404;
-		*out = object_json(o);
-	} else if (query && strstr(query, "Watch=")) {
-		*out = watch(s, parts[0], query_number(query, "Watch="),
-			     (gint64)query_number(query, "WaitMs="));
-	} else {
-		*out = list(s, parts[0]);
+	const struct stored_object *o;
+
+	if (query && strstr(query, "Watch="))
+		return watch(s, parts[0], query_number(query, "Watch="),
+			     (gint64)query_number(query, "WaitMs="), out);
+	if (!parts[1]) {
+		*out = history_list(s->history, parts[0]);
+		return 200;
 	}
+	o = history_find(s->history, parts[0], parts[1]);
+	if (!o)
+		return 404;
+	*out = history_object(o);
 	return 200;
 }
 
@@ -174,18 +100,21 @@
 	json_t *meta = json_object_get(r->body, "meta");
 	const char *name = json_string_value(json_object_get(meta, "Name"));
 	const json_t *revision = json_object_get(meta, "Revision");
-	struct object *o = name ? find(s, parts[0], name) : NULL;
+	const struct stored_object *o;
+	bool creates = !strcmp(r->method, "POST");
 
 	if (!name)
 		return 400;
-	if (!strcmp(r->method, "POST")
-		    ? o && !o->gone
-		    : revision && o &&
-			      (uint64_t)json_integer_value(revision) !=
-				      o->revision)
+	o = history_find(s->history, parts[0], name);
+	if (!o && !creates)
+		return 404;
+	if (o && (creates || (revision && json_integer_value(revision) !=
+						  (json_int_t)o->revision)))
 		return 409;
-	*out = object_json(
-		put(s, parts[0], name, json_object_get(r->body, "spec")));
+	o = history_put(s->history, parts[0], name,
+			json_object_get(r->body, "spec"), false);
+	g_cond_broadcast(&s->changed);
+	*out = history_object(o);
 	return 200;
 }
 
@@ -255,6 +184,16 @@
 	int fd;
 };
 
+/* The answer is made, and held back; the lock is held. */
+static void wait_while_slow(struct object_store *s, const struct request *r)
+{
+	s->waiting++;
+	while (s->slow_path[0] && !s->stopping && !strcmp(r->method, "GET") &&
+	       strstr(r->path, s->slow_path) && !strstr(r->path, "Watch="))
+		g_cond_wait(&s->changed, &s->lock);
+	s->waiting--;
+}
+
 static gpointer serve(gpointer data)
 {
 	struct served *v = data;
@@ -262,17 +201,21 @@
 	struct request r;
 	char *text, *answer;
 	json_t *json;
+	uint64_t era;
 	int status;
 
 	while (read_request(in, &r)) {
 		json = NULL;
 		g_mutex_lock(&v->store->lock);
 		status = handle(v->store, &r, &json);
+		era = history_era(v->store->history);
+		wait_while_slow(v->store, &r);
 		g_mutex_unlock(&v->store->lock);
 		text = json ? json_dumps(json, JSON_COMPACT) : strdup("{}");
-		answer = g_strdup_printf("HTTP/1.1 %d X\r\nContent-Length: "
-					 "%zu\r\n\r\n%s",
-					 status, strlen(text), text);
+		answer = g_strdup_printf(
+			"HTTP/1.1 %d X\r\nStore-Era: %" G_GUINT64_FORMAT
+			"\r\nContent-Length: %zu\r\n\r\n%s",
+			status, era, strlen(text), text);
 		status = (int)send(v->fd, answer, strlen(answer), MSG_NOSIGNAL);
 		free(text);
 		g_free(answer);
@@ -312,7 +255,7 @@
 	s->members = members;
 	g_mutex_init(&s->lock);
 	g_cond_init(&s->changed);
-	s->objects = g_ptr_array_new_with_free_func(free_object);
+	s->history = history_new();
 	s->threads = g_ptr_array_new();
 	s->fds = g_array_new(FALSE, FALSE, sizeof(int));
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -347,7 +290,7 @@
 	for (i = 0; i < s->fds->len; i++)
 		close(g_array_index(s->fds, int, i));
 	g_ptr_array_unref(s->threads);
-	g_ptr_array_unref(s->objects);
+	history_free(s->history);
 	g_array_unref(s->fds);
 	g_cond_clear(&s->changed);
 	g_mutex_clear(&s->lock);
@@ -359,23 +302,29 @@
 	return s->address;
 }
 
+/* Writes from outside, or removes where @a json is NULL. */
+static void put(struct object_store *s, const char *kind, const char *name,
+		json_t *json)
+{
+	g_mutex_lock(&s->lock);
+	history_put(s->history, kind, name, json, true);
+	g_cond_broadcast(&s->changed);
+	g_mutex_unlock(&s->lock);
+}
+
 void object_store_put(struct object_store *s, const char *kind,
 		      const char *name, const char *spec)
 {
 	json_t *json = json_loads(spec, 0, NULL);
 
-	g_mutex_lock(&s->lock);
 	put(s, kind, name, json);
-	g_mutex_unlock(&s->lock);
 	json_decref(json);
 }
 
 void object_store_remove(struct object_store *s, const char *kind,
 			 const char *name)
 {
-	g_mutex_lock(&s->lock);
 	put(s, kind, name, NULL);
-	g_mutex_unlock(&s->lock);
 }
 
 void object_store_down(struct object_store *s, bool down)
@@ -391,3 +340,47 @@
 	s->deaf = deaf;
 	g_mutex_unlock(&s->lock);
 }
+
+void object_store_slow(struct object_store *s, const char *path)
+{
+	g_mutex_lock(&s->lock);
+	g_strlcpy(s->slow_path, path ? path : "", sizeof(s->slow_path));
+	g_cond_broadcast(&s->changed);
+	g_mutex_unlock(&s->lock);
+}
+
+bool object_store_waiting(struct object_store *s)
+{
+	bool waiting;
+
+	g_mutex_lock(&s->lock);
+	waiting = s->waiting > 0;
+	g_mutex_unlock(&s->lock);
+	return waiting;
+}
+
+uint64_t object_store_revision(struct object_store *s)
+{
+	uint64_t revision;
+
+	g_mutex_lock(&s->lock);
+	revision = history_revision(s->history);
+	g_mutex_unlock(&s->lock);
+	return revision;
+}
+
+void object_store_return_to(struct object_store *s, uint64_t revision)
+{
+	g_mutex_lock(&s->lock);
+	history_return_to(s->history, revision);
+	g_cond_broadcast(&s->changed);
+	g_mutex_unlock(&s->lock);
+}
+
+void object_store_write_again(struct object_store *s, enum rewrite_order order)
+{
+	g_mutex_lock(&s->lock);
+	history_write_again(s->history, order);
+	g_cond_broadcast(&s->changed);
+	g_mutex_unlock(&s->lock);
+}
--- a/standin/object_store.h
+++ b/standin/object_store.h
@@ -1,12 +1,14 @@
 /**
  * @file object_store.h
  * Stand-in for the store of the users' platform and for its promote call, on
- * one port of loopback: lists, watches, single reads, conditional writes.
+ * one port of loopback: lists, watches, single reads, conditional writes. It
+ * can come back from an older copy: its era rises, revisions are given again.
  */
 #ifndef OBJECT_STORE_H
 #define OBJECT_STORE_H
 
 #include "line_members.h"
+#include "object_history.h"
 
 struct object_store;
 
@@ -24,5 +26,14 @@
 void object_store_deaf(struct object_store *s, bool deaf);
 /** Refuses all calls while @a down. */
 void object_store_down(struct object_store *s, bool down);
+/** Lists and reads of @a path are made and answered later; NULL: now. */
+void object_store_slow(struct object_store *s, const char *path);
+/** Whether an answer is held back so. */
+bool object_store_waiting(struct object_store *s);
+uint64_t object_store_revision(struct object_store *s);
+/** Comes back from the copy of a revision; what was written since is gone. */
+void object_store_return_to(struct object_store *s, uint64_t revision);
+/** What the operator and the members wrote is written again. */
+void object_store_write_again(struct object_store *s, enum rewrite_order order);
 
 #endif
--- a/tests/keeper_rig.c
+++ b/tests/keeper_rig.c
@@ -5,7 +5,7 @@
 
 void keeper_rig_publish(struct keeper_rig *r)
 {
-	struct site_members m = { .revision = 1 };
+	struct site_members m = { .at = { 0, 1 } };
 	struct site_member list[KEEPER_RIG_MEMBERS];
 	uint32_t i;
 
--- a/tests/proxy_rig.c
+++ b/tests/proxy_rig.c
@@ -117,7 +117,7 @@
 	struct proxy_event e = { .kind = PROXY_MEMBERS, .members = m };
 	uint32_t i;
 
-	m->revision = revision;
+	m->at.revision = revision;
 	m->list = calloc(2, sizeof(*m->list));
 	m->count = 2;
 	for (i = 0; i < 2; i++) {
@@ -132,7 +132,7 @@
 	rig_step(r, &e);
 }
 
-void rig_open(struct rig *r)
+void rig_start(struct rig *r)
 {
 	struct proxy_options o;
 
@@ -148,6 +148,11 @@
 	o.keeper_silent = 3600 * HM_SEC;
 	r->proxy = proxy_new(&o, r->now);
 	r->text = g_string_new(NULL);
+}
+
+void rig_open(struct rig *r)
+{
+	rig_start(r);
 	rig_configure(r, true, true, 100);
 	rig_list_members(r, 1);
 	rig_run(r, 3 * HM_SEC);
--- a/tests/proxy_rig.h
+++ b/tests/proxy_rig.h
@@ -21,6 +21,9 @@
 	uint64_t asked_conn;	       /* on which m2 is asked who leads */
 };
 
+/** A proxy that has just started and knows nothing. */
+void rig_start(struct rig *r);
+/** One that has run for 3 s with the first configuration and list. */
 void rig_open(struct rig *r);
 void rig_close(struct rig *r);
 /** One event; what the proxy does is appended to the text. */
--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -22,6 +22,7 @@
 struct rig {
 	struct line_members *members;
 	struct object_store *store;
+	struct store_era era;
 	struct loop *loop;
 	struct duty *duty;
 	GThread *thread;
@@ -68,6 +69,7 @@
 	r->loop = loop_new();
 	o.store = object_store_address(r->store);
 	o.calls = o.store;
+	o.era = &r->era;
 	r->duty = duty_new(r->loop, &o, sink);
 	r->events = g_async_queue_new();
 	r->thread = g_thread_new("loop", run_loop, r->loop);
--- a/tests/test_two_leaders.c
+++ b/tests/test_two_leaders.c
@@ -3,12 +3,15 @@
  * Random walks over the members of one service, of which a replaced primary
  * goes on: commits, promotions, cuts, late appliers, and reads that the home
  * of a primary sends once a lead check has proved it. A read must not run on
- * a log that lacks what was acknowledged before it came.
+ * a log that lacks what was acknowledged before it came. Whom keepers promote
+ * they order with tokens of a store that comes back from older copies: none
+ * is used by two, or after a newer one.
  */
 #include <check.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "../core/fencing.h"
 #include "../core/lead_check.h"
 #include "../core/rng.h"
 #include "suite.h"
@@ -18,6 +21,8 @@
 #define MEMBERS_MOST 4
 #define COMMITS_MOST 60
 #define SERVICE 5
+#define KEEPERS 2
+#define ERAS_MOST 40
 
 /** A member; commits are bits of its log. */
 struct member {
@@ -32,8 +37,34 @@
 	uint32_t asked_count;
 };
 
+/* The store: the newest token of each era, and a copy of them. */
+struct tokens {
+	uint64_t era;
+	uint64_t held[ERAS_MOST];
+	uint64_t revision[ERAS_MOST]; /* of the object of that era */
+	uint64_t newest_revision;
+};
+
+/* A keeper on its way to a promotion; it may be held up at any step. */
+struct walk_keeper {
+	bool has_read;
+	uint64_t era;	   /* when it read */
+	uint64_t held;	   /* what it read */
+	uint64_t revision; /* condition of its write */
+	uint64_t token;	   /* taken, 0 for none */
+};
+
 struct walk {
 	struct rng rng;
+	bool plain; /* tokens without an era, in one object */
+	struct tokens store;
+	struct tokens copy;
+	struct walk_keeper keepers[KEEPERS];
+	uint64_t newest_used;
+	uint64_t used_by; /* keeper of that token */
+	uint32_t calls;
+	uint32_t broken; /* calls with an older token, or another's */
+	uint32_t drills;
 	struct proxy_options options;
 	uint64_t next_conn;
 	struct member members[MEMBERS_MOST];
@@ -115,6 +146,82 @@
 	best->shown = best->term; /* until its first commit */
 }
 
+static uint64_t era_of_object(const struct walk *w, uint64_t era)
+{
+	return w->plain ? 0 : era;
+}
+
+/* The store comes back; another copy is made now and then. */
+static void drill_or_copy(struct walk *w)
+{
+	uint64_t era = w->store.era;
+
+	if (pick(w, 2) || era + 1 == ERAS_MOST) {
+		w->copy = w->store;
+		return;
+	}
+	w->store = w->copy;
+	w->store.era = era + 1;
+	w->drills++;
+}
+
+static void keeper_reads(struct walk *w, struct walk_keeper *k)
+{
+	uint64_t at = era_of_object(w, w->store.era);
+
+	*k = (struct walk_keeper){ .has_read = true,
+				   .era = w->store.era,
+				   .held = w->store.held[at],
+				   .revision = w->store.revision[at] };
+}
+
+/* Also one that was sent before a drill is carried out: late. */
+static void keeper_writes(struct walk *w, struct walk_keeper *k)
+{
+	uint64_t at = era_of_object(w, k->era);
+	uint64_t token = fencing_next(k->held, at);
+	bool late = k->era != w->store.era;
+
+	k->has_read = false;
+	if (w->store.revision[at] != k->revision)
+		return;
+	w->store.held[at] = token;
+	w->store.revision[at] = ++w->store.newest_revision;
+	if (!late || w->plain)
+		k->token = token;
+}
+
+/* Looked up first, where nobody checks tokens. */
+static void keeper_calls(struct walk *w, struct walk_keeper *k)
+{
+	uint64_t at = era_of_object(w, fencing_era(k->token));
+	uint64_t token = k->token;
+
+	k->token = 0;
+	if (!fencing_is_newest(token, w->store.held[at],
+			       era_of_object(w, w->store.era)))
+		return;
+	w->calls++;
+	w->broken += token < w->newest_used ||
+		     (token == w->newest_used &&
+		      w->used_by != (uint64_t)(k - w->keepers));
+	w->newest_used = token;
+	w->used_by = (uint64_t)(k - w->keepers);
+	promote(w);
+}
+
+static void keeper_goes_on(struct walk *w)
+{
+	struct walk_keeper *k = &w->keepers[pick(w, KEEPERS)];
+
+	if (k->token)
+		keeper_calls(w, k);
+	else if (k->has_read)
+		keeper_writes(w, k);
+	else
+		keeper_reads(w, k);
+}
+
 static struct member *member_of_conn(struct walk *w, uint64_t conn)
 {
 	uint32_t i;
@@ -233,8 +340,10 @@
 	};
 	uint32_t n = sizeof(steps) / sizeof(steps[0]);
 
-	if (!pick(w, 25))
-		promote(w);
+	if (!pick(w, 8))
+		keeper_goes_on(w);
+	else if (!pick(w, 30))
+		drill_or_copy(w);
 	else
 		steps[pick(w, n)](w);
 	w->now += (hm_time)pick(w, 20) * HM_MS;
@@ -243,7 +352,8 @@
 	read_goes_on(w);
 }
 
-static void walk_open(struct walk *w, uint64_t seed, uint32_t guards_off)
+static void walk_open(struct walk *w, uint64_t seed, uint32_t guards_off,
+		      bool plain)
 {
 	struct lead_check_site site = { &w->options, &w->next_conn };
 	struct site_members m = { .list = w->list };
@@ -251,6 +361,7 @@
 
 	memset(w, 0, sizeof(*w));
 	w->rng.state = seed;
+	w->plain = plain;
 	proxy_options_default(&w->options);
 	w->options.guards_off = guards_off;
 	w->now = 100 * HM_SEC;
@@ -270,47 +381,79 @@
 	lead_check_members(w->check, &m, SERVICE, &w->out);
 }
 
-/* Adds up the reads of all walks, and those that were stale. */
-static void walk_all(uint32_t guards_off, uint32_t *reads, uint32_t *stale,
-		     uint32_t *lost)
+struct walked {
+	uint32_t reads;
+	uint32_t stale;
+	uint32_t lost;
+	uint32_t drills;
+	uint32_t calls;
+	uint32_t broken;
+};
+
+/* Adds up all walks. */
+static struct walked walk_all(uint32_t guards_off, bool plain)
 {
+	struct walked sum = { 0 };
 	uint64_t seed;
 	struct walk w;
 	int i;
 
-	*reads = *stale = *lost = 0;
 	for (seed = 1; seed <= WALKS; seed++) {
-		walk_open(&w, seed, guards_off);
+		walk_open(&w, seed, guards_off, plain);
 		for (i = 0; i < STEPS; i++)
 			step(&w);
 		lead_check_close(w.check, &w.out);
 		lead_check_free(w.check);
 		proxy_output_free(&w.out);
-		*reads += w.reads;
-		*stale += w.stale;
-		*lost += w.lost;
+		sum.reads += w.reads;
+		sum.stale += w.stale;
+		sum.lost += w.lost;
+		sum.drills += w.drills;
+		sum.calls += w.calls;
+		sum.broken += w.broken;
 	}
+	return sum;
 }
 
 START_TEST(proved_reads_miss_nothing)
 {
-	uint32_t reads, stale, lost;
+	struct walked sum = walk_all(0, false);
 
-	walk_all(0, &reads, &stale, &lost);
-	printf("proved: %u reads, %u stale\n", reads, stale);
-	ck_assert_uint_eq(lost, 0); /* the model itself */
-	ck_assert_uint_gt(reads, WALKS);
-	ck_assert_uint_eq(stale, 0);
+	printf("proved: %u reads, %u stale\n", sum.reads, sum.stale);
+	ck_assert_uint_eq(sum.lost, 0); /* the model itself */
+	ck_assert_uint_gt(sum.reads, WALKS);
+	ck_assert_uint_eq(sum.stale, 0);
 }
 END_TEST
 
 START_TEST(reads_without_proof_do_miss)
 {
-	uint32_t reads, stale, lost;
+	struct walked sum = walk_all(PROXY_GUARD_STANDING, false);
+
+	printf("unproved: %u reads, %u stale\n", sum.reads, sum.stale);
+	ck_assert_uint_gt(sum.stale, WALKS / 10);
+}
+END_TEST
+
+START_TEST(tokens_hold_over_returns_of_the_store)
+{
+	struct walked sum = walk_all(0, false);
+
+	printf("eras: %u drills, %u calls, %u broken\n", sum.drills, sum.calls,
+	       sum.broken);
+	ck_assert_uint_gt(sum.drills, WALKS);
+	ck_assert_uint_gt(sum.calls, WALKS);
+	ck_assert_uint_eq(sum.broken, 0);
+}
+END_TEST
+
+START_TEST(tokens_without_an_era_are_used_twice)
+{
+	struct walked sum = walk_all(0, true);
 
-	walk_all(PROXY_GUARD_STANDING, &reads, &stale, &lost);
-	printf("unproved: %u reads, %u stale\n", reads, stale);
-	ck_assert_uint_gt(stale, WALKS / 10);
+	printf("plain: %u drills, %u calls, %u broken\n", sum.drills, sum.calls,
+	       sum.broken);
+	ck_assert_uint_gt(sum.broken, WALKS / 10);
 }
 END_TEST
 
@@ -321,5 +464,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, proved_reads_miss_nothing);
 	tcase_add_test(tc, reads_without_proof_do_miss);
+	tcase_add_test(tc, tokens_hold_over_returns_of_the_store);
+	tcase_add_test(tc, tokens_without_an_era_are_used_twice);
 	return suite_run("two_leaders", tc);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -177,7 +177,7 @@
 	} else if (kind == MSG_VIEW) {
 		fill_view(m);
 	} else if (kind == MSG_DOCUMENT) {
-		m->document.version = 8;
+		m->document.version = (struct store_version){ 2, 8 };
 		m->document.data = text_copy("{\"Version\":8}");
 		m->document.bytes = 13;
 	}
@@ -243,7 +243,8 @@
 	} else if (kind == MSG_VIEW) {
 		ck_assert_mem_eq(sent.view, got.view, sizeof(*got.view));
 	} else if (kind == MSG_DOCUMENT) {
-		ck_assert_uint_eq(got.document.version, 8);
+		ck_assert_uint_eq(got.document.version.era, 2);
+		ck_assert_uint_eq(got.document.version.revision, 8);
 		ck_assert_str_eq(got.document.data, sent.document.data);
 	} else {
 		if (kind == MSG_STATEMENT) {
