--- /dev/null
+++ b/core/proxy_life.c
@@ -0,0 +1,104 @@
+/** @file proxy_life.c When a proxy takes callers, and how it stops. */
+#include "proxy_state.h"
+
+/* Callers come once the peers had a chance to be heard. */
+#define READY_AFTER (400 * HM_MS)
+/* Peers that have a newer configuration and do not send it are waited for. */
+#define CATCH_UP_MOST (3 * HM_SEC)
+/* A process that stops tells so and lets others take over first. */
+#define STOP_LEAST (2500 * HM_MS)
+
+bool proxy_stopping(const struct proxy *p)
+{
+	return p->stop_since != HM_NEVER;
+}
+
+/*
+ * The store of a process that has just started may be a copy with an older
+ * configuration than its peers have in force.
+ */
+static bool starts_behind(const struct proxy *p, hm_time now)
+{
+	const struct peer *peer;
+	uint32_t i;
+
+	if (p->was_ready || now - p->started_at >= CATCH_UP_MOST)
+		return false;
+	for (i = 0; (peer = peers_at(p->peers, i)); i++)
+		if (peer->alive && peer->config_version > p->config->version)
+			return true;
+	return false;
+}
+
+static void set_ready(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	struct store_version members = { 0 };
+	bool ready = p->config && p->members && !proxy_stopping(p) &&
+		     !p->partitioned_since &&
+		     now - p->started_at >= READY_AFTER &&
+		     !starts_behind(p, now);
+
+	if (ready == p->ready)
+		return;
+	p->ready = ready;
+	p->was_ready |= ready;
+	if (p->members)
+		members = p->members->at;
+	proxy_action(out, PROXY_READY)->ready = ready;
+	proxy_log(out, "event=ready ready=%d config=%llu era=%llu members=%llu",
+		  ready,
+		  (unsigned long long)(p->config ? p->config->version : 0),
+		  (unsigned long long)members.era,
+		  (unsigned long long)members.revision);
+}
+
+/* Whether a session or a member still waits for this instance. */
+static bool is_busy(const struct proxy *p)
+{
+	struct pool_load load;
+	uint32_t i;
+
+	if (p->session_count)
+		return true;
+	for (i = 0; i < p->pool_count; i++) {
+		pool_load(p->pools[i], &load);
+		if (load.queued || load.running || load.transactions)
+			return true;
+	}
+	return false;
+}
+
+static void check_stop(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	hm_time since = now - p->stop_since;
+	uint32_t i;
+
+	if (!proxy_stopping(p) || p->stopped || since < STOP_LEAST ||
+	    (is_busy(p) && since < p->options.stop_limit + HM_SEC))
+		return;
+	p->stopped = true;
+	for (i = 0; i < p->service_count; i++)
+		keeper_stop(p->keepers[i], out);
+	for (i = 0; i < p->pool_count; i++)
+		pool_close(p->pools[i], now, out);
+	proxy_heartbeat(p, true, now, out);
+	proxy_log(out, "event=stop busy=%d", is_busy(p));
+	proxy_action(out, PROXY_STOPPED);
+}
+
+void life_check(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	set_ready(p, now, out);
+	check_stop(p, now, out);
+}
+
+void life_begin_stop(struct proxy *p, hm_time now, struct proxy_output *out)
+{
+	if (proxy_stopping(p))
+		return;
+	p->stop_since = now;
+	peers_leave(p->peers);
+	proxy_log(out, "event=stopping sessions=%u", p->session_count);
+	proxy_heartbeat(p, false, now, out);
+	set_ready(p, now, out);
+}
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -1,8 +1,9 @@
 /**
  * @file proxy_state.h
- * Inside of a proxy, shared by the modules that compose it: proxy.c (events
- * and messages), sessions*.c (callers), place.c (choice of a member) and
- * services.c (configuration, members, homes and keepers).
+ * Inside of a proxy, shared by the modules that compose it: proxy.c (events),
+ * proxy_message.c (messages), proxy_life.c (start and stop), sessions*.c
+ * (callers), place.c (choice of a member), roster.c (members) and services.c
+ * (configuration, homes and keepers).
  */
 #ifndef PROXY_STATE_H
 #define PROXY_STATE_H
@@ -150,10 +151,19 @@
 /** Queues a message to a life, this one included, or to all peers (0). */
 struct message *proxy_send(struct proxy *p, uint64_t to, enum message_kind kind,
 			   struct proxy_output *out);
-bool proxy_stopping(const struct proxy *p);
+/** Tells all peers how this instance stands. */
+void proxy_heartbeat(struct proxy *p, bool stopped, hm_time now,
+		     struct proxy_output *out);
 /** This instance or a peer has read the revision of the store. */
 void proxy_store_read(struct proxy *p, hm_time read_at);
 
+/* proxy_life.c */
+
+bool proxy_stopping(const struct proxy *p);
+void life_begin_stop(struct proxy *p, hm_time now, struct proxy_output *out);
+/** Takes callers or does not, and ends a stop. */
+void life_check(struct proxy *p, hm_time now, struct proxy_output *out);
+
 /* place.c */
 
 /** What a statement needs of a member. */
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -3,62 +3,18 @@
  * The decisions of a proxy and the tasks around them on one loop. Events of
  * the tasks go into the decisions, their actions are performed at once.
  */
-#include "proxy_instance.h"
+#include "proxy_instance_state.h"
 
-#include <errno.h>
-#include <signal.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
 
-#include "duty.h"
-#include "health_http.h"
-#include "line_front.h"
 #include "log.h"
-#include "member_link.h"
-#include "names.h"
-#include "peer.h"
-#include "proxy_metrics.h"
-#include "site_feed.h"
 
 /* The file of settings is looked at this often. */
 #define FILE_CHECK_EVERY (1 * HM_SEC)
 /* The thread that polls the store looks every 100 ms, too. */
 #define PACE_EVERY (100 * HM_MS)
-#define TOKEN_LIMIT (2500 * HM_MS)
-#define PROMOTE_LIMIT (1500 * HM_MS)
-/* Left of the grace for the last answers and the end of the process. */
-#define STOP_RESERVE (1500 * HM_MS)
-
-struct proxy_instance {
-	struct proxy_settings settings;
-	struct proxy_platform platform;
-	const char *zones[ZONES_MAX];
-	struct loop *loop;
-	struct bodies *bodies;
-	struct proxy *proxy;
-	struct line_front *front;
-	struct member_links *members;
-	struct peer_links *peers;
-	struct site_feed *feed;
-	struct duty *duty;
-	struct store_era era; /* of the store, as answers and peers tell */
-	struct health_http *health;
-	struct timer *tick;
-	struct proxy_output out;
-	struct proxy_counts counts;
-	uint64_t life;
-	uint64_t next_seq; /* of messages to peers */
-	bool stepping;
-	char file[PATH_BYTES];
-	struct timespec file_time;
-	hm_time file_check_at;
-	hm_time pace_at;
-	volatile sig_atomic_t stops;
-	volatile sig_atomic_t reloads;
-	bool stop_begun;
-};
 
 static void step(struct proxy_instance *i, const struct proxy_event *e);
 
@@ -164,13 +120,13 @@
 	i->out = out;
 }
 
-static void on_event(void *owner, const struct proxy_event *e)
+void instance_on_event(void *owner, const struct proxy_event *e)
 {
 	step(owner, e);
 }
 
 /* Messages of peers come as events of the other kind of core. */
-static void on_peer_event(void *owner, const struct event *e)
+void instance_on_peer_event(void *owner, const struct event *e)
 {
 	struct proxy_instance *i = owner;
 	struct proxy_event out = { .kind = PROXY_MESSAGE,
@@ -183,15 +139,15 @@
 	step(i, &out);
 }
 
-static void on_addresses(void *owner, const char (*list)[ADDRESS_BYTES],
-			 uint32_t count)
+void instance_on_addresses(void *owner, const char (*list)[ADDRESS_BYTES],
+			   uint32_t count)
 {
 	struct proxy_instance *i = owner;
 
 	peer_links_addresses(i->peers, list, count);
 }
 
-static void write_metrics(void *owner, GString *out)
+void instance_write_metrics(void *owner, GString *out)
 {
 	struct proxy_instance *i = owner;
 	struct proxy_figures figures;
@@ -215,18 +171,6 @@
 	return changed;
 }
 
-/* New work to a leaving member ends well before the member does. */
-static hm_time drain_limit(const struct proxy_instance *i)
-{
-	return i->settings.drain_limit * 3 / 4;
-}
-
-/* Open transactions have half of the grace. */
-static hm_time stop_limit(const struct proxy_instance *i)
-{
-	return MIN(i->settings.grace / 2, i->settings.grace - STOP_RESERVE);
-}
-
 /* What can change while it runs is taken over; the rest needs a restart. */
 static void reload(struct proxy_instance *i)
 {
@@ -241,8 +185,8 @@
 	}
 	i->settings.drain_limit = s.drain_limit;
 	i->settings.grace = s.grace;
-	e.limits.drain_limit = drain_limit(i);
-	e.limits.stop_limit = stop_limit(i);
+	e.limits.drain_limit = instance_drain_limit(i);
+	e.limits.stop_limit = instance_stop_limit(i);
 	step(i, &e);
 	log_event(G_LOG_LEVEL_INFO, "reload", "file", i->file, NULL);
 }
@@ -277,7 +221,7 @@
 		store_era_take(&i->era, known);
 }
 
-static void on_tick(void *arg)
+void instance_on_tick(void *arg)
 {
 	struct proxy_instance *i = arg;
 	struct proxy_event e = { .kind = PROXY_TICKED };
@@ -299,126 +243,6 @@
 	step(i, &e);
 }
 
-static void init_decisions(struct proxy_instance *i)
-{
-	struct proxy_options o;
-
-	proxy_options_default(&o);
-	o.core.instance = name_id(i->settings.instance);
-	o.core.life = i->life;
-	o.core.zone = i->settings.zone_index;
-	o.core.zone_count = i->settings.zone_count;
-	o.core.seed = random_id();
-	o.drain_limit = drain_limit(i);
-	o.stop_limit = stop_limit(i);
-	i->proxy = proxy_new(&o, loop_now());
-}
-
-static bool start_listeners(struct proxy_instance *i,
-			    char fault[SETTINGS_FAULT_BYTES])
-{
-	const struct proxy_settings *s = &i->settings;
-	struct proxy_sink sink = { on_event, i };
-	struct health_options health = {
-		.health_address = s->listen_health,
-		.health_path = s->health_path,
-		.metrics_address = s->listen_metrics,
-		.metrics_path = s->metrics_path,
-		.metrics = write_metrics,
-		.owner = i,
-	};
-	struct sink peer_sink = { on_peer_event, i };
-
-	i->health = health_http_new(i->loop, &health);
-	i->front = line_front_new(i->loop, s->listen_sessions,
-				  s->connection_limit, i->platform.lines, sink);
-	i->peers = peer_links_new(i->loop, s->listen_peers, i->life, i->bodies,
-				  peer_sink);
-	if (i->health && i->front && i->peers)
-		return true;
-	snprintf(fault, SETTINGS_FAULT_BYTES,
-		 "listen: %s: allowed free addresses of this machine",
-		 strerror(errno));
-	return false;
-}
-
-/* Seeds name machines; their port for peers is the same as here. */
-static void use_seeds(struct proxy_instance *i)
-{
-	const char *port = strrchr(i->settings.listen_peers, ':');
-	char list[SEEDS_MAX][ADDRESS_BYTES];
-	uint32_t n;
-
-	for (n = 0; n < i->settings.seed_count; n++) {
-		const char *seed = i->settings.seeds[n];
-		const char *colon = strrchr(seed, ':');
-
-		g_snprintf(list[n], ADDRESS_BYTES, "%.*s%s",
-			   (int)(colon - seed), seed, port);
-	}
-	peer_links_addresses(i->peers, (const char(*)[ADDRESS_BYTES])list, n);
-}
-
-static void start_clients(struct proxy_instance *i)
-{
-	const struct proxy_settings *s = &i->settings;
-	struct proxy_sink sink = { on_event, i };
-	struct site_feed_options feed = {
-		.api = i->platform.site,
-		.store = s->store,
-		.era = &i->era,
-		.zones = { i->zones, s->zone_count },
-		.instance = s->instance,
-		.peer_address = s->listen_peers,
-		.call_limit = s->store_call_limit,
-		.watch_wait = s->store_watch_wait,
-		.list_every = s->store_list_every,
-		.seed = random_id(),
-		.addresses = on_addresses,
-		.owner = i,
-	};
-	struct duty_options duty = {
-		.api = i->platform.site,
-		.store = s->store,
-		.era = &i->era,
-		.calls = s->promote_calls,
-		.instance = s->instance,
-		.fenced = s->promote_fenced,
-		.token_limit = TOKEN_LIMIT,
-		.call_limit = PROMOTE_LIMIT,
-	};
-
-	i->members = member_links_new(i->loop, i->platform.lines, sink);
-	i->duty = duty_new(i->loop, &duty, sink);
-	i->feed = site_feed_new(i->loop, &feed, sink);
-}
-
-struct proxy_instance *proxy_instance_new(const struct proxy_settings *settings,
-					  const struct proxy_platform *platform,
-					  char fault[SETTINGS_FAULT_BYTES])
-{
-	struct proxy_instance *i = g_new0(struct proxy_instance, 1);
-	uint16_t z;
-
-	i->settings = *settings;
-	i->platform = *platform;
-	i->life = random_id();
-	for (z = 0; z < settings->zone_count; z++)
-		i->zones[z] = i->settings.zones[z];
-	i->loop = loop_new();
-	i->bodies = bodies_new();
-	init_decisions(i);
-	if (!start_listeners(i, fault)) {
-		proxy_instance_free(i);
-		return NULL;
-	}
-	start_clients(i);
-	use_seeds(i);
-	i->tick = timer_new(i->loop, on_tick, i);
-	timer_set(i->tick, loop_now());
-	return i;
-}
-
 void proxy_instance_watch_file(struct proxy_instance *i, const char *file)
 {
 	g_strlcpy(i->file, file, sizeof(i->file));
@@ -446,21 +270,3 @@
 {
 	i->reloads = 1;
 }
-
-void proxy_instance_free(struct proxy_instance *i)
-{
-	if (!i)
-		return;
-	site_feed_free(i->feed);
-	duty_free(i->duty);
-	timer_free(i->tick);
-	line_front_free(i->front);
-	member_links_free(i->members);
-	peer_links_free(i->peers);
-	health_http_free(i->health);
-	proxy_free(i->proxy);
-	proxy_output_free(&i->out);
-	bodies_free(i->bodies);
-	loop_free(i->loop);
-	g_free(i);
-}
--- /dev/null
+++ b/src/proxy_instance_state.h
@@ -0,0 +1,63 @@
+/**
+ * @file proxy_instance_state.h
+ * Inside of a proxy instance, shared by proxy_instance.c (events and actions)
+ * and proxy_setup.c (the tasks that it is made of).
+ */
+#ifndef PROXY_INSTANCE_STATE_H
+#define PROXY_INSTANCE_STATE_H
+
+#include <signal.h>
+#include <time.h>
+
+#include "duty.h"
+#include "health_http.h"
+#include "line_front.h"
+#include "member_link.h"
+#include "peer.h"
+#include "proxy_instance.h"
+#include "proxy_metrics.h"
+#include "site_feed.h"
+
+struct proxy_instance {
+	struct proxy_settings settings;
+	struct proxy_platform platform;
+	const char *zones[ZONES_MAX];
+	struct loop *loop;
+	struct bodies *bodies;
+	struct proxy *proxy;
+	struct line_front *front;
+	struct member_links *members;
+	struct peer_links *peers;
+	struct site_feed *feed;
+	struct duty *duty;
+	struct store_era era; /* of the store, as answers and peers tell */
+	struct health_http *health;
+	struct timer *tick;
+	struct proxy_output out;
+	struct proxy_counts counts;
+	uint64_t life;
+	uint64_t next_seq; /* of messages to peers */
+	bool stepping;
+	char file[PATH_BYTES];
+	struct timespec file_time;
+	hm_time file_check_at;
+	hm_time pace_at;
+	volatile sig_atomic_t stops;
+	volatile sig_atomic_t reloads;
+	bool stop_begun;
+};
+
+/** Longest time that new work goes to a leaving member. */
+hm_time instance_drain_limit(const struct proxy_instance *i);
+/** Longest time of a graceful stop for open transactions. */
+hm_time instance_stop_limit(const struct proxy_instance *i);
+
+/* What the tasks call, all on the loop. */
+void instance_on_event(void *owner, const struct proxy_event *e);
+void instance_on_peer_event(void *owner, const struct event *e);
+void instance_on_addresses(void *owner, const char (*list)[ADDRESS_BYTES],
+			   uint32_t count);
+void instance_write_metrics(void *owner, GString *out);
+void instance_on_tick(void *arg);
+
+#endif
--- /dev/null
+++ b/src/proxy_setup.c
@@ -0,0 +1,162 @@
+/** @file proxy_setup.c The tasks of a proxy instance, made and freed. */
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "names.h"
+#include "proxy_instance_state.h"
+
+#define TOKEN_LIMIT (2500 * HM_MS)
+#define PROMOTE_LIMIT (1500 * HM_MS)
+/* Left of the grace for the last answers and the end of the process. */
+#define STOP_RESERVE (1500 * HM_MS)
+
+/* New work to a leaving member ends well before the member does. */
+hm_time instance_drain_limit(const struct proxy_instance *i)
+{
+	return i->settings.drain_limit * 3 / 4;
+}
+
+/* Open transactions have half of the grace. */
+hm_time instance_stop_limit(const struct proxy_instance *i)
+{
+	return MIN(i->settings.grace / 2, i->settings.grace - STOP_RESERVE);
+}
+
+static void init_decisions(struct proxy_instance *i)
+{
+	struct proxy_options o;
+
+	proxy_options_default(&o);
+	o.core.instance = name_id(i->settings.instance);
+	o.core.life = i->life;
+	o.core.zone = i->settings.zone_index;
+	o.core.zone_count = i->settings.zone_count;
+	o.core.seed = random_id();
+	o.drain_limit = instance_drain_limit(i);
+	o.stop_limit = instance_stop_limit(i);
+	i->proxy = proxy_new(&o, loop_now());
+}
+
+static bool start_listeners(struct proxy_instance *i,
+			    char fault[SETTINGS_FAULT_BYTES])
+{
+	const struct proxy_settings *s = &i->settings;
+	struct proxy_sink sink = { instance_on_event, i };
+	struct health_options health = {
+		.health_address = s->listen_health,
+		.health_path = s->health_path,
+		.metrics_address = s->listen_metrics,
+		.metrics_path = s->metrics_path,
+		.metrics = instance_write_metrics,
+		.owner = i,
+	};
+	struct sink peer_sink = { instance_on_peer_event, i };
+
+	i->health = health_http_new(i->loop, &health);
+	i->front = line_front_new(i->loop, s->listen_sessions,
+				  s->connection_limit, i->platform.lines, sink);
+	i->peers = peer_links_new(i->loop, s->listen_peers, i->life, i->bodies,
+				  peer_sink);
+	if (i->health && i->front && i->peers)
+		return true;
+	snprintf(fault, SETTINGS_FAULT_BYTES,
+		 "listen: %s: allowed free addresses of this machine",
+		 strerror(errno));
+	return false;
+}
+
+/* Seeds name machines; their port for peers is the same as here. */
+static void use_seeds(struct proxy_instance *i)
+{
+	const char *port = strrchr(i->settings.listen_peers, ':');
+	char list[SEEDS_MAX][ADDRESS_BYTES];
+	uint32_t n;
+
+	for (n = 0; n < i->settings.seed_count; n++) {
+		const char *seed = i->settings.seeds[n];
+		const char *colon = strrchr(seed, ':');
+
+		g_snprintf(list[n], ADDRESS_BYTES, "%.*s%s",
+			   (int)(colon - seed), seed, port);
+	}
+	peer_links_addresses(i->peers, (const char(*)[ADDRESS_BYTES])list, n);
+}
+
+static void start_clients(struct proxy_instance *i)
+{
+	const struct proxy_settings *s = &i->settings;
+	struct proxy_sink sink = { instance_on_event, i };
+	struct site_feed_options feed = {
+		.api = i->platform.site,
+		.store = s->store,
+		.era = &i->era,
+		.zones = { i->zones, s->zone_count },
+		.instance = s->instance,
+		.peer_address = s->listen_peers,
+		.call_limit = s->store_call_limit,
+		.watch_wait = s->store_watch_wait,
+		.list_every = s->store_list_every,
+		.seed = random_id(),
+		.addresses = instance_on_addresses,
+		.owner = i,
+	};
+	struct duty_options duty = {
+		.api = i->platform.site,
+		.store = s->store,
+		.era = &i->era,
+		.calls = s->promote_calls,
+		.instance = s->instance,
+		.fenced = s->promote_fenced,
+		.token_limit = TOKEN_LIMIT,
+		.call_limit = PROMOTE_LIMIT,
+	};
+
+	i->members = member_links_new(i->loop, i->platform.lines, sink);
+	i->duty = duty_new(i->loop, &duty, sink);
+	i->feed = site_feed_new(i->loop, &feed, sink);
+}
+
+struct proxy_instance *proxy_instance_new(const struct proxy_settings *settings,
+					  const struct proxy_platform *platform,
+					  char fault[SETTINGS_FAULT_BYTES])
+{
+	struct proxy_instance *i = g_new0(struct proxy_instance, 1);
+	uint16_t z;
+
+	i->settings = *settings;
+	i->platform = *platform;
+	i->life = random_id();
+	for (z = 0; z < settings->zone_count; z++)
+		i->zones[z] = i->settings.zones[z];
+	i->loop = loop_new();
+	i->bodies = bodies_new();
+	init_decisions(i);
+	if (!start_listeners(i, fault)) {
+		proxy_instance_free(i);
+		return NULL;
+	}
+	start_clients(i);
+	use_seeds(i);
+	i->tick = timer_new(i->loop, instance_on_tick, i);
+	timer_set(i->tick, loop_now());
+	return i;
+}
+
+void proxy_instance_free(struct proxy_instance *i)
+{
+	if (!i)
+		return;
+	site_feed_free(i->feed);
+	duty_free(i->duty);
+	timer_free(i->tick);
+	line_front_free(i->front);
+	member_links_free(i->members);
+	peer_links_free(i->peers);
+	health_http_free(i->health);
+	proxy_free(i->proxy);
+	proxy_output_free(&i->out);
+	bodies_free(i->bodies);
+	loop_free(i->loop);
+	g_free(i);
+}
--- a/src/wire.h
+++ b/src/wire.h
@@ -9,7 +9,7 @@
 #include "../core/message.h"
 #include "bodies.h"
 
-#define WIRE_VERSION 1
+#define WIRE_VERSION 2
 #define WIRE_BYTES_MAX (8 * 1024 * 1024)
 
 /** New bytes; deadlines are taken relative to @a now. */
--- a/tests/test_duty.c
+++ b/tests/test_duty.c
@@ -63,6 +63,7 @@
 				  .token_limit = HM_SEC,
 				  .call_limit = HM_SEC };
 
+	memset(r, 0, sizeof(*r));
 	r->members = line_members_new(SERVICE);
 	r->store = object_store_new(r->members);
 	ck_assert(r->members && r->store);
