Count a proof by what replicas have received as progress of a lead check

Change: progress is measured for the latest term shown, applied or received (standing_newest). Ruled out: connections (the replica answered each question within 3 ms). Result: the new test failed before.

--- a/core/lead_check.c
+++ b/core/lead_check.c
@@ -222,13 +222,10 @@
 static void note_progress(struct lead_check *c, hm_time now)
 {
 	struct standing_answer others[ENDPOINTS_MAX];
-	uint32_t i, count = answers_of(c, others);
-	uint64_t since, newest = 0;
+	uint32_t count = answers_of(c, others);
+	uint64_t since = standing_since(
+		others, count, standing_newest(others, count), c->sync);
 
-	for (i = 0; i < count; i++)
-		if (others[i].term > newest)
-			newest = others[i].term;
-	since = standing_since(others, count, newest, c->sync);
 	if (since <= c->proved)
 		return;
 	c->proved = since;
--- a/core/standing.c
+++ b/core/standing.c
@@ -13,6 +13,20 @@
 	return false;
 }
 
+uint64_t standing_newest(const struct standing_answer *others, uint32_t count)
+{
+	uint64_t newest = 0;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (others[i].term > newest)
+			newest = others[i].term;
+		if (others[i].received_term > newest)
+			newest = others[i].received_term;
+	}
+	return newest;
+}
+
 /* Since when each of them was asked whether it leads. */
 static uint64_t all_asked(const struct standing_answer *others, uint32_t count)
 {
--- a/core/standing.h
+++ b/core/standing.h
@@ -22,6 +22,8 @@
 /** Whether one of them has shown a later term than @a term. */
 bool standing_is_over(const struct standing_answer *others, uint32_t count,
 		      uint64_t term);
+/** Latest term that one of them has shown, applied or received. */
+uint64_t standing_newest(const struct standing_answer *others, uint32_t count);
 /**
  * Newest question such that nothing of a term later than @a term had been
  * acknowledged when it was asked. A new primary shows its term at once, which
--- a/tests/test_lead_check.c
+++ b/tests/test_lead_check.c
@@ -215,6 +215,37 @@
 }
 END_TEST
 
+/*
+ * akb-utility trouble-1, 10.0 to 14.1 s: the old primary was out of reach, and
+ * the replica applied its log late. Reads were proved, and refused at once.
+ */
+START_TEST(proof_by_what_was_received_counts_as_progress)
+{
+	uint32_t proved = 0;
+	uint64_t ticket;
+	struct rig r;
+	int i;
+
+	rig_open(&r);
+	warm(&r);
+	begin(&r);
+	follows(&r, 2, 1);
+	for (i = 0; i < 40; i++) {
+		g_string_truncate(r.text, 0);
+		ticket = begin(&r);
+		tick(&r, 70 * HM_MS); /* m2 is late: states are asked, too */
+		if (!strstr(r.text->str, "status 2\n"))
+			continue;
+		follows(&r, 2, 1);
+		tells(&r, 2, 2);
+		proved += lead_check_proof(r.check, ticket, 2) == LEAD_PROVED;
+		ck_assert(!lead_check_fails(r.check, r.now));
+	}
+	ck_assert_uint_gt(proved, 20);
+	rig_close(&r);
+}
+END_TEST
+
 /* The old primary, asked by the home of the new one, is no second leader. */
 START_TEST(older_leader_does_not_count)
 {
@@ -403,6 +434,7 @@
 	tcase_add_test(tc, others_prove_that_a_term_stood);
 	tcase_add_test(tc, one_question_serves_all_that_came_before);
 	tcase_add_test(tc, new_leader_refutes_the_old_one);
+	tcase_add_test(tc, proof_by_what_was_received_counts_as_progress);
 	tcase_add_test(tc, older_leader_does_not_count);
 	tcase_add_test(tc,
 		       silent_member_is_made_up_for_by_the_states_of_others);
