Walk the whole path over a store that comes back from an older copy

A withdrawn key stays withdrawn, also at an instance that starts in the drill; a primary is replaced with a newer token by the other instance once the keeper was killed; a primary that the copy lacks goes on.

--- a/standin/object_store.c
+++ b/standin/object_store.c
@@ -359,6 +359,16 @@
 	return waiting;
 }
 
+uint64_t object_store_token(struct object_store *s)
+{
+	uint64_t token;
+
+	g_mutex_lock(&s->lock);
+	token = s->token;
+	g_mutex_unlock(&s->lock);
+	return token;
+}
+
 uint64_t object_store_revision(struct object_store *s)
 {
 	uint64_t revision;
--- a/standin/object_store.h
+++ b/standin/object_store.h
@@ -30,6 +30,8 @@
 void object_store_slow(struct object_store *s, const char *path);
 /** Whether an answer is held back so. */
 bool object_store_waiting(struct object_store *s);
+/** Highest token of a promote call so far. */
+uint64_t object_store_token(struct object_store *s);
 uint64_t object_store_revision(struct object_store *s);
 /** Comes back from the copy of a revision; what was written since is gone. */
 void object_store_return_to(struct object_store *s, uint64_t revision);
--- /dev/null
+++ b/tests/path_bed.c
@@ -0,0 +1,226 @@
+/** @file path_bed.c The whole path on the users' platform in one process. */
+#include "path_bed.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../platform/adapter.h"
+
+struct path_bed path_bed;
+
+static void free_address(char out[ADDRESS_BYTES])
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	socklen_t bytes = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&at, &bytes), 0);
+	close(fd);
+	g_snprintf(out, ADDRESS_BYTES, "127.0.0.1:%u", ntohs(at.sin_port));
+}
+
+void path_publish_member(int index)
+{
+	char *spec = g_strdup_printf(
+		"{\"Service\":\"rota-db\",\"Address\":\"%s\",\"Zone\":\"a\","
+		"\"Capacity\":2,\"State\":\"%s\",\"DbRole\":\"%s\","
+		"\"born\":1}",
+		line_members_address(path_bed.members, index),
+		path_bed.leaving[index] ? "draining" : "ready",
+		line_members_primary(path_bed.members) == index ? "primary"
+								: "replica");
+
+	object_store_put(path_bed.store, "servers", line_members_name(index),
+			 spec);
+	g_free(spec);
+}
+
+void path_configure(const char *key, const char *more_routes)
+{
+	char *spec = g_strdup_printf(
+		"{\"Version\":%d,\"Routes\":[{\"Host\":\"rota\",\"Type\":"
+		"\"primary\",\"TimeoutMs\":800,\"TargetLatencyMs\":500,"
+		"\"Service\":\"rota-db\"},{\"Host\":\"view\",\"Type\":"
+		"\"bounded\",\"TimeoutMs\":800,\"TargetLatencyMs\":500,"
+		"\"MaxStalenessMs\":1500,\"Service\":\"rota-db\"}%s],"
+		"\"Services\":[{\"Name\":\"rota-db\",\"MaxConnections\":16,"
+		"\"SyncReplicas\":1}],\"Limits\":{\"TxIdleMs\":3000},"
+		"\"Tenants\":[{\"Name\":\"acme\",\"ApiKeys\":[\"%s\"],"
+		"\"PerS\":1000,\"Burst\":1000}]}",
+		++path_bed.version, more_routes, key);
+
+	object_store_put(path_bed.store, "config", "main", spec);
+	g_free(spec);
+}
+
+static gpointer run_instance(gpointer data)
+{
+	proxy_instance_run(data);
+	return NULL;
+}
+
+void path_start_instance(int index)
+{
+	struct proxy_platform platform = { &platform_lines, &platform_site };
+	char fault[SETTINGS_FAULT_BYTES];
+	struct proxy_settings s;
+
+	proxy_settings_default(&s);
+	g_snprintf(s.instance, sizeof(s.instance), "proxy-%d", index);
+	g_strlcpy(s.zone, "a", sizeof(s.zone));
+	g_strlcpy(s.zones[0], "a", NAME_BYTES);
+	s.zone_count = 1;
+	free_address(path_bed.sessions[index]);
+	g_strlcpy(s.listen_sessions, path_bed.sessions[index], ADDRESS_BYTES);
+	g_strlcpy(s.listen_peers, path_bed.peers[index], ADDRESS_BYTES);
+	free_address(s.listen_health);
+	g_strlcpy(s.store, object_store_address(path_bed.store), ADDRESS_BYTES);
+	g_strlcpy(s.promote_calls, object_store_address(path_bed.store),
+		  ADDRESS_BYTES);
+	s.store_watch_wait = HM_SEC;
+	path_bed.instances[index] = proxy_instance_new(&s, &platform, fault);
+	ck_assert_msg(path_bed.instances[index] != NULL, "%s", fault);
+	path_bed.threads[index] =
+		g_thread_new("proxy", run_instance, path_bed.instances[index]);
+}
+
+void path_setup(void)
+{
+	int i;
+
+	memset(&path_bed, 0, sizeof(path_bed));
+	path_bed.members = line_members_new("rota-db");
+	path_bed.store = object_store_new(path_bed.members);
+	ck_assert(path_bed.members && path_bed.store);
+	path_configure("secret", "");
+	for (i = 0; i < LINE_MEMBERS; i++)
+		path_publish_member(i);
+	for (i = 0; i < PATH_INSTANCES; i++)
+		free_address(path_bed.peers[i]);
+	for (i = 0; i < PATH_INSTANCES; i++)
+		path_start_instance(i);
+}
+
+void path_end_instance(int index)
+{
+	if (!path_bed.instances[index])
+		return;
+	/* Twice: at once. */
+	proxy_instance_stop(path_bed.instances[index]);
+	proxy_instance_stop(path_bed.instances[index]);
+	g_thread_join(path_bed.threads[index]);
+	proxy_instance_free(path_bed.instances[index]);
+	path_bed.instances[index] = NULL;
+}
+
+void path_teardown(void)
+{
+	int i;
+
+	for (i = 0; i < PATH_INSTANCES; i++)
+		path_end_instance(i);
+	object_store_free(path_bed.store);
+	line_members_free(path_bed.members);
+}
+
+/* Reads an answer up to its READY, or to the end of the connection. */
+const char *path_read_answer(struct path_caller *c)
+{
+	char line[PATH_ANSWER_ROOM];
+
+	c->answer[0] = '\0';
+	while (fgets(line, sizeof(line), c->in)) {
+		line[strcspn(line, "\r\n")] = '\0';
+		g_strlcat(c->answer, line, sizeof(c->answer));
+		g_strlcat(c->answer, "|", sizeof(c->answer));
+		if (g_str_has_prefix(line, "READY"))
+			return c->answer;
+	}
+	g_strlcat(c->answer, "closed", sizeof(c->answer));
+	return c->answer;
+}
+
+const char *path_say(struct path_caller *c, const char *line)
+{
+	char *text = g_strdup_printf("%s\r\n", line);
+
+	if (send(c->fd, text, strlen(text), MSG_NOSIGNAL) < 0)
+		g_strlcpy(c->answer, "closed", sizeof(c->answer));
+	g_free(text);
+	return path_read_answer(c);
+}
+
+void path_hang_up(struct path_caller *c)
+{
+	fclose(c->in);
+	close(c->fd);
+}
+
+const char *path_open_session(struct path_caller *c, int instance,
+			      const char *database, const char *key)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	const char *port = strrchr(path_bed.sessions[instance], ':') + 1;
+	struct timeval limit = { 5, 0 };
+	char line[128];
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	at.sin_port = htons((uint16_t)atoi(port));
+	c->fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(c->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	ck_assert_int_eq(connect(c->fd, (struct sockaddr *)&at, sizeof(at)), 0);
+	c->in = fdopen(dup(c->fd), "r");
+	g_snprintf(line, sizeof(line), "STARTUP %s %s", database, key);
+	return path_say(c, line);
+}
+
+/* One statement on a session of its own, again until it is served. */
+void path_until_served(int instance, const char *database, const char *line)
+{
+	gint64 until = g_get_monotonic_time() + PATH_WAIT_US;
+	struct path_caller c;
+	bool ok;
+
+	do {
+		path_open_session(&c, instance, database, "secret");
+		ok = strstr(path_say(&c, line), "COMPLETE 7.") != NULL;
+		path_hang_up(&c);
+		if (!ok)
+			g_usleep(PATH_POLL_US);
+	} while (!ok && g_get_monotonic_time() < until);
+	ck_assert_msg(ok, "%s: %s", line, c.answer);
+}
+
+void path_assert_value(const char *item, const char *expected)
+{
+	char *value = line_members_value(path_bed.members, item);
+
+	ck_assert_ptr_nonnull(value);
+	ck_assert_str_eq(value, expected);
+	g_free(value);
+}
+
+/* Asks on a session of its own until the answer begins so. */
+void path_until_opened(int instance, const char *database, const char *key,
+		       const char *expected)
+{
+	gint64 until = g_get_monotonic_time() + PATH_WAIT_US;
+	struct path_caller c;
+	bool ok;
+
+	do {
+		ok = g_str_has_prefix(
+			path_open_session(&c, instance, database, key),
+			expected);
+		path_hang_up(&c);
+		if (!ok)
+			g_usleep(PATH_POLL_US);
+	} while (!ok && g_get_monotonic_time() < until);
+	ck_assert_msg(ok, "%s: %s", database, c.answer);
+}
