Let two instances of each zone watch the store for the others

Change: core/store_readers.c. The two of a zone with the lowest lives that reach the store watch; the others hear of a newer document by heartbeats and ask a peer of their own zone, after 0.25 s any. A reader that dies, is frozen or is turned away is replaced within a second; the poll of the revision by one instance for all stays, and keeps the bound when all watches are deaf.

--- a/core/proxy.c
+++ b/core/proxy.c
@@ -4,24 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * A watch may be deaf for seconds without a sign. The revision of the store
- * is cheap to read, and tells whether there is anything to be read again. One
- * instance asks for all: the others take their turns when it has not done so,
- * soon enough for a change to be in force within 3 s (2.3 s and a heartbeat).
- */
-#define POLL_EVERY (1500 * HM_MS)
-#define POLL_TURN (400 * HM_MS) /* a heartbeat, and the call */
-#define POLL_TURNS 2
-#define POLL_SPREAD (10 * HM_MS) /* of all those whose turn comes last */
-#define POLL_TURN_MOST (1200 * HM_MS)
-/*
- * Members register and change in groups, at a start or a release: the events
- * of a moment come in one answer. A larger fleet waits longer, as each event
- * wakes every instance, and no longer than is still early in a drain.
- */
-#define GATHER_EACH (45 * HM_MS)
-#define GATHER_MOST (750 * HM_MS)
 void proxy_options_default(struct proxy_options *o)
 {
 	memset(o, 0, sizeof(*o));
@@ -89,37 +71,6 @@
 	return p->store_era;
 }
 
-hm_time proxy_poll_at(const struct proxy *p)
-{
-	hm_time from = p->store_read_at, turn;
-	const struct peer *peer;
-	uint32_t i, turns, rank = 0;
-
-	for (i = 0; (peer = peers_at(p->peers, i)); i++)
-		rank += peer->alive && peer->life < p->options.core.life;
-	turns = rank < POLL_TURNS ? rank : POLL_TURNS;
-	turn = turns * POLL_TURN + (rank - turns) * POLL_SPREAD;
-	if (turn > POLL_TURN_MOST)
-		turn = POLL_TURN_MOST;
-	/* The lists of the start have just read everything. */
-	if (from < p->started_at)
-		from = p->started_at;
-	return from + POLL_EVERY + turn;
-}
-
-hm_time proxy_gather_time(const struct proxy *p)
-{
-	hm_time time = GATHER_EACH * (peers_count(p->peers) + 1);
-
-	return time < GATHER_MOST ? time : GATHER_MOST;
-}
-
-void proxy_store_read(struct proxy *p, hm_time read_at)
-{
-	if (read_at > p->store_read_at)
-		p->store_read_at = read_at;
-}
-
 void proxy_heartbeat(struct proxy *p, bool stopped, hm_time now,
 		     struct proxy_output *out)
 {
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -252,6 +252,11 @@
 uint64_t proxy_store_era(const struct proxy *p);
 /** When this instance is to ask the store whether anything changed. */
 hm_time proxy_poll_at(const struct proxy *p);
+/**
+ * Whether this instance is to watch the store; others are told of changes by
+ * their peers.
+ */
+bool proxy_watches(const struct proxy *p, hm_time now);
 /** Pause between two watches of the members, so that events come together. */
 hm_time proxy_gather_time(const struct proxy *p);
 
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -133,6 +133,17 @@
 	[MSG_VIEW] = take_view,	      [MSG_DOCUMENT_WANT] = take_document_want,
 };
 
+/* By the own watch, or soon from a peer of the own zone. */
+static bool may_come_cheaper(const struct proxy *p, uint64_t from, hm_time now)
+{
+	const struct peer *peer = peers_find(p->peers, from);
+
+	if (!p->was_ready || !p->store_ok)
+		return false;
+	return proxy_watches(p, now) || !peer ||
+	       peer->zone != p->options.core.zone;
+}
+
 static void want_document(struct proxy *p, enum document_kind kind,
 			  struct store_version theirs, uint64_t from,
 			  hm_time now, struct proxy_output *out)
@@ -144,7 +155,7 @@
 		return;
 	if (!p->behind_since[kind])
 		p->behind_since[kind] = now;
-	if (p->was_ready && p->store_ok &&
+	if (may_come_cheaper(p, from, now) &&
 	    now - p->behind_since[kind] < BEHIND_WAIT)
 		return;
 	p->behind_since[kind] = now;
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -154,6 +154,9 @@
 /** Tells all peers how this instance stands. */
 void proxy_heartbeat(struct proxy *p, bool stopped, hm_time now,
 		     struct proxy_output *out);
+
+/* store_readers.c */
+
 /** This instance or a peer has read the revision of the store. */
 void proxy_store_read(struct proxy *p, hm_time read_at);
 
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -225,6 +225,7 @@
 {
 	struct proxy_instance *i = arg;
 	struct proxy_event e = { .kind = PROXY_TICKED };
+	struct feed_pace pace;
 	hm_time now = loop_now();
 
 	timer_set(i->tick, now + PROXY_TICK);
@@ -237,8 +238,10 @@
 	if (now >= i->pace_at) {
 		i->pace_at = now + PACE_EVERY;
 		exchange_era(i);
-		site_feed_pace(i->feed, proxy_poll_at(i->proxy),
-			       proxy_gather_time(i->proxy));
+		pace.poll_at = proxy_poll_at(i->proxy);
+		pace.gather = proxy_gather_time(i->proxy);
+		pace.watches = proxy_watches(i->proxy, now);
+		site_feed_pace(i->feed, &pace);
 	}
 	step(i, &e);
 }
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -144,6 +144,8 @@
 	f->options = *options;
 	f->sink = sink;
 	f->poll_at = HM_NEVER;
+	g_mutex_init(&f->lock);
+	g_cond_init(&f->changed);
 	watcher_start(&f->config, f, STORE_CONFIG);
 	watcher_start(&f->members, f, STORE_MEMBERS);
 	watcher_init(&f->polled[DOCUMENT_CONFIG], f, STORE_CONFIG);
@@ -158,7 +160,10 @@
 
 	if (!f)
 		return;
+	g_mutex_lock(&f->lock);
 	f->stopping = true;
+	g_cond_broadcast(&f->changed);
+	g_mutex_unlock(&f->lock);
 	watcher_stop(&f->config);
 	watcher_stop(&f->members);
 	watcher_stop(&f->instances);
@@ -167,6 +172,8 @@
 		free(f->documents[i].text);
 		g_hash_table_unref(f->polled[i].objects);
 	}
+	g_cond_clear(&f->changed);
+	g_mutex_clear(&f->lock);
 	g_free(f);
 }
 
@@ -194,10 +201,26 @@
 	json_decref(json);
 }
 
-void site_feed_pace(struct site_feed *f, hm_time poll_at, hm_time gather)
+void feed_wait_to_watch(struct site_feed *f)
 {
-	atomic_store(&f->poll_at, poll_at);
-	atomic_store(&f->gather, gather);
+	g_mutex_lock(&f->lock);
+	while (!f->watches && !f->stopping)
+		g_cond_wait(&f->changed, &f->lock);
+	g_mutex_unlock(&f->lock);
+}
+
+void site_feed_pace(struct site_feed *f, const struct feed_pace *pace)
+{
+	atomic_store(&f->poll_at, pace->poll_at);
+	atomic_store(&f->gather, pace->gather);
+	g_mutex_lock(&f->lock);
+	if (f->watches != pace->watches) {
+		log_event(G_LOG_LEVEL_INFO, "store_watch", "watches",
+			  pace->watches ? "1" : "0", NULL);
+		f->watches = pace->watches;
+		g_cond_broadcast(&f->changed);
+	}
+	g_mutex_unlock(&f->lock);
 }
 
 uint64_t site_feed_calls(const struct site_feed *f)
--- a/src/site_feed.h
+++ b/src/site_feed.h
@@ -41,11 +41,14 @@
 			       struct store_version *version);
 /** A document that a peer sent. */
 void site_feed_take(struct site_feed *f, const struct document *document);
-/**
- * When to ask the store next whether anything changed, and how long to gather
- * events of members between two watches.
- */
-void site_feed_pace(struct site_feed *f, hm_time poll_at, hm_time gather);
+/** How a feed reads the store. */
+struct feed_pace {
+	hm_time poll_at; /**< asks whether anything changed then */
+	hm_time gather;	 /**< between two watches, for events of members */
+	bool watches;	 /**< or is told of changes by peers */
+};
+
+void site_feed_pace(struct site_feed *f, const struct feed_pace *pace);
 uint64_t site_feed_calls(const struct site_feed *f);
 
 #endif
--- a/src/site_feed_state.h
+++ b/src/site_feed_state.h
@@ -40,6 +40,9 @@
 	bool stopping; /* set before the clients are cancelled */
 	_Atomic hm_time poll_at;
 	_Atomic hm_time gather;
+	GMutex lock; /* for those that do not watch to wait */
+	GCond changed;
+	bool watches;
 };
 
 /* What a thread hands to the loop; owned by the receiver. */
@@ -57,6 +60,8 @@
 	hm_time read_at; /* DELIVER_READ: when the store was asked */
 };
 
+/** Returns when the feed is to watch, or stops. */
+void feed_wait_to_watch(struct site_feed *f);
 /** Hands something to the loop; takes over what @a d points to. */
 void feed_deliver(struct site_feed *f, const struct delivery *d);
 /** Prepares a watcher that another thread uses. */
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -169,6 +169,7 @@
 
 	while (!http_client_cancelled(w->http)) {
 		if (from.revision) {
+			feed_wait_to_watch(w->feed);
 			from = watch_once(w, from, &ok);
 		} else {
 			from = list_all(w, w->http);
--- a/tests/era_rig.c
+++ b/tests/era_rig.c
@@ -54,6 +54,8 @@
 		     const char *name)
 {
 	static const char *const zones[] = { "a" };
+	static const struct feed_pace pace = { .poll_at = HM_NEVER,
+					       .watches = true };
 	struct proxy_sink sink = { on_event, r };
 	struct site_feed_options f = { .api = &platform_site,
 				       .store = object_store_address(store),
@@ -78,6 +80,7 @@
 	r->loop = loop_new();
 	r->duty = duty_new(r->loop, &d, sink);
 	r->feed = site_feed_new(r->loop, &f, sink);
+	site_feed_pace(r->feed, &pace);
 	r->thread = g_thread_new("loop", run_loop, r->loop);
 }
 
