--- a/core/rate.c
+++ b/core/rate.c
@@ -1,13 +1,9 @@
-/** @file rate.c Minting at owners, drawing and holding tokens elsewhere. */
-#include "rate.h"
+/** @file rate.c Tokens drawn from the owners of all zones, and held. */
+#include "rate_state.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "table.h"
-
-#define TOKEN ((int64_t)1000000) /* levels are in millionths of a token */
-#define GRANT_VALID_MAX (250 * HM_MS)
 #define ASK_LIMIT (100 * HM_MS) /* a question without answer failed */
 #define DRY_MIN (5 * HM_MS)	/* pause before a dry source is asked again */
 #define DRY_MAX (50 * HM_MS)
@@ -15,67 +11,6 @@
 #define PREFETCH (50 * HM_MS)	/* tokens are held for this much demand */
 #define PACE_SPAN (200 * HM_MS) /* memory of the measured pace */
 #define LINE_OLD (300 * HM_MS)	/* after this the pace tells the drain rate */
-#define HELD_MAX 16
-#define TAKEOVER_SILENCES 2 /* wait of a new owner, in peer_silent */
-
-/* Tokens of one grant. */
-struct held {
-	uint32_t tokens;
-	hm_time expires_at;
-};
-
-/* Owner of one zone, as seen by one account's asker. */
-struct source {
-	uint64_t seq; /* of the question in flight, 0 for none */
-	uint32_t asked;
-	hm_time asked_at;
-	hm_time dry_until;
-	hm_time silence; /* length of the next pause after no answer */
-};
-
-struct quota {
-	hm_id account;
-	bool live;
-	uint32_t rate;
-	struct rate_part part; /* minted by this zone */
-	uint64_t generation;   /* of the peers when ownership was decided */
-	uint64_t owner;	       /* last one known, 0 for none */
-	bool owned;
-	int64_t level;
-	hm_time filled_at;
-	bool since_start; /* nobody owned it before this process did */
-	struct held held[HELD_MAX];
-	uint32_t held_count;
-	struct source *sources; /* one per zone */
-	struct contract *contract;
-	int64_t pace; /* millionths of a token taken per second */
-	hm_time paced_at;
-	uint32_t waiting;
-	hm_time waiting_since; /* HM_NEVER when nothing waits */
-};
-
-struct rate {
-	const struct core_options *options;
-	const struct peers *peers;
-	struct quota *list;
-	uint32_t count;
-	uint32_t room;
-	struct table by_account;
-	uint64_t next_seq;
-	hm_time last_at;
-	hm_time mint_after; /* this instance owns nothing before */
-};
-
-/*
- * Two instances that do not hear each other because a link went silent hear
- * each other again, over a new link, before either mints for the other. The
- * links of a new process are new: it waits for peer_silent only, or for as
- * long as the options say.
- */
-static hm_time takeover_wait(const struct rate *r)
-{
-	return r->options->peer_silent * TAKEOVER_SILENCES;
-}
 
 struct rate *rate_new(const struct core_options *options,
 		      const struct peers *peers, hm_time now)
@@ -107,52 +42,7 @@
 	free(r);
 }
 
-static uint32_t share(uint32_t total, uint32_t index, uint32_t count)
-{
-	uint64_t upto = (uint64_t)total * (index + 1) / count;
-
-	return (uint32_t)(upto - (uint64_t)total * index / count);
-}
-
-/* Fewer zones mint when a part would fall below one request per second. */
-static uint32_t minting_zones(const struct contract *c, uint16_t zone_count)
-{
-	uint32_t n = zone_count;
-
-	if (n > c->rate)
-		n = c->rate;
-	if (n > c->burst / 2)
-		n = c->burst / 2;
-	return n ? n : 1;
-}
-
-void rate_part_of(const struct contract *c, uint16_t zone, uint16_t zone_count,
-		  struct rate_part *out)
-{
-	uint32_t n = minting_zones(c, zone_count);
-	uint32_t first = (uint32_t)(c->account % zone_count);
-	uint32_t index = (zone + zone_count - first) % zone_count;
-	int64_t half;
-
-	*out = (struct rate_part){ 0 };
-	if (index >= n)
-		return;
-	out->rate = share(c->rate, index, n);
-	out->burst = share(c->burst, index, n);
-	if (!out->rate || out->burst < 2)
-		return;
-	half = out->burst * TOKEN / 2;
-	out->valid = half / out->rate;
-	if (out->valid > GRANT_VALID_MAX)
-		out->valid = GRANT_VALID_MAX;
-}
-
-static int64_t capacity(const struct rate_part *part)
-{
-	return part->burst * TOKEN - part->rate * part->valid;
-}
-
-static struct quota *find(const struct rate *r, hm_id account)
+struct quota *rate_find(const struct rate *r, hm_id account)
 {
 	uint32_t h = table_get(&r->by_account, account);
 
@@ -187,102 +77,6 @@
 	return q;
 }
 
-/*
- * Others take over what is silent for longer than peer_silent. An instance
- * that did not run for half of it gives up first and begins anew.
- */
-static void notice_pause(struct rate *r, hm_time now)
-{
-	uint32_t i;
-
-	if (now - r->last_at > r->options->peer_silent / 2) {
-		r->mint_after = now + takeover_wait(r);
-		for (i = 0; i < r->count; i++) {
-			r->list[i].owned = false;
-			r->list[i].generation = UINT64_MAX;
-		}
-	}
-	if (now > r->last_at)
-		r->last_at = now;
-}
-
-/* Whether the last owner may still mint without knowing of this one. */
-static bool may_have_rival(const struct rate *r, uint64_t owner)
-{
-	const struct peer *peer = peers_find(r->peers, owner);
-
-	if (!owner || owner == r->options->life)
-		return false;
-	return !peer || !peer->gave_up;
-}
-
-static void decide_ownership(const struct rate *r, struct quota *q, hm_time now)
-{
-	uint64_t generation = peers_generation(r->peers);
-	uint64_t last = q->owner;
-
-	if (q->generation == generation)
-		return;
-	q->generation = generation;
-	q->owner = peers_owner(r->peers, q->account, r->options->zone, false);
-	if (q->owner != r->options->life) {
-		q->owned = false;
-		q->since_start = false;
-		return;
-	}
-	if (q->owned)
-		return;
-	q->owned = true;
-	q->level = 0;
-	q->since_start = !last && now < r->mint_after;
-	q->filled_at = now > r->mint_after ? now : r->mint_after;
-	if (may_have_rival(r, last) && q->filled_at < now + takeover_wait(r))
-		q->filled_at = now + takeover_wait(r);
-}
-
-/* A peer that was there before this process may have minted meanwhile. */
-static bool zone_began_anew(const struct rate *r)
-{
-	const struct peer *peer;
-	uint32_t i;
-
-	for (i = 0; (peer = peers_at(r->peers, i)); i++)
-		if (peer->zone == r->options->zone && peer->minted)
-			return false;
-	return true;
-}
-
-/*
- * When all of a zone start together nobody mints until they know one another.
- * What was due in that time is there for the callers who come back at once.
- */
-static void mint_since_start(const struct rate *r, struct quota *q, hm_time now)
-{
-	if (!q->since_start || now < r->mint_after)
-		return;
-	q->since_start = false;
-	if (zone_began_anew(r))
-		q->filled_at = r->mint_after - r->options->start_wait;
-}
-
-/* Brings ownership and level up to now; true when tokens may be minted. */
-static bool mint(const struct rate *r, struct quota *q, hm_time now)
-{
-	int64_t most = capacity(&q->part);
-
-	decide_ownership(r, q, now);
-	if (!q->owned)
-		return false;
-	mint_since_start(r, q, now);
-	if (now > q->filled_at) {
-		q->level += q->part.rate * (now - q->filled_at);
-		q->filled_at = now;
-	}
-	if (q->level > most)
-		q->level = most;
-	return true;
-}
-
 void rate_contract(struct rate *r, const struct contract *c, hm_time now)
 {
 	uint32_t h = table_get(&r->by_account, c->account);
@@ -293,7 +87,7 @@
 	if (!q)
 		q = add(r, c->account);
 	if (q->live)
-		mint(r, q, now);
+		rate_mint(r, q, now);
 	q->live = !c->withdrawn;
 	q->held_count = q->live ? q->held_count : 0;
 	*q->contract = *c;
@@ -302,8 +96,8 @@
 	if (q->live)
 		rate_part_of(c, r->options->zone, r->options->zone_count,
 			     &q->part);
-	if (q->level > capacity(&q->part))
-		q->level = capacity(&q->part);
+	if (q->level > rate_capacity(&q->part))
+		q->level = rate_capacity(&q->part);
 }
 
 static void drop_expired(struct quota *q, hm_time now)
@@ -348,14 +142,6 @@
 	return true;
 }
 
-static bool take_minted(const struct rate *r, struct quota *q, hm_time now)
-{
-	if (!mint(r, q, now) || q->level < TOKEN)
-		return false;
-	q->level -= TOKEN;
-	return true;
-}
-
 /* Pace of an account: each take adds 1/PACE_SPAN, which decays. */
 static void decay_pace(struct quota *q, hm_time now)
 {
@@ -368,19 +154,14 @@
 	q->paced_at = now;
 }
 
-bool rate_mints(const struct rate *r, hm_time now)
-{
-	return now >= r->mint_after;
-}
-
 bool rate_take(struct rate *r, hm_id account, hm_time now)
 {
-	struct quota *q = find(r, account);
+	struct quota *q = rate_find(r, account);
 
-	notice_pause(r, now);
+	rate_notice_pause(r, now);
 	if (!q)
 		return false;
-	if (!take_held(q, now) && !take_minted(r, q, now))
+	if (!take_held(q, now) && !rate_take_minted(r, q, now))
 		return false;
 	if (q->waiting)
 		q->waiting--;
@@ -418,7 +199,7 @@
 	drop_expired(q, now);
 	for (i = 0; i < q->held_count; i++)
 		lack -= q->held[i].tokens;
-	if (mint(r, q, now))
+	if (rate_mint(r, q, now))
 		lack -= q->level / TOKEN;
 	for (i = 0; i < r->options->zone_count; i++)
 		lack -= q->sources[i].asked;
@@ -480,9 +261,9 @@
 void rate_demand(struct rate *r, hm_id account, uint32_t waiting, hm_time now,
 		 struct actions *actions)
 {
-	struct quota *q = find(r, account);
+	struct quota *q = rate_find(r, account);
 
-	notice_pause(r, now);
+	rate_notice_pause(r, now);
 	if (!q)
 		return;
 	if (!waiting)
@@ -509,13 +290,13 @@
 
 bool rate_dry(struct rate *r, hm_id account, hm_time now)
 {
-	struct quota *q = find(r, account);
+	struct quota *q = rate_find(r, account);
 	uint16_t zone;
 
 	if (!q)
 		return true;
 	drop_expired(q, now);
-	if (q->held_count || (mint(r, q, now) && q->level >= TOKEN))
+	if (q->held_count || (rate_mint(r, q, now) && q->level >= TOKEN))
 		return false;
 	for (zone = 0; zone < r->options->zone_count; zone++)
 		if (!source_dry(r, q, zone, now))
@@ -526,7 +307,7 @@
 hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t waiting,
 		      hm_time now)
 {
-	const struct quota *q = find(r, account);
+	const struct quota *q = rate_find(r, account);
 	int64_t pace;
 
 	if (!q)
@@ -539,28 +320,6 @@
 	return now + waiting * TOKEN * HM_SEC / pace;
 }
 
-static void take_want(struct rate *r, const struct message *m, hm_time now,
-		      struct actions *actions)
-{
-	struct quota *q = find(r, m->rate.account);
-	struct message *grant = actions_send(actions, m->from, MSG_GRANT);
-	int64_t tokens;
-
-	grant->rate.nonce = m->rate.nonce;
-	grant->rate.account = m->rate.account;
-	if (!q || !mint(r, q, now) || !q->part.valid)
-		return;
-	tokens = q->level / TOKEN;
-	if (tokens > m->rate.tokens)
-		tokens = m->rate.tokens;
-	if (tokens < 0)
-		tokens = 0;
-	q->level -= tokens * TOKEN;
-	grant->rate.tokens = (uint32_t)tokens;
-	grant->rate.valid = q->part.valid;
-	grant->rate.contract_version = q->contract->version;
-}
-
 static struct source *source_of(const struct rate *r, struct quota *q,
 				struct rid nonce)
 {
@@ -587,7 +346,7 @@
 static void take_grant(struct rate *r, const struct message *m, hm_time now,
 		       struct actions *actions)
 {
-	struct quota *q = find(r, m->rate.account);
+	struct quota *q = rate_find(r, m->rate.account);
 	struct source *s = q ? source_of(r, q, m->rate.nonce) : NULL;
 	uint32_t tokens = m->rate.tokens;
 	hm_time expires_at;
@@ -610,9 +369,9 @@
 void rate_message(struct rate *r, const struct message *m, hm_time now,
 		  struct actions *actions)
 {
-	notice_pause(r, now);
+	rate_notice_pause(r, now);
 	if (m->kind == MSG_WANT)
-		take_want(r, m, now, actions);
+		rate_take_want(r, m, now, actions);
 	else if (m->kind == MSG_GRANT)
 		take_grant(r, m, now, actions);
 }
@@ -621,11 +380,11 @@
 {
 	uint32_t i;
 
-	notice_pause(r, now);
+	rate_notice_pause(r, now);
 	for (i = 0; i < r->count; i++) {
 		struct quota *q = &r->list[i];
 
-		decide_ownership(r, q, now);
+		rate_decide_owner(r, q, now);
 		if (q->live && (q->waiting || q->pace >= TOKEN))
 			draw(r, q, now, actions);
 	}
