--- a/tests/test_two_leaders.c
+++ b/tests/test_two_leaders.c
@@ -11,18 +11,16 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "../core/fencing.h"
 #include "../core/lead_check.h"
 #include "../core/rng.h"
 #include "suite.h"
+#include "token_walk.h"
 
 #define WALKS 3000
 #define STEPS 150
 #define MEMBERS_MOST 4
 #define COMMITS_MOST 60
 #define SERVICE 5
-#define KEEPERS 2
-#define ERAS_MOST 40
 
 /** A member; commits are bits of its log. */
 struct member {
@@ -37,34 +35,9 @@
 	uint32_t asked_count;
 };
 
-/* The store: the newest token of each era, and a copy of them. */
-struct tokens {
-	uint64_t era;
-	uint64_t held[ERAS_MOST];
-	uint64_t revision[ERAS_MOST]; /* of the object of that era */
-	uint64_t newest_revision;
-};
-
-/* A keeper on its way to a promotion; it may be held up at any step. */
-struct walk_keeper {
-	bool has_read;
-	uint64_t era;	   /* when it read */
-	uint64_t held;	   /* what it read */
-	uint64_t revision; /* condition of its write */
-	uint64_t token;	   /* taken, 0 for none */
-};
-
 struct walk {
 	struct rng rng;
-	bool plain; /* tokens without an era, in one object */
-	struct tokens store;
-	struct tokens copy;
-	struct walk_keeper keepers[KEEPERS];
-	uint64_t newest_used;
-	uint64_t used_by; /* keeper of that token */
-	uint32_t calls;
-	uint32_t broken; /* calls with an older token, or another's */
-	uint32_t drills;
+	struct token_walk tokens;
 	struct proxy_options options;
 	uint64_t next_conn;
 	struct member members[MEMBERS_MOST];
@@ -146,80 +119,10 @@
 	best->shown = best->term; /* until its first commit */
 }
 
-static uint64_t era_of_object(const struct walk *w, uint64_t era)
-{
-	return w->plain ? 0 : era;
-}
-
-/* The store comes back; another copy is made now and then. */
-static void drill_or_copy(struct walk *w)
-{
-	uint64_t era = w->store.era;
-
-	if (pick(w, 2) || era + 1 == ERAS_MOST) {
-		w->copy = w->store;
-		return;
-	}
-	w->store = w->copy;
-	w->store.era = era + 1;
-	w->drills++;
-}
-
-static void keeper_reads(struct walk *w, struct walk_keeper *k)
-{
-	uint64_t at = era_of_object(w, w->store.era);
-
-	*k = (struct walk_keeper){ .has_read = true,
-				   .era = w->store.era,
-				   .held = w->store.held[at],
-				   .revision = w->store.revision[at] };
-}
-
-/* Also one that was sent before a drill is carried out: late. */
-static void keeper_writes(struct walk *w, struct walk_keeper *k)
-{
-	uint64_t at = era_of_object(w, k->era);
-	uint64_t token = fencing_next(k->held, at);
-	bool late = k->era != w->store.era;
-
-	k->has_read = false;
-	if (w->store.revision[at] != k->revision)
-		return;
-	w->store.held[at] = token;
-	w->store.revision[at] = ++w->store.newest_revision;
-	if (!late || w->plain)
-		k->token = token;
-}
-
-/* Looked up first, where nobody checks tokens. */
-static void keeper_calls(struct walk *w, struct walk_keeper *k)
-{
-	uint64_t at = era_of_object(w, fencing_era(k->token));
-	uint64_t token = k->token;
-
-	k->token = 0;
-	if (!fencing_is_newest(token, w->store.held[at],
-			       era_of_object(w, w->store.era)))
-		return;
-	w->calls++;
-	w->broken += token < w->newest_used ||
-		     (token == w->newest_used &&
-		      w->used_by != (uint64_t)(k - w->keepers));
-	w->newest_used = token;
-	w->used_by = (uint64_t)(k - w->keepers);
-	promote(w);
-}
-
 static void keeper_goes_on(struct walk *w)
 {
-	struct walk_keeper *k = &w->keepers[pick(w, KEEPERS)];
-
-	if (k->token)
-		keeper_calls(w, k);
-	else if (k->has_read)
-		keeper_writes(w, k);
-	else
-		keeper_reads(w, k);
+	if (token_walk_keeper(&w->tokens, &w->rng))
+		promote(w);
 }
 
 static struct member *member_of_conn(struct walk *w, uint64_t conn)
@@ -343,7 +246,7 @@
 	if (!pick(w, 8))
 		keeper_goes_on(w);
 	else if (!pick(w, 30))
-		drill_or_copy(w);
+		token_walk_drill(&w->tokens, &w->rng);
 	else
 		steps[pick(w, n)](w);
 	w->now += (hm_time)pick(w, 20) * HM_MS;
@@ -361,7 +264,7 @@
 
 	memset(w, 0, sizeof(*w));
 	w->rng.state = seed;
-	w->plain = plain;
+	w->tokens.plain = plain;
 	proxy_options_default(&w->options);
 	w->options.guards_off = guards_off;
 	w->now = 100 * HM_SEC;
@@ -408,9 +311,9 @@
 		sum.reads += w.reads;
 		sum.stale += w.stale;
 		sum.lost += w.lost;
-		sum.drills += w.drills;
-		sum.calls += w.calls;
-		sum.broken += w.broken;
+		sum.drills += w.tokens.drills;
+		sum.calls += w.tokens.calls;
+		sum.broken += w.tokens.broken;
 	}
 	return sum;
 }
