--- /dev/null
+++ b/tests/pool_rig.c
@@ -0,0 +1,127 @@
+/** @file pool_rig.c One pool by itself. */
+#include "pool_rig.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+void pool_rig_open(struct pool_rig *r, uint32_t slots, uint32_t connections)
+{
+	struct pool_site site = { &r->options, &r->view, &r->next_conn };
+
+	memset(r, 0, sizeof(*r));
+	proxy_options_default(&r->options);
+	r->now = POOL_RIG_NOW;
+	r->view.service = 5;
+	r->member.endpoint = 9;
+	r->member.service = 5;
+	r->member.slots = slots;
+	g_strlcpy(r->member.name, "m1", NAME_BYTES);
+	g_strlcpy(r->member.service_name, "db", NAME_BYTES);
+	g_strlcpy(r->member.address, "10.0.0.1:1", ADDRESS_BYTES);
+	r->pool = pool_new(&r->member, connections, site, r->now);
+	/* It is the only member: nobody else can lead. */
+	lead_check_sync(pool_check(r->pool), false);
+	r->text = g_string_new(NULL);
+}
+
+void pool_rig_close(struct pool_rig *r)
+{
+	pool_close(r->pool, r->now, &r->out);
+	pool_free(r->pool);
+	proxy_output_free(&r->out);
+	g_string_free(r->text, TRUE);
+}
+
+struct run_order pool_rig_order(uint64_t id, enum statement_op op,
+				enum run_scope scope)
+{
+	struct run_order o = { 0 };
+
+	o.id.life = POOL_RIG_LIFE;
+	o.id.seq = id;
+	o.tx = o.id;
+	o.service = 5;
+	o.endpoint = 9;
+	o.account = 3;
+	g_strlcpy(o.who, "acme", sizeof(o.who));
+	o.weight = 1;
+	o.op = op;
+	o.scope = scope;
+	o.writes = op == STMT_WRITE;
+	o.start_by = POOL_RIG_NOW + HM_SEC;
+	o.deadline = POOL_RIG_NOW + 2 * HM_SEC;
+	o.idle_limit = 3 * HM_SEC;
+	g_snprintf(o.request, sizeof(o.request), "r%" G_GUINT64_FORMAT, id);
+	o.text = (char *)(op == STMT_WRITE ? "WRITE a b" : "READ a");
+	return o;
+}
+
+void pool_rig_submit(struct pool_rig *r, const struct run_order *o)
+{
+	pool_submit(r->pool, o, POOL_RIG_LIFE, r->now, &r->out);
+	proxy_text(r->text, &r->out);
+}
+
+void pool_rig_ready(struct pool_rig *r, uint64_t conn)
+{
+	pool_ready(r->pool, conn, r->now, &r->out);
+	proxy_text(r->text, &r->out);
+}
+
+void pool_rig_reply(struct pool_rig *r, uint64_t conn, enum error error,
+		    enum session_state state)
+{
+	struct member_reply m = { .error = error,
+				  .state = state,
+				  .at = { 1, 50 },
+				  .signature = error ? NULL : "proof" };
+
+	pool_replied(r->pool, conn, &m, r->now, &r->out);
+	proxy_text(r->text, &r->out);
+}
+
+void pool_rig_closed(struct pool_rig *r, uint64_t conn, enum error error)
+{
+	pool_closed(r->pool, conn, error, r->now, &r->out);
+	proxy_text(r->text, &r->out);
+}
+
+void pool_rig_tick(struct pool_rig *r, hm_time later)
+{
+	r->now += later;
+	pool_tick(r->pool, true, r->now, &r->out);
+	proxy_text(r->text, &r->out);
+}
+
+/* Appends what ended, one line each. */
+void pool_rig_results(struct pool_rig *r)
+{
+	static const char states[] = "ITE";
+	struct run_result *result;
+	uint64_t to;
+
+	while (pool_next_result(r->pool, &to, &result)) {
+		ck_assert_uint_eq(to, POOL_RIG_LIFE);
+		g_string_append_printf(
+			r->text, "r%" G_GUINT64_FORMAT ": %s, %s, %c\n",
+			result->id.seq, error_answer(result->error)->code,
+			execution_name(result->execution),
+			states[result->state]);
+		run_result_free(result);
+	}
+}
+
+/* An idle connection of the account, number 1. */
+void pool_rig_warm(struct pool_rig *r)
+{
+	struct run_order o = pool_rig_order(100, STMT_WRITE, RUN_SINGLE);
+
+	pool_rig_submit(r, &o);
+	pool_rig_ready(r, 1);
+	pool_rig_reply(r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_results(r);
+	proxy_text_expect(r->text, "connect 1 m1 acme\n"
+				   "statement 1 r100 WRITE a b\n"
+				   "r100: ok, run, I\n");
+}
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -5,214 +5,77 @@
  * statement says. Runs are compared as text.
  */
 #include <check.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "../core/pool.h"
-#include "proxy_text.h"
+#include "pool_rig.h"
 #include "suite.h"
 
-#define LIFE 77
-#define NOW (100 * HM_SEC)
-
-struct rig {
-	struct proxy_options options;
-	struct service_state view;
-	struct site_member member;
-	uint64_t next_conn;
-	struct pool *pool;
-	struct proxy_output out;
-	GString *text;
-	hm_time now;
-};
-
-static void rig_open(struct rig *r, uint32_t slots, uint32_t connections)
-{
-	struct pool_site site = { &r->options, &r->view, &r->next_conn };
-
-	memset(r, 0, sizeof(*r));
-	proxy_options_default(&r->options);
-	r->now = NOW;
-	r->view.service = 5;
-	r->member.endpoint = 9;
-	r->member.service = 5;
-	r->member.slots = slots;
-	g_strlcpy(r->member.name, "m1", NAME_BYTES);
-	g_strlcpy(r->member.service_name, "db", NAME_BYTES);
-	g_strlcpy(r->member.address, "10.0.0.1:1", ADDRESS_BYTES);
-	r->pool = pool_new(&r->member, connections, site, r->now);
-	/* It is the only member: nobody else can lead. */
-	lead_check_sync(pool_check(r->pool), false);
-	r->text = g_string_new(NULL);
-}
-
-static void rig_close(struct rig *r)
-{
-	pool_close(r->pool, r->now, &r->out);
-	pool_free(r->pool);
-	proxy_output_free(&r->out);
-	g_string_free(r->text, TRUE);
-}
-
-static struct run_order order(uint64_t id, enum statement_op op,
-			      enum run_scope scope)
-{
-	struct run_order o = { 0 };
-
-	o.id.life = LIFE;
-	o.id.seq = id;
-	o.tx = o.id;
-	o.service = 5;
-	o.endpoint = 9;
-	o.account = 3;
-	g_strlcpy(o.who, "acme", sizeof(o.who));
-	o.weight = 1;
-	o.op = op;
-	o.scope = scope;
-	o.writes = op == STMT_WRITE;
-	o.start_by = NOW + HM_SEC;
-	o.deadline = NOW + 2 * HM_SEC;
-	o.idle_limit = 3 * HM_SEC;
-	g_snprintf(o.request, sizeof(o.request), "r%" G_GUINT64_FORMAT, id);
-	o.text = (char *)(op == STMT_WRITE ? "WRITE a b" : "READ a");
-	return o;
-}
-
-static void submit(struct rig *r, const struct run_order *o)
-{
-	pool_submit(r->pool, o, LIFE, r->now, &r->out);
-	proxy_text(r->text, &r->out);
-}
-
-static void ready(struct rig *r, uint64_t conn)
-{
-	pool_ready(r->pool, conn, r->now, &r->out);
-	proxy_text(r->text, &r->out);
-}
-
-static void reply(struct rig *r, uint64_t conn, enum error error,
-		  enum session_state state)
-{
-	struct member_reply m = { .error = error,
-				  .state = state,
-				  .at = { 1, 50 },
-				  .signature = error ? NULL : "proof" };
-
-	pool_replied(r->pool, conn, &m, r->now, &r->out);
-	proxy_text(r->text, &r->out);
-}
-
-static void closed(struct rig *r, uint64_t conn, enum error error)
-{
-	pool_closed(r->pool, conn, error, r->now, &r->out);
-	proxy_text(r->text, &r->out);
-}
-
-static void tick(struct rig *r, hm_time later)
-{
-	r->now += later;
-	pool_tick(r->pool, true, r->now, &r->out);
-	proxy_text(r->text, &r->out);
-}
-
-/* Appends what ended, one line each. */
-static void results(struct rig *r)
-{
-	static const char states[] = "ITE";
-	struct run_result *result;
-	uint64_t to;
-
-	while (pool_next_result(r->pool, &to, &result)) {
-		ck_assert_uint_eq(to, LIFE);
-		g_string_append_printf(
-			r->text, "r%" G_GUINT64_FORMAT ": %s, %s, %c\n",
-			result->id.seq, error_answer(result->error)->code,
-			execution_name(result->execution),
-			states[result->state]);
-		run_result_free(result);
-	}
-}
-
-/* An idle connection of the account, number 1. */
-static void warm(struct rig *r)
-{
-	struct run_order o = order(100, STMT_WRITE, RUN_SINGLE);
-
-	submit(r, &o);
-	ready(r, 1);
-	reply(r, 1, ERR_NONE, SESSION_IDLE);
-	results(r);
-	proxy_text_expect(r->text, "connect 1 m1 acme\n"
-				   "statement 1 r100 WRITE a b\n"
-				   "r100: ok, run, I\n");
-}
-
 START_TEST(read_waits_for_proof_of_lead)
 {
-	struct run_order o = order(1, STMT_READ, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_READ, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	o.lead = true;
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	proxy_text_expect(r.text, "begin 1\nrollback 1\n");
-	reply(&r, 1, ERR_NONE, SESSION_OPEN);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_OPEN);
 	proxy_text_expect(r.text, "");
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
 	proxy_text_expect(r.text, "statement 1 r1 READ a\n");
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
-	results(&r);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "r1: ok, run, I\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(read_is_not_sent_to_who_lost_the_lead)
 {
-	struct run_order o = order(1, STMT_READ, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_READ, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	o.lead = true;
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	g_string_truncate(r.text, 0);
-	reply(&r, 1, ERR_READ_ONLY, SESSION_IDLE);
-	reply(&r, 1, ERR_BAD_REQUEST, SESSION_IDLE);
-	results(&r);
+	pool_rig_reply(&r, 1, ERR_READ_ONLY, SESSION_IDLE);
+	pool_rig_reply(&r, 1, ERR_BAD_REQUEST, SESSION_IDLE);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "r1: read_only, not run, I\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(replica_read_names_the_position)
 {
-	struct run_order o = order(1, STMT_READ, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_READ, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	o.max_age = HM_SEC;
-	submit(&r, &o);
-	results(&r);
+	pool_rig_submit(&r, &o);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "r1: not_caught_up, not run, I\n");
-	r.view.samples[0].asked_at = NOW - 2 * HM_SEC; /* too old */
+	r.view.samples[0].asked_at = POOL_RIG_NOW - 2 * HM_SEC; /* too old */
 	r.view.samples[0].at = (struct mark){ 1, 30 };
-	r.view.samples[1].asked_at = NOW - HM_SEC / 2;
+	r.view.samples[1].asked_at = POOL_RIG_NOW - HM_SEC / 2;
 	r.view.samples[1].at = (struct mark){ 1, 40 };
 	r.view.sample_count = 2;
 	o.id.seq = 2;
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	proxy_text_expect(r.text, "statement 1 r1 after=1.40 READ a\n");
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
 	o.id.seq = 3;
 	o.floor = (struct mark){ 1, 45 }; /* the session's own commit */
-	submit(&r, &o);
-	results(&r);
+	pool_rig_submit(&r, &o);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "statement 1 r1 after=1.45 READ a\n"
 				  "r2: ok, run, I\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
@@ -220,87 +83,87 @@
 {
 	struct session_value one[] = { { (char *)"tz", (char *)"utc" } };
 	struct session_value two[] = { { (char *)"lang", (char *)"am" } };
-	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	o.values = one;
 	o.value_count = 1;
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	proxy_text_expect(r.text, "set 1 tz utc\n");
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
 	proxy_text_expect(r.text, "statement 1 r1 WRITE a b\n");
-	submit(&r, &o);
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_submit(&r, &o);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
 	proxy_text_expect(r.text, "statement 1 r1 WRITE a b\n");
 	o.values = two;
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	proxy_text_expect(r.text, "reset 1\nset 1 lang am\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(prepared_statements_are_known_by_shape)
 {
-	struct run_order o = order(1, STMT_EXECUTE, RUN_SINGLE);
+	struct run_order o = pool_rig_order(1, STMT_EXECUTE, RUN_SINGLE);
 	char *first, *second;
-	struct rig r;
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	o.text = (char *)"1a4";
 	o.shape = (char *)"q2c";
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	first = g_strdup(r.text->str);
 	ck_assert(g_str_has_prefix(first, "prepare 1 r"));
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
 	g_string_truncate(r.text, 0);
 	o.writes = true; /* the same shape as a write is another statement */
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	second = g_strdup(r.text->str);
 	ck_assert(g_str_has_prefix(second, "prepare 1 w"));
 	g_free(first);
 	g_free(second);
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 /* Opens a transaction with id @a id on connection 1. */
-static void open_tx(struct rig *r, uint64_t id)
+static void open_tx(struct pool_rig *r, uint64_t id)
 {
-	struct run_order o = order(id, STMT_READ, RUN_FIRST);
+	struct run_order o = pool_rig_order(id, STMT_READ, RUN_FIRST);
 
-	submit(r, &o);
-	reply(r, 1, ERR_NONE, SESSION_OPEN);
-	reply(r, 1, ERR_NONE, SESSION_OPEN);
-	results(r);
+	pool_rig_submit(r, &o);
+	pool_rig_reply(r, 1, ERR_NONE, SESSION_OPEN);
+	pool_rig_reply(r, 1, ERR_NONE, SESSION_OPEN);
+	pool_rig_results(r);
 }
 
 START_TEST(transaction_has_a_connection_of_its_own)
 {
-	struct run_order o = order(2, STMT_WRITE, RUN_INSIDE);
-	struct rig r;
+	struct run_order o = pool_rig_order(2, STMT_WRITE, RUN_INSIDE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	open_tx(&r, 1);
 	proxy_text_expect(r.text, "begin 1\nstatement 1 r1 READ a\n"
 				  "r1: ok, run, T\n");
 	o.scope = RUN_SINGLE;
-	submit(&r, &o); /* of the same account */
+	pool_rig_submit(&r, &o); /* of the same account */
 	proxy_text_expect(r.text, "connect 2 m1 acme\n");
-	o = order(3, STMT_COMMIT, RUN_INSIDE);
+	o = pool_rig_order(3, STMT_COMMIT, RUN_INSIDE);
 	o.tx.seq = 1;
 	o.text = (char *)"COMMIT";
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	proxy_text_expect(r.text, "statement 1 r3 COMMIT\n");
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
-	results(&r);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "r3: ok, run, I\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
@@ -311,133 +174,134 @@
  */
 START_TEST(refused_statement_ends_its_transaction)
 {
-	struct run_order busy = order(8, STMT_WRITE, RUN_SINGLE);
-	struct run_order o = order(2, STMT_READ, RUN_INSIDE);
-	struct rig r;
+	struct run_order busy = pool_rig_order(8, STMT_WRITE, RUN_SINGLE);
+	struct run_order o = pool_rig_order(2, STMT_READ, RUN_INSIDE);
+	struct pool_rig r;
 
-	rig_open(&r, 1, 16);
-	warm(&r);
+	pool_rig_open(&r, 1, 16);
+	pool_rig_warm(&r);
 	open_tx(&r, 1);
 	g_string_truncate(r.text, 0);
-	submit(&r, &busy); /* takes the only slot */
+	pool_rig_submit(&r, &busy); /* takes the only slot */
 	o.tx.seq = 1;
 	o.start_by = r.now + 100 * HM_MS;
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	g_string_truncate(r.text, 0);
-	tick(&r, 200 * HM_MS);
-	results(&r);
+	pool_rig_tick(&r, 200 * HM_MS);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "rollback 1\nr2: overloaded, not run, E\n");
 	o.id.seq = 4;
-	submit(&r, &o);
-	results(&r);
+	pool_rig_submit(&r, &o);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "r4: transaction_gone, not run, E\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(idle_transaction_is_rolled_back)
 {
-	struct rig r;
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	open_tx(&r, 1);
 	g_string_truncate(r.text, 0);
-	tick(&r, 2900 * HM_MS);
+	pool_rig_tick(&r, 2900 * HM_MS);
 	proxy_text_expect(r.text, "");
-	tick(&r, 200 * HM_MS);
+	pool_rig_tick(&r, 200 * HM_MS);
 	proxy_text_expect(r.text, "rollback 1\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(ends_tell_whether_it_ran)
 {
-	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	submit(&r, &o);
-	closed(&r, 1, ERR_NO_ENDPOINT); /* never connected */
-	results(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_submit(&r, &o);
+	pool_rig_closed(&r, 1, ERR_NO_ENDPOINT); /* never connected */
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "connect 1 m1 acme\nclose 1\n"
 				  "r1: no_endpoint, not run, I\n");
-	tick(&r, 300 * HM_MS);
-	submit(&r, &o);
-	ready(&r, 2);
-	closed(&r, 2, ERR_NO_ENDPOINT); /* after it was sent */
-	results(&r);
+	pool_rig_tick(&r, 300 * HM_MS);
+	pool_rig_submit(&r, &o);
+	pool_rig_ready(&r, 2);
+	pool_rig_closed(&r, 2, ERR_NO_ENDPOINT); /* after it was sent */
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "connect 2 m1 acme\n"
 				  "statement 2 r1 WRITE a b\nclose 2\n"
 				  "r1: outcome_unknown, unknown, I\n");
-	tick(&r, 300 * HM_MS);
+	pool_rig_tick(&r, 300 * HM_MS);
 	o.deadline = r.now + HM_SEC;
 	o.start_by = r.now + HM_SEC;
-	submit(&r, &o);
-	ready(&r, 3);
-	tick(&r, 1100 * HM_MS); /* no answer in time */
-	results(&r);
+	pool_rig_submit(&r, &o);
+	pool_rig_ready(&r, 3);
+	pool_rig_tick(&r, 1100 * HM_MS); /* no answer in time */
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "connect 3 m1 acme\n"
 				  "statement 3 r1 WRITE a b\nclose 3\n"
 				  "r1: time_limit, unknown, I\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(silent_connection_is_found_before_the_statement)
 {
-	struct run_order o = order(1, STMT_READ, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_READ, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	o.lead = true;
-	submit(&r, &o);
-	tick(&r, 600 * HM_MS);
-	results(&r);
+	pool_rig_submit(&r, &o);
+	pool_rig_tick(&r, 600 * HM_MS);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "begin 1\nrollback 1\nclose 1\n"
 				  "r1: no_endpoint, not run, I\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(connections_go_from_idle_accounts_to_busy_ones)
 {
-	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 3); /* two are spared */
-	warm(&r);
+	pool_rig_open(&r, 2, 3); /* two are spared */
+	pool_rig_warm(&r);
 	o.account = 4;
 	g_strlcpy(o.who, "other", sizeof(o.who));
-	submit(&r, &o);
+	pool_rig_submit(&r, &o);
 	proxy_text_expect(r.text, "close 1\nconnect 2 m1 other\n");
-	closed(&r, 2, ERR_CONNECTION_LIMIT); /* another home has them */
-	results(&r);
+	pool_rig_closed(&r, 2,
+			ERR_CONNECTION_LIMIT); /* another home has them */
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "close 2\n"); /* it waits for a place */
-	tick(&r, 100 * HM_MS);
-	ready(&r, 3);
+	pool_rig_tick(&r, 100 * HM_MS);
+	pool_rig_ready(&r, 3);
 	proxy_text_expect(r.text, "connect 3 m1 other\n"
 				  "statement 3 r1 WRITE a b\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(full_member_serves_others_over_idle_connections)
 {
-	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	o.account = 4;
 	g_strlcpy(o.who, "other", sizeof(o.who));
-	submit(&r, &o);
-	closed(&r, 2, ERR_CONNECTION_LIMIT);
+	pool_rig_submit(&r, &o);
+	pool_rig_closed(&r, 2, ERR_CONNECTION_LIMIT);
 	proxy_text_expect(r.text, "connect 2 m1 other\nclose 2\n");
-	tick(&r, 60 * HM_MS);
+	pool_rig_tick(&r, 60 * HM_MS);
 	proxy_text_expect(r.text, "close 1\nconnect 3 m1 other\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
@@ -449,58 +313,58 @@
  */
 START_TEST(spare_connections_are_given_back)
 {
-	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
-	submit(&r, &o);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
+	pool_rig_submit(&r, &o);
 	o.id.seq = 2;
-	submit(&r, &o);
-	ready(&r, 2);
-	reply(&r, 1, ERR_NONE, SESSION_IDLE);
-	reply(&r, 2, ERR_NONE, SESSION_IDLE);
+	pool_rig_submit(&r, &o);
+	pool_rig_ready(&r, 2);
+	pool_rig_reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_rig_reply(&r, 2, ERR_NONE, SESSION_IDLE);
 	g_string_truncate(r.text, 0);
-	tick(&r, 180 * HM_MS);
+	pool_rig_tick(&r, 180 * HM_MS);
 	proxy_text_expect(r.text, "");
-	tick(&r, 40 * HM_MS);
+	pool_rig_tick(&r, 40 * HM_MS);
 	proxy_text_expect(r.text, "close 1\n");
-	tick(&r, 5 * HM_SEC);
+	pool_rig_tick(&r, 5 * HM_SEC);
 	proxy_text_expect(r.text, "");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(transactions_of_a_dead_instance_are_rolled_back)
 {
-	struct rig r;
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	open_tx(&r, 1);
 	g_string_truncate(r.text, 0);
-	pool_release_life(r.pool, LIFE, r.now, &r.out);
+	pool_release_life(r.pool, POOL_RIG_LIFE, r.now, &r.out);
 	proxy_text(r.text, &r.out);
 	proxy_text_expect(r.text, "rollback 1\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
 START_TEST(leaving_member_gets_no_new_work_after_its_limit)
 {
-	struct run_order o = order(1, STMT_WRITE, RUN_SINGLE);
-	struct rig r;
+	struct run_order o = pool_rig_order(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_rig r;
 
-	rig_open(&r, 2, 16);
-	warm(&r);
+	pool_rig_open(&r, 2, 16);
+	pool_rig_warm(&r);
 	r.member.leaving = true;
 	pool_member(r.pool, &r.member, 16, r.now);
 	r.now += r.options.drain_limit + HM_MS;
 	o.start_by = r.now + HM_SEC;
-	submit(&r, &o);
-	results(&r);
+	pool_rig_submit(&r, &o);
+	pool_rig_results(&r);
 	proxy_text_expect(r.text, "r1: no_endpoint, not run, I\n");
-	rig_close(&r);
+	pool_rig_close(&r);
 }
 END_TEST
 
