Take the first era that is told for a return, where a list was held before

Cause: a store that tells no era, or 0, until it comes back from a copy was taken for one whose era is told for the first time: nothing waited for members to write again, and no return was counted. Change: what counts is whether a list of members is held. Result: the new test of test_recall failed before.

--- a/core/roster.c
+++ b/core/roster.c
@@ -23,7 +23,8 @@
 	proxy_log(out, "event=store_era before=%llu era=%llu source=%s",
 		  (unsigned long long)p->store_era, (unsigned long long)era,
 		  source);
-	if (p->store_era) {
+	/* A list from before: the store has come back. */
+	if (p->members) {
 		p->figures.store_returns++;
 		/* Members write again what the copy lacks of them. */
 		if (p->settled_at < now + p->options.settle_time)
--- a/tests/test_recall.c
+++ b/tests/test_recall.c
@@ -112,17 +112,35 @@
 /* Case 3: revisions went back with the store. */
 START_TEST(later_era_is_newer_at_any_revision)
 {
+	uint64_t returns;
 	struct rig r;
 
 	rig_open(&r);
 	list_members(&r, 3, 900, 2);
+	returns = r.proxy->figures.store_returns;
 	list_members(&r, 4, 20, 2);
 	ck_assert_uint_eq(r.proxy->members->at.era, 4);
 	ck_assert_uint_eq(r.proxy->members->at.revision, 20);
 	/* Case 6: whoever an answer of the earlier era comes from. */
 	list_members(&r, 3, 950, 1);
 	ck_assert_uint_eq(r.proxy->members->at.era, 4);
+	ck_assert_uint_eq(r.proxy->figures.store_returns, returns + 1);
+	rig_close(&r);
+}
+END_TEST
+
+/* The first era may be told as 0, or not at all. */
+START_TEST(return_of_a_store_that_told_no_era_is_one)
+{
+	struct rig r;
+
+	rig_open(&r);
+	list_members(&r, 0, 900, 2);
+	rig_run(&r, 4 * HM_SEC);
+	list_members(&r, 1, 20, 2);
+	ck_assert_uint_eq(r.proxy->members->at.era, 1);
 	ck_assert_uint_eq(r.proxy->figures.store_returns, 1);
+	ck_assert_int_gt(r.proxy->settled_at, r.now);
 	rig_close(&r);
 }
 END_TEST
@@ -266,6 +284,7 @@
 			    G_N_ELEMENTS(copies));
 	tcase_add_test(tc, entry_of_the_same_era_is_believed);
 	tcase_add_test(tc, later_era_is_newer_at_any_revision);
+	tcase_add_test(tc, return_of_a_store_that_told_no_era_is_one);
 	tcase_add_test(tc, member_that_had_left_gets_no_work);
 	tcase_add_test(tc, member_that_had_left_is_remembered_over_two_returns);
 	tcase_add_test(tc, member_that_the_copy_lacks_is_kept);
