--- a/core/recall.c
+++ b/core/recall.c
@@ -11,7 +11,7 @@
 
 void recall_free(struct recall *r)
 {
-	free(r->held);
+	free(r->held.list);
 	*r = (struct recall){ 0 };
 }
 
@@ -44,28 +44,19 @@
 	return known ? m->started < known->started : has_left(r, m);
 }
 
-static void add_entry(struct site_member **list, uint32_t *count,
-		      const struct site_member *m)
-{
-	*list = realloc(*list, (*count + 1) * sizeof(**list));
-	if (!*list)
-		abort();
-	(*list)[(*count)++] = *m;
-}
-
 void recall_filter(struct recall *r, const struct site_members *known,
 		   struct site_members *list, hm_time now)
 {
 	uint32_t i;
 
-	r->held_count = 0;
+	r->held.count = 0;
 	for (i = list->count; i-- > 0;) {
 		struct site_member *m = &list->list[i];
 		const struct site_member *old =
 			site_members_find(known, m->endpoint);
 
 		if (now < r->doubt_until && is_outdated(r, old, m)) {
-			add_entry(&r->held, &r->held_count, m);
+			site_members_add(&r->held, m);
 			*m = list->list[--list->count];
 		} else if (old && old->leaving && !site_member_reborn(old, m)) {
 			m->leaving = true;
@@ -77,11 +68,11 @@
 {
 	uint32_t i, before = list ? list->count : 0;
 
-	if (!list || !r->held_count || now < r->doubt_until)
+	if (!list || !r->held.count || now < r->doubt_until)
 		return false;
-	for (i = 0; i < r->held_count; i++)
-		if (!site_members_find(list, r->held[i].endpoint))
-			add_entry(&list->list, &list->count, &r->held[i]);
-	r->held_count = 0;
+	for (i = 0; i < r->held.count; i++)
+		if (!site_members_find(list, r->held.list[i].endpoint))
+			site_members_add(list, &r->held.list[i]);
+	r->held.count = 0;
 	return list->count != before;
 }
--- a/core/recall.h
+++ b/core/recall.h
@@ -21,9 +21,8 @@
 struct recall {
 	struct left_member left[RECALL_LEFT_MAX];
 	uint32_t left_count;	  /**< so far; the newest are kept */
-	struct site_member *held; /**< entries that are not believed yet */
-	uint32_t held_count;
-	hm_time doubt_until; /**< the copy is doubted until then */
+	struct site_members held; /**< entries that are not believed yet */
+	hm_time doubt_until;	  /**< the copy is doubted until then */
 };
 
 void recall_free(struct recall *r);
--- a/core/roster.c
+++ b/core/roster.c
@@ -6,8 +6,6 @@
  */
 #include "proxy_state.h"
 
-#include <stdlib.h>
-
 /*
  * A member without an entry is gone when it is not back within 2 s; one that
  * the store alone does not hear serves on while its primary is replaced
@@ -49,10 +47,7 @@
 				  old.name);
 		if (!old.missing_since || new_era)
 			old.missing_since = now;
-		m->list = realloc(m->list, (m->count + 1) * sizeof(*m->list));
-		if (!m->list)
-			abort();
-		m->list[m->count++] = old;
+		site_members_add(m, &old);
 	}
 }
 
@@ -84,13 +79,13 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < r->held_count; i++)
+	for (i = 0; i < r->held.count; i++)
 		proxy_log(out,
 			  "event=member_doubted member=%s started=%llu "
 			  "leaving=%d",
-			  r->held[i].name,
-			  (unsigned long long)r->held[i].started,
-			  r->held[i].leaving);
+			  r->held.list[i].name,
+			  (unsigned long long)r->held.list[i].started,
+			  r->held.list[i].leaving);
 }
 
 /* Whether a list is of no use; one of an earlier era is told of. */
--- a/core/site_config.c
+++ b/core/site_config.c
@@ -50,6 +50,14 @@
 	free(m);
 }
 
+void site_members_add(struct site_members *m, const struct site_member *entry)
+{
+	m->list = realloc(m->list, (m->count + 1) * sizeof(*m->list));
+	if (!m->list)
+		abort();
+	m->list[m->count++] = *entry;
+}
+
 bool site_member_reborn(const struct site_member *before,
 			const struct site_member *after)
 {
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -88,6 +88,8 @@
 bool site_member_reborn(const struct site_member *before,
 			const struct site_member *after);
 void site_members_free(struct site_members *m);
+/** Appends a copy of an entry. */
+void site_members_add(struct site_members *m, const struct site_member *entry);
 const struct site_member *site_members_find(const struct site_members *m,
 					    hm_id endpoint);
 
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -201,12 +201,16 @@
 	json_decref(json);
 }
 
-void feed_wait_to_watch(struct site_feed *f)
+bool feed_wait_to_watch(struct site_feed *f)
 {
+	bool goes_on;
+
 	g_mutex_lock(&f->lock);
 	while (!f->watches && !f->stopping)
 		g_cond_wait(&f->changed, &f->lock);
+	goes_on = !f->stopping;
 	g_mutex_unlock(&f->lock);
+	return goes_on;
 }
 
 void site_feed_pace(struct site_feed *f, const struct feed_pace *pace)
--- a/src/site_feed_state.h
+++ b/src/site_feed_state.h
@@ -60,8 +60,8 @@
 	hm_time read_at; /* DELIVER_READ: when the store was asked */
 };
 
-/** Returns when the feed is to watch, or stops. */
-void feed_wait_to_watch(struct site_feed *f);
+/** Waits until the feed is to watch; false when it stops. */
+bool feed_wait_to_watch(struct site_feed *f);
 /** Hands something to the loop; takes over what @a d points to. */
 void feed_deliver(struct site_feed *f, const struct delivery *d);
 /** Prepares a watcher that another thread uses. */
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -39,31 +39,32 @@
 	return false;
 }
 
-enum store_outcome store_client_list(struct store_client *c,
-				     enum store_kind kind, bool stale,
-				     hm_time until, struct store_objects *out)
+/* The outcome of a list or a watch; an answer that does not count is freed. */
+static enum store_outcome objects_outcome(struct store_client *c,
+					  enum store_outcome outcome,
+					  struct store_objects *out)
 {
-	enum store_outcome outcome =
-		c->api->list(c->http, kind, stale, until, out);
-
 	if (is_current(c, outcome, out->at.era))
 		return outcome;
 	store_objects_clear(out);
 	return STORE_UNAVAILABLE;
 }
 
+enum store_outcome store_client_list(struct store_client *c,
+				     enum store_kind kind, bool stale,
+				     hm_time until, struct store_objects *out)
+{
+	return objects_outcome(
+		c, c->api->list(c->http, kind, stale, until, out), out);
+}
+
 enum store_outcome store_client_watch(struct store_client *c,
 				      enum store_kind kind, uint64_t from,
 				      hm_time wait, hm_time until,
 				      struct store_objects *out)
 {
-	enum store_outcome outcome =
-		c->api->watch(c->http, kind, from, wait, until, out);
-
-	if (is_current(c, outcome, out->at.era))
-		return outcome;
-	store_objects_clear(out);
-	return STORE_UNAVAILABLE;
+	return objects_outcome(
+		c, c->api->watch(c->http, kind, from, wait, until, out), out);
 }
 
 enum store_outcome store_client_read(struct store_client *c,
