Let all instances watch the configuration again, and a few the members

A configuration of hundreds of routes (23.5 s) was sent by ten watchers to 55 other instances, which asked again every 100 ms, also others; links were full, heartbeats late, and peers taken for dead until 30 s. Change: the few watch members alone. The configuration is watched by each instance, and awaited from its own watch for 0.25 s before a peer is asked. Ruled out: tokens of the start and spare connections (nothing starts and no power is lost there).

--- a/core/proxy.h
+++ b/core/proxy.h
@@ -253,8 +253,8 @@
 /** When this instance is to ask the store whether anything changed. */
 hm_time proxy_poll_at(const struct proxy *p);
 /**
- * Whether this instance is to watch the store; others are told of changes by
- * their peers.
+ * Whether this instance is to watch the members in the store; others are told
+ * of changes by their peers. All watch the configuration, which may be large.
  */
 bool proxy_watches(const struct proxy *p, hm_time now);
 /** Pause between two watches of the members, so that events come together. */
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -134,13 +134,14 @@
 };
 
 /* By the own watch, or soon from a peer of the own zone. */
-static bool may_come_cheaper(const struct proxy *p, uint64_t from, hm_time now)
+static bool may_come_cheaper(const struct proxy *p, enum document_kind kind,
+			     uint64_t from, hm_time now)
 {
 	const struct peer *peer = peers_find(p->peers, from);
 
 	if (!p->was_ready || !p->store_ok)
 		return false;
-	return proxy_watches(p, now) || !peer ||
+	return kind == DOCUMENT_CONFIG || proxy_watches(p, now) || !peer ||
 	       peer->zone != p->options.core.zone;
 }
 
@@ -155,7 +156,7 @@
 		return;
 	if (!p->behind_since[kind])
 		p->behind_since[kind] = now;
-	if (may_come_cheaper(p, from, now) &&
+	if (may_come_cheaper(p, kind, from, now) &&
 	    now - p->behind_since[kind] < BEHIND_WAIT)
 		return;
 	p->behind_since[kind] = now;
--- a/core/store_readers.c
+++ b/core/store_readers.c
@@ -3,8 +3,10 @@
 
 /*
  * A watch wakes all who wait at each change, and is a call for each of them.
- * A few of each zone watch; the others hear of a newer document by the next
- * heartbeat of any of them, and ask for it.
+ * Members change often, and their list is short: a few of each zone watch
+ * them, the others hear of a newer list by the next heartbeat of any of them,
+ * and ask for it. The configuration changes seldom and may be large: to hand
+ * it to all others fills the links of the few.
  */
 #define WATCHERS_A_ZONE 2
 /* Peers are heard by then: a heartbeat, and the way here. */
--- a/src/site_feed.h
+++ b/src/site_feed.h
@@ -45,7 +45,7 @@
 struct feed_pace {
 	hm_time poll_at; /**< asks whether anything changed then */
 	hm_time gather;	 /**< between two watches, for events of members */
-	bool watches;	 /**< or is told of changes by peers */
+	bool watches;	 /**< members, or is told of changes by peers */
 };
 
 void site_feed_pace(struct site_feed *f, const struct feed_pace *pace);
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -169,7 +169,8 @@
 
 	while (!http_client_cancelled(w->http)) {
 		if (from.revision) {
-			if (!feed_wait_to_watch(w->feed))
+			if (w->kind == STORE_MEMBERS &&
+			    !feed_wait_to_watch(w->feed))
 				break;
 			from = watch_once(w, from, &ok);
 		} else {
--- a/tests/test_store_readers.c
+++ b/tests/test_store_readers.c
@@ -111,12 +111,40 @@
 }
 END_TEST
 
+/*
+ * twinkle-pool-grown trouble-2, 23.5 s: the configuration grew large, and ten
+ * watchers sent it to 55 others, again and again, until heartbeats were late.
+ */
+START_TEST(configuration_is_awaited_from_the_own_watch)
+{
+	struct proxy_event store = { .kind = PROXY_STORE, .store_ok = true };
+	struct message m = { .kind = MSG_HEARTBEAT, .from = 12 };
+	struct rig r;
+
+	rig_open(&r);
+	rig_step(&r, &store);
+	heartbeat(&r, 10, 0, true, 1);
+	heartbeat(&r, 12, 0, true, 1);
+	ck_assert(!proxy_watches(r.proxy, r.now));
+	m.heartbeat.instance = 1012;
+	m.heartbeat.platform_ok = true;
+	m.heartbeat.config_version = 9;
+	rig_message(&r, &m);
+	ck_assert_uint_eq(r.sent[MSG_DOCUMENT_WANT], 0);
+	rig_run(&r, 300 * HM_MS);
+	rig_message(&r, &m); /* the watch does not bring it */
+	ck_assert_uint_eq(r.sent[MSG_DOCUMENT_WANT], 1);
+	rig_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("store_readers");
 
 	tcase_add_test(tc, instances_take_turns_to_poll_the_store);
 	tcase_add_test(tc, two_of_a_zone_watch);
+	tcase_add_test(tc, configuration_is_awaited_from_the_own_watch);
 	tcase_add_test(tc, who_does_not_watch_asks_its_own_zone_first);
 	return suite_run("store_readers", tc);
 }
