Send fields that version 8 does not know in a frame of their own, rank routes

The wire codec rejects each message of another version or with bytes to spare, so that a field could be added only by making two builds deaf to each other. Receivers read the address and the message and ignore further frames; the fields that follow version 8 travel in a third frame, a map whose unknown numbers are skipped. The message itself is unchanged.

Routes get a level, the rank of their priority, and operations carry it. Six switches for the parts to come are read from the settings and have no effect yet.

test_wire, test_settings, test_docs, test_documents and test_peer_links pass.

--- a/core/message.h
+++ b/core/message.h
@@ -113,8 +113,13 @@
 	/** Counts the changes of what a struct peer_news in full contains. */
 	uint32_t state_version;
 	char address[ADDRESS_BYTES]; /**< address of the sender for peers */
+	/** Bits of PEER_FEATURES that the build of the sender understands. */
+	uint64_t features;
 };
 
+/** Features of this build, see wire_extension.h. */
+#define PEER_FEATURES ((uint64_t)1)
+
 /** What an instance has heard of another one, directly or from others. */
 struct peer_news {
 	uint64_t incarnation;
@@ -174,6 +179,8 @@
 	struct rid nonce; /**< ID of the request, echoed in the grant */
 	hm_id account;
 	uint32_t tokens;
+	/** Request: tokens wanted by level; all 0: not stated. */
+	uint32_t wanted[PRIORITY_LEVELS];
 	hm_time valid; /**< grant: lifetime since the request was sent */
 	uint64_t contract_version;
 };
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -146,6 +146,7 @@
 
 	item.statement.id = j->run->id;
 	item.statement.account = j->run->account;
+	item.statement.level = j->run->level;
 	item.statement.body = handle;
 	p->jobs[handle] = j;
 	fair_queue_push(p->queue, &item);
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -23,6 +23,8 @@
 	o->status_every = 3 * HM_SEC;
 	o->member_probe_limit = 400 * HM_MS;
 	o->view_every = 400 * HM_MS;
+	o->scheduling = (struct scheduling_options){ true, true, true,
+						     true, true, true };
 }
 
 struct proxy *proxy_new(const struct proxy_options *options, hm_time now)
@@ -107,6 +109,7 @@
 	update_state_version(p, h);
 	h->state_version = p->gossip.state_version;
 	memcpy(h->address, p->options.core.address, sizeof(h->address));
+	h->features = PEER_FEATURES;
 }
 
 void proxy_heartbeat(struct proxy *p, hm_time now, struct proxy_output *out)
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -230,6 +230,16 @@
 void proxy_output_clear(struct proxy_output *out);
 void proxy_output_free(struct proxy_output *out);
 
+/** Parts of the scheduling under load that can be turned off. */
+struct scheduling_options {
+	bool priority_tokens;	/**< rate tokens by urgency */
+	bool priority_queue;	/**< statements at a member by urgency */
+	bool connection_queue;	/**< accounts wait for a connection in turn */
+	bool load_levels;	/**< operations are refused by stated load */
+	bool token_reserve;	/**< rate tokens are kept for a restart */
+	bool learned_placement; /**< members chosen by what they did */
+};
+
 /** Settings of a proxy. */
 struct proxy_options {
 	struct core_options core; /**< identity, and timing of the peers */
@@ -247,7 +257,8 @@
 	hm_time status_every; /**< interval of the costlier MEMBER_STATUS */
 	/** A probe without a reply for this long has failed. */
 	hm_time member_probe_limit;
-	hm_time view_every;  /**< interval of view requests, see view.h */
+	hm_time view_every; /**< interval of view requests, see view.h */
+	struct scheduling_options scheduling;
 	uint32_t guards_off; /**< enum proxy_guard; mutation tests only */
 };
 
--- a/core/run.h
+++ b/core/run.h
@@ -53,6 +53,7 @@
 	hm_id account;
 	char account_name[NAME_BYTES]; /**< "-" for no account */
 	uint32_t weight;
+	uint32_t level; /**< urgency, see priority.h */
 	enum statement_op op;
 	enum run_scope scope;
 	bool read_only;	   /**< RUN_FIRST: read-only transaction */
@@ -75,6 +76,15 @@
 /** Transaction state of a session, as reported to the client. */
 enum session_state { SESSION_IDLE, SESSION_OPEN, SESSION_FAILED };
 
+/** Load of a member, stated by its owner in each result. */
+struct run_load {
+	bool known; /**< the owner stated its load */
+	/** Expected queue wait of a new statement of each level. */
+	hm_time wait[PRIORITY_LEVELS];
+	/** Expected wait for a connection of an account that has none. */
+	hm_time connection_wait;
+};
+
 /** Result of a run request. */
 struct run_result {
 	struct rid id;
@@ -85,7 +95,8 @@
 	struct log_pos at; /**< end of the member's log; term 0: unknown */
 	hm_time retry_at;  /**< when to retry, 0: not known */
 	hm_time wait;	   /**< expected wait at the owner */
-	char *rows;	   /**< one per line, each ends with a newline */
+	struct run_load load;
+	char *rows; /**< one per line, each ends with a newline */
 	uint32_t row_bytes;
 	char *signature; /**< signature by the member, NULL for none */
 	/* Set only at the owner, not sent: */
--- a/core/sessions_request.c
+++ b/core/sessions_request.c
@@ -173,8 +173,10 @@
 static void admit_operation(struct proxy *p, struct session *s, hm_time now,
 			    struct proxy_output *out)
 {
+	const struct route_spec *route = site_route(p->config, s->database);
 	struct statement st = { .id = s->pending.id,
 				.account = s->account,
+				.level = route ? route->level : 0,
 				.deadline = now + token_wait(p, s) };
 	hm_time retry_at = 0;
 
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -121,6 +121,7 @@
 	snprintf(o->account_name, sizeof(o->account_name), "%s",
 		 c ? c->name : "-");
 	o->weight = c ? c->weight : DEFAULT_WEIGHT;
+	o->level = route->level;
 	o->op = s->pending.op;
 	o->scope = scope_of(s);
 	o->read_only = s->tx.read_only;
--- a/core/site_config.c
+++ b/core/site_config.c
@@ -17,10 +17,46 @@
 	free(c);
 }
 
+/* Inserts a priority into the sorted list of the lowest distinct ones. */
+static uint32_t insert_priority(uint32_t lowest[PRIORITY_LEVELS],
+				uint32_t count, uint32_t priority)
+{
+	uint32_t i = 0, k;
+
+	while (i < count && lowest[i] < priority)
+		i++;
+	if (i == PRIORITY_LEVELS || (i < count && lowest[i] == priority))
+		return count;
+	if (count < PRIORITY_LEVELS)
+		count++;
+	for (k = count - 1; k > i; k--)
+		lowest[k] = lowest[k - 1];
+	lowest[i] = priority;
+	return count;
+}
+
+static void set_levels(struct site_config *c)
+{
+	uint32_t lowest[PRIORITY_LEVELS], count = 0, i, level;
+
+	for (i = 0; i < c->route_count; i++)
+		count = insert_priority(lowest, count, c->routes[i].priority);
+	for (i = 0; i < c->route_count; i++) {
+		level = 0;
+		while (level + 1 < count &&
+		       lowest[level] < c->routes[i].priority)
+			level++;
+		c->routes[i].level = level;
+	}
+	c->level_count = count ? count : 1;
+}
+
 void site_config_index(struct site_config *c)
 {
 	uint32_t i;
 
+	set_levels(c);
+
 	for (i = 0; i < c->route_count; i++)
 		if (!table_put(&c->by_database, c->routes[i].database, i))
 			abort();
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -24,8 +24,9 @@
 	hm_id database; /**< identifier of the database name in requests */
 	hm_id service;
 	enum consistency consistency;
-	bool open; /**< accepts clients without a valid key */
-	uint32_t priority;
+	bool open;		 /**< accepts clients without a valid key */
+	uint32_t priority;	 /**< 0 is the most urgent */
+	uint32_t level;		 /**< rank of the priority, see priority.h */
 	hm_time statement_limit; /**< longest execution of one statement */
 	hm_time target;		 /**< target latency of an operation */
 	hm_time max_age; /**< greatest age of data that a read returns */
@@ -55,6 +56,7 @@
 	/** Zones that must not see an account's statements, as @a accounts. */
 	zone_set *account_barred;
 	uint32_t account_count;
+	uint32_t level_count;	  /**< levels in use; 1: all routes are alike */
 	struct table by_database; /**< index in @a routes by database */
 	struct table by_account;  /**< index in @a accounts by account */
 };
@@ -106,7 +108,10 @@
 }
 
 void site_config_free(struct site_config *c);
-/** Builds the indexes of routes and accounts; call once all are set. */
+/**
+ * Builds the indexes of routes and accounts, and gives routes their levels;
+ * call once all are set.
+ */
 void site_config_index(struct site_config *c);
 /** Returns the route of a database name, NULL when there is none. */
 const struct route_spec *site_route(const struct site_config *c,
--- a/core/types.h
+++ b/core/types.h
@@ -15,6 +15,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "priority.h"
+
 /** Microseconds on the monotonic clock of this instance. */
 typedef int64_t hm_time;
 
@@ -181,6 +183,7 @@
 	hm_time max_age;  /**< accepted age of the data read, 0: current data */
 	hm_time deadline; /**< on the clock of the instance handling it */
 	struct tx_id tx;  /**< transaction of the statement */
+	uint32_t level;	  /**< urgency, see priority.h */
 	uint64_t body; /**< handle of SQL and parameters, owned by the driver */
 	uint32_t body_bytes; /**< size of the body, for size limits */
 };
--- a/src/peer.c
+++ b/src/peer.c
@@ -2,7 +2,8 @@
  * @file peer.c
  * Links over ZeroMQ: one ROUTER socket receives messages from all peers, and
  * one DEALER socket per peer sends. A message has two frames: the address at
- * which its sender listens, and the packed message. Every heartbeat echoes the
+ * which its sender listens, and the packed message; a third one holds fields
+ * that builds of version 8 do not know, see wire_extension.h. Every heartbeat echoes the
  * highest message number received from the peer; a link to a peer that sends no
  * new echo is replaced. Heartbeats are most of what instances send. One that
  * says the same as the last is sent in a short form, without the address, by
@@ -16,6 +17,7 @@
 #include "../core/rng.h"
 #include "heartbeat_forms.h"
 #include "wire.h"
+#include "wire_extension.h"
 
 #define QUEUE_MESSAGES 4096
 /* A link without a new echo for this long is replaced. */
@@ -182,41 +184,52 @@
 	return l ? l : link_add(p, address);
 }
 
-static void deliver(struct peer_links *p, const char *address, zmq_msg_t *frame)
+static void deliver(struct peer_links *p, const char *address,
+		    struct message *m)
 {
-	struct event e = { .kind = EV_MESSAGE };
-	struct message m;
+	struct event e = { .kind = EV_MESSAGE, .message = m };
 	struct link *l;
 
-	if (!wire_read(zmq_msg_data(frame), zmq_msg_size(frame), &m, p->bodies,
-		       loop_now())) {
-		g_warning("event=peer_malformed address=%s bytes=%zu", address,
-			  zmq_msg_size(frame));
+	if (m->from == p->incarnation)
 		return;
-	}
-	if (m.from == p->incarnation)
-		goto done;
-	l = link_of(p, address, &m);
+	l = link_of(p, address, m);
 	if (!l)
-		goto done;
-	link_set_incarnation(l, m.from);
-	if (!heartbeat_forms_receive(&l->forms, &m))
-		goto done;
-	link_received(p, l, &m);
-	e.message = &m;
+		return;
+	link_set_incarnation(l, m->from);
+	if (!heartbeat_forms_receive(&l->forms, m))
+		return;
+	link_received(p, l, m);
 	sink_event(&p->sink, &e);
+}
+
+static bool read_message(struct peer_links *p, const char *address,
+			 zmq_msg_t *frame, struct message *m)
+{
+	if (wire_read(zmq_msg_data(frame), zmq_msg_size(frame), m, p->bodies,
+		      loop_now()))
+		return true;
+	g_warning("event=peer_malformed address=%s bytes=%zu", address,
+		  zmq_msg_size(frame));
+	return false;
+}
 
-done:
-	message_clear(&m);
+static void read_extension(const char *address, zmq_msg_t *frame,
+			   struct message *m)
+{
+	if (!wire_extension_read(zmq_msg_data(frame), zmq_msg_size(frame), m))
+		g_warning("event=peer_extension_malformed address=%s "
+			  "bytes=%zu",
+			  address, zmq_msg_size(frame));
 }
 
 /* Receives and delivers one message; false if there is none. */
 static bool receive(struct peer_links *p)
 {
 	char address[ADDRESS_BYTES] = "";
+	struct message m;
 	zmq_msg_t frame;
 	int index = 0;
-	bool more;
+	bool more, whole = false;
 
 	zmq_msg_init(&frame);
 	do {
@@ -227,10 +240,16 @@
 			memcpy(address, zmq_msg_data(&frame),
 			       zmq_msg_size(&frame));
 		if (index == 2)
-			deliver(p, address, &frame);
+			whole = read_message(p, address, &frame, &m);
+		if (index == 3 && whole)
+			read_extension(address, &frame, &m);
 		index++;
 	} while (more);
 	zmq_msg_close(&frame);
+	if (whole) {
+		deliver(p, address, &m);
+		message_clear(&m);
+	}
 	return index > 0;
 }
 
@@ -359,16 +378,24 @@
 	link_connect(p, l);
 }
 
+/* Sends one frame of a message. Returns false if it was dropped. */
+static bool send_frame(struct link *l, GBytes *frame, bool more)
+{
+	gsize bytes;
+	const void *data = g_bytes_get_data(frame, &bytes);
+
+	return zmq_send(l->socket, data, bytes,
+			ZMQ_DONTWAIT | (more ? ZMQ_SNDMORE : 0)) >= 0;
+}
+
 static void link_send(struct peer_links *p, struct link *l,
 		      const struct message *m)
 {
 	hm_time now = loop_now();
 	struct message copy = *m;
+	GBytes *packed, *extension;
 	size_t address_bytes;
-	GBytes *packed;
-	gsize bytes;
-	const void *data;
-	int sent;
+	bool sent;
 
 	if (!l->socket)
 		link_connect(p, l);
@@ -380,16 +407,18 @@
 		heartbeat_forms_send(&l->forms, &copy, now);
 	}
 	packed = wire_write(&copy, p->bodies, now);
-	data = g_bytes_get_data(packed, &bytes);
+	extension = wire_extension_write(&copy);
 	address_bytes =
 		copy.kind == MSG_HEARTBEAT_REPEATED ? 0 : strlen(p->listen);
 	sent = zmq_send(l->socket, p->listen, address_bytes,
-			ZMQ_DONTWAIT | ZMQ_SNDMORE);
-	if (sent >= 0)
-		sent = zmq_send(l->socket, data, bytes, ZMQ_DONTWAIT);
-	if (sent < 0)
+			ZMQ_DONTWAIT | ZMQ_SNDMORE) >= 0 &&
+	       send_frame(l, packed, extension != NULL) &&
+	       (!extension || send_frame(l, extension, false));
+	if (!sent)
 		p->dropped++;
 	g_bytes_unref(packed);
+	if (extension)
+		g_bytes_unref(extension);
 }
 
 /* Sends to one of the known addresses. */
--- a/src/proxy_settings.c
+++ b/src/proxy_settings.c
@@ -50,6 +50,18 @@
 	      100, 30000),
 	FIELD("timing.store_list_every_ms", FIELD_MS, store_list_every, false,
 	      100, 300000),
+	FIELD("scheduling.priority_tokens", FIELD_BOOL,
+	      scheduling.priority_tokens, false, 0, 0),
+	FIELD("scheduling.priority_queue", FIELD_BOOL,
+	      scheduling.priority_queue, false, 0, 0),
+	FIELD("scheduling.connection_queue", FIELD_BOOL,
+	      scheduling.connection_queue, false, 0, 0),
+	FIELD("scheduling.load_levels", FIELD_BOOL, scheduling.load_levels,
+	      false, 0, 0),
+	FIELD("scheduling.token_reserve", FIELD_BOOL, scheduling.token_reserve,
+	      false, 0, 0),
+	FIELD("scheduling.learned_placement", FIELD_BOOL,
+	      scheduling.learned_placement, false, 0, 0),
 };
 
 #define FIELD_COUNT_ALL (sizeof(fields) / sizeof(fields[0]))
@@ -75,6 +87,8 @@
 	s->store_call_limit = 1 * HM_SEC;
 	s->store_watch_wait = 25 * HM_SEC;
 	s->store_list_every = 5 * HM_SEC;
+	s->scheduling = (struct scheduling_options){ true, true, true,
+						     true, true, true };
 }
 
 /* Reads timing.grace_s, which is in seconds and may have a fraction. */
--- a/src/proxy_settings.h
+++ b/src/proxy_settings.h
@@ -6,6 +6,7 @@
 #ifndef PROXY_SETTINGS_H
 #define PROXY_SETTINGS_H
 
+#include "../core/proxy.h"
 #include "fields.h"
 
 struct proxy_settings {
@@ -46,6 +47,7 @@
 	hm_time store_call_limit;
 	hm_time store_watch_wait;
 	hm_time store_list_every;
+	struct scheduling_options scheduling;
 };
 
 void proxy_settings_default(struct proxy_settings *s);
--- a/src/proxy_setup.c
+++ b/src/proxy_setup.c
@@ -53,6 +53,7 @@
 	o.drain_limit = instance_drain_limit(i);
 	o.evacuation_limit = instance_evacuation_limit(i);
 	o.stop_limit = instance_stop_limit(i);
+	o.scheduling = i->settings.scheduling;
 	i->proxy = proxy_new(&o, loop_now());
 }
 
