--- a/tests/path_testbed.c
+++ b/tests/path_testbed.c
@@ -12,16 +12,24 @@
 
 struct path_testbed path_testbed;
 
-static void free_address(char out[ADDRESS_BYTES])
+/*
+ * Reserves an unused address until the teardown. The socket that is bound to it
+ * never listens: a listener with SO_REUSEADDR may bind the address as well,
+ * while the kernel gives its port to no other process, also when the instance
+ * that listens there is stopped for a while.
+ */
+static void reserve_address(char out[ADDRESS_BYTES])
 {
 	struct sockaddr_in at = { .sin_family = AF_INET };
 	socklen_t bytes = sizeof(at);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1;
 
+	ck_assert_int_lt(path_testbed.reserved_count, PATH_RESERVED_MAX);
+	path_testbed.reserved[path_testbed.reserved_count++] = fd;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	ck_assert_int_eq(bind(fd, (struct sockaddr *)&at, sizeof(at)), 0);
 	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&at, &bytes), 0);
-	close(fd);
 	g_snprintf(out, ADDRESS_BYTES, "127.0.0.1:%u", ntohs(at.sin_port));
 }
 
@@ -93,11 +101,11 @@
 		g_strlcpy(s.zones[s.zone_count++], "b", NAME_BYTES);
 		s.evacuation_limit = 3 * HM_SEC;
 	}
-	free_address(path_testbed.sessions[index]);
+	reserve_address(path_testbed.sessions[index]);
 	g_strlcpy(s.listen_sessions, path_testbed.sessions[index],
 		  ADDRESS_BYTES);
 	g_strlcpy(s.listen_peers, path_testbed.peers[index], ADDRESS_BYTES);
-	free_address(s.listen_health);
+	reserve_address(s.listen_health);
 	g_strlcpy(s.store, object_store_address(path_testbed.store),
 		  ADDRESS_BYTES);
 	g_strlcpy(s.promote_calls, object_store_address(path_testbed.store),
@@ -123,7 +131,7 @@
 	for (i = 0; i < LINE_MEMBERS; i++)
 		path_publish_member(i);
 	for (i = 0; i < PATH_INSTANCES; i++)
-		free_address(path_testbed.peers[i]);
+		reserve_address(path_testbed.peers[i]);
 	for (i = 0; i < PATH_INSTANCES; i++)
 		path_start_instance(i);
 }
@@ -156,6 +164,8 @@
 		path_end_instance(i);
 	object_store_free(path_testbed.store);
 	line_members_free(path_testbed.members);
+	while (path_testbed.reserved_count)
+		close(path_testbed.reserved[--path_testbed.reserved_count]);
 }
 
 /* Reads up to a READY line or to the end of the connection. */
--- a/tests/path_testbed.h
+++ b/tests/path_testbed.h
@@ -17,6 +17,7 @@
 #define PATH_WAIT_US (10 * G_TIME_SPAN_SECOND)
 #define PATH_POLL_US (20 * G_TIME_SPAN_MILLISECOND)
 #define PATH_ANSWER_BYTES 1024
+#define PATH_RESERVED_MAX 32
 
 struct path_testbed {
 	struct line_members *members;
@@ -35,6 +36,9 @@
 	/** Instances started from then on follow requests to evacuate zones. */
 	bool evacuations;
 	int version;
+	/** Sockets that keep the addresses of the instances reserved. */
+	int reserved[PATH_RESERVED_MAX];
+	int reserved_count;
 };
 
 extern struct path_testbed path_testbed;
