Pack the extension as plain numbers, check the wire against version 8

Of an array the msgpack library allocates as much as its header claims: one changed byte made a reader allocate 64 GB, which the sanitizer refused. The extension now consists of numbers alone, each unpacked by itself.

--- a/src/wire_extension.h
+++ b/src/wire_extension.h
@@ -1,10 +1,11 @@
 /**
  * @file wire_extension.h
- * Codec of the extension of a message between instances: a map from numbers to
- * values, in a frame of its own after the packed message. It contains the
- * fields that were added after version 8 of the wire format, so that builds of
- * different age understand each other: a build skips the numbers that it does
- * not know, and one of version 8 ignores the frame.
+ * Codec of the extension of a message between instances, a frame of its own
+ * after the packed message. It contains the fields that were added after
+ * version 8 of the wire format, so that builds of different age understand each
+ * other: a build skips the fields that it does not know, and one of version 8
+ * ignores the frame. Each field is packed as its key, the number of its values
+ * and the values, all of them non-negative integers.
  */
 #ifndef WIRE_EXTENSION_H
 #define WIRE_EXTENSION_H
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -43,6 +43,46 @@
 }
 END_TEST
 
+/* Priorities of routes and the levels that they give. */
+static const struct {
+	int priorities[6];
+	uint32_t levels[6];
+	uint32_t level_count;
+} priority_rows[] = {
+	{ { 2, 2, 2, 2, 2, 2 }, { 0, 0, 0, 0, 0, 0 }, 1 },
+	{ { 1, 2, 2, 1, 2, 1 }, { 0, 1, 1, 0, 1, 0 }, 2 },
+	{ { 9, 0, 5, 5, 0, 9 }, { 2, 0, 1, 1, 0, 2 }, 3 },
+	/* Levels are few: the least urgent priorities share the last one. */
+	{ { 50, 10, 40, 30, 20, 10 }, { 3, 0, 3, 2, 1, 0 }, 4 },
+};
+
+/* Guards against a level that is not the rank among all routes. */
+START_TEST(priorities_of_routes_become_levels)
+{
+	json_t *routes = json_array(), *json;
+	const char *fault = "";
+	struct site_config *c;
+	int i;
+
+	for (i = 0; i < 6; i++)
+		json_array_append_new(
+			routes, json_pack("{s:o, s:s, s:s, s:i}", "Host",
+					  json_sprintf("host-%d", i), "Service",
+					  "db", "Type", "primary", "Priority",
+					  priority_rows[_i].priorities[i]));
+	json = json_pack("{s:i, s:o, s:[], s:{}, s:[]}", "Version", 3, "Routes",
+			 routes, "Services", "Limits", "Tenants");
+	c = platform_site.parse_config(json, (struct zone_names){ 0 }, &fault);
+	ck_assert_msg(c != NULL, "%s", fault);
+	ck_assert_uint_eq(c->level_count, priority_rows[_i].level_count);
+	for (i = 0; i < 6; i++)
+		ck_assert_uint_eq(c->routes[i].level,
+				  priority_rows[_i].levels[i]);
+	site_config_free(c);
+	json_decref(json);
+}
+END_TEST
+
 /* Entries of the store; only the first is a valid member. */
 static const struct {
 	const char *text;
@@ -88,6 +128,8 @@
 	TCase *tc = tcase_create("documents");
 
 	tcase_add_test(tc, account_has_all_its_keys);
+	tcase_add_loop_test(tc, priorities_of_routes_become_levels, 0,
+			    sizeof(priority_rows) / sizeof(priority_rows[0]));
 	tcase_add_loop_test(tc, invalid_entry_is_no_member, 0,
 			    G_N_ELEMENTS(entries));
 	return suite_run("documents", tc);
--- a/tests/test_peer_links.c
+++ b/tests/test_peer_links.c
@@ -58,6 +58,7 @@
 	ck_assert_ptr_nonnull(s->links);
 	peer_links_set_addresses(s->links, addresses, 2);
 	s->state.instance = 100 + incarnation;
+	s->state.features = 6;
 }
 
 static void close_side(struct bed *b, int index)
@@ -133,6 +134,8 @@
 	/* These differ in each heartbeat, also in a repeated one. */
 	ck_assert_int_gt(b.sides[1].heard.store_read_ago, 10);
 	ck_assert_uint_gt(b.sides[1].heard.echo, 0);
+	/* It arrives in the extension of the full heartbeat. */
+	ck_assert_uint_eq(b.sides[1].heard.features, 6);
 	close_bed(&b);
 }
 END_TEST
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -11,6 +11,7 @@
 
 #include "../core/rng.h"
 #include "../src/wire.h"
+#include "script.h"
 #include "suite.h"
 
 #define NOW (100 * HM_SEC)
@@ -346,6 +347,65 @@
 }
 END_TEST
 
+static char *to_hex(GBytes *bytes)
+{
+	GString *out = g_string_new(NULL);
+	gsize size, i;
+	const guint8 *data = g_bytes_get_data(bytes, &size);
+
+	for (i = 0; i < size; i++)
+		g_string_append_printf(out, "%02x", data[i]);
+	g_bytes_unref(bytes);
+	return g_string_free(out, FALSE);
+}
+
+static GBytes *from_hex(const char *hex)
+{
+	GByteArray *out = g_byte_array_new();
+	guint8 byte;
+
+	for (; hex[0] && hex[1]; hex += 2) {
+		byte = (guint8)(g_ascii_xdigit_value(hex[0]) << 4 |
+				g_ascii_xdigit_value(hex[1]));
+		g_byte_array_append(out, &byte, 1);
+	}
+	return g_byte_array_free_to_bytes(out);
+}
+
+static void version_8_command(void *context, const char *line, GString *out)
+{
+	enum message_kind kind =
+		(enum message_kind)script_int(line, "kind", MSG_KIND_COUNT);
+	char *hex = script_arg(line, "frame");
+	struct message m;
+	GBytes *bytes;
+
+	if (!hex) {
+		hex = to_hex(write_kind(kind, context));
+		g_string_append_printf(out, "%s\n", hex);
+	} else {
+		bytes = from_hex(hex);
+		if (read_bytes(bytes, &m, context, NOW) && m.kind == kind) {
+			g_string_append(out, "read\n");
+			message_clear(&m);
+		}
+		g_bytes_unref(bytes);
+	}
+	g_free(hex);
+}
+
+/* A build of version 8 rejects a body frame with any other layout. */
+START_TEST(body_frames_are_those_of_version_8)
+{
+	struct bodies *bodies = bodies_new();
+	char *fault = script_run("tests/scripts/wire_version_8.txt",
+				 version_8_command, bodies);
+
+	ck_assert_msg(!fault, "%s", fault);
+	bodies_free(bodies);
+}
+END_TEST
+
 /* Changes random bytes of a message, and truncates some messages. */
 static void corrupt(struct rng *rng, GByteArray *a)
 {
@@ -392,6 +452,7 @@
 	tcase_add_test(tc, deadlines_follow_the_receivers_clock);
 	tcase_add_test(tc, result_with_expired_rows_is_unknown);
 	tcase_add_test(tc, other_versions_are_refused);
+	tcase_add_test(tc, body_frames_are_those_of_version_8);
 	tcase_add_test(tc, corrupted_messages_are_refused_safely);
 	return suite_run("wire", tc);
 }
