Choose members by learned speed, failures and lag

Each statement outstanding at a member cost 5 ms, whatever its work, and a replica that lacked a position was left out for 250 ms for all reads. A member that failed part of its reads behind a good health answer went on getting them.

Execution times of reads and writes, the share of failures and the lag are learned from results and decay. Replicas that fail much more than the others are ejected and probed; members of about the same expected completion are drawn at random. scheduling.learned_placement turns it off.

test_placement: of 4,000 reads fewer than 40 fail at a replica that fails 45% of its reads fast; switched off, it gets them all. test_member_stats, test_sessions and test_path pass.

--- a/core/proxy.h
+++ b/core/proxy.h
@@ -320,6 +320,7 @@
 	uint64_t reads_primary;
 	uint64_t retries;
 	uint64_t handshakes;
+	uint64_t ejections; /**< members ejected for their failures */
 	uint64_t promotions;
 	zone_set evacuated_zones;
 };
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -12,6 +12,7 @@
 #include "admit.h"
 #include "budget.h"
 #include "contracts.h"
+#include "member_stats.h"
 #include "monitor.h"
 #include "peers.h"
 #include "pool.h"
@@ -52,6 +53,7 @@
 	uint64_t owner;	  /**< instance (incarnation) that it was sent to */
 	hm_id endpoint;	  /**< member that it was sent to */
 	hm_time since;	  /**< when the request arrived */
+	hm_time sent_at;  /**< when it was sent to the member */
 	hm_time deadline; /**< without a result by then, it has failed */
 	hm_id tried[TRIED_MAX]; /**< members that failed to serve it */
 	uint32_t tried_count;
@@ -99,6 +101,7 @@
 	hm_time reported_at;
 	hm_time failed_until; /**< not used until then, since it failed */
 	hm_time behind_until; /**< until then its log is assumed to lag */
+	struct member_stats stats;
 };
 
 /** The newest configuration that a peer has in force. */
@@ -258,6 +261,9 @@
 	bool primary_only; /**< only the primary may run it */
 	bool writes;	   /**< it may change data */
 	zone_set barred;   /**< zones of members and owners that are excluded */
+	uint32_t level;	   /**< urgency, see priority.h */
+	/** Age of the session's own commit that it must see, 0: none. */
+	hm_time commit_age;
 	const hm_id *tried;
 	uint32_t tried_count;
 };
@@ -276,6 +282,13 @@
 /** Whether the replicas are paused, so that no commit can be acknowledged. */
 bool place_replicas_paused(const struct proxy *p, hm_id service, hm_time now);
 struct member_load *place_load(struct proxy *p, hm_id endpoint);
+/**
+ * Records what an attempt at a member showed, and ejects the member if it fails
+ * much more than the others of its service.
+ */
+void place_record(struct proxy *p, hm_id endpoint,
+		  const struct member_attempt *a, hm_time now,
+		  struct proxy_output *out);
 /** Incarnation of the instance that owns a member, 0 for none. */
 uint64_t member_owner(const struct proxy *p, const struct site_member *m);
 
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -60,20 +60,24 @@
 	return s->pending.writes;
 }
 
-/* What the pending statement requires of the member that runs it. */
-static struct member_requirements
-requirements_of(const struct proxy *p, const struct session *s,
-		const struct route_spec *route)
+/*
+ * Whether a read of the session must see its own newest commit. An older one is
+ * covered by the minimum position that the view gives for max_age.
+ */
+static bool requires_own_commit(const struct session *s,
+				const struct route_spec *route, hm_time now)
 {
-	return (struct member_requirements){
-		.service = route->service,
-		.primary_only = needs_primary(s, route),
-		.writes = s->pending.writes,
-		.barred = route->barred |
-			  site_account_barred(p->config, s->account),
-		.tried = s->pending.tried,
-		.tried_count = s->pending.tried_count
-	};
+	return route->consistency == CONSISTENT_SESSION &&
+	       s->own_commit_service == route->service &&
+	       now - s->own_commit_at <= route->max_age + OWN_COMMIT_MARGIN;
+}
+
+/* Age of the commit that the session's read must see, 0: none. */
+static hm_time own_commit_age(const struct session *s,
+			      const struct route_spec *route, hm_time now)
+{
+	return requires_own_commit(s, route, now) ? now - s->own_commit_at + 1
+						  : 0;
 }
 
 /*
@@ -86,11 +90,25 @@
 {
 	struct log_pos none = { 0 };
 
-	if (route->consistency != CONSISTENT_SESSION ||
-	    s->own_commit_service != route->service ||
-	    now - s->own_commit_at > route->max_age + OWN_COMMIT_MARGIN)
-		return none;
-	return s->own_commit;
+	return requires_own_commit(s, route, now) ? s->own_commit : none;
+}
+
+/* What the pending statement requires of the member that runs it. */
+static struct member_requirements
+requirements_of(const struct proxy *p, const struct session *s,
+		const struct route_spec *route, hm_time now)
+{
+	return (struct member_requirements){
+		.service = route->service,
+		.primary_only = needs_primary(s, route),
+		.writes = s->pending.writes,
+		.level = route->level,
+		.commit_age = own_commit_age(s, route, now),
+		.barred = route->barred |
+			  site_account_barred(p->config, s->account),
+		.tried = s->pending.tried,
+		.tried_count = s->pending.tried_count
+	};
 }
 
 static const struct prepared *prepared_of(const struct session *s)
@@ -141,7 +159,8 @@
 
 static void send_run_request(struct proxy *p, struct session *s,
 			     struct run_request *o, uint64_t owner,
-			     const char *reason, struct proxy_output *out)
+			     const char *reason, hm_time now,
+			     struct proxy_output *out)
 {
 	const struct site_member *m =
 		site_members_find(p->members, o->endpoint);
@@ -157,6 +176,7 @@
 		(unsigned long long)o->min_position.pos, (long long)o->max_age,
 		s->pending.tried_count, (unsigned long long)p->config->version);
 	s->pending.phase = PENDING_RESULT;
+	s->pending.sent_at = now;
 	s->pending.owner = owner;
 	s->pending.endpoint = o->endpoint;
 	s->pending.deadline = o->deadline + RESULT_GRACE;
@@ -165,10 +185,11 @@
 }
 
 static void run_in_transaction(struct proxy *p, struct session *s,
-			       struct run_request *o, struct proxy_output *out)
+			       struct run_request *o, hm_time now,
+			       struct proxy_output *out)
 {
 	o->endpoint = s->tx.endpoint;
-	send_run_request(p, s, o, s->tx.owner, "transaction", out);
+	send_run_request(p, s, o, s->tx.owner, "transaction", now, out);
 }
 
 /* Answers a statement that no member can take now; it has not run. */
@@ -193,7 +214,7 @@
 
 	if (!route)
 		return false; /* refused later, as not found */
-	need = requirements_of(p, s, route);
+	need = requirements_of(p, s, route, now);
 	/* What follows it may write. */
 	need.primary_only |= s->pending.op == STMT_BEGIN;
 	place = place_choose(p, &need, now);
@@ -217,10 +238,10 @@
 	}
 	o = new_run_request(p, s, route, now);
 	if (o->scope == RUN_INSIDE) {
-		run_in_transaction(p, s, o, out);
+		run_in_transaction(p, s, o, now, out);
 		return;
 	}
-	need = requirements_of(p, s, route);
+	need = requirements_of(p, s, route, now);
 	place = place_choose(p, &need, now);
 	if (!place.endpoint || !place.owner) {
 		run_request_free(o);
@@ -238,7 +259,7 @@
 		p->counters.reads_replica++;
 	if (!s->pending.tried_count)
 		budget_request(p->budget, s->account, o->endpoint, now);
-	send_run_request(p, s, o, place.owner, place.reason, out);
+	send_run_request(p, s, o, place.owner, place.reason, now, out);
 }
 
 static bool only_reads(const struct session *s)
@@ -246,6 +267,18 @@
 	return !s->pending.writes && s->pending.op != STMT_COMMIT;
 }
 
+/*
+ * Whether a read of a replica failed there. Another member may serve it, since
+ * a member can fail part of its statements though it is up.
+ */
+static bool is_failed_read(const struct proxy *p, const struct session *s,
+			   const struct run_result *r)
+{
+	return p->options.scheduling.learned_placement &&
+	       r->error == ERR_STATEMENT && only_reads(s) &&
+	       scope_of(s) == RUN_SINGLE && !s->pending.tried_count;
+}
+
 /*
  * Whether to send the statement to another member. This is safe if it has not
  * run, and for a read whose answer was lost, since a read changes nothing.
@@ -264,7 +297,8 @@
 		return false;
 	if (p->options.guards_off & PROXY_GUARD_ONCE)
 		return r->error != ERR_NONE;
-	if (r->execution != EXEC_NOT_RUN && !lost_read)
+	if (r->execution != EXEC_NOT_RUN && !lost_read &&
+	    !is_failed_read(p, s, r))
 		return false;
 	if (r->error == ERR_READ_ONLY && s->tx.read_only && s->pending.writes)
 		return false;
@@ -289,6 +323,43 @@
 		l->behind_until = now + AVOID_BEHIND;
 }
 
+/* What a result shows of its member; @a owner_gone: there is no result. */
+static enum member_outcome outcome_of(const struct run_result *r,
+				      bool owner_gone)
+{
+	switch (r->error) {
+	case ERR_NONE:
+		return MEMBER_SERVED;
+	case ERR_NOT_CAUGHT_UP:
+		return MEMBER_BEHIND;
+	case ERR_STATEMENT:
+	case ERR_OUTCOME_UNKNOWN:
+	case ERR_TIME_LIMIT:
+	case ERR_NO_ENDPOINT:
+	case ERR_WRONG_ENDPOINT:
+		return owner_gone ? MEMBER_SKIPPED : MEMBER_FAILED;
+	default:
+		return MEMBER_SKIPPED;
+	}
+}
+
+static void record_attempt(struct proxy *p, const struct session *s,
+			   const struct run_result *r, bool owner_gone,
+			   hm_time now, struct proxy_output *out)
+{
+	const struct route_spec *route = route_of(p, s);
+	struct member_attempt a = {
+		.outcome = outcome_of(r, owner_gone),
+		.writes = s->pending.writes,
+		.took = now - s->pending.sent_at,
+		.queue_wait = r->wait,
+	};
+
+	if (route)
+		a.commit_age = own_commit_age(s, route, s->pending.sent_at);
+	place_record(p, r->endpoint, &a, now, out);
+}
+
 static void record_own_commit(struct session *s, const struct route_spec *route,
 			      const struct run_result *r, hm_time now)
 {
@@ -328,8 +399,9 @@
 	session_answer(p, s, r->error, r, r->retry_at, now, out);
 }
 
-void session_result(struct proxy *p, const struct run_result *r, hm_time now,
-		    struct proxy_output *out)
+static void handle_result(struct proxy *p, const struct run_result *r,
+			  bool owner_gone, hm_time now,
+			  struct proxy_output *out)
 {
 	uint32_t h = r->id.incarnation == p->options.core.incarnation
 			     ? table_get(&p->by_request, r->id.seq)
@@ -341,6 +413,7 @@
 		return; /* the request was answered or sent elsewhere */
 	place_load(p, r->endpoint)->outstanding--;
 	update_load(p, r, now);
+	record_attempt(p, s, r, owner_gone, now, out);
 	if (r->error && may_retry_elsewhere(p, s, r, now)) {
 		proxy_log(out, "event=elsewhere request=%s error=%s tried=%u",
 			  s->pending.request, error_answer(r->error)->code,
@@ -353,6 +426,12 @@
 	finish(p, s, r, now, out);
 }
 
+void session_result(struct proxy *p, const struct run_result *r, hm_time now,
+		    struct proxy_output *out)
+{
+	handle_result(p, r, false, now, out);
+}
+
 void session_result_lost(struct proxy *p, struct session *s, bool owner_gone,
 			 hm_time now, struct proxy_output *out)
 {
@@ -373,5 +452,5 @@
 	if (owner_gone && s->tx.state == SESSION_OPEN &&
 	    s->pending.op != STMT_COMMIT)
 		r.error = ERR_TX_GONE;
-	session_result(p, &r, now, out);
+	handle_result(p, &r, owner_gone, now, out);
 }
