--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #	make run	installs what is missing, builds, starts one instance
 #	make demo	a short scenario over real sockets
 #	make check	all tests, with sanitizers
+#	make check-upgrade	this build beside the one in production
 #	make traces	records the traces under tests/traces anew
 #	make lint	formatter and linter
 #	make format	rewrites the sources in house format
@@ -85,6 +86,21 @@
 check-run: $(BINARY) tests
 	@HYSSOPMOUNT=$(BINARY) tests/run $(TESTS)
 
+# The build that deploy/system.toml names as the one in production, from the
+# history, serves beside this one.
+PRODUCTION = $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
+PREVIOUS = build/previous-$(PRODUCTION)
+
+$(PREVIOUS)/build/release/hyssopmount:
+	@mkdir -p $(PREVIOUS)
+	@git archive $(PRODUCTION) | tar -x -C $(PREVIOUS)
+	@$(MAKE) --no-print-directory -s -C $(PREVIOUS) \
+		build/release/hyssopmount
+
+check-upgrade: $(PREVIOUS)/build/release/hyssopmount \
+		$(BUILD)/tests/test_upgrade
+	@PREVIOUS_BUILD=$(CURDIR)/$< tests/run $(BUILD)/tests/test_upgrade
+
 # Records tests/traces anew, after a wanted change of behaviour.
 traces: $(BUILD)/tests/test_traces
 	@mkdir -p tests/traces
@@ -105,4 +121,5 @@
 
 -include $(OBJECTS:.o=.d) $(wildcard $(BUILD)/tests/*.d)
 
-.PHONY: all deploy packages run demo traces tests check check-run lint format clean
+.PHONY: all deploy packages run demo traces tests check check-run check-upgrade \
+	lint format clean
--- a/tests/path_testbed.c
+++ b/tests/path_testbed.c
@@ -18,7 +18,7 @@
  * while the kernel gives its port to no other process, also when the instance
  * that listens there is stopped for a while.
  */
-static void reserve_address(char out[ADDRESS_BYTES])
+void path_reserve_address(char out[ADDRESS_BYTES])
 {
 	struct sockaddr_in at = { .sin_family = AF_INET };
 	socklen_t bytes = sizeof(at);
@@ -101,11 +101,11 @@
 		g_strlcpy(s.zones[s.zone_count++], "b", NAME_BYTES);
 		s.evacuation_limit = 3 * HM_SEC;
 	}
-	reserve_address(path_testbed.sessions[index]);
+	path_reserve_address(path_testbed.sessions[index]);
 	g_strlcpy(s.listen_sessions, path_testbed.sessions[index],
 		  ADDRESS_BYTES);
 	g_strlcpy(s.listen_peers, path_testbed.peers[index], ADDRESS_BYTES);
-	reserve_address(s.listen_health);
+	path_reserve_address(s.listen_health);
 	g_strlcpy(s.store, object_store_address(path_testbed.store),
 		  ADDRESS_BYTES);
 	g_strlcpy(s.promote_calls, object_store_address(path_testbed.store),
@@ -131,7 +131,7 @@
 	for (i = 0; i < LINE_MEMBERS; i++)
 		path_publish_member(i);
 	for (i = 0; i < PATH_INSTANCES; i++)
-		reserve_address(path_testbed.peers[i]);
+		path_reserve_address(path_testbed.peers[i]);
 	for (i = 0; i < PATH_INSTANCES; i++)
 		path_start_instance(i);
 }
--- a/tests/path_testbed.h
+++ b/tests/path_testbed.h
@@ -51,6 +51,8 @@
 	char answer[PATH_ANSWER_BYTES];
 };
 
+/** Chooses an unused address and keeps it reserved until the teardown. */
+void path_reserve_address(char out[ADDRESS_BYTES]);
 void path_setup(void);
 void path_teardown(void);
 void path_start_instance(int index);
