Give rate tokens to urgent operations first

Tokens of an account above its rate went to whichever operation came first, so that its urgent operations were refused like all others although they alone were within the limit.

Within an instance, the operations of an account that wait for a token are queued by level, then by deadline; one token of 16 goes to the least urgent level. While tokens are scarce, less urgent operations leave those that more urgent ones are expected to need. Requests state the tokens by level, and the owner of a bucket reserves tokens for the more urgent demand and keeps 1/16 of its refill for the least urgent requesting level. An instance backs off only for the levels that were not granted in full. With one level in use, or the setting scheduling.priority_tokens off, all statements are of level 0 as before.

--- a/core/admit.h
+++ b/core/admit.h
@@ -1,7 +1,9 @@
 /**
  * @file admit.h
- * Rate admission: statements wait for a rate token of their account, in one
- * FIFO queue per account, each until its deadline.
+ * Rate admission: statements wait for a rate token of their account, each until
+ * its deadline. An account has one queue per urgency level, in order of
+ * deadlines; a free token goes to the most urgent level, one of 16 to the least
+ * urgent one. Without levels it has one queue in order of arrival.
  */
 #ifndef ADMIT_H
 #define ADMIT_H
@@ -24,10 +26,22 @@
 enum admit_outcome admit_push(struct admit *a, const struct statement *s,
 			      hm_time now, hm_time *retry_at,
 			      struct actions *actions);
+/**
+ * Whether a new statement is to be refused at once, since no token is expected
+ * for it soon: see rate_exhausted(), and it is not the one of the least urgent
+ * level that the next token is for.
+ */
+bool admit_exhausted(const struct admit *a, const struct statement *s,
+		     hm_time now);
 /**
  * Removes a statement whose client disconnected; true when it was queued here.
  */
 bool admit_drop(struct admit *a, struct rid id);
+/**
+ * Refuses the queued statements of an account for which no token is expected
+ * soon, see rate_exhausted(); admit_next() returns them.
+ */
+void admit_refuse_exhausted(struct admit *a, hm_id account, hm_time now);
 
 /** One statement that was taken off its queue. */
 struct admit_result {
@@ -35,6 +49,9 @@
 	/** False: no token before its deadline, or no contract any more. */
 	bool admitted;
 	hm_time retry_at; /**< when not admitted: advice to the client, or 0 */
+	/** When not admitted: a more urgent statement that came later was. */
+	bool overtaken;
+	uint32_t by_level; /**< level of that statement */
 };
 
 /** Next statement that is admitted or refused now; false when there is none. */
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -316,6 +316,9 @@
 		store_restores; /**< restores of the store from an older copy */
 	uint64_t answered;
 	uint64_t errors[ERR_COUNT];
+	uint64_t tokens_taken[PRIORITY_LEVELS]; /**< by operations of a level */
+	/** Operations of a level that were refused, as they had no token. */
+	uint64_t tokens_refused[PRIORITY_LEVELS];
 	uint64_t reads_replica;
 	uint64_t reads_primary;
 	uint64_t retries;
--- a/core/rate.c
+++ b/core/rate.c
@@ -1,4 +1,4 @@
-/** @file rate.c Requests tokens from the owners of all zones and uses them. */
+/** @file rate.c Accounts with their limits, and the use of their tokens. */
 #include "rate_state.h"
 
 #include <stdlib.h>
@@ -6,14 +6,11 @@
 
 #include "grow.h"
 
-#define REQUEST_TIMEOUT (100 * HM_MS) /* an unanswered request has failed */
-#define RETRY_DELAY_MIN (5 * HM_MS) /* pause after a grant of too few tokens */
-#define RETRY_DELAY_MAX (50 * HM_MS)
-#define BACKOFF_MAX (1 * HM_SEC) /* longest pause after missing answers */
-#define PREFETCH (50 * HM_MS)	 /* time ahead that tokens are requested for */
 #define USAGE_WINDOW (200 * HM_MS) /* averaging time of the usage rate */
 /* Once statements waited this long, rate_retry_at() assumes a lower rate. */
 #define QUEUE_OLD (300 * HM_MS)
+/* Part of the rate that statements of a level get at least. */
+#define LEVEL_RATE_DIVISOR 16
 
 struct rate *rate_new(const struct core_options *options,
 		      const struct peers *peers, hm_time now)
@@ -24,6 +21,7 @@
 		return NULL;
 	r->options = options;
 	r->peers = peers;
+	r->level_count = 1;
 	r->last_at = now;
 	r->issue_after = now + (options->start_wait ? options->start_wait
 						    : options->peer_silent);
@@ -57,6 +55,7 @@
 static struct quota *add(struct rate *r, hm_id account)
 {
 	struct quota *q;
+	uint32_t i;
 
 	r->list = grow_list(r->list, r->count, &r->capacity, sizeof(*r->list));
 	if (!table_put(&r->by_account, account, r->count))
@@ -68,7 +67,8 @@
 	if (!q->sources || !q->contract)
 		abort();
 	q->generation = UINT64_MAX;
-	q->waiting_since = HM_NEVER;
+	for (i = 0; i < PRIORITY_LEVELS; i++)
+		q->waiting_since[i] = HM_NEVER;
 	return q;
 }
 
@@ -95,7 +95,7 @@
 		q->level = rate_capacity(&q->share);
 }
 
-static void drop_expired(struct quota *q, hm_time now)
+void rate_drop_expired(struct quota *q, hm_time now)
 {
 	uint32_t i = q->granted_count;
 
@@ -109,7 +109,7 @@
  * tokens go to the batch that expires first, and the earlier of the two expiry
  * times holds for both.
  */
-static void add_batch(struct quota *q, uint32_t tokens, hm_time expires_at)
+void rate_add_batch(struct quota *q, uint32_t tokens, hm_time expires_at)
 {
 	struct token_batch *soonest = q->granted;
 	uint32_t i;
@@ -132,7 +132,7 @@
 	struct token_batch *soonest = NULL;
 	uint32_t i;
 
-	drop_expired(q, now);
+	rate_drop_expired(q, now);
 	for (i = 0; i < q->granted_count; i++)
 		if (!soonest || q->granted[i].expires_at < soonest->expires_at)
 			soonest = &q->granted[i];
@@ -142,241 +142,227 @@
 	return true;
 }
 
-/*
- * Lets the usage rate decay by the time since its last update. Each token taken
- * adds 1/USAGE_WINDOW to the rate.
- */
-static void decay_usage(struct quota *q, hm_time now)
+/* Level by which a statement is served. */
+static uint32_t level_of(const struct rate *r, uint32_t level)
+{
+	return level < r->level_count ? level : r->level_count - 1;
+}
+
+void rate_set_levels(struct rate *r, uint32_t count)
+{
+	r->level_count = count < PRIORITY_LEVELS ? count : PRIORITY_LEVELS;
+	if (!r->level_count)
+		r->level_count = 1;
+}
+
+uint32_t rate_level_count(const struct rate *r)
+{
+	return r->level_count;
+}
+
+uint32_t rate_waiting(const struct quota *q)
+{
+	uint32_t sum = 0, i;
+
+	for (i = 0; i < PRIORITY_LEVELS; i++)
+		sum += q->waiting[i];
+	return sum;
+}
+
+void rate_decay_usage(struct quota *q, hm_time now)
 {
 	hm_time dt = now - q->usage_at;
+	uint32_t i;
 
 	if (dt >= USAGE_WINDOW)
 		q->usage_rate = 0;
 	else if (dt > 0)
 		q->usage_rate -= q->usage_rate * dt / USAGE_WINDOW;
 	q->usage_at = now;
+	for (i = 0; i < PRIORITY_LEVELS; i++)
+		rate_decay_get(&q->used[i], USAGE_WINDOW, now);
 }
 
-bool rate_take(struct rate *r, hm_id account, hm_time now)
+static int64_t granted_tokens(struct quota *q, hm_time now)
 {
-	struct quota *q = rate_find(r, account);
+	int64_t sum = 0;
+	uint32_t i;
 
-	rate_detect_pause(r, now);
-	if (!q)
-		return false;
-	if (!take_granted(q, now) && !rate_take_own(r, q, now))
-		return false;
-	if (q->waiting)
-		q->waiting--;
-	decay_usage(q, now);
-	q->usage_rate += TOKEN * HM_SEC / USAGE_WINDOW;
-	return true;
+	rate_drop_expired(q, now);
+	for (i = 0; i < q->granted_count; i++)
+		sum += q->granted[i].tokens;
+	return sum;
 }
 
-/* Ends unanswered requests; the pause after each doubles up to the limit. */
-static void expire_requests(struct rate *r, struct quota *q, hm_time now)
+/* Whether a token is available here for @a use. */
+static bool can_take(const struct rate *r, struct quota *q, struct rate_use use,
+		     hm_time now)
 {
-	uint16_t zone;
+	int64_t granted = granted_tokens(q, now);
+	int64_t own;
+	bool owned;
 
-	for (zone = 0; zone < r->options->zone_count; zone++) {
-		struct source *s = &q->sources[zone];
-
-		if (!s->seq || now - s->requested_at < REQUEST_TIMEOUT)
-			continue;
-		s->seq = 0;
-		s->requested = 0;
-		s->backoff = s->backoff ? s->backoff * 2 : REQUEST_TIMEOUT;
-		if (s->backoff > BACKOFF_MAX)
-			s->backoff = BACKOFF_MAX;
-		s->retry_after = now + s->backoff;
-	}
+	if (granted && r->level_count <= 1)
+		return true;
+	owned = rate_refill(r, q, now);
+	own = owned ? rate_usable(q) / TOKEN : 0;
+	if (!use.floor &&
+	    granted + own <= rate_local_reserve(r, q, use.level, now))
+		return false;
+	return granted ||
+	       (owned && rate_issuable(r, q, use.level, now) >= TOKEN);
 }
 
-/* Tokens to request for waiting statements and the usage within PREFETCH. */
-static int64_t shortage(const struct rate *r, struct quota *q, hm_time now)
+/* Takes a token that can_take() found. */
+static bool take(struct rate *r, struct quota *q, uint32_t level, hm_time now)
 {
-	int64_t needed = q->waiting;
-	uint32_t i;
-
-	decay_usage(q, now);
-	needed += q->usage_rate * PREFETCH / HM_SEC / TOKEN;
-	drop_expired(q, now);
-	for (i = 0; i < q->granted_count; i++)
-		needed -= q->granted[i].tokens;
-	if (rate_refill(r, q, now))
-		needed -= q->level / TOKEN;
-	for (i = 0; i < r->options->zone_count; i++)
-		needed -= q->sources[i].requested;
-	return needed;
+	if (take_granted(q, now))
+		return true;
+	if (!rate_take_own(r, q, now))
+		return false;
+	rate_issued(r, q, level, 1, now);
+	return true;
 }
 
-static void send_request(struct rate *r, struct quota *q, uint16_t zone,
-			 uint64_t owner, uint32_t tokens, hm_time now,
-			 struct actions *actions)
+bool rate_take(struct rate *r, hm_id account, struct rate_use use, hm_time now)
 {
-	struct message *m = actions_send(actions, owner, MSG_RATE_REQUEST);
-	struct source *s = &q->sources[zone];
-
-	s->seq = ++r->next_seq;
-	s->requested = tokens;
-	s->requested_at = now;
-	m->rate.nonce.incarnation = r->options->incarnation;
-	m->rate.nonce.seq = s->seq;
-	m->rate.account = q->account;
-	m->rate.tokens = tokens;
-	m->rate.contract_version = q->contract->version;
+	struct quota *q = rate_find(r, account);
+
+	rate_detect_pause(r, now);
+	if (!q)
+		return false;
+	use.level = level_of(r, use.level);
+	if (!can_take(r, q, use, now) || !take(r, q, use.level, now)) {
+		if (q->owned)
+			rate_note_scarce(q, now);
+		return false;
+	}
+	if (q->waiting[use.level])
+		q->waiting[use.level]--;
+	rate_decay_usage(q, now);
+	q->usage_rate += TOKEN * HM_SEC / USAGE_WINDOW;
+	rate_decay_add(&q->used[use.level], USAGE_WINDOW, 1, now);
+	return true;
 }
 
-/* Sends a request to the owner of one zone; returns the tokens requested. */
-static int64_t request_zone(struct rate *r, struct quota *q, uint16_t zone,
-			    int64_t needed, hm_time now,
-			    struct actions *actions)
+void rate_arrival(struct rate *r, hm_id account, uint32_t level, hm_time now)
 {
-	struct source *s = &q->sources[zone];
-	struct rate_share share;
-	uint64_t owner;
-
-	if (s->seq || s->retry_after > now)
-		return 0;
-	rate_share_of(q->contract, zone, r->options->zone_count, &share);
-	owner = peers_owner(r->peers, q->account, zone, false);
-	if (!share.valid || !owner || owner == r->options->incarnation)
-		return 0;
-	if (needed > share.burst)
-		needed = share.burst;
-	send_request(r, q, zone, owner, (uint32_t)needed, now, actions);
-	return needed;
+	struct quota *q = rate_find(r, account);
+
+	if (q)
+		rate_note_arrival(r, q, level_of(r, level), now);
 }
 
-/* Requests the missing tokens, from the own zone first. */
-static void request_tokens(struct rate *r, struct quota *q, hm_time now,
-			   struct actions *actions)
+void rate_refused(struct rate *r, hm_id account, hm_time now)
 {
-	uint16_t zone_count = r->options->zone_count;
-	int64_t needed;
-	uint16_t i;
-
-	expire_requests(r, q, now);
-	needed = shortage(r, q, now);
-	for (i = 0; i < zone_count && needed > 0; i++) {
-		uint16_t zone = (r->options->zone + i) % zone_count;
+	struct quota *q = rate_find(r, account);
 
-		needed -= request_zone(r, q, zone, needed, now, actions);
-	}
+	if (q)
+		rate_note_scarce(q, now);
 }
 
-void rate_demand(struct rate *r, hm_id account, uint32_t waiting, hm_time now,
+void rate_demand(struct rate *r, hm_id account,
+		 const uint32_t waiting[PRIORITY_LEVELS], hm_time now,
 		 struct actions *actions)
 {
 	struct quota *q = rate_find(r, account);
+	uint32_t i;
 
 	rate_detect_pause(r, now);
 	if (!q)
 		return;
-	if (!waiting)
-		q->waiting_since = HM_NEVER;
-	else if (q->waiting_since == HM_NEVER)
-		q->waiting_since = now;
-	q->waiting = waiting;
-	request_tokens(r, q, now, actions);
-}
-
-static bool source_exhausted(const struct rate *r, const struct quota *q,
-			     uint16_t zone, hm_time now)
-{
-	const struct source *s = &q->sources[zone];
-	struct rate_share share;
-	uint64_t owner;
-
-	rate_share_of(q->contract, zone, r->options->zone_count, &share);
-	owner = peers_owner(r->peers, q->account, zone, false);
-	if (!share.valid || !owner || owner == r->options->incarnation)
-		return true;
-	return !s->seq && s->retry_after > now;
+	memset(q->waiting, 0, sizeof(q->waiting));
+	for (i = 0; i < PRIORITY_LEVELS; i++)
+		q->waiting[level_of(r, i)] += waiting[i];
+	for (i = 0; i < PRIORITY_LEVELS; i++) {
+		if (!q->waiting[i])
+			q->waiting_since[i] = HM_NEVER;
+		else if (q->waiting_since[i] == HM_NEVER)
+			q->waiting_since[i] = now;
+		if (q->waiting[i] && q->owned)
+			rate_note_wanted(q, i, 0, now);
+	}
+	rate_request_tokens(r, q, now, actions);
 }
 
-bool rate_exhausted(struct rate *r, hm_id account, hm_time now)
+bool rate_exhausted(struct rate *r, hm_id account, uint32_t level, hm_time now)
 {
 	struct quota *q = rate_find(r, account);
 	uint16_t zone;
 
 	if (!q)
 		return true;
-	drop_expired(q, now);
-	if (q->granted_count || (rate_refill(r, q, now) && q->level >= TOKEN))
+	level = level_of(r, level);
+	if (can_take(r, q, (struct rate_use){ .level = level }, now))
 		return false;
 	for (zone = 0; zone < r->options->zone_count; zone++)
-		if (!source_exhausted(r, q, zone, now))
+		if (!rate_source_exhausted(r, q, zone, level, now))
 			return false;
 	return true;
 }
 
+/*
+ * Rate at which a level gets tokens here, when more urgent statements continue
+ * to arrive at their average rate.
+ */
+static int64_t level_rate(const struct quota *q, uint32_t level, int64_t rate,
+			  hm_time now)
+{
+	int64_t least = rate / LEVEL_RATE_DIVISOR;
+
+	rate -= rate_arriving(q, level, now);
+	return rate > least ? rate : least;
+}
+
+/* Whether statements of a level, or more urgent ones, waited for QUEUE_OLD. */
+static bool waits_long(const struct quota *q, uint32_t level, hm_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i <= level; i++)
+		if (q->waiting_since[i] != HM_NEVER &&
+		    now - q->waiting_since[i] > QUEUE_OLD)
+			return true;
+	return false;
+}
+
 /*
  * Estimates when the last waiting statement gets a token.
- * Assumes that the waiting statements get tokens at the contract's whole rate.
- * Once statements have waited for QUEUE_OLD, assumes only an equal share of
- * that rate per instance. In both cases the rate is at least the measured one.
+ * Assumes that the waiting statements get tokens at the contract's whole rate,
+ * the most urgent first. Once statements have waited for QUEUE_OLD, assumes
+ * only an equal share of that rate per instance. In both cases the rate is at
+ * least the measured one. The least urgent waiting level gets at least its
+ * floor.
  */
-hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t waiting,
-		      hm_time now)
+hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t level,
+		      uint32_t waiting, hm_time now)
 {
 	const struct quota *q = rate_find(r, account);
+	uint64_t ahead = waiting;
+	hm_time wait, floor_wait;
 	int64_t rate;
+	uint32_t i;
 
 	if (!q)
 		return HM_NEVER;
+	level = level_of(r, level);
 	rate = q->rate * TOKEN;
-	if (q->waiting_since != HM_NEVER && now - q->waiting_since > QUEUE_OLD)
+	if (waits_long(q, level, now))
 		rate /= peers_count(r->peers) + 1;
 	if (rate < q->usage_rate)
 		rate = q->usage_rate;
-	return now + waiting * TOKEN * HM_SEC / rate;
-}
-
-static struct source *source_of(const struct rate *r, struct quota *q,
-				struct rid nonce)
-{
-	uint16_t zone;
-
-	if (nonce.incarnation != r->options->incarnation || !nonce.seq)
-		return NULL;
-	for (zone = 0; zone < r->options->zone_count; zone++)
-		if (q->sources[zone].seq == nonce.seq)
-			return &q->sources[zone];
-	return NULL;
-}
-
-/* Time until the tokens missing from a grant are issued, within limits. */
-static hm_time retry_delay(const struct quota *q, uint32_t missing)
-{
-	hm_time delay = missing * HM_SEC / q->rate;
-
-	if (delay < RETRY_DELAY_MIN)
-		return RETRY_DELAY_MIN;
-	return delay > RETRY_DELAY_MAX ? RETRY_DELAY_MAX : delay;
-}
-
-static void receive_grant(struct rate *r, const struct message *m, hm_time now,
-			  struct actions *actions)
-{
-	struct quota *q = rate_find(r, m->rate.account);
-	struct source *s = q ? source_of(r, q, m->rate.nonce) : NULL;
-	uint32_t tokens = m->rate.tokens;
-	hm_time expires_at;
-
-	if (!s)
-		return;
-	expires_at = s->requested_at + m->rate.valid;
-	if (tokens > s->requested)
-		tokens = s->requested;
-	if (tokens < s->requested)
-		s->retry_after = now + retry_delay(q, s->requested - tokens);
-	if (tokens && expires_at > now)
-		add_batch(q, tokens, expires_at);
-	s->seq = 0;
-	s->requested = 0;
-	s->backoff = 0;
-	request_tokens(r, q, now, actions);
+	if (!level)
+		return now + waiting * TOKEN * HM_SEC / rate;
+	for (i = 0; i < level; i++)
+		ahead += q->waiting[i];
+	wait = (hm_time)ahead * TOKEN * HM_SEC /
+	       level_rate(q, level, rate, now);
+	for (i = level + 1; i < PRIORITY_LEVELS; i++)
+		if (q->waiting[i])
+			return now + wait;
+	floor_wait =
+		LEVEL_RATE_DIVISOR * (hm_time)waiting * TOKEN * HM_SEC / rate;
+	return now + (wait < floor_wait ? wait : floor_wait);
 }
 
 void rate_message(struct rate *r, const struct message *m, hm_time now,
@@ -386,7 +372,7 @@
 	if (m->kind == MSG_RATE_REQUEST)
 		rate_answer_request(r, m, now, actions);
 	else if (m->kind == MSG_RATE_GRANT)
-		receive_grant(r, m, now, actions);
+		rate_receive_grant(r, m, now, actions);
 }
 
 void rate_tick(struct rate *r, hm_time now, struct actions *actions)
@@ -398,7 +384,7 @@
 		struct quota *q = &r->list[i];
 
 		rate_update_owner(r, q, now);
-		if (q->live && (q->waiting || q->usage_rate >= TOKEN))
-			request_tokens(r, q, now, actions);
+		if (q->live && (rate_waiting(q) || q->usage_rate >= TOKEN))
+			rate_request_tokens(r, q, now, actions);
 	}
 }
--- a/core/rate.h
+++ b/core/rate.h
@@ -40,30 +40,54 @@
 /** Whether this instance has run for long enough to issue tokens. */
 bool rate_may_issue(const struct rate *r, hm_time now);
 
-/** Takes one token of @a account; false when none is available locally. */
-bool rate_take(struct rate *r, hm_id account, hm_time now);
+/**
+ * Sets how many urgency levels are in use. With 1, the initial value, all
+ * statements are alike and their levels are ignored.
+ */
+void rate_set_levels(struct rate *r, uint32_t count);
+uint32_t rate_level_count(const struct rate *r);
+
+/** Which statement a token is taken for. */
+struct rate_use {
+	uint32_t level;
+	/** A less urgent statement gets this token to be served at all. */
+	bool floor;
+};
+
+/**
+ * Takes one token of @a account; false when none is available locally for that
+ * use.
+ */
+bool rate_take(struct rate *r, hm_id account, struct rate_use use, hm_time now);
+
+/** Records that a statement arrived, before it takes a token or waits. */
+void rate_arrival(struct rate *r, hm_id account, uint32_t level, hm_time now);
+/** Records that a statement was refused, as it had no token. */
+void rate_refused(struct rate *r, hm_id account, hm_time now);
 
 /**
- * Sets the number of the account's statements that wait for a token, and
- * requests tokens from the owners when too few are granted or requested.
+ * Sets the numbers of the account's statements that wait for a token, by level,
+ * and requests tokens from the owners when too few are granted or requested.
  */
-void rate_demand(struct rate *r, hm_id account, uint32_t waiting, hm_time now,
+void rate_demand(struct rate *r, hm_id account,
+		 const uint32_t waiting[PRIORITY_LEVELS], hm_time now,
 		 struct actions *actions);
 
 /**
  * Whether a new statement of the account would have to wait until tokens are
- * issued: no token is available locally, and the owner of each zone recently
- * granted fewer tokens than were requested, or did not answer.
+ * issued: no token is available locally to its level, and the owner of each
+ * zone recently granted fewer tokens than were requested for that level, or
+ * did not answer.
  */
-bool rate_exhausted(struct rate *r, hm_id account, hm_time now);
+bool rate_exhausted(struct rate *r, hm_id account, uint32_t level, hm_time now);
 
 /**
- * Estimates when the last of @a waiting statements gets a token, as the time
- * at which a refused client is advised to retry; HM_NEVER for an account
- * without a contract.
+ * Estimates when the last of @a waiting statements of a level gets a token, as
+ * the time at which a refused client is advised to retry; HM_NEVER for an
+ * account without a contract.
  */
-hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t waiting,
-		      hm_time now);
+hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t level,
+		      uint32_t waiting, hm_time now);
 
 /** Handles MSG_RATE_REQUEST and MSG_RATE_GRANT of peers. */
 void rate_message(struct rate *r, const struct message *m, hm_time now,
--- a/core/rate_issue.c
+++ b/core/rate_issue.c
@@ -185,9 +185,14 @@
 	return now >= r->issue_after;
 }
 
+int64_t rate_usable(const struct quota *q)
+{
+	return q->level;
+}
+
 bool rate_take_own(const struct rate *r, struct quota *q, hm_time now)
 {
-	if (!rate_refill(r, q, now) || q->level < TOKEN)
+	if (!rate_refill(r, q, now) || rate_usable(q) < TOKEN)
 		return false;
 	q->level -= TOKEN;
 	return true;
@@ -204,12 +209,7 @@
 	grant->rate.account = m->rate.account;
 	if (!q || !rate_refill(r, q, now) || !q->share.valid)
 		return;
-	tokens = q->level / TOKEN;
-	if (tokens > m->rate.tokens)
-		tokens = m->rate.tokens;
-	if (tokens < 0)
-		tokens = 0;
-	q->level -= tokens * TOKEN;
+	tokens = rate_issue_grant(r, q, &m->rate, now);
 	grant->rate.tokens = (uint32_t)tokens;
 	grant->rate.valid = q->share.valid;
 	grant->rate.contract_version = q->contract->version;
--- a/core/rate_state.h
+++ b/core/rate_state.h
@@ -19,15 +19,39 @@
 	hm_time expires_at;
 };
 
+/*
+ * The arrays below have one element per urgency level. While all operations
+ * are alike (rate_level_count() is 1), only element 0 is used.
+ */
+
 /* Token requests for one account to the owner of one zone. */
 struct source {
 	uint64_t seq; /* number of the unanswered request, 0 for none */
 	uint32_t requested;
+	uint32_t wanted[PRIORITY_LEVELS]; /* parts of requested */
 	hm_time requested_at;
-	hm_time retry_after;
+	hm_time retry_after[PRIORITY_LEVELS];
+	/* Grants of too few tokens, or missing answers, in a row. */
+	uint32_t failures[PRIORITY_LEVELS];
 	hm_time backoff; /* pause after the last missing answer */
 };
 
+/* Decaying average of a number of tokens per second. */
+struct rate_decay {
+	int64_t rate; /* in millionths per second */
+	hm_time at;   /* last update of rate */
+};
+
+/* What the owner of a bucket knows of the demand for its tokens. */
+struct rate_wanted {
+	struct rate_decay rate[PRIORITY_LEVELS];
+	/* Until then the level counts as one that requests tokens. */
+	hm_time until[PRIORITY_LEVELS];
+	/* Part of the bucket that is kept for the least urgent level. */
+	int64_t floor;
+	hm_time floor_at; /* time up to which floor was refilled */
+};
+
 struct quota {
 	hm_id account;
 	bool live; /* false: the contract was withdrawn */
@@ -49,10 +73,14 @@
 	uint32_t granted_count;
 	struct source *sources; /* one per zone */
 	struct contract *contract;
-	int64_t usage_rate;    /* tokens used here, millionths per second */
-	hm_time usage_at;      /* last update of usage_rate */
-	uint32_t waiting;      /* statements that wait for a token */
-	hm_time waiting_since; /* HM_NEVER when none wait */
+	int64_t usage_rate; /* tokens used here, millionths per second */
+	hm_time usage_at;   /* last update of usage_rate */
+	uint32_t waiting[PRIORITY_LEVELS];	/* statements without a token */
+	hm_time waiting_since[PRIORITY_LEVELS]; /* HM_NEVER when none wait */
+	struct rate_decay used[PRIORITY_LEVELS];    /* tokens used here */
+	struct rate_decay arrived[PRIORITY_LEVELS]; /* statements, here */
+	hm_time scarce_until;	   /* until then tokens are reserved by level */
+	struct rate_wanted wanted; /* at the owner: demand of all instances */
 };
 
 struct rate {
@@ -62,6 +90,7 @@
 	uint32_t count;
 	uint32_t capacity;
 	struct table by_account;
+	uint32_t level_count; /* see rate_set_levels() */
 	uint64_t next_seq;
 	hm_time last_at;
 	/* This instance issues no tokens before this time. */
@@ -69,6 +98,64 @@
 };
 
 struct quota *rate_find(const struct rate *r, hm_id account);
+/** Drops the granted tokens that have expired. */
+void rate_drop_expired(struct quota *q, hm_time now);
+/** Adds granted tokens to the account's batches. */
+void rate_add_batch(struct quota *q, uint32_t tokens, hm_time expires_at);
+/** Lets the usage rates decay up to @a now. */
+void rate_decay_usage(struct quota *q, hm_time now);
+/** Number of statements of all levels that wait for a token. */
+uint32_t rate_waiting(const struct quota *q);
+
+/* rate_request.c */
+
+/** Requests the missing tokens, from the own zone first. */
+void rate_request_tokens(struct rate *r, struct quota *q, hm_time now,
+			 struct actions *actions);
+/** Takes the tokens of a grant and requests those that are still missing. */
+void rate_receive_grant(struct rate *r, const struct message *m, hm_time now,
+			struct actions *actions);
+/** Whether the owner of a zone is not expected to grant tokens soon. */
+bool rate_source_exhausted(const struct rate *r, const struct quota *q,
+			   uint16_t zone, uint32_t level, hm_time now);
+
+/* rate_demand.c */
+
+/** Updates and returns the average over @a window. */
+int64_t rate_decay_get(struct rate_decay *d, hm_time window, hm_time now);
+void rate_decay_add(struct rate_decay *d, hm_time window, uint32_t count,
+		    hm_time now);
+/** Records that tokens of the account are scarce now. */
+void rate_note_scarce(struct quota *q, hm_time now);
+/** Records a statement of this instance. */
+void rate_note_arrival(const struct rate *r, struct quota *q, uint32_t level,
+		       hm_time now);
+/** Rate at which statements more urgent than a level arrive here. */
+int64_t rate_arriving(const struct quota *q, uint32_t level, hm_time now);
+/** Records, at the owner, that @a count tokens are requested. */
+void rate_note_wanted(struct quota *q, uint32_t level, uint32_t count,
+		      hm_time now);
+/**
+ * Tokens to leave at this instance for more urgent statements that are expected
+ * soon; 0 while the tokens are not scarce.
+ */
+int64_t rate_local_reserve(const struct rate *r, const struct quota *q,
+			   uint32_t level, hm_time now);
+/**
+ * Part of the owned bucket, in millionths of a token, that statements of a
+ * level may get. The bucket must be refilled.
+ */
+int64_t rate_issuable(const struct rate *r, struct quota *q, uint32_t level,
+		      hm_time now);
+/** Records that tokens of the owned bucket went to a level. */
+void rate_issued(const struct rate *r, struct quota *q, uint32_t level,
+		 int64_t tokens, hm_time now);
+/**
+ * Takes the tokens that the owner grants for a request from the bucket.
+ * @return their number
+ */
+int64_t rate_issue_grant(const struct rate *r, struct quota *q,
+			 const struct rate_tokens *request, hm_time now);
 
 /* rate_issue.c */
 
@@ -89,6 +176,8 @@
  * @return whether this instance is the owner
  */
 bool rate_refill(const struct rate *r, struct quota *q, hm_time now);
+/** Fill level of the owned bucket that may be issued now. */
+int64_t rate_usable(const struct quota *q);
 /** Takes a token from the bucket that this instance owns, when there is one. */
 bool rate_take_own(const struct rate *r, struct quota *q, hm_time now);
 /** Answers a token request of a peer with a grant, also when it is empty. */
--- a/core/refusals.c
+++ b/core/refusals.c
@@ -23,8 +23,10 @@
 
 struct scarcity_entry {
 	hm_id account;
-	hm_time refused_at[SCARCE_REFUSALS];
-	uint32_t next;
+	struct {
+		hm_time at[SCARCE_REFUSALS];
+		uint32_t next;
+	} refused[PRIORITY_LEVELS];
 };
 
 struct scarcity {
@@ -72,21 +74,32 @@
 	free(s);
 }
 
-void scarcity_refused(struct scarcity *s, hm_id account, hm_time now)
+void scarcity_refused(struct scarcity *s, hm_id account, uint32_t level,
+		      hm_time now)
 {
 	struct scarcity_entry *p = &s->entries[account % SCARCITY_ENTRIES];
+	uint32_t *next = &p->refused[level].next;
 
 	if (p->account != account)
 		*p = (struct scarcity_entry){ .account = account };
-	p->refused_at[p->next] = now;
-	p->next = (p->next + 1) % SCARCE_REFUSALS;
+	p->refused[level].at[*next] = now;
+	*next = (*next + 1) % SCARCE_REFUSALS;
 }
 
-bool scarcity_active(const struct scarcity *s, hm_id account, hm_time now)
+bool scarcity_active(const struct scarcity *s, hm_id account, uint32_t level,
+		     hm_time now)
 {
 	const struct scarcity_entry *p =
 		&s->entries[account % SCARCITY_ENTRIES];
-	hm_time oldest = p->refused_at[p->next];
+	uint32_t i;
 
-	return p->account == account && oldest && now - oldest <= SCARCE_WITHIN;
+	if (p->account != account)
+		return false;
+	for (i = 0; i <= level; i++) {
+		hm_time oldest = p->refused[i].at[p->refused[i].next];
+
+		if (oldest && now - oldest <= SCARCE_WITHIN)
+			return true;
+	}
+	return false;
 }
--- a/core/refusals.h
+++ b/core/refusals.h
@@ -31,8 +31,13 @@
 struct scarcity *scarcity_new(void);
 void scarcity_free(struct scarcity *s);
 /** Records that an operation of @a account was refused without a token. */
-void scarcity_refused(struct scarcity *s, hm_id account, hm_time now);
-/** Whether @a account had SCARCE_REFUSALS refusals within SCARCE_WITHIN. */
-bool scarcity_active(const struct scarcity *s, hm_id account, hm_time now);
+void scarcity_refused(struct scarcity *s, hm_id account, uint32_t level,
+		      hm_time now);
+/**
+ * Whether @a account had SCARCE_REFUSALS refusals within SCARCE_WITHIN, of
+ * operations of one level that is @a level or more urgent.
+ */
+bool scarcity_active(const struct scarcity *s, hm_id account, uint32_t level,
+		     hm_time now);
 
 #endif
--- a/core/services.c
+++ b/core/services.c
@@ -173,6 +173,9 @@
 	p->config = c;
 	p->behind_since[DOCUMENT_CONFIG] = 0;
 	apply_accounts(p, c, now, out);
+	rate_set_levels(p->rate, p->options.scheduling.priority_tokens
+					 ? c->level_count
+					 : 1);
 	for (i = 0; i < c->service_count; i++) {
 		add_service(p, c->services[i].service, now, out);
 		monitor_set_sync(services_monitor(p, c->services[i].service),
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sessions_token.h"
+
 /*
  * An instance that is not ready ends its idle sessions after this time. By
  * then the load balancer sends their clients to other instances.
@@ -133,7 +135,7 @@
 	if (error == ERR_RATE_LIMITED) {
 		refused_op_note(&s->last_refused, s->pending.text,
 				s->pending.since, now);
-		scarcity_refused(p->scarcity, s->account, now);
+		session_note_over_rate(p, s, now);
 	}
 	p->counters.answered++;
 	p->counters.errors[error]++;
--- a/core/sessions_request.c
+++ b/core/sessions_request.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sessions_token.h"
+
 /*
  * Longest wait for a rate token, which may come from another instance: a
  * fraction of the target latency, or, if that is longer, the time in which
@@ -133,8 +135,10 @@
 static void refuse_over_rate(struct proxy *p, struct session *s, hm_time now,
 			     struct proxy_output *out)
 {
-	session_answer(p, s, ERR_RATE_LIMITED, NULL,
-		       rate_retry_at(p->rate, s->account, 1, now), now, out);
+	session_answer(
+		p, s, ERR_RATE_LIMITED, NULL,
+		rate_retry_at(p->rate, s->account, session_level(p, s), 1, now),
+		now, out);
 }
 
 static hm_time token_wait(const struct proxy *p, const struct session *s)
@@ -162,7 +166,7 @@
 
 	if (!route || !route->target ||
 	    now - since + STATEMENT_TIME <= route->target ||
-	    !scarcity_active(p->scarcity, s->account, now))
+	    !session_tokens_scarce(p, s, now))
 		return false;
 	proxy_log(out, "event=yield request=%s asked_us=%lld target_us=%lld",
 		  s->pending.request, (long long)(now - since),
@@ -173,10 +177,9 @@
 static void admit_operation(struct proxy *p, struct session *s, hm_time now,
 			    struct proxy_output *out)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
 	struct statement st = { .id = s->pending.id,
 				.account = s->account,
-				.level = route ? route->level : 0,
+				.level = session_level(p, s),
 				.deadline = now + token_wait(p, s) };
 	hm_time retry_at = 0;
 
@@ -187,16 +190,20 @@
 		return;
 	}
 	if (yields_token(p, s, now, out) ||
-	    rate_exhausted(p->rate, s->account, now)) {
+	    admit_exhausted(p->admit, &st, now)) {
 		refuse_over_rate(p, s, now, out);
 		return;
 	}
 	s->pending.phase = PENDING_TOKEN;
 	switch (admit_push(p->admit, &st, now, &retry_at, &out->peers)) {
 	case ADMIT_PASS:
+		p->counters.tokens_taken[st.level]++;
 		start_admitted(p, s, now, out);
 		break;
 	case ADMIT_WAIT:
+		/* A less urgent operation may be due to get the next token. */
+		if (rate_level_count(p->rate) > 1)
+			sessions_run_admitted(p, now, out);
 		break;
 	case ADMIT_REFUSE:
 		session_answer(p, s, ERR_RATE_LIMITED, NULL, retry_at, now,
@@ -362,27 +369,21 @@
 		if (h == TABLE_NONE)
 			continue;
 		s = p->sessions[h];
-		if (left.admitted)
+		if (left.admitted) {
+			p->counters.tokens_taken[left.statement.level]++;
 			start_admitted(p, s, now, out);
-		else
-			session_answer(p, s, ERR_RATE_LIMITED, NULL,
-				       left.retry_at, now, out);
+			continue;
+		}
+		if (left.overtaken)
+			session_log_displaced(p, s, left.by_level, out);
+		session_answer(p, s, ERR_RATE_LIMITED, NULL, left.retry_at, now,
+			       out);
 	}
 }
 
 void sessions_refuse_over_rate(struct proxy *p, hm_id account, hm_time now,
 			       struct proxy_output *out)
 {
-	uint32_t i;
-
-	if (!rate_exhausted(p->rate, account, now))
-		return;
-	for (i = 0; i < p->session_count; i++) {
-		struct session *s = p->sessions[i];
-
-		if (s->pending.phase != PENDING_TOKEN || s->account != account)
-			continue;
-		admit_drop(p->admit, s->pending.id);
-		refuse_over_rate(p, s, now, out);
-	}
+	admit_refuse_exhausted(p->admit, account, now);
+	sessions_run_admitted(p, now, out);
 }
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -20,6 +20,19 @@
 	}
 }
 
+static void write_levels(GString *out, const char *name, const char *help,
+			 const uint64_t values[PRIORITY_LEVELS])
+{
+	char label[32];
+	int i;
+
+	metrics_family(out, name, "counter", help);
+	for (i = 0; i < PRIORITY_LEVELS; i++) {
+		g_snprintf(label, sizeof(label), "level=\"%d\"", i);
+		metrics_value(out, name, label, values[i]);
+	}
+}
+
 void proxy_metrics_write(GString *out, const struct proxy_counters *counters,
 			 const struct proxy_io_counters *io)
 {
@@ -76,6 +89,12 @@
 		metrics_single(out, rows[i].name, rows[i].type, rows[i].help,
 			       rows[i].value);
 	write_answers(out, counters);
+	write_levels(out, PREFIX "tokens_taken",
+		     "rate tokens taken by operations of a level",
+		     counters->tokens_taken);
+	write_levels(out, PREFIX "tokens_refused",
+		     "operations of a level refused without a rate token",
+		     counters->tokens_refused);
 	metrics_family(out, PREFIX "request_seconds", "histogram",
 		       "time from a request to its answer");
 	metrics_histogram(out, PREFIX "request_seconds", "outcome=\"served\"",
--- a/tests/rate_fleet.c
+++ b/tests/rate_fleet.c
@@ -30,6 +30,22 @@
 	return (uint16_t)(i / 2);
 }
 
+static void set_levels(struct rate_fleet *f, uint32_t i)
+{
+	bool old = f->old_builds >> i & 1;
+
+	rate_set_levels(f->nodes[i].rate, old ? 1 : f->level_count);
+}
+
+void rate_fleet_levels(struct rate_fleet *f, uint32_t count)
+{
+	uint32_t i;
+
+	f->level_count = count;
+	for (i = 0; i < RATE_INSTANCES; i++)
+		set_levels(f, i);
+}
+
 static void node_start(struct rate_fleet *f, uint32_t i)
 {
 	struct rate_node *n = &f->nodes[i];
@@ -49,6 +65,7 @@
 	n->rate = rate_new(&n->options, n->peers, now);
 	n->admit = admit_new(n->rate);
 	rate_set_contract(n->rate, &f->contract, now);
+	set_levels(f, i);
 	n->seq = 0;
 	n->heartbeat_at = n->tick_at = f->now;
 	n->up = true;
@@ -81,6 +98,8 @@
 	f->packets = malloc(PACKETS_MAX * sizeof(*f->packets));
 	f->rng.state = seed;
 	f->step = RATE_STEP;
+	f->patience = RATE_PATIENCE;
+	f->level_count = 1;
 	f->far_delay = 1500;
 	f->start_wait = start_wait;
 	f->heartbeat_every = start_wait ? PROXY_HEARTBEAT : CORE_HEARTBEAT;
@@ -151,9 +170,10 @@
 	actions_free(actions);
 }
 
-static void count_admission(struct rate_fleet *f)
+static void count_admission(struct rate_fleet *f, uint32_t level)
 {
 	f->admitted++;
+	f->admitted_at[level]++;
 	if (!rate_bucket_take(&f->limit, f->now)) {
 		f->limit.level -= RATE_TOKEN;
 		f->over++;
@@ -166,7 +186,7 @@
 
 	while (admit_next(n->admit, f->now + n->offset, &result))
 		if (result.admitted)
-			count_admission(f);
+			count_admission(f, result.statement.level);
 		else
 			f->refused++;
 }
@@ -174,23 +194,31 @@
 void rate_fleet_request(struct rate_fleet *f, uint32_t i)
 {
 	struct rate_node *n = &f->nodes[i];
-	struct statement s = { .account = RATE_ACCOUNT };
+	struct statement s = { .account = RATE_ACCOUNT,
+			       .level = f->offer_level };
 	struct actions actions = { 0 };
 	hm_time now = f->now + n->offset;
 	hm_time retry_at = 0;
 
 	f->offered++;
 	s.id.seq = f->offered;
-	s.deadline = now + RATE_PATIENCE;
+	s.deadline = now + f->patience;
+	if (f->refuses_at_once && admit_exhausted(n->admit, &s, now)) {
+		rate_refused(n->rate, RATE_ACCOUNT, now);
+		f->refused++;
+		return;
+	}
 	switch (admit_push(n->admit, &s, now, &retry_at, &actions)) {
 	case ADMIT_PASS:
-		count_admission(f);
+		count_admission(f, s.level);
 		break;
 	case ADMIT_REFUSE:
 		ck_assert_int_gt(retry_at, now);
 		f->refused++;
 		break;
 	case ADMIT_WAIT:
+		if (f->level_count > 1)
+			collect(f, n);
 		break;
 	}
 	perform(f, i, &actions);
@@ -209,6 +237,10 @@
 	rate_message(n->rate, &p->message, f->now + n->offset, &actions);
 	perform(f, p->to, &actions);
 	collect(f, n);
+	if (!f->refuses_at_once || p->message.kind != MSG_RATE_GRANT)
+		return;
+	admit_refuse_exhausted(n->admit, RATE_ACCOUNT, f->now + n->offset);
+	collect(f, n);
 }
 
 static void send_heartbeats(struct rate_fleet *f, uint32_t i)
--- a/tests/rate_fleet.h
+++ b/tests/rate_fleet.h
@@ -67,6 +67,12 @@
 	hm_time start_wait; /* core_options.start_wait of each instance */
 	hm_time heartbeat_every;
 	struct contract contract;
+	uint32_t level_count; /* urgency levels in use, for rate_set_levels() */
+	uint32_t offer_level; /* level of the requests that are sent */
+	hm_time patience;     /* of a request, until its deadline */
+	bool refuses_at_once; /* as sessions: when no token is expected soon */
+	uint32_t old_builds;  /* instances that know no levels, as bits */
+	uint64_t admitted_at[PRIORITY_LEVELS];
 	struct rate_bucket limit; /* of the contract, checked per admission */
 	uint64_t admitted, refused, offered;
 	uint64_t over; /* admissions beyond the contract's rate and burst */
@@ -83,7 +89,9 @@
 void rate_fleet_step(struct rate_fleet *f);
 /** Takes a token from the bucket; returns false when it has none. */
 bool rate_bucket_take(struct rate_bucket *b, hm_time now);
-/** Sends a request to instance @a i, with RATE_PATIENCE until its deadline. */
+/** Sets the urgency levels that are in use at instances of the new build. */
+void rate_fleet_levels(struct rate_fleet *f, uint32_t count);
+/** Sends a request to instance @a i. */
 void rate_fleet_request(struct rate_fleet *f, uint32_t i);
 /**
  * Sends the requests of one step at a mean of per_second: @a skew percent to
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -102,6 +102,7 @@
 	struct message m = { .kind = MSG_HEARTBEAT, .seq = 1 };
 	struct peers *peers = peers_new(&o, 0);
 	struct rate *r = rate_new(&o, peers, 0);
+	struct rate_use use = { 0 };
 	struct actions actions = { 0 };
 	bool has;
 	hm_time t;
@@ -125,8 +126,8 @@
 	peers_message(peers, &m, 100 * HM_MS);
 	for (t = 0; t <= 510 * HM_MS; t += 10 * HM_MS)
 		rate_tick(r, t, &actions);
-	has = rate_take(r, RATE_ACCOUNT, 510 * HM_MS) &&
-	      rate_take(r, RATE_ACCOUNT, 510 * HM_MS);
+	has = rate_take(r, RATE_ACCOUNT, use, 510 * HM_MS) &&
+	      rate_take(r, RATE_ACCOUNT, use, 510 * HM_MS);
 	actions_free(&actions);
 	rate_free(r);
 	peers_free(peers);
