Test tokens by level on one instance, at the owner, and under faults

Scripts show the order within an instance, the pause that only the levels without tokens make, the use of a grant whose urgent statement is gone, the reserve and the floor of the owner, and requests of builds that state no levels. A walk with crashed, paused and isolated owners shows that tokens by level stay within the contract.

--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -60,6 +60,7 @@
 
 	s.id = (struct rid){ INCARNATION, (uint64_t)script_int(line, "id", 0) };
 	s.deadline = r->now + script_int(line, "within", 1000) * HM_MS;
+	s.level = (uint32_t)script_int(line, "level", 0);
 	got = admit_push(r->admit, &s, r->now, &retry_at, &r->actions);
 	g_string_append(out, names[got]);
 	if (retry_at)
@@ -79,6 +80,8 @@
 		kind == MSG_RATE_GRANT ? INCARNATION : m.from;
 	m.rate.tokens = (uint32_t)script_int(line, "tokens", 0);
 	m.rate.valid = script_int(line, "valid", 250) * HM_MS;
+	m.rate.wanted[0] = (uint32_t)script_int(line, "urgent", 0);
+	m.rate.wanted[2] = (uint32_t)script_int(line, "least", 0);
 	rate_message(r->rate, &m, r->now, &r->actions);
 }
 
@@ -95,6 +98,12 @@
 			act->send.message.kind == MSG_RATE_REQUEST ? "want"
 								   : "grant",
 			(int)act->send.to, (int)o->nonce.seq, o->tokens);
+		if (o->tokens && rate_level_count(r->rate) > 1 &&
+		    act->send.message.kind == MSG_RATE_REQUEST) {
+			g_string_truncate(out, out->len - 1);
+			g_string_append_printf(out, " urgent=%u least=%u\n",
+					       o->wanted[0], o->wanted[2]);
+		}
 	}
 	actions_clear(&r->actions);
 }
@@ -104,9 +113,10 @@
 	struct admit_result result;
 
 	while (admit_next(r->admit, r->now, &result))
-		g_string_append_printf(out, "%s id=%d\n",
+		g_string_append_printf(out, "%s id=%d%s\n",
 				       result.admitted ? "passed" : "refused",
-				       (int)result.statement.id.seq);
+				       (int)result.statement.id.seq,
+				       result.overtaken ? " overtaken" : "");
 }
 
 static void tick(struct run *r)
@@ -144,6 +154,16 @@
 		rate_order(r, line, MSG_RATE_GRANT);
 	else if (g_str_has_prefix(line, "tick"))
 		tick(r);
+	else if (g_str_has_prefix(line, "levels"))
+		rate_set_levels(r->rate,
+				(uint32_t)script_int(line, "count", 3));
+	else if (g_str_has_prefix(line, "give_up"))
+		admit_refuse_exhausted(r->admit, ACCOUNT, r->now);
+	else if (g_str_has_prefix(line, "exhausted"))
+		g_string_append_printf(
+			out, "urgent=%d least=%d\n",
+			rate_exhausted(r->rate, ACCOUNT, 0, r->now),
+			rate_exhausted(r->rate, ACCOUNT, 2, r->now));
 	else if (g_str_has_prefix(line, "drop"))
 		admit_drop(r->admit,
 			   (struct rid){ INCARNATION,
@@ -172,9 +192,9 @@
 }
 
 static const char *const files[] = {
-	"tests/scripts/admit_lines.txt",
-	"tests/scripts/rate_grants.txt",
-	"tests/scripts/rate_owner.txt",
+	"tests/scripts/admit_lines.txt", "tests/scripts/rate_grants.txt",
+	"tests/scripts/rate_owner.txt",	 "tests/scripts/token_levels.txt",
+	"tests/scripts/token_floor.txt", "tests/scripts/token_owner.txt",
 };
 
 START_TEST(scripted)
--- a/tests/test_token_levels.c
+++ b/tests/test_token_levels.c
@@ -167,6 +167,40 @@
 }
 END_TEST
 
+/*
+ * Owners crash, pause and are partitioned, messages are lost and repeated:
+ * tokens by level must not exceed the contract either.
+ */
+START_TEST(never_over_contract_under_faults)
+{
+	static const uint32_t limits[][2] = { { 200, 200 },
+					      { 1, 4 },
+					      { 400, 40 } };
+	uint64_t seed;
+
+	for (seed = 1; seed <= 9; seed++) {
+		const uint32_t *l = limits[seed % 3];
+		struct rate_fleet *f = rate_fleet_new(seed, l[0], l[1], 0);
+
+		f->loss_percent = 3;
+		f->step = 2000;
+		f->old_builds = (uint32_t)seed;
+		rate_fleet_levels(f, KINDS);
+		while (f->now < 40 * HM_SEC) {
+			rate_fleet_step(f);
+			if (!rng_below(&f->rng, 250))
+				rate_fleet_fault(f);
+			f->offer_level = (uint32_t)rng_below(&f->rng, KINDS);
+			rate_fleet_offer(f, l[0] * 3 + 20, 50);
+		}
+		ck_assert_msg(!f->over, "seed %d: %d over contract", (int)seed,
+			      (int)f->over);
+		ck_assert_uint_gt(f->admitted, 0);
+		rate_fleet_free(f);
+	}
+}
+END_TEST
+
 /* With one level in use, the levels of statements must have no effect. */
 START_TEST(levels_have_no_effect_when_off)
 {
@@ -201,6 +235,7 @@
 	tcase_add_loop_test(tc, old_builds_request_without_levels, 0, 2);
 	tcase_add_test(tc, nothing_is_refused_within_the_limit);
 	tcase_add_test(tc, writer_after_a_burst_of_readers_is_served);
+	tcase_add_test(tc, never_over_contract_under_faults);
 	tcase_add_test(tc, levels_have_no_effect_when_off);
 	return suite_run("token_levels", tc);
 }
