Refuse operations by the load of members before they take a token

An operation for a member with a long queue took a rate token, was sent and waited there up to its target latency before it was refused; all clients that were refused together were told the same time.

Results that state a load now set the load levels of their member. A closed member costs more than any open one in the choice of a member. A new operation for which only closed members remain is refused at once as overloaded, not run, before it takes a token; a client that returns within 300 ms of its time goes first once the reported wait is within the slack again. Statements of open transactions and operations that hold a token are not refused.

--- a/core/placement.c
+++ b/core/placement.c
@@ -14,6 +14,11 @@
  * statements than it may get.
  */
 #define COLD_COST (40 * HM_MS)
+/*
+ * A closed member cannot run the statement in time: any open one is better,
+ * also in another zone or behind.
+ */
+#define CLOSED_COST (10 * HM_SEC)
 /*
  * Cost of each statement sent to the member and not answered yet, divided by
  * the number of its slots (statements that it runs at once): the statement's
@@ -146,6 +151,9 @@
 	cost += l->outstanding * OUTSTANDING_COST / (m->slots ? m->slots : 1);
 	if (now - l->reported_at < REPORT_VALID)
 		cost += l->owner_wait;
+	if (load_is_closed(&l->level, l->level.owner, need->level, now) &&
+	    member_owner(p, m) == l->level.owner)
+		cost += CLOSED_COST;
 	return cost;
 }
 
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -43,8 +43,11 @@
 	p->admit = admit_new(p->rate);
 	p->budget = budget_new(rng_next(&p->rng));
 	p->scarcity = scarcity_new();
+	p->service_returns = return_order_new();
+	p->account_returns = return_order_new();
 	p->contracts = contracts_new();
-	if (!p->peers || !p->rate || !p->admit || !p->budget || !p->contracts) {
+	if (!p->peers || !p->rate || !p->admit || !p->budget || !p->contracts ||
+	    !p->service_returns || !p->account_returns) {
 		proxy_free(p);
 		return NULL;
 	}
@@ -65,6 +68,8 @@
 	contracts_free(p->contracts);
 	budget_free(p->budget);
 	scarcity_free(p->scarcity);
+	return_order_free(p->service_returns);
+	return_order_free(p->account_returns);
 	admit_free(p->admit);
 	rate_free(p->rate);
 	peers_free(p->peers);
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -321,6 +321,11 @@
 	uint64_t retries;
 	uint64_t handshakes;
 	uint64_t promotions;
+	/** Operations refused since every member was closed for their level. */
+	uint64_t refused_by_load[PRIORITY_LEVELS];
+	uint64_t load_probes;  /**< operations sent to a closed member */
+	uint64_t load_closed;  /**< times that a level of a member closed */
+	uint64_t load_returns; /**< clients that came back at their time */
 	zone_set evacuated_zones;
 };
 void proxy_get_counters(const struct proxy *p, struct proxy_counters *out);
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -12,12 +12,14 @@
 #include "admit.h"
 #include "budget.h"
 #include "contracts.h"
+#include "load_level.h"
 #include "monitor.h"
 #include "peers.h"
 #include "pool.h"
 #include "proxy.h"
 #include "rate.h"
 #include "refusals.h"
+#include "return_order.h"
 #include "rng.h"
 #include "store_restore.h"
 #include "view.h"
@@ -53,6 +55,8 @@
 	hm_id endpoint;	  /**< member that it was sent to */
 	hm_time since;	  /**< when the request arrived */
 	hm_time deadline; /**< without a result by then, it has failed */
+	hm_time sent_at;  /**< when it was sent to that member */
+	hm_time expected_wait;	/**< at that member; -1: not known */
 	hm_id tried[TRIED_MAX]; /**< members that failed to serve it */
 	uint32_t tried_count;
 };
@@ -89,6 +93,7 @@
 		own_commit;    /**< position of the session's newest commit */
 	hm_time own_commit_at; /**< when that commit was acknowledged */
 	struct refused_op last_refused;
+	struct return_ticket told; /**< when to retry the last refused one */
 };
 
 /** Load of a member, as known at this instance. */
@@ -99,6 +104,10 @@
 	hm_time reported_at;
 	hm_time failed_until; /**< not used until then, since it failed */
 	hm_time behind_until; /**< until then its log is assumed to lag */
+	struct load_state level;
+	/** Longest target of the routes of each level to its service. */
+	hm_time target[PRIORITY_LEVELS];
+	uint64_t target_version; /**< configuration that @a target is from */
 };
 
 /** The newest configuration that a peer has in force. */
@@ -146,6 +155,8 @@
 	struct rate *rate;
 	struct admit *admit;
 	struct scarcity *scarcity;
+	struct return_order *service_returns; /**< refused, by service */
+	struct return_order *account_returns; /**< without token, by account */
 	struct budget *budget;
 	struct contracts *contracts;
 	struct site_config *config;
@@ -257,6 +268,7 @@
 	hm_id service;
 	bool primary_only; /**< only the primary may run it */
 	bool writes;	   /**< it may change data */
+	uint32_t level;	   /**< urgency; a level may be closed at a member */
 	zone_set barred;   /**< zones of members and owners that are excluded */
 	const hm_id *tried;
 	uint32_t tried_count;
@@ -351,6 +363,31 @@
  */
 bool session_refuse_unplaceable(struct proxy *p, struct session *s, hm_time now,
 				struct proxy_output *out);
+
+/* sessions_load.c */
+
+/** Takes the load that a result for the session's statement states. */
+void session_take_load(struct proxy *p, const struct session *s,
+		       const struct run_result *r, hm_time now,
+		       struct proxy_output *out);
+/**
+ * Refuses a new operation at once if its level is closed at @a place, the best
+ * member that can run it; true if so.
+ */
+bool session_refuse_by_load(struct proxy *p, struct session *s,
+			    const struct placement *place, hm_time now,
+			    struct proxy_output *out);
+/**
+ * Records how an operation ended, for the order in which refused ones return.
+ * @param retry_at time at which a retry may succeed, 0 if not known
+ * @return the time to tell the client, 0 for none
+ */
+hm_time session_order_return(struct proxy *p, struct session *s,
+			     enum error error, bool ran, hm_time retry_at,
+			     hm_time now);
+
+/* sessions_run.c */
+
 /** Handles MSG_RUN_RESULT, the result of a pending statement. */
 void session_result(struct proxy *p, const struct run_result *r, hm_time now,
 		    struct proxy_output *out);
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -59,6 +59,7 @@
 	free(s->prepared);
 	values_free(s->values, s->value_count);
 	refused_op_clear(&s->last_refused);
+	return_ticket_clear(&s->told);
 	free(s);
 }
 
@@ -105,6 +106,7 @@
 {
 	struct proxy_action *a = proxy_action(out, PROXY_ANSWER);
 
+	retry_at = session_order_return(p, s, error, result, retry_at, now);
 	a->answer.client = s->number;
 	a->answer.error = error;
 	a->answer.state = s->tx.state;
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -69,6 +69,7 @@
 		.service = route->service,
 		.primary_only = needs_primary(s, route),
 		.writes = s->pending.writes,
+		.level = route->level,
 		.barred = route->barred |
 			  site_account_barred(p->config, s->account),
 		.tried = s->pending.tried,
@@ -141,8 +142,10 @@
 
 static void send_run_request(struct proxy *p, struct session *s,
 			     struct run_request *o, uint64_t owner,
-			     const char *reason, struct proxy_output *out)
+			     const char *reason, hm_time now,
+			     struct proxy_output *out)
 {
+	struct member_load *l = place_load(p, o->endpoint);
 	const struct site_member *m =
 		site_members_find(p->members, o->endpoint);
 
@@ -160,15 +163,18 @@
 	s->pending.owner = owner;
 	s->pending.endpoint = o->endpoint;
 	s->pending.deadline = o->deadline + RESULT_GRACE;
-	place_load(p, o->endpoint)->outstanding++;
+	s->pending.sent_at = now;
+	s->pending.expected_wait = load_wait(&l->level, owner, o->level, now);
+	l->outstanding++;
 	proxy_send(p, owner, MSG_RUN, out)->run = o;
 }
 
 static void run_in_transaction(struct proxy *p, struct session *s,
-			       struct run_request *o, struct proxy_output *out)
+			       struct run_request *o, hm_time now,
+			       struct proxy_output *out)
 {
 	o->endpoint = s->tx.endpoint;
-	send_run_request(p, s, o, s->tx.owner, "transaction", out);
+	send_run_request(p, s, o, s->tx.owner, "transaction", now, out);
 }
 
 /* Answers a statement that no member can take now; it has not run. */
@@ -198,7 +204,7 @@
 	need.primary_only |= s->pending.op == STMT_BEGIN;
 	place = place_choose(p, &need, now);
 	if (place.endpoint && place.owner)
-		return false;
+		return session_refuse_by_load(p, s, &place, now, out);
 	refuse_unplaced(p, s, need.primary_only, &place, now, out);
 	return true;
 }
@@ -217,7 +223,7 @@
 	}
 	o = new_run_request(p, s, route, now);
 	if (o->scope == RUN_INSIDE) {
-		run_in_transaction(p, s, o, out);
+		run_in_transaction(p, s, o, now, out);
 		return;
 	}
 	need = requirements_of(p, s, route);
@@ -238,7 +244,7 @@
 		p->counters.reads_replica++;
 	if (!s->pending.tried_count)
 		budget_request(p->budget, s->account, o->endpoint, now);
-	send_run_request(p, s, o, place.owner, place.reason, out);
+	send_run_request(p, s, o, place.owner, place.reason, now, out);
 }
 
 static bool only_reads(const struct session *s)
@@ -341,6 +347,7 @@
 		return; /* the request was answered or sent elsewhere */
 	place_load(p, r->endpoint)->outstanding--;
 	update_load(p, r, now);
+	session_take_load(p, s, r, now, out);
 	if (r->error && may_retry_elsewhere(p, s, r, now)) {
 		proxy_log(out, "event=elsewhere request=%s error=%s tried=%u",
 			  s->pending.request, error_answer(r->error)->code,
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -20,6 +20,21 @@
 	}
 }
 
+static void write_refused_by_load(GString *out,
+				  const struct proxy_counters *counters)
+{
+	char label[64];
+	int i;
+
+	metrics_family(out, PREFIX "refused_by_load", "counter",
+		       "operations refused by the load of members, by level");
+	for (i = 0; i < PRIORITY_LEVELS; i++) {
+		g_snprintf(label, sizeof(label), "level=\"%d\"", i);
+		metrics_value(out, PREFIX "refused_by_load", label,
+			      counters->refused_by_load[i]);
+	}
+}
+
 void proxy_metrics_write(GString *out, const struct proxy_counters *counters,
 			 const struct proxy_io_counters *io)
 {
@@ -63,6 +78,14 @@
 		  counters->retries },
 		{ PREFIX "promotions", "counter", "primaries replaced",
 		  counters->promotions },
+		{ PREFIX "load_closed", "counter",
+		  "times that a level of a member closed",
+		  counters->load_closed },
+		{ PREFIX "load_probes", "counter",
+		  "operations sent to closed members", counters->load_probes },
+		{ PREFIX "load_returns", "counter",
+		  "refused operations retried at the time told",
+		  counters->load_returns },
 		{ PREFIX "peer_dropped", "counter",
 		  "messages to peers that did not fit", io->peer_dropped },
 		{ PREFIX "store_calls", "counter", "calls to the store",
@@ -76,6 +99,7 @@
 		metrics_single(out, rows[i].name, rows[i].type, rows[i].help,
 			       rows[i].value);
 	write_answers(out, counters);
+	write_refused_by_load(out, counters);
 	metrics_family(out, PREFIX "request_seconds", "histogram",
 		       "time from a request to its answer");
 	metrics_histogram(out, PREFIX "request_seconds", "outcome=\"served\"",
