--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -30,6 +30,18 @@
 	for (i = 0; i < PRIORITY_LEVELS; i++) {
 		g_snprintf(label, sizeof(label), "level=\"%d\"", i);
 		metrics_value(out, name, label, values[i]);
+static void write_refused_by_load(GString *out,
+				  const struct proxy_counters *counters)
+{
+	char label[64];
+	int i;
+
+	metrics_family(out, PREFIX "refused_by_load", "counter",
+		       "operations refused by the load of members, by level");
+	for (i = 0; i < PRIORITY_LEVELS; i++) {
+		g_snprintf(label, sizeof(label), "level=\"%d\"", i);
+		metrics_value(out, PREFIX "refused_by_load", label,
+			      counters->refused_by_load[i]);
 	}
 }
 
@@ -76,6 +88,14 @@
 		  counters->retries },
 		{ PREFIX "promotions", "counter", "primaries replaced",
 		  counters->promotions },
+		{ PREFIX "load_closed", "counter",
+		  "times that a level of a member closed",
+		  counters->load_closed },
+		{ PREFIX "load_probes", "counter",
+		  "operations sent to closed members", counters->load_probes },
+		{ PREFIX "load_returns", "counter",
+		  "refused operations retried at the time told",
+		  counters->load_returns },
 		{ PREFIX "peer_dropped", "counter",
 		  "messages to peers that did not fit", io->peer_dropped },
 		{ PREFIX "store_calls", "counter", "calls to the store",
@@ -95,6 +115,7 @@
 	write_levels(out, PREFIX "tokens_refused",
 		     "operations of a level refused without a rate token",
 		     counters->tokens_refused);
+	write_refused_by_load(out, counters);
 	metrics_family(out, PREFIX "request_seconds", "histogram",
 		       "time from a request to its answer");
 	metrics_histogram(out, PREFIX "request_seconds", "outcome=\"served\"",
