Serve the statements at a member by urgency

Under overload the most urgent statements were served worst. The fair queue orders by account alone, and the statements with the shortest target are the first that can no longer start in time.

Where the configuration has several levels, the queue of a member's owner serves statements of open transactions first, then by level, then by account and arrival. The least urgent waiting level gets 1/16 of the slot time, an account beyond its fair share is served as the least urgent, and long statements leave the last free slot to more urgent ones of the last second. A queued statement that a more urgent one makes too late is refused at once, event=displaced. The expected wait of a new statement counts what is ahead of it, and results state that wait for each level.

Order and refusals are unchanged with scheduling.priority_queue off, with one level in the configuration, and as long as all statements have one level, but for open transactions in the last case: test_queue_replay compares the order with one recorded from the code before.

--- a/core/fair_queue.h
+++ b/core/fair_queue.h
@@ -5,6 +5,12 @@
  * for which a statement occupies a statement slot. Within an account, reads,
  * writes, new transactions and statements of open transactions have queues of
  * their own, so that none of them blocks the others.
+ *
+ * With urgency levels, statements of open transactions come first, then more
+ * urgent ones, then accounts in the order above. The least urgent waiting level
+ * gets 1/16 of the slot time, and an account that used more than its fair share
+ * for urgent statements has them served as the least urgent. Levels are ignored
+ * unless fair_queue_set_levels() is called with more than one.
  */
 #ifndef FAIR_QUEUE_H
 #define FAIR_QUEUE_H
@@ -19,6 +25,13 @@
 	QUEUE_CLASSES
 };
 
+/** How a statement counts for the floor of the least urgent level. */
+enum floor_use {
+	FLOOR_NONE,   /**< nothing less urgent waited */
+	FLOOR_PASSED, /**< served while less urgent ones waited */
+	FLOOR_GIVEN   /**< served by the floor */
+};
+
 /** A statement in the queue. */
 struct queue_item {
 	struct statement statement;
@@ -26,20 +39,27 @@
 	enum queue_class class;
 	uint32_t weight;
 	hm_time queued_at;
-	hm_time charged; /**< slot time charged for it so far */
+	hm_time start_by; /**< latest start; used by fair_queue_displace() */
+	hm_time charged;  /**< slot time charged for it so far */
+	enum floor_use floor;
 };
 
 struct fair_queue;
 
 struct fair_queue *fair_queue_new(void);
 void fair_queue_free(struct fair_queue *fq);
+/** Sets the number of urgency levels in use; 0 or 1: levels are ignored. */
+void fair_queue_set_levels(struct fair_queue *fq, uint32_t levels);
+/** Sets the number of slots; needed for levels and for waits by level. */
+void fair_queue_set_slots(struct fair_queue *fq, uint32_t slots);
 
 void fair_queue_push(struct fair_queue *fq, const struct queue_item *item);
 /**
  * Takes the next statement of the classes in @a allowed (a bit per class)
  * and charges its expected slot time to its account. @a last: it would get the
  * last free slot. Then an account whose long statements occupy all other busy
- * slots is skipped if the other accounts use at least one slot on average.
+ * slots is skipped if the other accounts use at least one slot on average, and
+ * so are long statements if more urgent ones arrived in the last second.
  */
 bool fair_queue_pop(struct fair_queue *fq, uint32_t allowed, bool last,
 		    hm_time now, struct queue_item *out);
@@ -88,6 +108,28 @@
  */
 hm_time fair_queue_wait(const struct fair_queue *fq, hm_id account,
 			uint32_t slots, hm_time now);
+/**
+ * Expected wait of a new statement of the account at @a level: the cost of what
+ * is served before it, divided by the slots that more urgent levels leave.
+ * Without levels fair_queue_wait().
+ */
+hm_time fair_queue_level_wait(const struct fair_queue *fq, hm_id account,
+			      uint32_t level, hm_time now);
+/**
+ * Sets @a wait to the same for each level, for an account with nothing queued
+ * that has not exceeded its fair share.
+ */
+void fair_queue_share_waits(const struct fair_queue *fq, hm_time now,
+			    hm_time wait[PRIORITY_LEVELS]);
+/**
+ * Removes the last statement of a queue that is less urgent than @a by, which
+ * was queued, and that can no longer start by its latest start. Statements of
+ * open transactions stay, and an account beyond its fair share displaces none.
+ * @param wait set to its expected wait
+ * @return false when there is none
+ */
+bool fair_queue_displace(struct fair_queue *fq, const struct statement *by,
+			 hm_time now, struct queue_item *out, hm_time *wait);
 /** Expected time to clear the whole queue. */
 hm_time fair_queue_backlog(const struct fair_queue *fq, uint32_t slots);
 
--- a/core/pool.c
+++ b/core/pool.c
@@ -56,6 +56,7 @@
 	p->member = *member;
 	if (!p->member.slots)
 		p->member.slots = 1;
+	fair_queue_set_slots(p->queue, p->member.slots);
 	p->connection_limit = connections;
 	if (p->cold.until < member->cold_until)
 		p->cold.until = member->cold_until;
@@ -354,7 +355,8 @@
 
 	*out = (struct pool_load){ .queued = fair_queue_count(p->queue),
 				   .running = p->running,
-				   .connections = p->conn_count };
+				   .connections = p->conn_count,
+				   .displaced = p->displaced };
 	for (i = 0; i < p->conn_count; i++)
 		out->transactions += p->conns[i].tx.seq != 0;
 	out->wait = fair_queue_backlog(p->queue, p->member.slots);
--- a/core/pool.h
+++ b/core/pool.h
@@ -31,6 +31,11 @@
 		 uint32_t connections, hm_time now);
 /** Sets the limits of a cold member; cold_per_s 0: no limit. */
 void pool_set_cold(struct pool *p, double cold_per_s, hm_time cold_time);
+/**
+ * Sets the number of urgency levels in the configuration; 1: all statements are
+ * equally urgent. Ignored if scheduling.priority_queue is off.
+ */
+void pool_set_levels(struct pool *p, uint32_t levels);
 hm_id pool_endpoint(const struct pool *p);
 hm_id pool_service(const struct pool *p);
 /**
@@ -83,6 +88,8 @@
 	uint32_t transactions;
 	uint32_t connections;
 	hm_time wait; /**< expected time in the queue of a new statement */
+	uint64_t
+		displaced; /**< refused for more urgent ones, since its start */
 };
 void pool_load(const struct pool *p, struct pool_load *out);
 
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -26,9 +26,16 @@
 	return true;
 }
 
-hm_time job_wait(const struct pool *p, hm_id account, hm_time now)
+hm_time job_wait(const struct pool *p, const struct run_request *o, hm_time now)
 {
-	return fair_queue_wait(p->queue, account, p->member.slots, now);
+	return fair_queue_level_wait(p->queue, o->account, o->level, now);
+}
+
+void pool_set_levels(struct pool *p, uint32_t levels)
+{
+	bool used = p->deps.options->scheduling.priority_queue;
+
+	fair_queue_set_levels(p->queue, used ? levels : 1);
 }
 
 static void finish_item(struct pool *p, struct job *j, bool completed,
@@ -55,6 +62,13 @@
 	return o->writes && (o->scope == RUN_SINGLE || o->op == STMT_COMMIT);
 }
 
+static void state_load(const struct pool *p, struct run_load *load, hm_time now)
+{
+	load->known = p->deps.options->scheduling.load_levels;
+	if (load->known)
+		fair_queue_share_waits(p->queue, now, load->wait);
+}
+
 static struct run_result *new_result(const struct pool *p, const struct job *j,
 				     hm_time now)
 {
@@ -66,7 +80,8 @@
 	r->commits = commits(j->run);
 	memcpy(r->request, j->run->request, sizeof(r->request));
 	r->endpoint = p->member.endpoint;
-	r->wait = job_wait(p, j->run->account, now);
+	r->wait = job_wait(p, j->run, now);
+	state_load(p, &r->load, now);
 	return r;
 }
 
@@ -141,7 +156,8 @@
 	struct queue_item item = { .reply_to = j->reply_to,
 				   .class = class_of(j->run),
 				   .weight = j->run->weight,
-				   .queued_at = now };
+				   .queued_at = now,
+				   .start_by = j->run->start_by };
 	uint32_t handle = free_handle(p);
 
 	item.statement.id = j->run->id;
@@ -168,6 +184,27 @@
 		p->jobs[item.statement.body] = NULL;
 }
 
+void jobs_displace(struct pool *p, const struct run_request *by, hm_time now,
+		   struct proxy_output *out)
+{
+	struct statement s = { .account = by->account, .level = by->level };
+	struct queue_item item;
+	hm_time wait;
+
+	while (fair_queue_displace(p->queue, &s, now, &item, &wait)) {
+		struct job *j = p->jobs[item.statement.body];
+
+		p->jobs[item.statement.body] = NULL;
+		p->displaced++;
+		proxy_log(out,
+			  "event=displaced request=%s account=%s level=%u "
+			  "by_level=%u wait_us=%lld",
+			  j->run->request, j->run->account_name,
+			  item.statement.level, by->level, (long long)wait);
+		job_refuse(p, j, ERR_OVERLOADED, EXEC_NOT_RUN, now + wait, now);
+	}
+}
+
 /* Ends the transaction of a refused statement: the next tick rolls it back. */
 static void end_tx(struct pool *p, const struct job *j)
 {
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -136,6 +136,7 @@
 	hm_time connect_after;
 	hm_time connect_backoff;
 	bool down; /**< the last connect failed */
+	uint64_t displaced;
 	struct pool_result *results;
 	uint32_t result_first;
 	uint32_t result_count;
@@ -178,7 +179,15 @@
 void jobs_end_all(struct pool *p, enum error error, hm_time now);
 /** Refuses the job that has waited too long for a connection. */
 void job_expire_conn_waiter(struct pool *p, hm_time now);
-hm_time job_wait(const struct pool *p, hm_id account, hm_time now);
+/** Expected wait of a new statement of the request's account and level. */
+hm_time job_wait(const struct pool *p, const struct run_request *o,
+		 hm_time now);
+/**
+ * Refuses, as not run, queued statements that are less urgent than @a by and
+ * can no longer start in time.
+ */
+void jobs_displace(struct pool *p, const struct run_request *by, hm_time now,
+		   struct proxy_output *out);
 
 /** Starts a job on an idle connection, or on that of its transaction. */
 void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
--- a/core/pool_submit.c
+++ b/core/pool_submit.c
@@ -66,7 +66,7 @@
 		return ERR_OVERLOADED;
 	if (pool_is_stalled(p, now))
 		return ERR_OVERLOADED;
-	wait = job_wait(p, o->account, now);
+	wait = job_wait(p, o, now);
 	if (now + wait > o->start_by) {
 		*retry_at = now + wait;
 		return ERR_OVERLOADED;
@@ -102,4 +102,5 @@
 	}
 	job_queue(p, j, now);
 	pool_dispatch(p, now, out);
+	jobs_displace(p, run, now, out);
 }
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -317,6 +317,7 @@
 	for (i = 0; i < p->pool_count; i++) {
 		pool_load(p->pools[i], &load);
 		out->queued += load.queued;
+		out->displaced += load.displaced;
 		out->connections += load.connections;
 		out->transactions += load.transactions;
 	}
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -319,6 +319,7 @@
 	uint64_t reads_replica;
 	uint64_t reads_primary;
 	uint64_t retries;
+	uint64_t displaced; /**< refused in a queue for more urgent ones */
 	uint64_t handshakes;
 	uint64_t promotions;
 	zone_set evacuated_zones;
--- a/core/services.c
+++ b/core/services.c
@@ -135,6 +135,7 @@
 		site_service(p->config, pool_service(pool));
 
 	pool_set_cold(pool, s ? s->cold_per_s : 0, s ? s->cold_time : 0);
+	pool_set_levels(pool, p->config ? p->config->level_count : 1);
 	primary_check_set_sync(pool_check(pool), !s || s->sync_replicas);
 	primary_check_set_members(pool_check(pool), p->members,
 				  pool_service(pool), out);
@@ -241,6 +242,7 @@
 			pool_close(pool, now, out);
 			continue;
 		}
+		p->counters.displaced += load.displaced;
 		pool_free(pool);
 		p->pools[i] = p->pools[--p->pool_count];
 	}
