--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -17,6 +17,7 @@
 	GString *text;
 	hm_time now;
 	uint64_t version;
+	uint32_t view_priority; /* of the route "view" */
 	uint64_t peer_seq;
 	uint32_t sent[MSG_KIND_COUNT]; /* messages to peers in the last step */
 	uint64_t replica_conn;	       /* connection of the check to m2 */
--- a/tests/test_queue_levels.c
+++ b/tests/test_queue_levels.c
@@ -4,9 +4,11 @@
  * refuses and states as expected waits.
  */
 #include <check.h>
+#include <string.h>
 
 #include "../core/fair_queue.h"
 #include "pool_fixture.h"
+#include "proxy_fixture.h"
 #include "suite.h"
 
 #define LEVELS 3
@@ -237,6 +239,33 @@
 }
 END_TEST
 
+/* Guards against priorities of routes that do not reach the queue. */
+START_TEST(route_priority_decides_at_the_member)
+{
+	static const char *const names[] = { "a", "b", "c", "d" };
+	struct proxy_fixture r;
+	uint64_t i;
+
+	proxy_fixture_open(&r);
+	r.view_priority = 5;
+	proxy_fixture_configure(&r, true, true, 100);
+	for (i = 0; i < 4; i++)
+		proxy_fixture_open_session(&r, i, i == 3 ? "rota" : "view",
+					   "secret");
+	g_string_truncate(r.text, 0);
+	for (i = 0; i < 4; i++)
+		proxy_fixture_request_as(&r, i, STMT_WRITE, names[i], "",
+					 "WRITE x y");
+	proxy_text_expect(r.text, "connect 3 m1 acme\nconnect 4 m1 acme\n");
+	proxy_fixture_ready(&r, 3);
+	proxy_fixture_ready(&r, 4);
+	g_string_truncate(r.text, 0);
+	proxy_fixture_reply(&r, 3, ERR_NONE, SESSION_IDLE);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "statement 3 d WRITE x y\n"));
+	proxy_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("queue_levels");
@@ -247,5 +276,6 @@
 	tcase_add_test(tc, last_free_slot_is_for_urgent_statements);
 	tcase_add_test(tc, statement_that_is_too_late_is_displaced);
 	tcase_add_test(tc, expected_wait_counts_what_is_ahead);
+	tcase_add_test(tc, route_priority_decides_at_the_member);
 	return suite_run("queue_levels", tc);
 }
