Test that the levels of routes reach the rate limiter

A session on the more urgent route gets the token that was reserved for it, and with routes of one priority nothing is reserved; the counters by level follow.

--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -95,6 +95,7 @@
 	if (with_route)
 		add_route(c, "rota", CONSISTENT_PRIMARY);
 	add_route(c, "view", CONSISTENT_BOUNDED);
+	c->routes[0].priority = r->urgent_views;
 	c->services = calloc(1, sizeof(*c->services));
 	c->service_count = 1;
 	c->services[0].service = name_id("db");
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -20,6 +20,7 @@
 	uint64_t peer_seq;
 	uint32_t sent[MSG_KIND_COUNT]; /* messages to peers in the last step */
 	uint64_t replica_conn;	       /* connection of the check to m2 */
+	bool urgent_views; /* route "rota" is less urgent than "view" */
 };
 
 /** Starts a proxy that has no configuration and no member list yet. */
--- a/tests/test_sessions.c
+++ b/tests/test_sessions.c
@@ -323,6 +323,57 @@
 }
 END_TEST
 
+/*
+ * Opens transactions on the less urgent route until one is refused, and returns
+ * whether another one is refused when one token has been issued meanwhile.
+ */
+static bool token_is_reserved(bool two_levels)
+{
+	struct proxy_counters c;
+	struct proxy_fixture r;
+	uint64_t client;
+	bool reserved;
+
+	proxy_fixture_open(&r);
+	r.urgent_views = two_levels;
+	proxy_fixture_configure(&r, true, true, 10);
+	proxy_fixture_open_session(&r, 1, "view", "secret");
+	proxy_fixture_request_as(&r, 1, STMT_BEGIN_READ, "u1", NULL, "BEGIN");
+	for (client = 2; client < 14; client++) {
+		proxy_fixture_open_session(&r, client, "rota", "secret");
+		proxy_fixture_request_as(&r, client, STMT_BEGIN, "l1", NULL,
+					 "BEGIN");
+	}
+	ck_assert_ptr_nonnull(strstr(r.text->str, "rate_limited"));
+	proxy_fixture_run(&r, 80 * HM_MS);
+	g_string_truncate(r.text, 0);
+	proxy_fixture_request_as(&r, 13, STMT_BEGIN, "l2", NULL, "BEGIN");
+	reserved = strstr(r.text->str, "rate_limited") != NULL;
+	proxy_fixture_open_session(&r, 20, "view", "secret");
+	g_string_truncate(r.text, 0);
+	proxy_fixture_request_as(&r, 20, STMT_BEGIN_READ, "u2", NULL, "BEGIN");
+	proxy_get_counters(r.proxy, &c);
+	ck_assert_int_eq(c.tokens_taken[1] > 0, two_levels);
+	ck_assert_int_eq(c.tokens_refused[1] > 0, two_levels);
+	if (two_levels) {
+		ck_assert_uint_eq(c.tokens_taken[0], 2);
+		ck_assert_uint_eq(c.tokens_refused[0], 0);
+	}
+	proxy_fixture_close(&r);
+	return reserved;
+}
+
+/*
+ * Guards against levels of routes that do not reach the rate limiter, and
+ * against a reserve where all routes are alike.
+ */
+START_TEST(token_is_left_to_the_more_urgent_route)
+{
+	ck_assert(token_is_reserved(true));
+	ck_assert(!token_is_reserved(false));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("sessions");
@@ -337,6 +388,7 @@
 	tcase_add_test(tc, removed_route_serves_until_the_transaction_ends);
 	tcase_add_test(tc, older_configuration_is_ignored);
 	tcase_add_test(tc, over_rate_is_refused_at_once);
+	tcase_add_test(tc, token_is_left_to_the_more_urgent_route);
 	tcase_add_test(tc, refused_attempts_take_no_tokens);
 	tcase_add_test(tc, silent_owner_gets_no_statements);
 	tcase_add_test(tc, lower_stop_limit_ends_a_shutdown_sooner);
