--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -30,18 +30,6 @@
 	for (i = 0; i < PRIORITY_LEVELS; i++) {
 		g_snprintf(label, sizeof(label), "level=\"%d\"", i);
 		metrics_value(out, name, label, values[i]);
-static void write_refused_by_load(GString *out,
-				  const struct proxy_counters *counters)
-{
-	char label[64];
-	int i;
-
-	metrics_family(out, PREFIX "refused_by_load", "counter",
-		       "operations refused by the load of members, by level");
-	for (i = 0; i < PRIORITY_LEVELS; i++) {
-		g_snprintf(label, sizeof(label), "level=\"%d\"", i);
-		metrics_value(out, PREFIX "refused_by_load", label,
-			      counters->refused_by_load[i]);
 	}
 }
 
@@ -118,7 +106,9 @@
 	write_levels(out, PREFIX "tokens_refused",
 		     "operations of a level refused without a rate token",
 		     counters->tokens_refused);
-	write_refused_by_load(out, counters);
+	write_levels(out, PREFIX "refused_by_load",
+		     "operations of a level refused by the load of members",
+		     counters->refused_by_load);
 	metrics_family(out, PREFIX "request_seconds", "histogram",
 		       "time from a request to its answer");
 	metrics_histogram(out, PREFIX "request_seconds", "outcome=\"served\"",
