Let accounts wait for the connections of a member in turn

One scheduled statement could wait for a connection, all others without one were refused, and the connection closed for it was the one idle the longest. core/conn_queue.c orders the accounts that wait, chooses the idle connection whose next use is expected the latest, states the expected wait and delays attempts after refusals at the member's limit; core/pool_capacity.c counts for it and carries its decisions out. A statement whose connection was refused goes back in front of its queue.

--- a/core/fair_queue.c
+++ b/core/fair_queue.c
@@ -49,6 +49,8 @@
 	uint32_t count;
 	uint32_t running;
 	uint32_t class_count[QUEUE_CLASSES];
+	queue_filter allows; /* NULL: all accounts */
+	void *allows_context;
 };
 
 struct fair_queue *fair_queue_new(void)
@@ -201,6 +203,23 @@
 	return best;
 }
 
+void fair_queue_set_filter(struct fair_queue *fq, queue_filter allows,
+			   void *context)
+{
+	fq->allows = allows;
+	fq->allows_context = context;
+}
+
+/* Classes of which statements of the account may be taken. */
+static uint32_t allowed_of(const struct fair_queue *fq, const struct flow *f,
+			   uint32_t allowed, hm_time now)
+{
+	if (f->count == f->queues[QUEUE_TX].count || !fq->allows ||
+	    fq->allows(fq->allows_context, f->account, now))
+		return allowed;
+	return allowed & 1U << QUEUE_TX;
+}
+
 /*
  * Whether an account must leave the last free slot to others: its long
  * statements occupy all busy slots while the other accounts use at least one
@@ -228,7 +247,8 @@
 
 	for (i = 0; i < fq->flow_count; i++) {
 		struct flow *f = fq->flows[i];
-		const struct queue *q = next_queue(f, allowed);
+		const struct queue *q =
+			next_queue(f, allowed_of(fq, f, allowed, now));
 
 		if (!q || (last && leaves_last_slot(fq, f, q, now)))
 			continue;
@@ -246,7 +266,7 @@
 
 	if (!f)
 		return false;
-	q = next_queue(f, allowed);
+	q = next_queue(f, allowed_of(fq, f, allowed, now));
 	if (f->virtual_time > fq->virtual_time)
 		fq->virtual_time = f->virtual_time;
 	if (q != &f->queues[QUEUE_TX] && q->used > f->class_time)
@@ -279,6 +299,27 @@
 	charge(f, item, -item->charged, now);
 }
 
+void fair_queue_return(struct fair_queue *fq, struct queue_item *item,
+		       hm_time now)
+{
+	struct queue_node *p = malloc(sizeof(*p));
+	struct flow *f = find(fq, item->statement.account);
+	struct queue *q;
+
+	if (!p || !f)
+		abort();
+	fair_queue_refund(fq, item, now);
+	q = &f->queues[item->class];
+	*p = (struct queue_node){ .item = *item, .next = q->first };
+	if (!q->first)
+		q->last = &p->next;
+	q->first = p;
+	q->count++;
+	f->count++;
+	fq->count++;
+	fq->class_count[item->class]++;
+}
+
 static void update_low_cost(struct queue *q, hm_time used)
 {
 	hm_time most = q->low_cost + q->low_cost / LOW_COST_RISE + 1;
--- a/core/fair_queue.h
+++ b/core/fair_queue.h
@@ -43,12 +43,20 @@
  */
 bool fair_queue_pop(struct fair_queue *fq, uint32_t allowed, bool last,
 		    hm_time now, struct queue_item *out);
+/** Whether statements outside transactions of the account may be taken now. */
+typedef bool (*queue_filter)(void *context, hm_id account, hm_time now);
+/** fair_queue_pop() passes over accounts for which @a allows is false. */
+void fair_queue_set_filter(struct fair_queue *fq, queue_filter allows,
+			   void *context);
 /** Charges a running statement for the slot time that it has used so far. */
 void fair_queue_charge(struct fair_queue *fq, struct queue_item *item,
 		       hm_time used, hm_time now);
 /** Takes back the charge of a statement that was popped but not sent. */
 void fair_queue_refund(struct fair_queue *fq, struct queue_item *item,
 		       hm_time now);
+/** The same, and puts the statement back in front of its queue. */
+void fair_queue_return(struct fair_queue *fq, struct queue_item *item,
+		       hm_time now);
 /**
  * Corrects the charge of a statement that ended after @a used, and updates the
  * cost estimates of its account. A statement that was interrupted (not
--- a/core/pool.c
+++ b/core/pool.c
@@ -13,6 +13,8 @@
 		abort();
 	p->deps = deps;
 	p->queue = fair_queue_new();
+	p->conn_queue = conn_queue_new();
+	fair_queue_set_filter(p->queue, capacity_allows, p);
 	p->check = primary_check_new(
 		member->endpoint,
 		(struct primary_check_deps){ deps.options, deps.next_conn });
@@ -41,6 +43,7 @@
 			job_free(p->conns[i].job);
 	}
 	fair_queue_free(p->queue);
+	conn_queue_free(p->conn_queue);
 	primary_check_free(p->check);
 	free(p->jobs);
 	free(p->conns);
@@ -156,12 +159,14 @@
 	p->down = false;
 	p->progress_at = now;
 	p->connect_backoff = 0;
+	capacity_opened(p, c, now);
 	c->job = NULL;
 	conn_set_phase(c, PHASE_IDLE, now);
 	if (j)
 		conn_start(p, c, j, now, out);
 	pool_dispatch(p, now, out);
 	conns_sweep(p);
+	capacity_used(p, conn, now);
 }
 
 void pool_replied(struct pool *p, uint64_t conn,
@@ -179,16 +184,21 @@
 	}
 	pool_dispatch(p, now, out);
 	conns_sweep(p);
+	if (c)
+		capacity_used(p, conn, now);
 }
 
 /*
  * The member refused a connection at its limit: takes the number of open ones
  * as the connection limit for a while.
  */
-static void note_full(struct pool *p, hm_time now)
+static void note_full(struct pool *p, const struct pool_conn *c, hm_time now)
 {
 	uint32_t i;
 
+	capacity_refused(p, c, now);
+	if (capacity_is_shared(p))
+		return;
 	p->full_count = 0;
 	for (i = 0; i < p->conn_count; i++)
 		p->full_count += p->conns[i].phase != PHASE_CLOSED &&
@@ -197,10 +207,11 @@
 	p->connect_after = now + CONNECTION_LIMIT_PAUSE;
 }
 
-static void connect_failed(struct pool *p, enum error error, hm_time now)
+static void connect_failed(struct pool *p, const struct pool_conn *c,
+			   enum error error, hm_time now)
 {
 	if (error == ERR_CONNECTION_LIMIT || error == ERR_OVERLOADED) {
-		note_full(p, now);
+		note_full(p, c, now);
 		return;
 	}
 	p->down = true;
@@ -213,14 +224,18 @@
 }
 
 /* Lets the job whose connection was refused wait for another one. */
-static bool requeue_job(struct pool *p, struct pool_conn *c)
+static void requeue_job(struct pool *p, struct pool_conn *c, hm_time now)
 {
-	if (!c->job || p->conn_waiter)
-		return false;
-	p->conn_waiter = c->job;
+	struct job *j = c->job;
+
+	if (!j || p->conn_waiter)
+		return;
 	c->job = NULL;
 	p->running--;
-	return true;
+	if (capacity_is_shared(p))
+		job_requeue(p, j, now);
+	else
+		p->conn_waiter = j;
 }
 
 void pool_closed(struct pool *p, uint64_t conn, enum error error, hm_time now,
@@ -233,9 +248,9 @@
 		return;
 	}
 	if (c->phase == PHASE_CONNECTING) {
-		connect_failed(p, error, now);
+		connect_failed(p, c, error, now);
 		if (error == ERR_CONNECTION_LIMIT || error == ERR_OVERLOADED)
-			requeue_job(p, c);
+			requeue_job(p, c, now);
 	}
 	conn_drop(p, c, ERR_NONE, now, out);
 	conns_sweep(p);
@@ -286,7 +301,7 @@
 	case PHASE_CONNECTING:
 		if (since <= p->deps.options->connect_limit)
 			return;
-		connect_failed(p, ERR_NO_ENDPOINT, now);
+		connect_failed(p, c, ERR_NO_ENDPOINT, now);
 		conn_drop(p, c, ERR_NONE, now, out);
 		return;
 	case PHASE_SETUP:
@@ -310,7 +325,8 @@
 		return;
 	case PHASE_IDLE:
 		if ((!is_owner && since > NON_OWNER_IDLE) ||
-		    (since > SPARE_IDLE && is_spare(p, c)))
+		    (since > SPARE_IDLE && is_spare(p, c) &&
+		     !capacity_keeps_spare(p, c, now)))
 			conn_drop(p, c, ERR_NONE, now, out);
 		return;
 	case PHASE_CLOSED:
@@ -354,7 +370,10 @@
 
 	*out = (struct pool_load){ .queued = fair_queue_count(p->queue),
 				   .running = p->running,
-				   .connections = p->conn_count };
+				   .connections = p->conn_count,
+				   .conn_waiting =
+					   conn_queue_waiting(p->conn_queue),
+				   .conn_counts = p->conn_counts };
 	for (i = 0; i < p->conn_count; i++)
 		out->transactions += p->conns[i].tx.seq != 0;
 	out->wait = fair_queue_backlog(p->queue, p->member.slots);
--- a/core/pool.h
+++ b/core/pool.h
@@ -77,12 +77,21 @@
 bool pool_next_result(struct pool *p, uint64_t *reply_to,
 		      struct run_result **result);
 
+/** Events in the life of a pool's connections. */
+struct conn_counts {
+	uint64_t waits;	   /**< accounts that began to wait for one */
+	uint64_t given_up; /**< idle ones closed for another account */
+	uint64_t refused;  /**< refused at the member's limit */
+};
+
 struct pool_load {
 	uint32_t queued;
 	uint32_t running;
 	uint32_t transactions;
 	uint32_t connections;
+	uint32_t conn_waiting; /**< accounts that wait for a connection */
 	hm_time wait; /**< expected time in the queue of a new statement */
+	struct conn_counts conn_counts; /**< since the pool was made */
 };
 void pool_load(const struct pool *p, struct pool_load *out);
 
--- a/core/pool_dispatch.c
+++ b/core/pool_dispatch.c
@@ -94,6 +94,8 @@
 {
 	struct pool_conn *victim;
 
+	if (capacity_is_shared(p))
+		return capacity_open(p, o, now, out);
 	if (now < p->connect_after)
 		return NULL;
 	if (conns_open(p) >= max_connections(p, now)) {
@@ -166,17 +168,33 @@
 		p->running--;
 }
 
+/* Keeps a job for which start_job() found no connection. */
+static void wait_for_conn(struct pool *p, struct job *j, hm_time now)
+{
+	if (capacity_is_shared(p))
+		job_requeue(p, j, now);
+	else
+		p->conn_waiter = j;
+}
+
 void pool_dispatch(struct pool *p, hm_time now, struct proxy_output *out)
 {
 	struct job *j;
+	bool started;
 
 	start_conn_waiter(p, now, out);
+	p->choice_valid = false;
 	while (slot_free(p) && (j = next_job(p, now))) {
 		if (!p->running++)
 			p->progress_at = now;
-		if (start_job(p, j, now, out))
+		started = start_job(p, j, now, out);
+		p->choice_valid = false;
+		if (started)
 			continue;
 		p->running--;
-		p->conn_waiter = j;
+		wait_for_conn(p, j, now);
+		break;
 	}
+	if (capacity_is_shared(p) && fair_queue_count(p->queue) && slot_free(p))
+		capacity_mark_waiting(p, now, out);
 }
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -67,6 +67,7 @@
 	memcpy(r->request, j->run->request, sizeof(r->request));
 	r->endpoint = p->member.endpoint;
 	r->wait = job_wait(p, j->run->account, now);
+	r->load.connection_wait = capacity_wait(p, 0, j->run->level, now);
 	return r;
 }
 
@@ -148,10 +149,21 @@
 	item.statement.account = j->run->account;
 	item.statement.level = j->run->level;
 	item.statement.body = handle;
+	j->item = item;
 	p->jobs[handle] = j;
 	fair_queue_push(p->queue, &item);
 }
 
+void job_requeue(struct pool *p, struct job *j, hm_time now)
+{
+	uint32_t handle = free_handle(p);
+
+	j->scheduled = false;
+	j->item.statement.body = handle;
+	p->jobs[handle] = j;
+	fair_queue_return(p->queue, &j->item, now);
+}
+
 static bool is_same(const void *context, const struct queue_item *item)
 {
 	const struct run_request *o = context;
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -4,12 +4,14 @@
  * (admission of statements), pool_withdraw.c (members that evacuate or hang),
  * pool_job.c (queued statements and results),
  * pool_dispatch.c (choice of the next statement and its connection),
+ * pool_capacity.c (accounts that share the connections),
  * pool_setup.c (setup of a connection) and pool_conn.c (commands and replies).
  */
 #ifndef POOL_STATE_H
 #define POOL_STATE_H
 
 #include "cold_limit.h"
+#include "conn_queue.h"
 #include "fair_queue.h"
 #include "pool.h"
 
@@ -123,7 +125,10 @@
 	struct primary_check *check;
 	struct job **jobs; /**< queued jobs by handle; NULL: handle is free */
 	uint32_t job_capacity;
-	/** Scheduled job that waits for a connection. */
+	/**
+	 * Scheduled job that waits for a connection; NULL if
+	 * capacity_is_shared().
+	 */
 	struct job *conn_waiter;
 	struct pool_conn *conns;
 	uint32_t conn_count;
@@ -136,6 +141,12 @@
 	hm_time connect_after;
 	hm_time connect_backoff;
 	bool down; /**< the last connect failed */
+	/* Used only if capacity_is_shared(): */
+	struct conn_queue *conn_queue;
+	struct conn_backoff backoff;
+	struct conn_choice choice; /**< valid during a dispatch */
+	bool choice_valid;
+	struct conn_counts conn_counts;
 	struct pool_result *results;
 	uint32_t result_first;
 	uint32_t result_count;
@@ -167,6 +178,8 @@
 		enum session_state state, hm_time now);
 void job_free(struct job *j);
 void job_queue(struct pool *p, struct job *j, hm_time now);
+/** Puts a scheduled job back in front of its queue. */
+void job_requeue(struct pool *p, struct job *j, hm_time now);
 /**
  * Refuses, as not run, the jobs for which @a ends returns true among the
  * queued ones and the one that waits for a connection.
@@ -238,6 +251,42 @@
 /** Removes closed connections from the table. */
 void conns_sweep(struct pool *p);
 
+/**
+ * Whether accounts wait for connections in turn (conn_queue.h). The functions
+ * below have no effect otherwise.
+ */
+bool capacity_is_shared(const struct pool *p);
+/**
+ * Whether a statement of the account can start, on an idle connection or on one
+ * that may be opened for it now. @a context is the pool.
+ */
+bool capacity_allows(void *context, hm_id account, hm_time now);
+/** Chooses the account that gets the next connection. */
+void capacity_choose(struct pool *p, hm_time now);
+/** Opens a connection for the account of a statement; NULL: it has to wait. */
+struct pool_conn *capacity_open(struct pool *p, const struct run_request *o,
+				hm_time now, struct proxy_output *out);
+/** Logs the accounts whose statements lack nothing but a connection. */
+void capacity_mark_waiting(struct pool *p, hm_time now,
+			   struct proxy_output *out);
+/** Expected wait for a connection of an account that has none here. */
+hm_time capacity_wait(const struct pool *p, hm_id account, uint32_t level,
+		      hm_time now);
+/** The same for a new statement; 0 if its account has a connection. */
+hm_time capacity_wait_of(const struct pool *p, const struct run_request *o,
+			 hm_time now);
+/** Records a new statement, before it is queued. */
+void capacity_use(struct pool *p, const struct run_request *o, hm_time now);
+/** Records that the member accepted a connection; it is still connecting. */
+void capacity_opened(struct pool *p, const struct pool_conn *c, hm_time now);
+/** Records that the member refused a connection at its limit. */
+void capacity_refused(struct pool *p, const struct pool_conn *c, hm_time now);
+/** Records whether a connection that was in use is free after a dispatch. */
+void capacity_used(struct pool *p, uint64_t conn, hm_time now);
+/** Whether a spare connection is used too often to close it. */
+bool capacity_keeps_spare(const struct pool *p, const struct pool_conn *c,
+			  hm_time now);
+
 /** Starts queued jobs while slots and connections are free. */
 void pool_dispatch(struct pool *p, hm_time now, struct proxy_output *out);
 
--- a/core/pool_submit.c
+++ b/core/pool_submit.c
@@ -66,7 +66,7 @@
 		return ERR_OVERLOADED;
 	if (pool_is_stalled(p, now))
 		return ERR_OVERLOADED;
-	wait = job_wait(p, o->account, now);
+	wait = job_wait(p, o->account, now) + capacity_wait_of(p, o, now);
 	if (now + wait > o->start_by) {
 		*retry_at = now + wait;
 		return ERR_OVERLOADED;
@@ -100,6 +100,7 @@
 		job_refuse(p, j, error, EXEC_NOT_RUN, retry_at, now);
 		return;
 	}
+	capacity_use(p, run, now);
 	job_queue(p, j, now);
 	pool_dispatch(p, now, out);
 }
