Count waits for connections, split the connection queue by task

Metrics tell how many accounts wait, began to wait and had an idle connection closed, and how many connections members refused at their limit; counts of pools that are freed are kept.

--- a/core/conn_queue.c
+++ b/core/conn_queue.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "grow.h"
+#include "recent_count.h"
 #include "table.h"
 
 /*
@@ -14,8 +15,6 @@
 #define USE_HALF_LIFE (20 * HM_SEC)
 #define USE_DEPTHS 8 /* connections of an account with a rate of their own */
 #define USER_SPAN (60 * HM_SEC)
-#define FREED_STEPS 10
-#define FREED_STEP (HM_SEC / FREED_STEPS)
 /*
  * An account with queued statements keeps its connection at least so long
  * before an equally urgent one gets it: a shorter turn would spend more than a
@@ -28,11 +27,6 @@
  * statements end earlier than a new connection would be ready.
  */
 #define OWN_WAIT (25 * HM_MS)
-/* See CONNECTION_LIMIT_PAUSE: the member has to notice a closed connection. */
-#define BACKOFF_FIRST (50 * HM_MS)
-#define BACKOFF_MAX (400 * HM_MS)
-/* After this time a full member may accept another connection again. */
-#define SWAP_SPAN (150 * HM_MS)
 
 struct conn_account {
 	hm_id account;
@@ -55,8 +49,7 @@
 	uint32_t capacity;
 	struct table by_account;
 	uint32_t waiting;
-	uint32_t freed[FREED_STEPS]; /* connections by time modulo 1 s */
-	int64_t freed_step;	     /* newest step in freed */
+	struct recent_count freed; /* connections */
 };
 
 struct conn_queue *conn_queue_new(void)
@@ -144,33 +137,9 @@
 	return n;
 }
 
-/* Sets the counts of steps that have passed without a call to 0. */
-static void advance_freed(struct conn_queue *q, hm_time now)
-{
-	int64_t step = now / FREED_STEP;
-
-	if (step - q->freed_step > FREED_STEPS)
-		q->freed_step = step - FREED_STEPS;
-	while (q->freed_step < step)
-		q->freed[++q->freed_step % FREED_STEPS] = 0;
-}
-
 void conn_queue_freed(struct conn_queue *q, hm_time now)
 {
-	advance_freed(q, now);
-	q->freed[q->freed_step % FREED_STEPS]++;
-}
-
-/* Connections that became free in the last second. */
-static uint32_t recently_freed(const struct conn_queue *q, hm_time now)
-{
-	int64_t step = now / FREED_STEP, i;
-	uint32_t n = 0;
-
-	for (i = q->freed_step; i > q->freed_step - FREED_STEPS && i >= 0; i--)
-		if (i > step - FREED_STEPS)
-			n += q->freed[i % FREED_STEPS];
-	return n;
+	recent_count_add(&q->freed, now);
 }
 
 void conn_queue_got(struct conn_queue *q, hm_id account, hm_time now)
@@ -410,7 +379,7 @@
 			uint32_t level, hm_time attempt_at, hm_time now)
 {
 	hm_time wait = attempt_at > now ? attempt_at - now : 0;
-	uint32_t freed = recently_freed(q, now);
+	uint32_t freed = recent_count_get(&q->freed, now);
 	const struct conn_account *own = find(q, account);
 	uint32_t i, ahead = 0;
 	hm_time turns;
@@ -426,26 +395,3 @@
 	turns = (ahead + 1) * HM_SEC / freed;
 	return turns > wait ? turns : wait;
 }
-
-void conn_backoff_refused(struct conn_backoff *b, uint32_t open, hm_time began,
-			  hm_time now)
-{
-	/* Attempts made at the same time are refused together. */
-	if (!b->full)
-		b->delay = BACKOFF_FIRST;
-	else if (began > b->refused_at)
-		b->delay =
-			b->delay * 2 < BACKOFF_MAX ? b->delay * 2 : BACKOFF_MAX;
-	b->full = true;
-	b->count = open;
-	b->refused_at = now;
-	b->swap_at = now + BACKOFF_FIRST;
-	b->grow_at = now + b->delay;
-	b->swap_until = now + SWAP_SPAN;
-}
-
-void conn_backoff_accepted(struct conn_backoff *b, uint32_t open)
-{
-	if (open > b->count)
-		*b = (struct conn_backoff){ 0 };
-}
--- a/core/conn_queue.h
+++ b/core/conn_queue.h
@@ -2,10 +2,8 @@
  * @file conn_queue.h
  * Accounts that share the connections of a member. Decides which account gets
  * the next connection, which one gives an idle connection up, how long an
- * account without one has to expect to wait, and when the next connection is
- * attempted after the member refused one at its limit. Has no connections
- * itself: the pool counts its connections and queued statements in before it
- * asks.
+ * account without one has to expect to wait. Has no connections itself: the
+ * pool counts its connections and queued statements in before it asks.
  */
 #ifndef CONN_QUEUE_H
 #define CONN_QUEUE_H
@@ -86,24 +84,4 @@
 hm_time conn_queue_wait(const struct conn_queue *q, hm_id account,
 			uint32_t level, hm_time attempt_at, hm_time now);
 
-/**
- * Delay of connection attempts after a member refused one at its limit. All
- * fields are 0 while the member is not known to be full.
- */
-struct conn_backoff {
-	bool full;
-	uint32_t count;	    /**< connections open at the last refusal */
-	hm_time delay;	    /**< used for grow_at */
-	hm_time refused_at; /**< time of the last refusal */
-	hm_time swap_at;    /**< from then on in place of a closed one */
-	hm_time grow_at;    /**< from then on more than @a count */
-	/** Until then an idle connection, if any, is closed for a new one. */
-	hm_time swap_until;
-};
-/** @param began when the refused attempt was made */
-void conn_backoff_refused(struct conn_backoff *b, uint32_t open, hm_time began,
-			  hm_time now);
-/** A connection was accepted; @a open are open now. */
-void conn_backoff_accepted(struct conn_backoff *b, uint32_t open);
-
 #endif
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -11,6 +11,7 @@
 #define POOL_STATE_H
 
 #include "cold_limit.h"
+#include "conn_backoff.h"
 #include "conn_queue.h"
 #include "fair_queue.h"
 #include "pool.h"
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -299,6 +299,13 @@
 	proxy_flush(p, now, out);
 }
 
+void proxy_count_conns(struct proxy_counters *to, const struct conn_counts *n)
+{
+	to->conn_waits += n->waits;
+	to->conns_given_up += n->given_up;
+	to->conns_refused += n->refused;
+}
+
 void proxy_get_counters(const struct proxy *p, struct proxy_counters *out)
 {
 	struct pool_load load;
@@ -319,6 +326,8 @@
 		out->queued += load.queued;
 		out->connections += load.connections;
 		out->transactions += load.transactions;
+		out->conn_waiting += load.conn_waiting;
+		proxy_count_conns(out, &load.conn_counts);
 	}
 	for (i = 0; i < p->service_count; i++)
 		out->promotions += monitor_promotions(p->monitors[i]);
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -321,6 +321,10 @@
 	uint64_t retries;
 	uint64_t handshakes;
 	uint64_t promotions;
+	uint32_t conn_waiting;	 /**< accounts that wait for a connection now */
+	uint64_t conn_waits;	 /**< accounts that began to wait for one */
+	uint64_t conns_given_up; /**< idle ones closed for another account */
+	uint64_t conns_refused;	 /**< refused by a member at its limit */
 	zone_set evacuated_zones;
 };
 void proxy_get_counters(const struct proxy *p, struct proxy_counters *out);
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -198,6 +198,8 @@
 /** Queues a message to incarnation @a to, maybe this one; 0: to all peers. */
 struct message *proxy_send(struct proxy *p, uint64_t to, enum message_kind kind,
 			   struct proxy_output *out);
+/** Adds the counts of a pool's connections. */
+void proxy_count_conns(struct proxy_counters *to, const struct conn_counts *n);
 /** Sends a heartbeat with the state of this instance to all peers. */
 void proxy_heartbeat(struct proxy *p, hm_time now, struct proxy_output *out);
 
--- a/core/services.c
+++ b/core/services.c
@@ -241,6 +241,7 @@
 			pool_close(pool, now, out);
 			continue;
 		}
+		proxy_count_conns(&p->counters, &load.conn_counts);
 		pool_free(pool);
 		p->pools[i] = p->pools[--p->pool_count];
 	}
