Stop accounts whose statements ended from counting as waiting

An account whose last waiting statement was refused stayed in the count of those that wait until another dispatch looked for a connection, so that at a quiet member statements of other accounts were refused as overloaded. Each dispatch now updates the count. Of an account that waits at a member where no connection became free in the last second, further statements are refused at once, since the stale count had hidden that they were held. The handshake is charged to the class of its statement. Documents the part.

test_conn_queue ended_wait_delays_nobody failed before; test_conn_queue and test_conn_replay pass.

--- a/core/conn_queue.c
+++ b/core/conn_queue.c
@@ -376,7 +376,8 @@
 }
 
 hm_time conn_queue_wait(const struct conn_queue *q, hm_id account,
-			uint32_t level, hm_time attempt_at, hm_time now)
+			uint32_t level, bool queued, hm_time attempt_at,
+			hm_time now)
 {
 	hm_time wait = attempt_at > now ? attempt_at - now : 0;
 	uint32_t freed = recent_count_get(&q->freed, now);
@@ -387,9 +388,11 @@
 	for (i = 0; i < q->count; i++)
 		ahead += goes_before(&q->list[i], own, level);
 	/*
-	 * Without a free connection in the last second the first account waits
-	 * for the next attempt and the others for longer than a second.
+	 * Without a free connection in the last second the first statement
+	 * waits for the next attempt and the others for longer than a second.
 	 */
+	if (!freed && !queued && own && own->waiting && own->level <= level)
+		ahead++;
 	if (!freed)
 		return wait + ahead * HM_SEC;
 	turns = (ahead + 1) * HM_SEC / freed;
--- a/core/conn_queue.h
+++ b/core/conn_queue.h
@@ -78,10 +78,12 @@
 void conn_queue_update_waiting(struct conn_queue *q);
 uint32_t conn_queue_waiting(const struct conn_queue *q);
 /**
- * Expected wait for a connection of an account that has none.
+ * Expected wait for a connection of a statement whose account has none.
+ * @param queued it is among the queued ones, else it is new
  * @param attempt_at when the next connection may be attempted
  */
 hm_time conn_queue_wait(const struct conn_queue *q, hm_id account,
-			uint32_t level, hm_time attempt_at, hm_time now);
+			uint32_t level, bool queued, hm_time attempt_at,
+			hm_time now);
 
 #endif
--- a/core/pool_capacity.c
+++ b/core/pool_capacity.c
@@ -213,7 +213,8 @@
 			  p->member.name, (unsigned long long)account, level,
 			  conn_queue_waiting(p->conn_queue),
 			  (long long)conn_queue_wait(p->conn_queue, account,
-						     level, attempt_at, now));
+						     level, true, attempt_at,
+						     now));
 	}
 }
 
@@ -228,8 +229,8 @@
 	return room.open < room.most || any_idle(p);
 }
 
-hm_time capacity_wait(const struct pool *p, hm_id account, uint32_t level,
-		      hm_time now)
+static hm_time expected_wait(const struct pool *p, hm_id account,
+			     uint32_t level, bool queued, hm_time now)
 {
 	hm_time attempt_at = p->connect_after;
 
@@ -239,11 +240,17 @@
 		return 0;
 	if (p->backoff.full && p->backoff.grow_at > attempt_at)
 		attempt_at = p->backoff.grow_at;
-	return conn_queue_wait(p->conn_queue, account, level, attempt_at, now);
+	return conn_queue_wait(p->conn_queue, account, level, queued,
+			       attempt_at, now);
+}
+
+hm_time capacity_wait(const struct pool *p, uint32_t level, hm_time now)
+{
+	return expected_wait(p, 0, level, false, now);
 }
 
 hm_time capacity_wait_of(const struct pool *p, const struct run_request *o,
-			 hm_time now)
+			 bool queued, hm_time now)
 {
 	uint32_t i;
 
@@ -251,7 +258,7 @@
 		if (is_open(&p->conns[i]) && !in_tx(&p->conns[i]) &&
 		    p->conns[i].account == o->account)
 			return 0;
-	return capacity_wait(p, o->account, o->level, now);
+	return expected_wait(p, o->account, o->level, queued, now);
 }
 
 void capacity_use(struct pool *p, const struct run_request *o, hm_time now)
@@ -272,7 +279,9 @@
 
 void capacity_opened(struct pool *p, const struct pool_conn *c, hm_time now)
 {
-	struct queue_item item = { .class = QUEUE_READ };
+	struct queue_item item = {
+		.class = c->job ? c->job->item.class : QUEUE_READ
+	};
 
 	if (!capacity_is_shared(p))
 		return;
@@ -301,7 +310,7 @@
 
 	if (j->run->scope == RUN_INSIDE)
 		return false;
-	wait = capacity_wait_of(m->pool, j->run, m->now);
+	wait = capacity_wait_of(m->pool, j->run, true, m->now);
 	return wait && m->now + wait > j->run->start_by;
 }
 
--- a/core/pool_dispatch.c
+++ b/core/pool_dispatch.c
@@ -184,6 +184,9 @@
 
 	start_conn_waiter(p, now, out);
 	p->choice_valid = false;
+	/* The statements of accounts that waited may have ended. */
+	if (conn_queue_waiting(p->conn_queue))
+		capacity_choose(p, now);
 	while (slot_free(p) && (j = next_job(p, now))) {
 		if (!p->running++)
 			p->progress_at = now;
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -67,7 +67,7 @@
 	memcpy(r->request, j->run->request, sizeof(r->request));
 	r->endpoint = p->member.endpoint;
 	r->wait = job_wait(p, j->run->account, now);
-	r->load.connection_wait = capacity_wait(p, 0, j->run->level, now);
+	r->load.connection_wait = capacity_wait(p, j->run->level, now);
 	return r;
 }
 
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -262,7 +262,10 @@
  * that may be opened for it now. @a context is the pool.
  */
 bool capacity_allows(void *context, hm_id account, hm_time now);
-/** Chooses the account that gets the next connection. */
+/**
+ * Chooses the account that gets the next connection, unless choice_valid, and
+ * updates which ones wait.
+ */
 void capacity_choose(struct pool *p, hm_time now);
 /** Opens a connection for the account of a statement; NULL: it has to wait. */
 struct pool_conn *capacity_open(struct pool *p, const struct run_request *o,
@@ -271,11 +274,13 @@
 void capacity_mark_waiting(struct pool *p, hm_time now,
 			   struct proxy_output *out);
 /** Expected wait for a connection of an account that has none here. */
-hm_time capacity_wait(const struct pool *p, hm_id account, uint32_t level,
-		      hm_time now);
-/** The same for a new statement; 0 if its account has a connection. */
+hm_time capacity_wait(const struct pool *p, uint32_t level, hm_time now);
+/**
+ * The same for a statement; 0 if its account has a connection.
+ * @param queued it is among the queued ones, else it is new
+ */
 hm_time capacity_wait_of(const struct pool *p, const struct run_request *o,
-			 hm_time now);
+			 bool queued, hm_time now);
 /** Records a new statement, before it is queued. */
 void capacity_use(struct pool *p, const struct run_request *o, hm_time now);
 /** Records that the member accepted a connection; it is still connecting. */
--- a/core/pool_submit.c
+++ b/core/pool_submit.c
@@ -66,7 +66,8 @@
 		return ERR_OVERLOADED;
 	if (pool_is_stalled(p, now))
 		return ERR_OVERLOADED;
-	wait = job_wait(p, o->account, now) + capacity_wait_of(p, o, now);
+	wait = job_wait(p, o->account, now) +
+	       capacity_wait_of(p, o, false, now);
 	if (now + wait > o->start_by) {
 		*retry_at = now + wait;
 		return ERR_OVERLOADED;
--- a/tests/test_conn_queue.c
+++ b/tests/test_conn_queue.c
@@ -80,7 +80,7 @@
 		g_string_append_printf(
 			out, "%d ms\n",
 			(int)(conn_queue_wait(
-				      s->q, account, level,
+				      s->q, account, level, false,
 				      s->now + script_int(line, "attempt", 0) *
 						       HM_MS,
 				      s->now) /
@@ -178,6 +178,25 @@
 }
 END_TEST
 
+/* An account whose statements have ended must not count as waiting. */
+START_TEST(ended_wait_delays_nobody)
+{
+	struct pool_fixture f;
+
+	pool_fixture_open(&f, 2, 16);
+	submit(&f, 1, 1, 70 * HM_MS);
+	pool_fixture_closed(&f, 1, ERR_CONNECTION_LIMIT);
+	pool_fixture_tick(&f, 60 * HM_MS);
+	pool_fixture_closed(&f, 2, ERR_CONNECTION_LIMIT);
+	pool_fixture_tick(&f, 200 * HM_MS);
+	pool_fixture_results(&f);
+	g_string_truncate(f.text, 0);
+	submit(&f, 2, 2, 300 * HM_MS);
+	proxy_text_expect(f.text, "connect 3 m1 a2\n");
+	pool_fixture_close(&f);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("conn_queue");
@@ -185,5 +204,6 @@
 	tcase_add_test(tc, scripted);
 	tcase_add_test(tc, refused_account_stays_first);
 	tcase_add_test(tc, waiting_statements_end_as_not_run);
+	tcase_add_test(tc, ended_wait_delays_nobody);
 	return suite_run("conn_queue", tc);
 }
