--- a/core/fair_queue.c
+++ b/core/fair_queue.c
@@ -126,6 +126,16 @@
 		q->cost = fq->typical[level][class];
 }
 
+static void count_item(struct fair_queue *fq, struct flow *f, struct queue *q,
+		       const struct queue_item *item)
+{
+	q->count++;
+	f->count++;
+	fq->count++;
+	fq->class_count[item->class]++;
+	fq->waiting[item->statement.level]++;
+}
+
 void fair_queue_push(struct fair_queue *fq, const struct queue_item *item)
 {
 	uint32_t level =
@@ -153,11 +163,7 @@
 	p->item.statement.level = level;
 	*q->last = p;
 	q->last = &p->next;
-	q->count++;
-	f->count++;
-	fq->count++;
-	fq->class_count[item->class]++;
-	fq->waiting[level]++;
+	count_item(fq, f, q, &p->item);
 	fq->active_until[level] = item->queued_at + ACTIVE_SPAN;
 }
 
@@ -195,7 +201,7 @@
 		   struct queue_item *item, hm_time cost, hm_time now)
 {
 	uint32_t level = item->statement.level;
-	struct flow_level *v = f->levels[level];
+	struct flow_level *v = flow_at(f, level);
 
 	v->recent = flow_level_use(f, level, now) + cost;
 	v->recent_at = now;
@@ -262,6 +268,32 @@
 	charge(fq, f, item, -item->charged, now);
 }
 
+void fair_queue_set_filter(struct fair_queue *fq, queue_filter allows,
+			   void *context)
+{
+	fq->allows = allows;
+	fq->allows_context = context;
+}
+
+void fair_queue_return(struct fair_queue *fq, struct queue_item *item,
+		       hm_time now)
+{
+	struct queue_node *p = malloc(sizeof(*p));
+	struct flow *f = flow_find(fq, item->statement.account);
+	struct queue *q;
+
+	if (!p || !f)
+		abort();
+	fair_queue_refund(fq, item, now);
+	item->floor = FLOOR_NONE;
+	q = &f->levels[item->statement.level]->queues[item->class];
+	*p = (struct queue_node){ .item = *item, .next = q->first };
+	if (!q->first)
+		q->last = &p->next;
+	q->first = p;
+	count_item(fq, f, q, item);
+}
+
 static void update_low_cost(struct queue *q, hm_time used)
 {
 	hm_time most = q->low_cost + q->low_cost / LOW_COST_RISE + 1;
--- a/core/fair_queue_order.c
+++ b/core/fair_queue_order.c
@@ -151,16 +151,31 @@
 	       b->queue->first->item.queued_at;
 }
 
+/* Classes of which statements of an account may be taken. */
+static uint32_t allowed_of(const struct fair_queue *fq, const struct flow *f,
+			   const struct order *o)
+{
+	uint32_t i, in_tx = 0;
+
+	for (i = 0; i < PRIORITY_LEVELS; i++)
+		if (f->levels[i])
+			in_tx += f->levels[i]->queues[QUEUE_TX].count;
+	if (f->count == in_tx || !fq->allows ||
+	    fq->allows(fq->allows_context, f->account, o->now))
+		return o->allowed;
+	return o->allowed & 1U << QUEUE_TX;
+}
+
 static void choose_in_flow(const struct fair_queue *fq, const struct order *o,
 			   struct flow *f, struct queue_choice *best,
 			   uint32_t *best_rank)
 {
+	uint32_t rank, allowed = allowed_of(fq, f, o);
 	struct queue_choice c = { .flow = f };
-	uint32_t rank;
 
 	for (c.level = o->from; c.level < PRIORITY_LEVELS; c.level++) {
 		c.at = f->levels[c.level];
-		c.queue = c.at ? next_queue(c.at, o->allowed) : NULL;
+		c.queue = c.at ? next_queue(c.at, allowed) : NULL;
 		if (!c.queue || !may_start(fq, o, &c))
 			continue;
 		rank = flow_served_level(fq, f, c.level, o->weights, o->now);
@@ -250,7 +265,7 @@
 	for (i = 0; i < fq->flow_count; i++) {
 		struct flow *f = fq->flows[i];
 
-		if (!f->count || !choose_class(f, o->allowed, &c) ||
+		if (!f->count || !choose_class(f, allowed_of(fq, f, o), &c) ||
 		    (o->last && leaves_last_slot(fq, f, c.queue, o->now)))
 			continue;
 		if (!out->flow || precedes_by_account(fq, &c, out))
--- a/core/fair_queue_state.h
+++ b/core/fair_queue_state.h
@@ -60,6 +60,8 @@
 	uint32_t level_count; /* 0 or 1: levels are ignored */
 	uint32_t levels_seen; /* levels of all statements so far, as bits */
 	uint32_t slots;
+	queue_filter allows; /* NULL: all accounts */
+	void *allows_context;
 	uint32_t waiting[PRIORITY_LEVELS];
 	/* Statements of a level arrived in the second before this time. */
 	hm_time active_until[PRIORITY_LEVELS];
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -62,11 +62,14 @@
 	return o->writes && (o->scope == RUN_SINGLE || o->op == STMT_COMMIT);
 }
 
-static void state_load(const struct pool *p, struct run_load *load, hm_time now)
+static void state_load(const struct pool *p, const struct run_request *o,
+		       struct run_load *load, hm_time now)
 {
 	load->known = p->deps.options->scheduling.load_levels;
-	if (load->known)
-		fair_queue_share_waits(p->queue, now, load->wait);
+	if (!load->known)
+		return;
+	fair_queue_share_waits(p->queue, now, load->wait);
+	load->connection_wait = capacity_wait(p, o->level, now);
 }
 
 static struct run_result *new_result(const struct pool *p, const struct job *j,
@@ -81,7 +84,7 @@
 	memcpy(r->request, j->run->request, sizeof(r->request));
 	r->endpoint = p->member.endpoint;
 	r->wait = job_wait(p, j->run, now);
-	state_load(p, &r->load, now);
+	state_load(p, j->run, &r->load, now);
 	return r;
 }
 
@@ -164,10 +167,21 @@
 	item.statement.account = j->run->account;
 	item.statement.level = j->run->level;
 	item.statement.body = handle;
+	j->item = item;
 	p->jobs[handle] = j;
 	fair_queue_push(p->queue, &item);
 }
 
+void job_requeue(struct pool *p, struct job *j, hm_time now)
+{
+	uint32_t handle = free_handle(p);
+
+	j->scheduled = false;
+	j->item.statement.body = handle;
+	p->jobs[handle] = j;
+	fair_queue_return(p->queue, &j->item, now);
+}
+
 static bool is_same(const void *context, const struct queue_item *item)
 {
 	const struct run_request *o = context;
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -327,9 +327,13 @@
 	uint64_t promotions;
 	/** Operations refused since every member was closed for their level. */
 	uint64_t refused_by_load[PRIORITY_LEVELS];
-	uint64_t load_probes;  /**< operations sent to a closed member */
-	uint64_t load_closed;  /**< times that a level of a member closed */
-	uint64_t load_returns; /**< clients that came back at their time */
+	uint64_t load_probes;	 /**< operations sent to a closed member */
+	uint64_t load_closed;	 /**< times that a level of a member closed */
+	uint64_t load_returns;	 /**< clients that came back at their time */
+	uint32_t conn_waiting;	 /**< accounts that wait for a connection now */
+	uint64_t conn_waits;	 /**< accounts that began to wait for one */
+	uint64_t conns_given_up; /**< idle ones closed for another account */
+	uint64_t conns_refused;	 /**< refused by a member at its limit */
 	zone_set evacuated_zones;
 };
 void proxy_get_counters(const struct proxy *p, struct proxy_counters *out);
