--- a/core/proxy.c
+++ b/core/proxy.c
@@ -43,8 +43,11 @@
 	p->admit = admit_new(p->rate);
 	p->budget = budget_new(rng_next(&p->rng));
 	p->scarcity = scarcity_new();
+	p->service_returns = return_order_new();
+	p->account_returns = return_order_new();
 	p->contracts = contracts_new();
-	if (!p->peers || !p->rate || !p->admit || !p->budget || !p->contracts) {
+	if (!p->peers || !p->rate || !p->admit || !p->budget || !p->contracts ||
+	    !p->service_returns || !p->account_returns) {
 		proxy_free(p);
 		return NULL;
 	}
@@ -65,6 +68,8 @@
 	contracts_free(p->contracts);
 	budget_free(p->budget);
 	scarcity_free(p->scarcity);
+	return_order_free(p->service_returns);
+	return_order_free(p->account_returns);
 	admit_free(p->admit);
 	rate_free(p->rate);
 	peers_free(p->peers);
@@ -299,6 +304,13 @@
 	proxy_flush(p, now, out);
 }
 
+void proxy_count_conns(struct proxy_counters *to, const struct conn_counts *n)
+{
+	to->conn_waits += n->waits;
+	to->conns_given_up += n->given_up;
+	to->conns_refused += n->refused;
+}
+
 void proxy_get_counters(const struct proxy *p, struct proxy_counters *out)
 {
 	struct pool_load load;
@@ -317,8 +329,11 @@
 	for (i = 0; i < p->pool_count; i++) {
 		pool_load(p->pools[i], &load);
 		out->queued += load.queued;
+		out->displaced += load.displaced;
 		out->connections += load.connections;
 		out->transactions += load.transactions;
+		out->conn_waiting += load.conn_waiting;
+		proxy_count_conns(out, &load.conn_counts);
 	}
 	for (i = 0; i < p->service_count; i++)
 		out->promotions += monitor_promotions(p->monitors[i]);
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -12,6 +12,7 @@
 #include "admit.h"
 #include "budget.h"
 #include "contracts.h"
+#include "load_level.h"
 #include "member_stats.h"
 #include "monitor.h"
 #include "peers.h"
@@ -19,6 +20,7 @@
 #include "proxy.h"
 #include "rate.h"
 #include "refusals.h"
+#include "return_order.h"
 #include "rng.h"
 #include "store_restore.h"
 #include "view.h"
@@ -53,8 +55,9 @@
 	uint64_t owner;	  /**< instance (incarnation) that it was sent to */
 	hm_id endpoint;	  /**< member that it was sent to */
 	hm_time since;	  /**< when the request arrived */
-	hm_time sent_at;  /**< when it was sent to the member */
 	hm_time deadline; /**< without a result by then, it has failed */
+	hm_time sent_at;  /**< when it was sent to that member */
+	hm_time expected_wait;	/**< at that member; -1: not known */
 	hm_id tried[TRIED_MAX]; /**< members that failed to serve it */
 	uint32_t tried_count;
 };
@@ -91,6 +94,7 @@
 		own_commit;    /**< position of the session's newest commit */
 	hm_time own_commit_at; /**< when that commit was acknowledged */
 	struct refused_op last_refused;
+	struct return_ticket told; /**< when to retry the last refused one */
 };
 
 /** Load of a member, as known at this instance. */
@@ -102,6 +106,10 @@
 	hm_time failed_until; /**< not used until then, since it failed */
 	hm_time behind_until; /**< until then its log is assumed to lag */
 	struct member_stats stats;
+	struct load_state level;
+	/** Longest target of the routes of each level to its service. */
+	hm_time target[PRIORITY_LEVELS];
+	uint64_t target_version; /**< configuration that @a target is from */
 };
 
 /** The newest configuration that a peer has in force. */
@@ -149,6 +157,8 @@
 	struct rate *rate;
 	struct admit *admit;
 	struct scarcity *scarcity;
+	struct return_order *service_returns; /**< refused, by service */
+	struct return_order *account_returns; /**< without token, by account */
 	struct budget *budget;
 	struct contracts *contracts;
 	struct site_config *config;
@@ -201,6 +211,8 @@
 /** Queues a message to incarnation @a to, maybe this one; 0: to all peers. */
 struct message *proxy_send(struct proxy *p, uint64_t to, enum message_kind kind,
 			   struct proxy_output *out);
+/** Adds the counts of a pool's connections. */
+void proxy_count_conns(struct proxy_counters *to, const struct conn_counts *n);
 /** Sends a heartbeat with the state of this instance to all peers. */
 void proxy_heartbeat(struct proxy *p, hm_time now, struct proxy_output *out);
 
@@ -260,8 +272,8 @@
 	hm_id service;
 	bool primary_only; /**< only the primary may run it */
 	bool writes;	   /**< it may change data */
+	uint32_t level;	   /**< urgency; a level may be closed at a member */
 	zone_set barred;   /**< zones of members and owners that are excluded */
-	uint32_t level;	   /**< urgency, see priority.h */
 	/** Age of the session's own commit that it must see, 0: none. */
 	hm_time commit_age;
 	const hm_id *tried;
@@ -364,6 +376,31 @@
  */
 bool session_refuse_unplaceable(struct proxy *p, struct session *s, hm_time now,
 				struct proxy_output *out);
+
+/* sessions_load.c */
+
+/** Takes the load that a result for the session's statement states. */
+void session_take_load(struct proxy *p, const struct session *s,
+		       const struct run_result *r, hm_time now,
+		       struct proxy_output *out);
+/**
+ * Refuses a new operation at once if its level is closed at @a place, the best
+ * member that can run it; true if so.
+ */
+bool session_refuse_by_load(struct proxy *p, struct session *s,
+			    const struct placement *place, hm_time now,
+			    struct proxy_output *out);
+/**
+ * Records how an operation ended, for the order in which refused ones return.
+ * @param retry_at time at which a retry may succeed, 0 if not known
+ * @return the time to tell the client, 0 for none
+ */
+hm_time session_order_return(struct proxy *p, struct session *s,
+			     enum error error, bool ran, hm_time retry_at,
+			     hm_time now);
+
+/* sessions_run.c */
+
 /** Handles MSG_RUN_RESULT, the result of a pending statement. */
 void session_result(struct proxy *p, const struct run_result *r, hm_time now,
 		    struct proxy_output *out);
--- a/core/services.c
+++ b/core/services.c
@@ -135,6 +135,7 @@
 		site_service(p->config, pool_service(pool));
 
 	pool_set_cold(pool, s ? s->cold_per_s : 0, s ? s->cold_time : 0);
+	pool_set_levels(pool, p->config ? p->config->level_count : 1);
 	primary_check_set_sync(pool_check(pool), !s || s->sync_replicas);
 	primary_check_set_members(pool_check(pool), p->members,
 				  pool_service(pool), out);
@@ -173,6 +174,9 @@
 	p->config = c;
 	p->behind_since[DOCUMENT_CONFIG] = 0;
 	apply_accounts(p, c, now, out);
+	rate_set_levels(p->rate, p->options.scheduling.priority_tokens
+					 ? c->level_count
+					 : 1);
 	for (i = 0; i < c->service_count; i++) {
 		add_service(p, c->services[i].service, now, out);
 		monitor_set_sync(services_monitor(p, c->services[i].service),
@@ -241,6 +245,8 @@
 			pool_close(pool, now, out);
 			continue;
 		}
+		p->counters.displaced += load.displaced;
+		proxy_count_conns(&p->counters, &load.conn_counts);
 		pool_free(pool);
 		p->pools[i] = p->pools[--p->pool_count];
 	}
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "sessions_token.h"
+
 /*
  * An instance that is not ready ends its idle sessions after this time. By
  * then the load balancer sends their clients to other instances.
@@ -59,6 +61,7 @@
 	free(s->prepared);
 	values_free(s->values, s->value_count);
 	refused_op_clear(&s->last_refused);
+	return_ticket_clear(&s->told);
 	free(s);
 }
 
@@ -105,6 +108,7 @@
 {
 	struct proxy_action *a = proxy_action(out, PROXY_ANSWER);
 
+	retry_at = session_order_return(p, s, error, result, retry_at, now);
 	a->answer.client = s->number;
 	a->answer.error = error;
 	a->answer.state = s->tx.state;
@@ -133,7 +137,7 @@
 	if (error == ERR_RATE_LIMITED) {
 		refused_op_note(&s->last_refused, s->pending.text,
 				s->pending.since, now);
-		scarcity_refused(p->scarcity, s->account, now);
+		session_note_over_rate(p, s, now);
 	}
 	p->counters.answered++;
 	p->counters.errors[error]++;
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -1,5 +1,5 @@
-/** @file sessions_run.c Sends statements to members, handles their results. */
-#include "proxy_state.h"
+/** @file sessions_run.c Sends statements of sessions to members. */
+#include "sessions_internal.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,10 +9,6 @@
 #define RESULT_GRACE (150 * HM_MS)
 /* A session requires its own commit for max_age plus this margin. */
 #define OWN_COMMIT_MARGIN (200 * HM_MS)
-/* No statements are sent to an unreachable member for this time. */
-#define AVOID_FAILED (300 * HM_MS)
-/* A replica that lags is avoided until it may have caught up. */
-#define AVOID_BEHIND (250 * HM_MS)
 /* Idle limit of a transaction if the configuration does not set one. */
 #define DEFAULT_IDLE_LIMIT (3 * HM_SEC)
 /* Weight of clients without an account. */
@@ -34,24 +30,23 @@
 	s->tx.started = false;
 }
 
-static const struct route_spec *route_of(const struct proxy *p,
-					 const struct session *s)
+const struct route_spec *session_route(const struct proxy *p,
+				       const struct session *s)
 {
 	if (s->tx.state != SESSION_IDLE)
 		return &s->tx.route;
 	return site_route(p->config, s->database);
 }
 
-static enum run_scope scope_of(const struct session *s)
+enum run_scope session_scope(const struct session *s)
 {
 	if (s->tx.state != SESSION_OPEN)
 		return RUN_SINGLE;
 	return s->tx.started ? RUN_INSIDE : RUN_FIRST;
 }
 
-/* Whether only the primary may run the statement. */
-static bool needs_primary(const struct session *s,
-			  const struct route_spec *route)
+bool session_needs_primary(const struct session *s,
+			   const struct route_spec *route)
 {
 	if (route->consistency == CONSISTENT_PRIMARY || !route->max_age)
 		return true;
@@ -72,9 +67,8 @@
 	       now - s->own_commit_at <= route->max_age + OWN_COMMIT_MARGIN;
 }
 
-/* Age of the commit that the session's read must see, 0: none. */
-static hm_time own_commit_age(const struct session *s,
-			      const struct route_spec *route, hm_time now)
+hm_time session_commit_age(const struct session *s,
+			   const struct route_spec *route, hm_time now)
 {
 	return requires_own_commit(s, route, now) ? now - s->own_commit_at + 1
 						  : 0;
@@ -100,10 +94,10 @@
 {
 	return (struct member_requirements){
 		.service = route->service,
-		.primary_only = needs_primary(s, route),
+		.primary_only = session_needs_primary(s, route),
 		.writes = s->pending.writes,
 		.level = route->level,
-		.commit_age = own_commit_age(s, route, now),
+		.commit_age = session_commit_age(s, route, now),
 		.barred = route->barred |
 			  site_account_barred(p->config, s->account),
 		.tried = s->pending.tried,
@@ -141,7 +135,7 @@
 	o->weight = c ? c->weight : DEFAULT_WEIGHT;
 	o->level = route->level;
 	o->op = s->pending.op;
-	o->scope = scope_of(s);
+	o->scope = session_scope(s);
 	o->read_only = s->tx.read_only;
 	o->writes = s->pending.writes;
 	o->deadline = now + route->statement_limit;
@@ -162,6 +156,7 @@
 			     const char *reason, hm_time now,
 			     struct proxy_output *out)
 {
+	struct member_load *l = place_load(p, o->endpoint);
 	const struct site_member *m =
 		site_members_find(p->members, o->endpoint);
 
@@ -180,7 +175,9 @@
 	s->pending.owner = owner;
 	s->pending.endpoint = o->endpoint;
 	s->pending.deadline = o->deadline + RESULT_GRACE;
-	place_load(p, o->endpoint)->outstanding++;
+	s->pending.sent_at = now;
+	s->pending.expected_wait = load_wait(&l->level, owner, o->level, now);
+	l->outstanding++;
 	proxy_send(p, owner, MSG_RUN, out)->run = o;
 }
 
@@ -219,7 +216,7 @@
 	need.primary_only |= s->pending.op == STMT_BEGIN;
 	place = place_choose(p, &need, now);
 	if (place.endpoint && place.owner)
-		return false;
+		return session_refuse_by_load(p, s, &place, now, out);
 	refuse_unplaced(p, s, need.primary_only, &place, now, out);
 	return true;
 }
@@ -227,7 +224,7 @@
 void session_run(struct proxy *p, struct session *s, hm_time now,
 		 struct proxy_output *out)
 {
-	const struct route_spec *route = route_of(p, s);
+	const struct route_spec *route = session_route(p, s);
 	struct placement place;
 	struct run_request *o;
 	struct member_requirements need;
@@ -261,196 +258,3 @@
 		budget_request(p->budget, s->account, o->endpoint, now);
 	send_run_request(p, s, o, place.owner, place.reason, now, out);
 }
-
-static bool only_reads(const struct session *s)
-{
-	return !s->pending.writes && s->pending.op != STMT_COMMIT;
-}
-
-/*
- * Whether a read of a replica failed there. Another member may serve it, since
- * a member can fail part of its statements though it is up.
- */
-static bool is_failed_read(const struct proxy *p, const struct session *s,
-			   const struct run_result *r)
-{
-	return p->options.scheduling.learned_placement &&
-	       r->error == ERR_STATEMENT && only_reads(s) &&
-	       scope_of(s) == RUN_SINGLE && !s->pending.tried_count;
-}
-
-/*
- * Whether to send the statement to another member. This is safe if it has not
- * run, and for a read whose answer was lost, since a read changes nothing.
- * A statement inside a transaction stays at its member.
- */
-static bool may_retry_elsewhere(struct proxy *p, const struct session *s,
-				const struct run_result *r, hm_time now)
-{
-	const struct route_spec *route = route_of(p, s);
-	bool lost_read = r->error == ERR_OUTCOME_UNKNOWN && only_reads(s) &&
-			 scope_of(s) == RUN_SINGLE;
-
-	if (!route || scope_of(s) == RUN_INSIDE ||
-	    s->pending.tried_count == TRIED_MAX ||
-	    now > s->pending.since + route->target)
-		return false;
-	if (p->options.guards_off & PROXY_GUARD_ONCE)
-		return r->error != ERR_NONE;
-	if (r->execution != EXEC_NOT_RUN && !lost_read &&
-	    !is_failed_read(p, s, r))
-		return false;
-	if (r->error == ERR_READ_ONLY && s->tx.read_only && s->pending.writes)
-		return false;
-	if (r->error == ERR_OVERLOADED && needs_primary(s, route))
-		return false;
-	/* A lagging replica did no work, so this retry uses no budget. */
-	if (r->error == ERR_NOT_CAUGHT_UP)
-		return true;
-	return budget_retry(p->budget, s->account, r->endpoint, now);
-}
-
-static void update_load(struct proxy *p, const struct run_result *r,
-			hm_time now)
-{
-	struct member_load *l = place_load(p, r->endpoint);
-
-	l->owner_wait = r->wait;
-	l->reported_at = now;
-	if (r->error == ERR_NO_ENDPOINT || r->error == ERR_WRONG_ENDPOINT)
-		l->failed_until = now + AVOID_FAILED;
-	if (r->error == ERR_NOT_CAUGHT_UP)
-		l->behind_until = now + AVOID_BEHIND;
-}
-
-/* What a result shows of its member; @a owner_gone: there is no result. */
-static enum member_outcome outcome_of(const struct run_result *r,
-				      bool owner_gone)
-{
-	switch (r->error) {
-	case ERR_NONE:
-		return MEMBER_SERVED;
-	case ERR_NOT_CAUGHT_UP:
-		return MEMBER_BEHIND;
-	case ERR_STATEMENT:
-	case ERR_OUTCOME_UNKNOWN:
-	case ERR_TIME_LIMIT:
-	case ERR_NO_ENDPOINT:
-	case ERR_WRONG_ENDPOINT:
-		return owner_gone ? MEMBER_SKIPPED : MEMBER_FAILED;
-	default:
-		return MEMBER_SKIPPED;
-	}
-}
-
-static void record_attempt(struct proxy *p, const struct session *s,
-			   const struct run_result *r, bool owner_gone,
-			   hm_time now, struct proxy_output *out)
-{
-	const struct route_spec *route = route_of(p, s);
-	struct member_attempt a = {
-		.outcome = outcome_of(r, owner_gone),
-		.writes = s->pending.writes,
-		.took = now - s->pending.sent_at,
-		.queue_wait = r->wait,
-	};
-
-	if (route)
-		a.commit_age = own_commit_age(s, route, s->pending.sent_at);
-	place_record(p, r->endpoint, &a, now, out);
-}
-
-static void record_own_commit(struct session *s, const struct route_spec *route,
-			      const struct run_result *r, hm_time now)
-{
-	bool commits = s->pending.op == STMT_COMMIT ||
-		       (s->pending.writes && scope_of(s) == RUN_SINGLE);
-
-	if (r->error || !commits || !route || !r->at.term)
-		return;
-	s->own_commit_service = route->service;
-	s->own_commit = r->at;
-	s->own_commit_at = now;
-}
-
-/* Updates the state of the session's transaction from a statement's result. */
-static void update_transaction(struct session *s, const struct run_result *r)
-{
-	if (s->tx.state != SESSION_OPEN)
-		return;
-	if (s->pending.op == STMT_COMMIT) {
-		s->tx = (struct session_tx){ 0 };
-		return;
-	}
-	if (!s->tx.started)
-		s->tx.id = s->pending.id;
-	s->tx.state = r->state;
-	s->tx.started = r->state == SESSION_OPEN;
-	s->tx.endpoint = s->pending.endpoint;
-	s->tx.owner = s->pending.owner;
-}
-
-static void finish(struct proxy *p, struct session *s,
-		   const struct run_result *r, hm_time now,
-		   struct proxy_output *out)
-{
-	record_own_commit(s, route_of(p, s), r, now);
-	update_transaction(s, r);
-	session_answer(p, s, r->error, r, r->retry_at, now, out);
-}
-
-static void handle_result(struct proxy *p, const struct run_result *r,
-			  bool owner_gone, hm_time now,
-			  struct proxy_output *out)
-{
-	uint32_t h = r->id.incarnation == p->options.core.incarnation
-			     ? table_get(&p->by_request, r->id.seq)
-			     : TABLE_NONE;
-	struct session *s = h == TABLE_NONE ? NULL : p->sessions[h];
-
-	if (!s || s->pending.phase != PENDING_RESULT ||
-	    s->pending.endpoint != r->endpoint)
-		return; /* the request was answered or sent elsewhere */
-	place_load(p, r->endpoint)->outstanding--;
-	update_load(p, r, now);
-	record_attempt(p, s, r, owner_gone, now, out);
-	if (r->error && may_retry_elsewhere(p, s, r, now)) {
-		proxy_log(out, "event=elsewhere request=%s error=%s tried=%u",
-			  s->pending.request, error_answer(r->error)->code,
-			  s->pending.tried_count + 1);
-		p->counters.retries++;
-		s->pending.tried[s->pending.tried_count++] = r->endpoint;
-		session_run(p, s, now, out);
-		return;
-	}
-	finish(p, s, r, now, out);
-}
-
-void session_result(struct proxy *p, const struct run_result *r, hm_time now,
-		    struct proxy_output *out)
-{
-	handle_result(p, r, false, now, out);
-}
-
-void session_result_lost(struct proxy *p, struct session *s, bool owner_gone,
-			 hm_time now, struct proxy_output *out)
-{
-	struct run_result r = { .id = s->pending.id,
-				.endpoint = s->pending.endpoint,
-				.error = ERR_OUTCOME_UNKNOWN,
-				.execution = EXEC_UNKNOWN,
-				.state = SESSION_FAILED };
-
-	proxy_log(out, "event=result_lost request=%s home=%016llx gone=%d",
-		  s->pending.request, (unsigned long long)s->pending.owner,
-		  owner_gone);
-	if (!owner_gone) {
-		r.error = ERR_TIME_LIMIT;
-		session_release(p, s, out);
-	}
-	/* The owner's connections are gone, and so is the open transaction. */
-	if (owner_gone && s->tx.state == SESSION_OPEN &&
-	    s->pending.op != STMT_COMMIT)
-		r.error = ERR_TX_GONE;
-	handle_result(p, &r, owner_gone, now, out);
-}
--- a/src/proxy_metrics.c
+++ b/src/proxy_metrics.c
@@ -20,6 +20,19 @@
 	}
 }
 
+static void write_levels(GString *out, const char *name, const char *help,
+			 const uint64_t values[PRIORITY_LEVELS])
+{
+	char label[32];
+	int i;
+
+	metrics_family(out, name, "counter", help);
+	for (i = 0; i < PRIORITY_LEVELS; i++) {
+		g_snprintf(label, sizeof(label), "level=\"%d\"", i);
+		metrics_value(out, name, label, values[i]);
+	}
+}
+
 void proxy_metrics_write(GString *out, const struct proxy_counters *counters,
 			 const struct proxy_io_counters *io)
 {
@@ -38,6 +51,17 @@
 		  counters->queued },
 		{ PREFIX "connections", "gauge", "connections to members",
 		  counters->connections },
+		{ PREFIX "connections_waiting", "gauge",
+		  "accounts waiting for a connection", counters->conn_waiting },
+		{ PREFIX "connection_waits", "counter",
+		  "accounts that began to wait for a connection",
+		  counters->conn_waits },
+		{ PREFIX "connections_given_up", "counter",
+		  "idle connections closed for another account",
+		  counters->conns_given_up },
+		{ PREFIX "connections_refused", "counter",
+		  "connections refused by members at their limit",
+		  counters->conns_refused },
 		{ PREFIX "peers_alive", "gauge", "instances heard lately",
 		  counters->peers_alive },
 		{ PREFIX "config_version", "gauge", "configuration in force",
@@ -63,8 +87,19 @@
 		  counters->reads_primary },
 		{ PREFIX "retries", "counter", "statements sent elsewhere",
 		  counters->retries },
+		{ PREFIX "displaced", "counter",
+		  "queued statements refused for more urgent ones",
+		  counters->displaced },
 		{ PREFIX "promotions", "counter", "primaries replaced",
 		  counters->promotions },
+		{ PREFIX "load_closed", "counter",
+		  "times that a level of a member closed",
+		  counters->load_closed },
+		{ PREFIX "load_probes", "counter",
+		  "operations sent to closed members", counters->load_probes },
+		{ PREFIX "load_returns", "counter",
+		  "refused operations retried at the time told",
+		  counters->load_returns },
 		{ PREFIX "peer_dropped", "counter",
 		  "messages to peers that did not fit", io->peer_dropped },
 		{ PREFIX "store_calls", "counter", "calls to the store",
@@ -78,6 +113,15 @@
 		metrics_single(out, rows[i].name, rows[i].type, rows[i].help,
 			       rows[i].value);
 	write_answers(out, counters);
+	write_levels(out, PREFIX "tokens_taken",
+		     "rate tokens taken by operations of a level",
+		     counters->tokens_taken);
+	write_levels(out, PREFIX "tokens_refused",
+		     "operations of a level refused without a rate token",
+		     counters->tokens_refused);
+	write_levels(out, PREFIX "refused_by_load",
+		     "operations of a level refused by the load of members",
+		     counters->refused_by_load);
 	metrics_family(out, PREFIX "request_seconds", "histogram",
 		       "time from a request to its answer");
 	metrics_histogram(out, PREFIX "request_seconds", "outcome=\"served\"",
