Keep the last slot free for much shorter urgent statements alone

A slot kept free saves little where statements are of about the same length.

The rule now needs urgent statements of less than half the length.

--- a/core/fair_queue_order.c
+++ b/core/fair_queue_order.c
@@ -105,10 +105,23 @@
 	return others >= USE_SPAN;
 }
 
+/* Whether statements of @a level take less than half of @a cost. */
+static bool is_shorter(const struct fair_queue *fq, uint32_t level,
+		       hm_time cost)
+{
+	uint32_t k;
+
+	for (k = 0; k < QUEUE_CLASSES; k++)
+		if (fq->typical[level][k] && fq->typical[level][k] < cost / 2)
+			return true;
+	return false;
+}
+
 /*
  * Whether a long statement of @a level leaves the last free slot to more urgent
- * ones, which arrived in the last second. With a single slot it would not run
- * at all.
+ * ones, which arrived in the last second. Among statements of about the same
+ * length a slot kept free costs more than the wait that it saves. With a single
+ * slot the long ones would not run at all.
  */
 static bool leaves_urgent_slot(const struct fair_queue *fq, uint32_t level,
 			       const struct queue *q, hm_time now)
@@ -118,7 +131,7 @@
 	if (fq->slots < 2 || q->cost < LAST_SLOT_COST)
 		return false;
 	for (i = 0; i < level; i++)
-		if (now < fq->active_until[i])
+		if (now < fq->active_until[i] && is_shorter(fq, i, q->cost))
 			return true;
 	return false;
 }
