--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -23,6 +23,7 @@
 #include "return_order.h"
 #include "rng.h"
 #include "store_restore.h"
+#include "token_reserve.h"
 #include "view.h"
 
 #define TRIED_MAX 4
@@ -155,6 +156,7 @@
 	struct rng rng;
 	struct peers *peers;
 	struct rate *rate;
+	struct token_reserve *reserve; /**< NULL: reserves are off */
 	struct admit *admit;
 	struct scarcity *scarcity;
 	struct return_order *service_returns; /**< refused, by service */
--- a/core/rate.c
+++ b/core/rate.c
@@ -88,6 +88,7 @@
 	*q->contract = *c;
 	q->rate = c->rate;
 	q->share = (struct rate_share){ 0 };
+	q->reserve.capacity = 0;
 	if (q->live)
 		rate_share_of(c, r->options->zone, r->options->zone_count,
 			      &q->share);
@@ -200,17 +201,14 @@
 {
 	int64_t granted = granted_tokens(q, now);
 	int64_t own;
-	bool owned;
 
 	if (granted && r->level_count <= 1)
 		return true;
-	owned = rate_refill(r, q, now);
-	own = owned ? rate_usable(q) / TOKEN : 0;
+	own = rate_available(r, q, now) / TOKEN;
 	if (!use.floor &&
 	    granted + own <= rate_local_reserve(r, q, use.level, now))
 		return false;
-	return granted ||
-	       (owned && rate_issuable(r, q, use.level, now) >= TOKEN);
+	return granted || rate_issuable(r, q, use.level, now) >= TOKEN;
 }
 
 /* Takes a token that can_take() found. */
--- a/core/rate_demand.c
+++ b/core/rate_demand.c
@@ -176,7 +176,7 @@
 int64_t rate_issuable(const struct rate *r, struct quota *q, uint32_t level,
 		      hm_time now)
 {
-	int64_t usable = rate_usable(q), rest;
+	int64_t usable = rate_available(r, q, now), rest;
 	uint32_t least;
 
 	if (r->level_count <= 1 || q->scarce_until <= now)
@@ -225,13 +225,13 @@
 int64_t rate_issue_grant(const struct rate *r, struct quota *q,
 			 const struct rate_tokens *request, hm_time now)
 {
-	int64_t total = at_most(rate_usable(q), request->tokens);
+	int64_t total = at_most(rate_available(r, q, now), request->tokens);
 	uint32_t i;
 
 	if (total < request->tokens)
 		rate_note_scarce(q, now);
 	if (r->level_count <= 1 || !states_levels(request)) {
-		q->level -= total * TOKEN;
+		rate_spend(q, (uint32_t)total);
 		return total;
 	}
 	for (i = 0; i < PRIORITY_LEVELS; i++)
@@ -242,7 +242,7 @@
 		int64_t n = at_most(rate_issuable(r, q, i, now),
 				    request->wanted[i]);
 
-		q->level -= n * TOKEN;
+		rate_spend(q, (uint32_t)n);
 		rate_issued(r, q, i, n, now);
 		total += n;
 	}
--- a/core/rate_request.c
+++ b/core/rate_request.c
@@ -48,8 +48,7 @@
 	rate_drop_expired(q, now);
 	for (i = 0; i < q->granted_count; i++)
 		held += q->granted[i].tokens;
-	if (rate_refill(r, q, now))
-		held += rate_usable(q) / TOKEN;
+	held += rate_available(r, q, now) / TOKEN;
 	return held;
 }
 
