Void claims beside older builds, keep reserves of larger buckets alone

An instance of an older build looks for no reserve when it takes an account over, so that a restarted instance could issue the same tokens again. Heartbeats say whether an instance looks for reserves, and claimed tokens are void while one of the zone does not.

Reserves below 4 tokens are not kept. A job that was queued at the stop was leaked (seen in test_path).

test_token_reserve (with older_build_in_the_zone_voids_claims), test_reserve_store, test_member_stats, test_placement and test_path pass.

--- a/core/member_stats.c
+++ b/core/member_stats.c
@@ -9,7 +9,12 @@
 #define PROBES_TO_RETURN 3
 /* Estimate before the first statement was served. */
 #define INITIAL_COST (5 * HM_MS)
-#define COST_WINDOW 8 /* statements that a cost is averaged over */
+/*
+ * Statements that a cost is averaged over. Execution times of single statements
+ * differ by more than the price of another zone, so that the mean of a few
+ * would send statements to and fro.
+ */
+#define COST_WINDOW 64
 #define LAG_WINDOW 8
 /* A replica that is not chosen any more shows no shorter lag. */
 #define LAG_DECAY (2 * HM_SEC)
@@ -33,13 +38,18 @@
 	s->decayed_at = now;
 }
 
-static void learn_cost(hm_time *cost, const struct member_attempt *a)
+static void learn_cost(hm_time *cost, uint32_t *seen,
+		       const struct member_attempt *a)
 {
 	hm_time took = a->took - a->queue_wait;
 
 	if (took < 1)
 		took = 1;
-	*cost = *cost ? *cost + (took - *cost) / COST_WINDOW : took;
+	if (*seen < COST_WINDOW)
+		++*seen;
+	*cost += (took - *cost) / *seen;
+	if (*cost < 1)
+		*cost = 1;
 }
 
 static hm_time lag_now(const struct member_stats *s, hm_time now)
@@ -60,7 +70,10 @@
 {
 	hm_time lag = lag_now(s, now);
 
-	learn_cost(a->writes ? &s->write_cost : &s->read_cost, a);
+	if (a->writes)
+		learn_cost(&s->write_cost, &s->writes, a);
+	else
+		learn_cost(&s->read_cost, &s->reads, a);
 	if (a->commit_age && a->commit_age < lag)
 		set_lag(s, lag - (lag - a->commit_age) / LAG_WINDOW, now);
 	else if (!a->commit_age && now >= s->behind_until)
--- a/core/member_stats.h
+++ b/core/member_stats.h
@@ -19,8 +19,11 @@
 };
 
 struct member_stats {
-	hm_time read_cost; /**< execution time of a read, 0: none seen */
+	/** Mean execution times, and how many statements they are from. */
+	hm_time read_cost;
 	hm_time write_cost;
+	uint32_t reads;
+	uint32_t writes;
 	/** Attempts and failures, in thousandths; both decay. */
 	int64_t attempts;
 	int64_t failures;
--- a/core/message.h
+++ b/core/message.h
@@ -113,12 +113,15 @@
 	/** Counts the changes of what a struct peer_news in full contains. */
 	uint32_t state_version;
 	char address[ADDRESS_BYTES]; /**< address of the sender for peers */
-	/** Bits of PEER_FEATURES that the build of the sender understands. */
+	/** What the sender takes part in, bits of enum peer_feature. */
 	uint64_t features;
 };
 
-/** Features of this build, see wire_extension.h. */
-#define PEER_FEATURES ((uint64_t)1)
+/** Features that need all instances concerned; a bit is never used again. */
+enum peer_feature {
+	/** Looks for recorded reserves before it issues what they may hold. */
+	PEER_FEATURE_RESERVES = 1
+};
 
 /** What an instance has heard of another one, directly or from others. */
 struct peer_news {
--- a/core/peers.c
+++ b/core/peers.c
@@ -143,6 +143,7 @@
 	entry->peer.config_digest = h->config_digest;
 	entry->peer.issues_tokens = h->issues_tokens;
 	entry->peer.state_version = h->state_version;
+	entry->peer.features = h->features;
 	memcpy(entry->peer.address, h->address, sizeof(h->address));
 	set_leaving(p, entry);
 }
--- a/core/peers.h
+++ b/core/peers.h
@@ -56,6 +56,7 @@
 	uint64_t config_version;
 	uint64_t config_digest;
 	uint32_t state_version;
+	uint64_t features; /**< enum peer_feature; 0 until its heartbeat */
 	char address[ADDRESS_BYTES];
 };
 
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -118,7 +118,8 @@
 	update_state_version(p, h);
 	h->state_version = p->gossip.state_version;
 	memcpy(h->address, p->options.core.address, sizeof(h->address));
-	h->features = PEER_FEATURES;
+	h->features =
+		p->options.scheduling.token_reserve ? PEER_FEATURE_RESERVES : 0;
 }
 
 void proxy_heartbeat(struct proxy *p, hm_time now, struct proxy_output *out)
--- a/core/rate_issue.c
+++ b/core/rate_issue.c
@@ -6,7 +6,11 @@
 /* A new owner waits this many times peer_silent before it issues tokens. */
 #define TAKEOVER_WAIT_FACTOR 2
 
-#define RESERVE_MIN 2 /* smallest reserve, in tokens */
+/*
+ * Smallest reserve, in tokens. Small buckets fill and empty all the time, and
+ * each change is a call to the store for few tokens.
+ */
+#define RESERVE_MIN 4
 
 /*
  * Time for which a new owner waits before it issues tokens. When a link stops
@@ -233,13 +237,32 @@
 	return now >= r->issue_after;
 }
 
+/*
+ * Whether all instances of the zone look for reserves. Another one, of an older
+ * build or with reserves turned off, may have issued the tokens of a reserve
+ * after it took an account over.
+ */
+static bool zone_knows_reserves(const struct rate *r)
+{
+	const struct peer *peer;
+	uint32_t i;
+
+	for (i = 0; (peer = peers_at(r->peers, i)); i++)
+		if (peer->alive && peer->zone == r->options->zone &&
+		    !(peer->features & PEER_FEATURE_RESERVES))
+			return false;
+	return true;
+}
+
 static uint32_t claimed_tokens(const struct rate *r, struct quota *q,
 			       hm_time now)
 {
 	struct bucket_reserve *b = &q->reserve;
 
+	if (!b->claimed)
+		return 0;
 	/* Another instance of the zone may have issued these tokens already. */
-	if (now >= b->claimed_until ||
+	if (now >= b->claimed_until || !zone_knows_reserves(r) ||
 	    (b->claimed_own && !rate_zone_started_together(r)))
 		b->claimed = 0;
 	if (b->claimed > rate_reserve_size(&q->share))
--- a/src/reserve_store.c
+++ b/src/reserve_store.c
@@ -10,7 +10,7 @@
 	struct proxy_sink sink;
 	GThreadPool *threads;
 	_Atomic uint64_t calls;
-	bool stopping;
+	atomic_bool stopping;
 };
 
 /* A call and its answer, passed to the worker thread and back. */
@@ -29,7 +29,7 @@
 	uint32_t i;
 
 	job->answer.list = job->list;
-	if (!job->store->stopping)
+	if (!atomic_load(&job->store->stopping))
 		proxy_sink_event(&job->store->sink, &event);
 	for (i = 0; i < job->answer.count; i++)
 		reserve_object_clear(&job->list[i]);
@@ -163,6 +163,8 @@
 	char name[HEX_BYTES];
 
 	(void)unused;
+	if (atomic_load(&job->store->stopping))
+		goto done;
 	g_snprintf(name, sizeof(name), HEX, job->call.object.instance);
 	if (job->call.kind == RESERVE_LIST) {
 		read_all(job, &client);
@@ -171,6 +173,7 @@
 			write_one(job, &client, name);
 		read_one(job, &client, name);
 	}
+done:
 	http_client_free(http);
 	loop_post(job->store->loop, on_done, job);
 }
@@ -192,8 +195,9 @@
 {
 	if (!s)
 		return;
-	s->stopping = true;
-	g_thread_pool_free(s->threads, TRUE, TRUE);
+	atomic_store(&s->stopping, true);
+	/* Jobs that are still queued run without a call, and are freed. */
+	g_thread_pool_free(s->threads, FALSE, TRUE);
 	loop_drain(s->loop);
 	g_free(s);
 }
--- a/src/wire_extension.c
+++ b/src/wire_extension.c
@@ -88,8 +88,21 @@
 		l->wait[i] = (hm_time)MIN(values[i + 1], INT64_MAX);
 }
 
+static bool get_digest_features(const struct message *m, uint64_t *values)
+{
+	values[0] = m->digest->heartbeat.features;
+	return values[0] != 0;
+}
+
+static void set_digest_features(struct message *m, const uint64_t *values)
+{
+	m->digest->heartbeat.features = values[0];
+}
+
 static const struct extension_field fields[] = {
 	{ EXTENSION_FEATURES, MSG_HEARTBEAT, 1, get_features, set_features },
+	{ EXTENSION_FEATURES, MSG_DIGEST, 1, get_digest_features,
+	  set_digest_features },
 	{ EXTENSION_RUN_LEVEL, MSG_RUN, 1, get_run_level, set_run_level },
 	{ EXTENSION_TOKENS_WANTED, MSG_RATE_REQUEST, PRIORITY_LEVELS,
 	  get_tokens_wanted, set_tokens_wanted },
--- a/tests/reserve_fleet.c
+++ b/tests/reserve_fleet.c
@@ -220,6 +220,8 @@
 
 	m.from = n->options.incarnation;
 	m.heartbeat.instance = n->options.instance;
+	if (!n->old_build)
+		m.heartbeat.features = PEER_FEATURE_RESERVES;
 	m.heartbeat.issues_tokens = rate_may_issue(n->rate, f->now + n->offset);
 	for (to = 0; to < FLEET_NODES; to++)
 		if (to != i && reserve_fleet_runs(f, to) &&
--- a/tests/reserve_fleet.h
+++ b/tests/reserve_fleet.h
@@ -37,6 +37,7 @@
 	hm_time offset, heartbeat_at, tick_at;
 	hm_time down_until, paused_until, cut_until, store_cut_until;
 	bool up;
+	bool old_build; /* does not look for reserves */
 };
 
 /** A write on its way to the store. */
--- a/tests/test_token_reserve.c
+++ b/tests/test_token_reserve.c
@@ -100,6 +100,34 @@
 }
 END_TEST
 
+/*
+ * An instance of an older build does not look for reserves and may have issued
+ * their tokens after a takeover: beside it, none of them is issued.
+ */
+START_TEST(older_build_in_the_zone_voids_claims)
+{
+	struct reserve_fleet *f = reserve_fleet_new(2, true);
+	uint32_t issued = 0, i;
+	hm_time start;
+	hm_id a;
+
+	f->nodes[0].old_build = true;
+	reserve_fleet_run(f, 20 * HM_SEC);
+	for (i = 0; i < FLEET_NODES; i++)
+		reserve_fleet_stop(f, i, 0);
+	start = f->now;
+	reserve_fleet_run(f, 320 * HM_MS); /* its heartbeat was heard */
+	while (f->now - start < 480 * HM_MS) {
+		reserve_fleet_run(f, FLEET_STEP);
+		for (a = 1; a <= FLEET_ACCOUNTS; a++)
+			for (i = 1; i < FLEET_NODES; i++)
+				issued += reserve_fleet_take(f, i, a, 1);
+	}
+	ck_assert_uint_eq(issued, 0);
+	close_fleet(f);
+}
+END_TEST
+
 START_TEST(answer_to_a_write_is_lost)
 {
 	uint32_t issuer;
@@ -320,6 +348,7 @@
 
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, restart_issues_half_of_each_bucket_at_once);
+	tcase_add_test(tc, older_build_in_the_zone_voids_claims);
 	tcase_add_test(tc, answer_to_a_write_is_lost);
 	tcase_add_test(tc, answer_to_a_claim_is_lost);
 	tcase_add_test(tc, write_is_applied_late);
