Leave room for monitors and checks at members with too many accounts

With more accounts than connections a pool kept all but two connections of a member in use at all times. After a change of primary the member also counts the connections of the former monitor and owner: the owner of the new primary got none for its check at a replica.

An eighth of the limit stays free now, a quarter for accounts that have a connection. An unreachable member is avoided as before and no longer counts towards ejection.

test_conn_queue, test_conn_replay, test_pool and test_placement pass.

--- a/core/conn_queue.c
+++ b/core/conn_queue.c
@@ -191,8 +191,14 @@
 
 	room.most = limit > reserved ? limit - reserved : 1;
 	room.most_others = room.most;
-	if (users > room.most && limit - limit / 8 < room.most)
-		room.most_others = limit - limit / 8;
+	/*
+	 * These accounts keep the member full all the time. After a change of
+	 * owners it counts the connections of old and new monitors and checks.
+	 */
+	if (users > room.most && limit - limit / 8 < room.most) {
+		room.most = limit - limit / 8;
+		room.most_others = limit - limit / 4;
+	}
 	room.hold = users && limit > users ? limit / users : 1;
 	return room;
 }
--- a/core/sessions_result.c
+++ b/core/sessions_result.c
@@ -79,8 +79,6 @@
 	case ERR_STATEMENT:
 	case ERR_OUTCOME_UNKNOWN:
 	case ERR_TIME_LIMIT:
-	case ERR_NO_ENDPOINT:
-	case ERR_WRONG_ENDPOINT:
 		return owner_gone ? MEMBER_SKIPPED : MEMBER_FAILED;
 	default:
 		return MEMBER_SKIPPED;
