--- a/core/conn_queue.c
+++ b/core/conn_queue.c
@@ -183,26 +183,6 @@
 	a->queued++;
 }
 
-struct conn_room conn_queue_room(const struct conn_queue *q, uint32_t limit,
-				 uint32_t reserved, hm_time now)
-{
-	uint32_t users = conn_queue_users(q, now);
-	struct conn_room room = { 0 };
-
-	room.most = limit > reserved ? limit - reserved : 1;
-	room.most_others = room.most;
-	/*
-	 * These accounts keep the member full all the time. After a change of
-	 * owners it counts the connections of old and new monitors and checks.
-	 */
-	if (users > room.most && limit - limit / 8 < room.most) {
-		room.most = limit - limit / 8;
-		room.most_others = limit - limit / 4;
-	}
-	room.hold = users && limit > users ? limit / users : 1;
-	return room;
-}
-
 static bool needs_conn(const struct conn_account *a)
 {
 	return a->queued && !a->idle;
@@ -255,6 +235,7 @@
 		    yields_before(v, best, now))
 			best = v;
 	}
+	/* The account waits for its own unless it needs another one more. */
 	if (best && a->usable && now - a->oldest < OWN_WAIT)
 		return NULL;
 	return best;
