--- a/core/conn_queue.c
+++ b/core/conn_queue.c
@@ -235,7 +235,6 @@
 		    yields_before(v, best, now))
 			best = v;
 	}
-	/* The account waits for its own unless it needs another one more. */
 	if (best && a->usable && now - a->oldest < OWN_WAIT)
 		return NULL;
 	return best;
