--- a/core/failover_state.h
+++ b/core/failover_state.h
@@ -79,6 +79,53 @@
 /** Abandons the failover; the next one waits for a random time. */
 void failover_back_off(struct failover *f, hm_time now, const char *reason,
 		       struct actions *actions);
+/** Adds a log line of the failover to @a actions. */
+struct decision *failover_log_step(struct failover *f, struct actions *actions,
+				   const char *what, const char *reason);
+/** Starts a phase: no member has replied in it yet. */
+void failover_enter(struct failover *f, enum phase_id phase, hm_time now);
+/** Sends a control command of the phase to a member's owner. */
+void failover_send_step(struct failover *f, const struct candidate *c,
+			enum control_op op, struct actions *actions);
+/**
+ * Whether the control commands of the phase are to be sent now, for the first
+ * time or again.
+ */
+bool failover_send_due(struct failover *f, hm_time now);
+/** Whether the phase has lasted for @a limit. */
+bool failover_elapsed(const struct failover *f, hm_time limit, hm_time now);
+/** Sends the fence to the members that have not promised the term. */
+void failover_send_fences(struct failover *f, hm_time now,
+			  struct actions *actions);
+/** Records a promise. @return false if the member has not made it */
+bool failover_take_fence(struct failover *f, struct candidate *c,
+			 const struct state_report *r);
+/** Handles a member that has promised another coordinator's term. */
+void failover_fence_refused(struct failover *f, const struct state_report *r,
+			    hm_time now, struct actions *actions);
+
+void failover_tick_fence(struct failover *f, hm_time now,
+			 struct actions *actions);
+void failover_tick_hand_over(struct failover *f, hm_time now,
+			     struct actions *actions);
+void failover_answer_hand_over(struct failover *f, struct candidate *c,
+			       const struct state_report *r, hm_time now,
+			       struct actions *actions);
+void failover_tick_wait(struct failover *f, hm_time now,
+			struct actions *actions);
+void failover_answer_wait(struct failover *f, struct candidate *c,
+			  const struct state_report *r, hm_time now,
+			  struct actions *actions);
+void failover_tick_promote(struct failover *f, hm_time now,
+			   struct actions *actions);
+void failover_answer_promote(struct failover *f, struct candidate *c,
+			     const struct state_report *r, hm_time now,
+			     struct actions *actions);
+void failover_tick_follow(struct failover *f, hm_time now,
+			  struct actions *actions);
+void failover_answer_follow(struct failover *f, struct candidate *c,
+			    const struct state_report *r, hm_time now,
+			    struct actions *actions);
 /** Member by endpoint, NULL if it is no member. */
 struct candidate *failover_candidate(struct failover *f, hm_id endpoint);
 /** Notes the progress of the logs from a reported state. */
--- a/core/failover_steps.c
+++ b/core/failover_steps.c
@@ -14,20 +14,12 @@
  */
 #define PROBE_EXTRA (100 * HM_MS)
 #define FENCE_LIMIT (2 * HM_SEC)
-#define PROMOTE_LIMIT (2 * HM_SEC)
-#define FOLLOW_LIMIT (3 * HM_SEC)
-#define CATCH_UP_LIMIT (2 * HM_SEC)
 /** Pause after an abandoned failover: minimum, and range of the random part. */
 #define BACKOFF_MIN (100 * HM_MS)
 #define BACKOFF_RANDOM (400 * HM_MS)
-/**
- * A promotion waits for confirmation_valid and this fraction (1/n) of it in
- * addition, because the clocks of the instances run at different rates.
- */
-#define WAIT_MARGIN_DIVISOR 16
 
-static struct decision *log_step(struct failover *f, struct actions *actions,
-				 const char *what, const char *reason)
+struct decision *failover_log_step(struct failover *f, struct actions *actions,
+				   const char *what, const char *reason)
 {
 	struct decision *d = actions_log(actions, what, reason);
 
@@ -37,7 +29,7 @@
 	return d;
 }
 
-static void enter(struct failover *f, enum phase_id phase, hm_time now)
+void failover_enter(struct failover *f, enum phase_id phase, hm_time now)
 {
 	uint32_t i;
 
@@ -55,15 +47,15 @@
 	hm_time again =
 		now + BACKOFF_MIN + (hm_time)rng_below(&f->rng, BACKOFF_RANDOM);
 
-	log_step(f, actions, "failover_abandoned", reason);
+	failover_log_step(f, actions, "failover_abandoned", reason);
 	if (f->not_before < again)
 		f->not_before = again;
 	f->suspect_since = 0;
-	enter(f, PHASE_IDLE, now);
+	failover_enter(f, PHASE_IDLE, now);
 }
 
-static void send_step(struct failover *f, const struct candidate *c,
-		      enum control_op op, struct actions *actions)
+void failover_send_step(struct failover *f, const struct candidate *c,
+			enum control_op op, struct actions *actions)
 {
 	uint64_t owner = failover_owner(f, c);
 	struct control step = {
@@ -86,7 +78,7 @@
  * Whether the control commands of the phase are to be sent now, for the first
  * time or again.
  */
-static bool send_due(struct failover *f, hm_time now)
+bool failover_send_due(struct failover *f, hm_time now)
 {
 	if (now < f->send_at)
 		return false;
@@ -94,7 +86,7 @@
 	return true;
 }
 
-static bool elapsed(const struct failover *f, hm_time limit, hm_time now)
+bool failover_elapsed(const struct failover *f, hm_time limit, hm_time now)
 {
 	return now - f->entered_at >= limit;
 }
@@ -122,8 +114,8 @@
 		f->suspect_since = now;
 	if (now < f->not_before || now < f->suspect_since + rank * RANK_DELAY)
 		return;
-	log_step(f, actions, "failover_suspects", f->cause);
-	enter(f, PHASE_PROBE, now);
+	failover_log_step(f, actions, "failover_suspects", f->cause);
+	failover_enter(f, PHASE_PROBE, now);
 }
 
 /* Phase PROBE */
@@ -138,12 +130,12 @@
 		f->candidates[i].fenced = false;
 	f->term = newest_term(f) + 1;
 	f->target = 0;
-	log_step(f, actions, "failover_fences", f->cause);
+	failover_log_step(f, actions, "failover_fences", f->cause);
 	if (!strcmp(f->cause, "leaving")) {
 		f->target = primary;
-		enter(f, PHASE_HAND_OVER, now);
+		failover_enter(f, PHASE_HAND_OVER, now);
 	} else {
-		enter(f, PHASE_FENCE, now);
+		failover_enter(f, PHASE_FENCE, now);
 	}
 }
 
@@ -169,7 +161,7 @@
 		failover_candidate(f, group_primary(f->group, now));
 	hm_time limit = f->options->probe_silent + PROBE_EXTRA;
 
-	return !c || c->answered || elapsed(f, limit, now) ||
+	return !c || c->answered || failover_elapsed(f, limit, now) ||
 	       !peers_alive(f->peers, failover_owner(f, c));
 }
 
@@ -197,10 +189,10 @@
 {
 	if (c->answered)
 		return;
-	send_step(f, c,
-		  c->endpoint == primary ? CONTROL_PROBE_NEW_CONN
-					 : CONTROL_PROBE,
-		  actions);
+	failover_send_step(f, c,
+			   c->endpoint == primary ? CONTROL_PROBE_NEW_CONN
+						  : CONTROL_PROBE,
+			   actions);
 }
 
 static void tick_probe(struct failover *f, hm_time now, struct actions *actions)
@@ -224,11 +216,11 @@
 		failover_phases[f->phase].tick(f, now, actions);
 		return;
 	}
-	if (elapsed(f, limit, now)) {
+	if (failover_elapsed(f, limit, now)) {
 		failover_back_off(f, now, "no_majority", actions);
 		return;
 	}
-	if (!send_due(f, now))
+	if (!failover_send_due(f, now))
 		return;
 	for (i = 0; i < f->count; i++)
 		send_probe(f, &f->candidates[i], primary, actions);
@@ -245,8 +237,8 @@
 
 /* Phase FENCE */
 
-static bool take_fence(struct failover *f, struct candidate *c,
-		       const struct state_report *r)
+bool failover_take_fence(struct failover *f, struct candidate *c,
+			 const struct state_report *r)
 {
 	if (r->state.refused || r->state.promised != f->term ||
 	    r->state.promised_by != f->options->incarnation)
@@ -288,17 +280,18 @@
 	       c->endpoint == group_primary(f->group, now);
 }
 
-static void send_fences(struct failover *f, hm_time now,
-			struct actions *actions)
+void failover_send_fences(struct failover *f, hm_time now,
+			  struct actions *actions)
 {
 	uint32_t i;
 
-	if (!send_due(f, now))
+	if (!failover_send_due(f, now))
 		return;
 	for (i = 0; i < f->count; i++)
 		if (!f->candidates[i].fenced &&
 		    !is_excluded(f, &f->candidates[i], now))
-			send_step(f, &f->candidates[i], CONTROL_FENCE, actions);
+			failover_send_step(f, &f->candidates[i], CONTROL_FENCE,
+					   actions);
 }
 
 /*
@@ -306,8 +299,8 @@
  * term, possibly neither gets a majority; the one that retries first then takes
  * a newer term.
  */
-static void fence_refused(struct failover *f, const struct state_report *r,
-			  hm_time now, struct actions *actions)
+void failover_fence_refused(struct failover *f, const struct state_report *r,
+			    hm_time now, struct actions *actions)
 {
 	bool split = r->state.promised == f->term;
 
@@ -317,12 +310,13 @@
 			  actions);
 }
 
-static void tick_fence(struct failover *f, hm_time now, struct actions *actions)
+void failover_tick_fence(struct failover *f, hm_time now,
+			 struct actions *actions)
 {
-	if (elapsed(f, FENCE_LIMIT, now))
+	if (failover_elapsed(f, FENCE_LIMIT, now))
 		failover_back_off(f, now, "no_fence_majority", actions);
 	else
-		send_fences(f, now, actions);
+		failover_send_fences(f, now, actions);
 }
 
 static void answer_fence(struct failover *f, struct candidate *c,
@@ -331,8 +325,8 @@
 {
 	if (!r->state.reachable)
 		return;
-	if (!take_fence(f, c, r)) {
-		fence_refused(f, r, now, actions);
+	if (!failover_take_fence(f, c, r)) {
+		failover_fence_refused(f, r, now, actions);
 		return;
 	}
 	if (!fence_complete(f))
@@ -345,215 +339,6 @@
 	f->entered_at = now;
 }
 
-/*
- * Phase HAND_OVER: fences a leaving primary to stop its writes and waits until
- * a replica has caught up, so that no write is lost.
- */
-
-static bool caught_up(const struct failover *f, const struct candidate *from)
-{
-	uint32_t i;
-
-	for (i = 0; i < f->count; i++) {
-		const struct candidate *c = &f->candidates[i];
-
-		if (c != from && c->answered &&
-		    !failover_is_leaving(f, c->endpoint) &&
-		    lineage_reach(&c->state.lineage, c->state.at,
-				  from->state.at) == REACH_OK)
-			return true;
-	}
-	return false;
-}
-
-static void tick_hand_over(struct failover *f, hm_time now,
-			   struct actions *actions)
-{
-	struct candidate *from = failover_candidate(f, f->target);
-	uint32_t i;
-
-	if (!from || elapsed(f, CATCH_UP_LIMIT, now)) {
-		enter(f, PHASE_FENCE, now);
-		tick_fence(f, now, actions);
-		return;
-	}
-	if (now < f->send_at)
-		return;
-	f->send_at = now + CORE_TICK;
-	if (!from->fenced)
-		send_step(f, from, CONTROL_FENCE, actions);
-	for (i = 0; from->fenced && i < f->count; i++)
-		if (&f->candidates[i] != from)
-			send_step(f, &f->candidates[i], CONTROL_PROBE, actions);
-}
-
-static void answer_hand_over(struct failover *f, struct candidate *c,
-			     const struct state_report *r, hm_time now,
-			     struct actions *actions)
-{
-	struct candidate *from = failover_candidate(f, f->target);
-
-	if (!r->state.reachable || !from)
-		return;
-	if (c == from) {
-		if (!take_fence(f, c, r))
-			fence_refused(f, r, now, actions);
-		return;
-	}
-	c->answered = true;
-	c->state = r->state;
-	if (!from->fenced || !caught_up(f, from))
-		return;
-	enter(f, PHASE_FENCE, now);
-	tick_fence(f, now, actions);
-}
-
-/* Phases WAIT and PROMOTE */
-
-/* End of a log as (term, position); a term counts before its first record. */
-static struct log_pos progress(const struct candidate *c)
-{
-	uint64_t pos = c->state.at.pos;
-
-	return (struct log_pos){ lineage_term_at(&c->state.lineage, pos), pos };
-}
-
-static bool more_advanced(const struct failover *f, const struct candidate *a,
-			  const struct candidate *b)
-{
-	int order = log_pos_compare(progress(a), progress(b));
-
-	if (order)
-		return order > 0;
-	return failover_is_leaving(f, b->endpoint) &&
-	       !failover_is_leaving(f, a->endpoint);
-}
-
-static hm_id most_advanced(const struct failover *f)
-{
-	const struct candidate *best = NULL;
-	uint32_t i;
-
-	for (i = 0; i < f->count; i++) {
-		const struct candidate *c = &f->candidates[i];
-
-		if (c->fenced && (!best || more_advanced(f, c, best)))
-			best = c;
-	}
-	return best ? best->endpoint : 0;
-}
-
-static hm_time wait_limit(const struct failover *f)
-{
-	hm_time valid = f->options->confirmation_valid;
-
-	if (f->options->guards_off & GUARD_FENCE)
-		return 0;
-	return valid + valid / WAIT_MARGIN_DIVISOR;
-}
-
-static void tick_wait(struct failover *f, hm_time now, struct actions *actions)
-{
-	if (!elapsed(f, wait_limit(f), now)) {
-		send_fences(f, now, actions);
-		return;
-	}
-	f->target = most_advanced(f);
-	enter(f, PHASE_PROMOTE, now);
-	log_step(f, actions, "failover_promotes", "furthest_log");
-	failover_phases[f->phase].tick(f, now, actions);
-}
-
-static void answer_wait(struct failover *f, struct candidate *c,
-			const struct state_report *r, hm_time now,
-			struct actions *actions)
-{
-	if (r->state.reachable && !take_fence(f, c, r))
-		fence_refused(f, r, now, actions);
-}
-
-static void announce(struct failover *f, const struct endpoint_state *s,
-		     struct actions *actions)
-{
-	struct action *a = actions_add(actions, ACT_ANNOUNCE);
-	struct message *m;
-
-	a->announce.database = s->database;
-	a->announce.primary = f->target;
-	a->announce.term = f->term;
-	m = actions_send(actions, 0, MSG_STATE);
-	m->state.state = *s;
-}
-
-static void promoted(struct failover *f, const struct endpoint_state *s,
-		     hm_time now, struct actions *actions)
-{
-	f->promotions++;
-	log_step(f, actions, "failover_promoted", f->cause);
-	announce(f, s, actions);
-	enter(f, PHASE_FOLLOW, now);
-	failover_phases[f->phase].tick(f, now, actions);
-}
-
-static void tick_promote(struct failover *f, hm_time now,
-			 struct actions *actions)
-{
-	struct candidate *c = failover_candidate(f, f->target);
-
-	if (group_is_primary(f->group, f->target, f->term))
-		promoted(f, group_state(f->group, f->target), now, actions);
-	else if (!c || elapsed(f, PROMOTE_LIMIT, now))
-		failover_back_off(f, now, "promotion_unanswered", actions);
-	else if (send_due(f, now))
-		send_step(f, c, CONTROL_PROMOTE, actions);
-}
-
-static void answer_promote(struct failover *f, struct candidate *c,
-			   const struct state_report *r, hm_time now,
-			   struct actions *actions)
-{
-	if (c->endpoint != f->target || !r->state.reachable)
-		return;
-	if (r->state.refused || r->state.promised != f->term ||
-	    r->state.role != ROLE_PRIMARY) {
-		failover_back_off(f, now, "promotion_refused", actions);
-		return;
-	}
-	promoted(f, &r->state, now, actions);
-}
-
-static void tick_follow(struct failover *f, hm_time now,
-			struct actions *actions)
-{
-	bool due = send_due(f, now);
-	uint32_t unanswered = 0;
-	uint32_t i;
-
-	for (i = 0; i < f->count; i++) {
-		struct candidate *c = &f->candidates[i];
-
-		if (c->answered || c->endpoint == f->target)
-			continue;
-		unanswered++;
-		if (due)
-			send_step(f, c, CONTROL_FOLLOW, actions);
-	}
-	if (unanswered && !elapsed(f, FOLLOW_LIMIT, now))
-		return;
-	f->suspect_since = 0;
-	enter(f, PHASE_IDLE, now);
-}
-
-static void answer_follow(struct failover *f, struct candidate *c,
-			  const struct state_report *r, hm_time now,
-			  struct actions *actions)
-{
-	if (!r->state.reachable)
-		return;
-	c->answered = true;
-	tick_follow(f, now, actions);
-}
-
 static void ignore_answer(struct failover *f, struct candidate *c,
 			  const struct state_report *r, hm_time now,
 			  struct actions *actions)
@@ -568,9 +353,12 @@
 const struct phase failover_phases[PHASE_COUNT] = {
 	[PHASE_IDLE] = { "idle", tick_idle, ignore_answer },
 	[PHASE_PROBE] = { "confirm", tick_probe, answer_probe },
-	[PHASE_HAND_OVER] = { "hand_over", tick_hand_over, answer_hand_over },
-	[PHASE_FENCE] = { "fence", tick_fence, answer_fence },
-	[PHASE_WAIT] = { "wait", tick_wait, answer_wait },
-	[PHASE_PROMOTE] = { "promote", tick_promote, answer_promote },
-	[PHASE_FOLLOW] = { "follow", tick_follow, answer_follow },
+	[PHASE_HAND_OVER] = { "hand_over", failover_tick_hand_over,
+			      failover_answer_hand_over },
+	[PHASE_FENCE] = { "fence", failover_tick_fence, answer_fence },
+	[PHASE_WAIT] = { "wait", failover_tick_wait, failover_answer_wait },
+	[PHASE_PROMOTE] = { "promote", failover_tick_promote,
+			    failover_answer_promote },
+	[PHASE_FOLLOW] = { "follow", failover_tick_follow,
+			   failover_answer_follow },
 };
--- a/core/verify.c
+++ b/core/verify.c
@@ -1,8 +1,7 @@
 /** @file verify.c Results that wait for a confirmation. */
-#include "verify.h"
+#include "verify_state.h"
 
 #include "grow.h"
-#include "quorum.h"
 
 #include <stdlib.h>
 
@@ -14,60 +13,12 @@
 /** Shortest and longest pause between rounds while results are pending. */
 #define PROBE_AGAIN_MIN (10 * HM_MS)
 #define PROBE_AGAIN_MAX (100 * HM_MS)
-/**
- * A read of current data (first limit), or one that accepts an age (second), is
- * retried on another member when not confirmed within this time.
- */
-#define READ_CONFIRM_LIMIT (500 * HM_MS)
-#define AGE_CONFIRM_LIMIT (100 * HM_MS)
-/** Results that stay unconfirmed are sent this long before the deadline. */
-#define DEADLINE_MARGIN (20 * HM_MS)
 /**
  * A primary is stalled when for this many probe intervals no majority confirmed
  * a log position of it (no sample was taken).
  */
 #define STALLED_PERIODS 3
 
-enum verdict {
-	VERDICT_WAIT,
-	VERDICT_OK,
-	VERDICT_RETRY,
-	VERDICT_FLOOR_LOST,
-	VERDICT_UNKNOWN
-};
-
-/** A result that waits for its check. */
-struct pending {
-	struct executor_result ended;
-	hm_time added_at;
-	bool probed; /**< a round was sent after this result was added */
-	const struct rule *rule;
-	hm_time age;
-	hm_time valid_until;
-	uint64_t confirmed_term;
-};
-
-struct verify {
-	const struct core_options *options;
-	struct group *group;
-	struct quorum quorum;
-	hm_time started_at; /**< since when this instance owns the primary */
-	struct pending *pending;
-	uint32_t pending_count;
-	uint32_t pending_capacity;
-	struct verified *ready;
-	uint32_t ready_first;
-	uint32_t ready_count;
-	uint32_t ready_capacity;
-};
-
-/** How the results of one kind of statement are checked. */
-struct rule {
-	enum verdict (*check)(const struct verify *v, struct pending *w,
-			      hm_time now);
-	bool sets_position; /**< the result carries the log position */
-};
-
 struct verify *verify_new(const struct core_options *options,
 			  struct group *group)
 {
@@ -92,196 +43,6 @@
 	free(v);
 }
 
-static bool guard_off(const struct verify *v, enum guard guard)
-{
-	return v->options->guards_off & guard;
-}
-
-static bool in_transaction(const struct pending *w)
-{
-	return w->ended.statement.tx.id.seq != 0;
-}
-
-/* Number of other members that form a majority with the primary. */
-static uint32_t others_needed(const struct verify *v)
-{
-	return group_majority(v->group) - 1;
-}
-
-/* Verdict by whether the log of the statement contains the session floor. */
-static enum verdict check_floor(const struct verify *v, const struct pending *w)
-{
-	const struct executor_result *e = &w->ended;
-
-	switch (group_reach(v->group, &e->lineage, e->before,
-			    e->statement.floor)) {
-	case REACH_OK:
-		return VERDICT_OK;
-	case REACH_LOST:
-		return VERDICT_FLOOR_LOST;
-	case REACH_BEHIND:
-		break;
-	}
-	return VERDICT_RETRY;
-}
-
-/*
- * Verdict on a write that cannot be lost any more: an earlier write of its
- * session may be lost all the same.
- */
-static enum verdict check_committed(const struct verify *v,
-				    const struct pending *w)
-{
-	if (check_floor(v, w) == VERDICT_FLOOR_LOST)
-		return VERDICT_FLOOR_LOST;
-	return VERDICT_OK;
-}
-
-/*
- * Verdict on a write by the log of a later, confirmed term, which either has
- * the write or has lost it.
- */
-static enum verdict check_by_successor(const struct verify *v,
-				       struct pending *w, hm_time now)
-{
-	struct log_pos at = w->ended.after;
-
-	if (now >= group_confirmed_until(v->group) ||
-	    group_term(v->group) <= at.term)
-		return VERDICT_WAIT;
-	if (!lineage_contains(group_lineage(v->group), at))
-		return VERDICT_UNKNOWN;
-	w->valid_until = group_confirmed_until(v->group);
-	w->confirmed_term = group_term(v->group);
-	return check_committed(v, w);
-}
-
-/*
- * Whether a majority confirmed the term by replies to rounds sent after the
- * commit. Until the confirmation is confirmation_valid old, no later term can
- * have a primary.
- */
-static bool confirm_term(const struct verify *v, struct pending *w, hm_time now)
-{
-	struct quorum_query q = { .since = w->ended.ended_at };
-	hm_time confirmed_at = quorum_confirmed_at(
-		&v->quorum, q, w->ended.after.term, group_majority(v->group));
-
-	if (confirmed_at < 0 ||
-	    now - confirmed_at >= v->options->confirmation_valid)
-		return false;
-	w->valid_until = confirmed_at + v->options->confirmation_valid;
-	w->confirmed_term = w->ended.after.term;
-	return true;
-}
-
-static enum verdict check_commit(const struct verify *v, struct pending *w,
-				 hm_time now)
-{
-	const struct executor_result *e = &w->ended;
-	struct quorum_query after = { e->endpoint, e->ended_at };
-
-	if (guard_off(v, GUARD_CONFIRMATION))
-		return VERDICT_OK;
-	if (quorum_count_holding(&v->quorum, after, e->after) >=
-	    others_needed(v))
-		return check_committed(v, w);
-	if (now - e->ended_at >= v->options->replica_wait &&
-	    confirm_term(v, w, now))
-		return check_committed(v, w);
-	if (now >= e->statement.deadline - DEADLINE_MARGIN)
-		return VERDICT_UNKNOWN;
-	return check_by_successor(v, w, now);
-}
-
-/*
- * Read of the primary: its term must be confirmed by rounds sent after the read
- * began. The primary counts towards the majority only if it has replied to such
- * a round, too: it may have been fenced before the read.
- */
-static enum verdict check_read(const struct verify *v, struct pending *w,
-			       hm_time now)
-{
-	const struct executor_result *e = &w->ended;
-	struct quorum_query q = { .since = e->started_at };
-	uint64_t term = lineage_term(&e->lineage);
-
-	if (guard_off(v, GUARD_CONFIRMATION))
-		return check_floor(v, w);
-	if (group_is_primary(v->group, e->endpoint, term) &&
-	    quorum_confirmed_at(&v->quorum, q, term,
-				group_majority(v->group)) >= 0)
-		return check_floor(v, w);
-	if (group_superseded(v->group, term))
-		return VERDICT_RETRY;
-	if (now - w->added_at >= READ_CONFIRM_LIMIT ||
-	    now >= e->statement.deadline - DEADLINE_MARGIN)
-		return VERDICT_RETRY;
-	return VERDICT_WAIT;
-}
-
-/* Verdict on a read, on a replica or the primary, that accepts old data. */
-static enum verdict check_aged(const struct verify *v, struct pending *w,
-			       hm_time now)
-{
-	const struct executor_result *e = &w->ended;
-
-	if (guard_off(v, GUARD_RECHECK))
-		return VERDICT_OK;
-	if (group_reach(v->group, &e->lineage, e->before, e->statement.floor) !=
-	    REACH_OK)
-		return VERDICT_RETRY;
-	w->age = group_age(v->group, e->before, now);
-	if (w->age <= e->statement.max_age)
-		return VERDICT_OK;
-	if (group_last_sample_at(v->group) >= w->added_at ||
-	    now - w->added_at >= AGE_CONFIRM_LIMIT ||
-	    now >= e->statement.deadline - DEADLINE_MARGIN)
-		return VERDICT_RETRY;
-	return VERDICT_WAIT;
-}
-
-static enum verdict check_nothing(const struct verify *v, struct pending *w,
-				  hm_time now)
-{
-	(void)v;
-	(void)w;
-	(void)now;
-	return VERDICT_OK;
-}
-
-static enum verdict check_again(const struct verify *v, struct pending *w,
-				hm_time now)
-{
-	if (confirm_term(v, w, now))
-		return VERDICT_OK;
-	return check_commit(v, w, now);
-}
-
-static const struct rule rule_unchecked = { check_nothing, false };
-static const struct rule rule_commit = { check_commit, true };
-static const struct rule rule_read = { check_read, true };
-static const struct rule rule_aged = { check_aged, true };
-static const struct rule rule_reconfirm = { check_again, true };
-
-static const struct rule *rule_of(const struct statement *s)
-{
-	switch (s->op) {
-	case OP_BEGIN:
-	case OP_ROLLBACK:
-		return &rule_unchecked;
-	case OP_COMMIT:
-		return &rule_commit;
-	case OP_WRITE:
-		return s->tx.id.seq ? &rule_read : &rule_commit;
-	case OP_READ:
-		break;
-	}
-	if (s->tx.id.seq || s->unsure || !s->max_age)
-		return &rule_read;
-	return &rule_aged;
-}
-
 static void answer_ok(const struct pending *w, struct verified *out)
 {
 	struct result *r = &out->result;
@@ -299,8 +60,8 @@
 	struct result *r = &out->result;
 
 	r->execution = EXEC_RUN;
-	r->error = in_transaction(w) ? ERR_TX_GONE : ERR_NOT_CAUGHT_UP;
-	out->retry = !in_transaction(w);
+	r->error = verify_in_transaction(w) ? ERR_TX_GONE : ERR_NOT_CAUGHT_UP;
+	out->retry = !verify_in_transaction(w);
 }
 
 static void answer_lost(const struct pending *w, struct verified *out)
@@ -327,7 +88,7 @@
 	r->execution = EXEC_UNKNOWN;
 	r->error = ERR_OUTCOME_UNKNOWN;
 	r->retry_at = now;
-	if (check_floor(v, w) == VERDICT_OK)
+	if (verify_check_floor(v, w) == VERDICT_OK)
 		r->at = w->ended.after;
 	else
 		r->unsure = true;
@@ -343,7 +104,8 @@
 	out = &v->ready[v->ready_count++];
 	*out = (struct verified){ .reply_to = e->reply_to,
 				  .attempt = e->statement.attempt,
-				  .reconfirmed = w->rule == &rule_reconfirm,
+				  .reconfirmed =
+					  w->rule == &verify_rule_reconfirm,
 				  .valid_until = w->valid_until,
 				  .confirmed_term = w->confirmed_term };
 	out->result.id = e->statement.id;
@@ -435,7 +197,7 @@
 void verify_add(struct verify *v, const struct executor_result *ended,
 		hm_time now, struct actions *actions)
 {
-	add(v, ended, rule_of(&ended->statement), now, actions);
+	add(v, ended, verify_rule(&ended->statement), now, actions);
 }
 
 /*
@@ -460,7 +222,7 @@
 	};
 
 	e.statement.floor = (struct log_pos){ 0 };
-	add(v, &e, &rule_reconfirm, now, actions);
+	add(v, &e, &verify_rule_reconfirm, now, actions);
 }
 
 void verify_report(struct verify *v, const struct state_report *r, hm_time now,
