Choose owners by the capacity of instances

Owners were chosen by an unweighted hash, so that nearly all members belonged to instances with 0.12 cores, where the work for a statement takes four times as long as at one with 0.5. Instances state their capacity in heartbeats (key 5 of the extension), and the owner of a key is chosen by weighted rendezvous hashing. Where capacities are equal or one is not stated, each key keeps its owner. Results are cached until an instance or its weight changes.

test_owner_choice (5 checks), test_peers (2), test_rate (8), test_docs (5), test_gossip (5), test_wire_extension (5) pass with sanitizers; the whole check was not run.

--- a/core/message.h
+++ b/core/message.h
@@ -86,6 +86,13 @@
 	MSG_KIND_COUNT
 };
 
+/** What an instance can do; 0: not stated. */
+struct capacity {
+	uint32_t processor_millis; /**< thousandths of a core */
+	uint32_t link_mbit;
+	bool busy; /**< its event loop is late */
+};
+
 /** Sent to every peer at a fixed interval. */
 struct heartbeat {
 	hm_id instance;
@@ -115,12 +122,15 @@
 	char address[ADDRESS_BYTES]; /**< address of the sender for peers */
 	/** What the sender takes part in, bits of enum peer_feature. */
 	uint64_t features;
+	struct capacity capacity;
 };
 
 /** Features that need all instances concerned; a bit is never used again. */
 enum peer_feature {
 	/** Looks for recorded reserves before it issues what they may hold. */
-	PEER_FEATURE_RESERVES = 1
+	PEER_FEATURE_RESERVES = 1,
+	/** Chooses owners by capacity. */
+	PEER_STATES_CAPACITY = 2
 };
 
 /** What an instance has heard of another one, directly or from others. */
--- a/core/peers.c
+++ b/core/peers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "grow.h"
+#include "owner_choice.h"
 #include "table.h"
 
 /* A peer that was not heard for this many times peer_silent is removed. */
@@ -29,6 +30,8 @@
 	hm_time other_zone_at; /* last message of a peer of another zone */
 	hm_time platform_at;   /* last answer of the platform */
 	uint64_t generation;
+	struct owner_choice *choice;
+	struct peer self;
 	bool platform_ok;
 	bool leaving;
 };
@@ -40,6 +43,14 @@
 	if (!p)
 		return NULL;
 	p->options = options;
+	p->choice = owner_choice_new();
+	if (!p->choice)
+		abort();
+	p->generation = 1;
+	p->self = (struct peer){ .incarnation = options->incarnation,
+				 .instance = options->instance,
+				 .zone = options->zone,
+				 .alive = true };
 	p->other_zone_at = now;
 	p->platform_at = now;
 	return p;
@@ -49,6 +60,7 @@
 {
 	if (!p)
 		return;
+	owner_choice_free(p->choice);
 	table_free(&p->by_incarnation);
 	free(p->list);
 	free(p);
@@ -90,6 +102,29 @@
 	p->generation++;
 }
 
+/* Takes what an instance announced of its exit, which is never taken back. */
+static void announce_leaving(struct peers *p, struct peer_entry *e,
+			     bool leaving)
+{
+	if (!leaving || e->announced_leaving)
+		return;
+	e->announced_leaving = true;
+	p->generation++;
+}
+
+static void set_capacity(struct peers *p, struct peer *peer, uint64_t features,
+			 const struct capacity *k)
+{
+	if (peer->features == features &&
+	    peer->capacity.processor_millis == k->processor_millis &&
+	    peer->capacity.link_mbit == k->link_mbit &&
+	    peer->capacity.busy == k->busy)
+		return;
+	peer->features = features;
+	peer->capacity = *k;
+	p->generation++;
+}
+
 static void replace_older_incarnations(struct peers *p,
 				       const struct peer_entry *newer)
 {
@@ -135,7 +170,7 @@
 static void take_heartbeat(struct peers *p, struct peer_entry *entry,
 			   const struct heartbeat *h)
 {
-	entry->announced_leaving |= h->leaving;
+	announce_leaving(p, entry, h->leaving);
 	entry->stopped = h->stopped;
 	entry->peer.announced_exit = entry->announced_leaving || entry->stopped;
 	entry->peer.platform_ok = h->platform_ok;
@@ -143,7 +178,7 @@
 	entry->peer.config_digest = h->config_digest;
 	entry->peer.issues_tokens = h->issues_tokens;
 	entry->peer.state_version = h->state_version;
-	entry->peer.features = h->features;
+	set_capacity(p, &entry->peer, h->features, &h->capacity);
 	memcpy(entry->peer.address, h->address, sizeof(h->address));
 	set_leaving(p, entry);
 }
@@ -186,7 +221,7 @@
 static void take_full_news(struct peers *p, struct peer_entry *e,
 			   const struct peer_news *n)
 {
-	e->announced_leaving |= n->leaving;
+	announce_leaving(p, e, n->leaving);
 	e->stopped |= n->stopped;
 	e->peer.announced_exit = e->announced_leaving || e->stopped;
 	e->peer.platform_ok = n->platform_ok;
@@ -328,76 +363,43 @@
 	return p->generation;
 }
 
-/* Weight of an instance for a key in the rendezvous hash. */
-static uint64_t rank(hm_id key, hm_id instance)
+static void add_candidate(const struct peers *p, const struct peer *peer,
+			  bool leaving)
 {
-	uint64_t x = key ^ (instance * 0x9e3779b97f4a7c15ULL);
-
-	x = (x ^ (x >> 33)) * 0xff51afd7ed558ccdULL;
-	x = (x ^ (x >> 33)) * 0xc4ceb9fe1a85ec53ULL;
-	return x ^ (x >> 33);
+	owner_choice_add(p->choice, &(struct owner_candidate){
+					    .incarnation = peer->incarnation,
+					    .instance = peer->instance,
+					    .zone = peer->zone,
+					    .leaving = leaving,
+					    .weighted = peer->features &
+							PEER_STATES_CAPACITY,
+					    .capacity = peer->capacity });
 }
 
-/* Search for the owner of a key: the candidate with the highest rank. */
-struct owner_search {
-	hm_id key;
-	uint16_t zone;
-	bool any_zone;
-	bool leaving; /* search among leaving instances, else among others */
-	uint64_t best;
-	uint64_t incarnation;
-};
-
 /*
- * Considers one instance. @a leaving is what it announced itself, since the
- * platform's list may differ between the instances that read it.
+ * Passes the live instances to the choice of owners. What counts as leaving is
+ * what an instance announced itself, since the platform's list may differ
+ * between the instances that read it.
  */
-static void consider(struct owner_search *c, const struct peer *peer,
-		     bool leaving)
+static void update_candidates(const struct peers *p)
 {
-	uint64_t r;
-
-	if (!peer->alive || leaving != c->leaving)
-		return;
-	if (!c->any_zone && peer->zone != c->zone)
-		return;
-	r = rank(c->key, peer->instance);
-	if (c->incarnation && r <= c->best)
-		return;
-	c->best = r;
-	c->incarnation = peer->incarnation;
-}
-
-static uint64_t run_search(const struct peers *p, struct owner_search c)
-{
-	struct peer self = {
-		.incarnation = p->options->incarnation,
-		.instance = p->options->instance,
-		.zone = p->options->zone,
-		.alive = true,
-	};
 	uint32_t i;
 
-	consider(&c, &self, p->leaving);
+	owner_choice_begin(p->choice, p->generation);
+	add_candidate(p, &p->self, p->leaving);
 	for (i = 0; i < p->count; i++)
-		consider(&c, &p->list[i].peer, p->list[i].announced_leaving);
-	return c.incarnation;
+		if (p->list[i].peer.alive)
+			add_candidate(p, &p->list[i].peer,
+				      p->list[i].announced_leaving);
+	owner_choice_end(p->choice);
 }
 
 uint64_t peers_owner(const struct peers *p, hm_id key, uint16_t zone,
 		     bool anywhere)
 {
-	struct owner_search c = { .key = key, .zone = zone };
-	uint32_t step;
-	uint64_t incarnation = 0;
-
-	for (step = 0; step < 4 && !incarnation; step++) {
-		c.any_zone = step & 1;
-		c.leaving = step & 2;
-		if (!c.any_zone || anywhere)
-			incarnation = run_search(p, c);
-	}
-	return incarnation;
+	if (owner_choice_version(p->choice) != p->generation)
+		update_candidates(p);
+	return owner_choice_find(p->choice, key, zone, anywhere);
 }
 
 bool peers_isolated(const struct peers *p, hm_time now)
@@ -421,3 +423,8 @@
 	p->leaving = true;
 	p->generation++;
 }
+
+void peers_own_capacity(struct peers *p, const struct capacity *k)
+{
+	set_capacity(p, &p->self, PEER_STATES_CAPACITY, k);
+}
--- a/core/peers.h
+++ b/core/peers.h
@@ -2,8 +2,7 @@
  * @file peers.h
  * Membership of the other instances, and ownership of keys. Heartbeats decide
  * which instances are alive; the platform's list, which lags behind, only adds
- * which of them are leaving. The owner of a key is chosen by rendezvous
- * hashing, so that only the keys of an instance that joins or stops move.
+ * which of them are leaving. The owner of a key is chosen by owner_choice.h.
  */
 #ifndef PEERS_H
 #define PEERS_H
@@ -57,6 +56,7 @@
 	uint64_t config_digest;
 	uint32_t state_version;
 	uint64_t features; /**< enum peer_feature; 0 until its heartbeat */
+	struct capacity capacity;
 	char address[ADDRESS_BYTES];
 };
 
@@ -101,5 +101,10 @@
  * instance can be.
  */
 void peers_leave(struct peers *p);
+/**
+ * States the capacity of this instance. Without it this instance chooses no
+ * owners of its zone by capacity.
+ */
+void peers_own_capacity(struct peers *p, const struct capacity *k);
 
 #endif
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -13,7 +13,8 @@
 	return (struct scheduling_options){ .priority_tokens = true,
 					    .priority_queue = true,
 					    .connection_queue = true,
-					    .load_levels = true };
+					    .load_levels = true,
+					    .owner_capacity = true };
 }
 
 void proxy_options_default(struct proxy_options *o)
@@ -50,6 +51,8 @@
 	p->started_at = now;
 	p->stop_since = HM_NEVER;
 	p->peers = peers_new(&p->options.core, now);
+	if (p->peers && options->scheduling.owner_capacity)
+		peers_own_capacity(p->peers, &p->options.capacity);
 	p->rate = rate_new(&p->options.core, p->peers, now);
 	if (options->scheduling.token_reserve)
 		p->reserve = token_reserve_new(&p->options.core, p->rate,
@@ -131,6 +134,10 @@
 	memcpy(h->address, p->options.core.address, sizeof(h->address));
 	h->features =
 		p->options.scheduling.token_reserve ? PEER_FEATURE_RESERVES : 0;
+	if (!p->options.scheduling.owner_capacity)
+		return;
+	h->features |= PEER_STATES_CAPACITY;
+	h->capacity = p->options.capacity;
 }
 
 void proxy_heartbeat(struct proxy *p, hm_time now, struct proxy_output *out)
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -243,6 +243,7 @@
 	bool load_levels;	/**< operations are refused by stated load */
 	bool token_reserve;	/**< rate tokens are kept for a restart */
 	bool learned_placement; /**< members chosen by what they did */
+	bool owner_capacity;	/**< owners are chosen by capacity */
 };
 
 /** What is on unless the settings say otherwise. */
@@ -267,7 +268,8 @@
 	hm_time member_probe_limit;
 	hm_time view_every; /**< interval of view requests, see view.h */
 	struct scheduling_options scheduling;
-	uint32_t guards_off; /**< enum proxy_guard; mutation tests only */
+	struct capacity capacity; /**< of this instance; 0: not stated */
+	uint32_t guards_off;	  /**< enum proxy_guard; mutation tests only */
 };
 
 /** Safety checks that mutation tests disable one at a time. */
--- a/src/proxy_settings.c
+++ b/src/proxy_settings.c
@@ -15,6 +15,8 @@
 		.required = (must), .least = (from), .most = (to)      \
 	}
 
+#define PROCESSOR_MILLIS_MAX 64000
+
 static const struct field fields[] = {
 	FIELD("instance", FIELD_NAME, instance, true, 0, SIZE(instance)),
 	FIELD("zone", FIELD_NAME, zone, true, 0, SIZE(zone)),
@@ -62,6 +64,13 @@
 	      false, 0, 0),
 	FIELD("scheduling.learned_placement", FIELD_BOOL,
 	      scheduling.learned_placement, false, 0, 0),
+	FIELD("scheduling.owner_capacity", FIELD_BOOL,
+	      scheduling.owner_capacity, false, 0, 0),
+	FIELD("capacity.processor_millis", FIELD_COUNT,
+	      capacity.processor_millis, false, 1, PROCESSOR_MILLIS_MAX),
+	{ .path = "capacity.processor_cores", .kind = FIELD_OTHER },
+	FIELD("capacity.link_mbit", FIELD_COUNT, capacity.link_mbit, false, 1,
+	      1000000),
 };
 
 #define FIELD_COUNT_ALL (sizeof(fields) / sizeof(fields[0]))
@@ -108,6 +117,30 @@
 	return true;
 }
 
+/*
+ * Reads capacity.processor_cores, which may have a fraction: the platform's
+ * template states cores and cannot multiply.
+ */
+static bool read_cores(struct proxy_settings *s, const json_t *root,
+		       struct fault *fault)
+{
+	const json_t *capacity = json_object_get(root, "capacity");
+	const json_t *value = json_object_get(capacity, "processor_cores");
+	double millis = json_number_value(value) * 1000;
+
+	if (!value)
+		return true;
+	if (json_object_get(capacity, "processor_millis"))
+		return fault_value(fault, "$.capacity.processor_cores", value,
+				   "nothing beside processor_millis");
+	if (!json_is_number(value) || millis < 1 ||
+	    millis > PROCESSOR_MILLIS_MAX)
+		return fault_value(fault, "$.capacity.processor_cores", value,
+				   "cores, 0.001 to 64");
+	s->capacity.processor_millis = (uint32_t)(millis + 0.5);
+	return true;
+}
+
 bool proxy_settings_parse(struct proxy_settings *s, const char *file,
 			  const char *text, char fault[SETTINGS_FAULT_BYTES])
 {
@@ -127,7 +160,8 @@
 	     list_addresses(root, "seeds", s->seeds, &s->seed_count, &f) &&
 	     list_zone_index((const char(*)[NAME_BYTES])s->zones, s->zone_count,
 			     s->zone, &s->zone_index, &f) &&
-	     list_log_level(s->log_level, &f) && read_grace(s, root, &f);
+	     list_log_level(s->log_level, &f) && read_grace(s, root, &f) &&
+	     read_cores(s, root, &f);
 	json_decref(root);
 	return ok;
 }
--- a/src/proxy_settings.h
+++ b/src/proxy_settings.h
@@ -48,6 +48,7 @@
 	hm_time store_watch_wait;
 	hm_time store_list_every;
 	struct scheduling_options scheduling;
+	struct capacity capacity;
 };
 
 void proxy_settings_default(struct proxy_settings *s);
--- a/src/proxy_setup.c
+++ b/src/proxy_setup.c
@@ -54,6 +54,7 @@
 	o.evacuation_limit = instance_evacuation_limit(i);
 	o.stop_limit = instance_stop_limit(i);
 	o.scheduling = i->settings.scheduling;
+	o.capacity = i->settings.capacity;
 	i->proxy = proxy_new(&o, loop_now());
 }
 
--- a/src/wire_extension.c
+++ b/src/wire_extension.c
@@ -8,7 +8,8 @@
 	EXTENSION_FEATURES = 1,
 	EXTENSION_RUN_LEVEL = 2,
 	EXTENSION_TOKENS_WANTED = 3,
-	EXTENSION_RUN_LOAD = 4
+	EXTENSION_RUN_LOAD = 4,
+	EXTENSION_CAPACITY = 5
 };
 
 /* Most numbers of one field that this build knows. */
@@ -99,6 +100,41 @@
 	m->digest->heartbeat.features = values[0];
 }
 
+static bool write_capacity(const struct capacity *k, uint64_t *values)
+{
+	values[0] = k->processor_millis;
+	values[1] = k->link_mbit;
+	values[2] = k->busy;
+	return values[0] || values[1] || values[2];
+}
+
+static void read_capacity(struct capacity *k, const uint64_t *values)
+{
+	k->processor_millis = (uint32_t)MIN(values[0], UINT32_MAX);
+	k->link_mbit = (uint32_t)MIN(values[1], UINT32_MAX);
+	k->busy = values[2] != 0;
+}
+
+static bool get_capacity(const struct message *m, uint64_t *values)
+{
+	return write_capacity(&m->heartbeat.capacity, values);
+}
+
+static void set_capacity(struct message *m, const uint64_t *values)
+{
+	read_capacity(&m->heartbeat.capacity, values);
+}
+
+static bool get_digest_capacity(const struct message *m, uint64_t *values)
+{
+	return write_capacity(&m->digest->heartbeat.capacity, values);
+}
+
+static void set_digest_capacity(struct message *m, const uint64_t *values)
+{
+	read_capacity(&m->digest->heartbeat.capacity, values);
+}
+
 static const struct extension_field fields[] = {
 	{ EXTENSION_FEATURES, MSG_HEARTBEAT, 1, get_features, set_features },
 	{ EXTENSION_FEATURES, MSG_DIGEST, 1, get_digest_features,
@@ -108,6 +144,9 @@
 	  get_tokens_wanted, set_tokens_wanted },
 	{ EXTENSION_RUN_LOAD, MSG_RUN_RESULT, PRIORITY_LEVELS + 1, get_run_load,
 	  set_run_load },
+	{ EXTENSION_CAPACITY, MSG_HEARTBEAT, 3, get_capacity, set_capacity },
+	{ EXTENSION_CAPACITY, MSG_DIGEST, 3, get_digest_capacity,
+	  set_digest_capacity },
 };
 
 #define FIELDS (sizeof(fields) / sizeof(fields[0]))
