--- a/src/proxy_settings.c
+++ b/src/proxy_settings.c
@@ -1,6 +1,7 @@
 /** @file proxy_settings.c Settings of a proxy, read by a table of fields. */
 #include "proxy_settings.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +17,7 @@
 	}
 
 #define PROCESSOR_MILLIS_MAX 64000
+#define LINK_MBIT_MAX 1000000
 
 static const struct field fields[] = {
 	FIELD("instance", FIELD_NAME, instance, true, 0, SIZE(instance)),
@@ -69,8 +71,7 @@
 	FIELD("capacity.processor_millis", FIELD_COUNT,
 	      capacity.processor_millis, false, 1, PROCESSOR_MILLIS_MAX),
 	{ .path = "capacity.processor_cores", .kind = FIELD_OTHER },
-	FIELD("capacity.link_mbit", FIELD_COUNT, capacity.link_mbit, false, 1,
-	      1000000),
+	{ .path = "capacity.link_mbit", .kind = FIELD_OTHER },
 };
 
 #define FIELD_COUNT_ALL (sizeof(fields) / sizeof(fields[0]))
@@ -121,10 +122,9 @@
  * Reads capacity.processor_cores, which may have a fraction: the platform's
  * template states cores and cannot multiply.
  */
-static bool read_cores(struct proxy_settings *s, const json_t *root,
+static bool read_cores(struct proxy_settings *s, const json_t *capacity,
 		       struct fault *fault)
 {
-	const json_t *capacity = json_object_get(root, "capacity");
 	const json_t *value = json_object_get(capacity, "processor_cores");
 	double millis = json_number_value(value) * 1000;
 
@@ -141,6 +141,30 @@
 	return true;
 }
 
+/* Reads capacity.link_mbit; a fraction is rounded up, so that it is not 0. */
+static bool read_link(struct proxy_settings *s, const json_t *capacity,
+		      struct fault *fault)
+{
+	const json_t *value = json_object_get(capacity, "link_mbit");
+	double mbit = json_number_value(value);
+
+	if (!value)
+		return true;
+	if (!json_is_number(value) || mbit <= 0 || mbit > LINK_MBIT_MAX)
+		return fault_value(fault, "$.capacity.link_mbit", value,
+				   "Mbit/s, above 0 to 1000000");
+	s->capacity.link_mbit = (uint32_t)ceil(mbit);
+	return true;
+}
+
+static bool read_capacity(struct proxy_settings *s, const json_t *root,
+			  struct fault *fault)
+{
+	const json_t *capacity = json_object_get(root, "capacity");
+
+	return read_cores(s, capacity, fault) && read_link(s, capacity, fault);
+}
+
 bool proxy_settings_parse(struct proxy_settings *s, const char *file,
 			  const char *text, char fault[SETTINGS_FAULT_BYTES])
 {
@@ -161,7 +185,7 @@
 	     list_zone_index((const char(*)[NAME_BYTES])s->zones, s->zone_count,
 			     s->zone, &s->zone_index, &f) &&
 	     list_log_level(s->log_level, &f) && read_grace(s, root, &f) &&
-	     read_cores(s, root, &f);
+	     read_capacity(s, root, &f);
 	json_decref(root);
 	return ok;
 }
