Relay the capacity of peers in digests

In fleets with digests an instance hears of most peers through others, and the relayed news had neither features nor capacity. Instances would then have chosen different owners. Full news state both, in key 7 of the extension, once for each entry of the digest. A relay of an older build leaves them out, so full news are requested again every 30 s while the features of a peer are unknown.

--- a/core/gossip.c
+++ b/core/gossip.c
@@ -124,6 +124,8 @@
 	n.stopped = !peer->alive && peer->announced_exit;
 	n.platform_ok = peer->platform_ok;
 	n.issues_tokens = peer->issues_tokens;
+	n.features = peer->features;
+	n.capacity = peer->capacity;
 	memcpy(n.address, peer->address, sizeof(n.address));
 	return n;
 }
--- a/core/message.h
+++ b/core/message.h
@@ -147,6 +147,8 @@
 	bool platform_ok;
 	bool issues_tokens;
 	char address[ADDRESS_BYTES];
+	uint64_t features; /**< 0 if relayed by a build without them */
+	struct capacity capacity;
 };
 
 /** News of many peers; in a request only the incarnations are set. */
--- a/core/peers.c
+++ b/core/peers.c
@@ -11,12 +11,18 @@
 /* A peer that was not heard for this many times peer_silent is removed. */
 #define REMOVE_FACTOR 60
 #define LISTED_LEAVING_MAX 64
+/*
+ * A relay of an older build leaves out the features of a peer. Full news are
+ * requested again at this interval, until a newer relay states them.
+ */
+#define FEATURES_EVERY (30 * HM_SEC)
 
 struct peer_entry {
 	struct peer peer;
 	uint64_t replaced_by; /* newer incarnation of the instance, or 0 */
 	bool stopped;
 	bool announced_leaving; /* its own heartbeat says it is leaving */
+	hm_time full_wanted_at; /* its features are asked for again then */
 };
 
 struct peers {
@@ -227,6 +233,9 @@
 	e->peer.platform_ok = n->platform_ok;
 	e->peer.issues_tokens = n->issues_tokens;
 	e->peer.state_version = n->state_version;
+	/* A relay of an older build leaves them out. */
+	if (n->features)
+		set_capacity(p, &e->peer, n->features, &n->capacity);
 	memcpy(e->peer.address, n->address, sizeof(n->address));
 	set_leaving(p, e);
 }
@@ -246,6 +255,18 @@
 	return n->instance == p->options->instance;
 }
 
+/* Whether full news of a known peer are needed. */
+static bool lacks_full(struct peer_entry *e, const struct peer_news *n,
+		       hm_time now)
+{
+	if (n->state_version > e->peer.state_version)
+		return true;
+	if (e->peer.features || n->full || now < e->full_wanted_at)
+		return false;
+	e->full_wanted_at = now + FEATURES_EVERY;
+	return true;
+}
+
 enum news_outcome peers_news(struct peers *p, const struct peer_news *n,
 			     hm_time now)
 {
@@ -271,7 +292,7 @@
 		return NEWS_TAKEN;
 	if (n->full && n->state_version >= e->peer.state_version)
 		take_full_news(p, e, n);
-	else if (n->state_version > e->peer.state_version)
+	else if (lacks_full(e, n, now))
 		outcome = NEWS_LACKS_FULL;
 	if (n->seq <= e->peer.seq)
 		return outcome;
--- a/src/wire_extension.c
+++ b/src/wire_extension.c
@@ -9,7 +9,8 @@
 	EXTENSION_RUN_LEVEL = 2,
 	EXTENSION_TOKENS_WANTED = 3,
 	EXTENSION_RUN_LOAD = 4,
-	EXTENSION_CAPACITY = 5
+	EXTENSION_CAPACITY = 5,
+	EXTENSION_NEWS_CAPACITY = 7 /* once for each entry of the digest */
 };
 
 /* Most numbers of one field that this build knows. */
@@ -135,6 +136,25 @@
 	read_capacity(&m->digest->heartbeat.capacity, values);
 }
 
+/* Never by the table: one digest has many of them. */
+static bool get_news_capacity(const struct message *m, uint64_t *values)
+{
+	(void)m;
+	(void)values;
+	return false;
+}
+
+static void set_news_capacity(struct message *m, const uint64_t *values)
+{
+	struct peer_news *n;
+
+	if (values[0] >= m->digest->count)
+		return;
+	n = &m->digest->news[values[0]];
+	n->features = values[1];
+	read_capacity(&n->capacity, values + 2);
+}
+
 static const struct extension_field fields[] = {
 	{ EXTENSION_FEATURES, MSG_HEARTBEAT, 1, get_features, set_features },
 	{ EXTENSION_FEATURES, MSG_DIGEST, 1, get_digest_features,
@@ -147,17 +167,45 @@
 	{ EXTENSION_CAPACITY, MSG_HEARTBEAT, 3, get_capacity, set_capacity },
 	{ EXTENSION_CAPACITY, MSG_DIGEST, 3, get_digest_capacity,
 	  set_digest_capacity },
+	{ EXTENSION_NEWS_CAPACITY, MSG_DIGEST, 5, get_news_capacity,
+	  set_news_capacity },
 };
 
 #define FIELDS (sizeof(fields) / sizeof(fields[0]))
 
+static void write_field(msgpack_packer *k, enum extension_key key,
+			uint32_t count, const uint64_t *values)
+{
+	uint32_t n;
+
+	msgpack_pack_uint32(k, key);
+	msgpack_pack_uint32(k, count);
+	for (n = 0; n < count; n++)
+		msgpack_pack_uint64(k, values[n]);
+}
+
+/* Writes the capacities that full news state. */
+static void write_news_capacities(msgpack_packer *k, const struct digest *d)
+{
+	uint64_t values[5];
+	uint32_t i;
+
+	for (i = 0; i < d->count; i++) {
+		if (!d->news[i].full || !d->news[i].features)
+			continue;
+		values[0] = i;
+		values[1] = d->news[i].features;
+		write_capacity(&d->news[i].capacity, values + 2);
+		write_field(k, EXTENSION_NEWS_CAPACITY, 5, values);
+	}
+}
+
 GBytes *wire_extension_write(const struct message *m)
 {
 	uint64_t values[VALUES_MAX];
 	msgpack_sbuffer buffer;
 	msgpack_packer k;
 	GBytes *bytes = NULL;
-	uint32_t n;
 	size_t i;
 
 	msgpack_sbuffer_init(&buffer);
@@ -165,11 +213,10 @@
 	for (i = 0; i < FIELDS; i++) {
 		if (fields[i].kind != m->kind || !fields[i].get(m, values))
 			continue;
-		msgpack_pack_uint32(&k, fields[i].key);
-		msgpack_pack_uint32(&k, fields[i].count);
-		for (n = 0; n < fields[i].count; n++)
-			msgpack_pack_uint64(&k, values[n]);
+		write_field(&k, fields[i].key, fields[i].count, values);
 	}
+	if (m->kind == MSG_DIGEST)
+		write_news_capacities(&k, m->digest);
 	if (buffer.size)
 		bytes = g_bytes_new(buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -50,6 +50,8 @@
 	o.core.zone = (uint16_t)(index % ZONES);
 	o.core.zone_count = ZONES;
 	o.core.seed = index + 1;
+	/* The first two of each zone are large. */
+	o.capacity.processor_millis = index < 2 * ZONES ? 500 : 120;
 	g_snprintf(o.core.address, ADDRESS_BYTES, "10.0.0.%u:7", index);
 	return proxy_new(&o, f->now);
 }
@@ -245,6 +247,33 @@
 }
 END_TEST
 
+/*
+ * Guards against instances that learn of some peers through others, and then
+ * choose other owners than those that heard them directly.
+ */
+START_TEST(all_instances_of_a_large_fleet_agree_on_owners)
+{
+	struct fleet f;
+	uint32_t i;
+	hm_id key;
+
+	open_fleet(&f, 150);
+	run(&f, 4 * HM_SEC);
+	for (key = 1; key < 40; key++) {
+		uint16_t zone = (uint16_t)(key % ZONES);
+		uint64_t owner =
+			peers_owner(f.nodes[0]->peers, key, zone, true);
+
+		ck_assert_uint_lt(index_of(&f, owner), 2 * ZONES);
+		for (i = 1; i < f.count; i++)
+			ck_assert_uint_eq(
+				peers_owner(f.nodes[i]->peers, key, zone, true),
+				owner);
+	}
+	close_fleet(&f);
+}
+END_TEST
+
 /* All live peers stay so, and the lost one is noticed by all. */
 START_TEST(lost_instance_is_noticed_in_a_large_fleet)
 {
@@ -315,6 +344,7 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, small_fleet_sends_heartbeats_to_all);
 	tcase_add_test(tc, large_fleet_hears_of_all_with_few_messages);
+	tcase_add_test(tc, all_instances_of_a_large_fleet_agree_on_owners);
 	tcase_add_test(tc, lost_instance_is_noticed_in_a_large_fleet);
 	tcase_add_test(tc, stop_and_evacuation_spread_in_a_large_fleet);
 	tcase_add_test(tc, restarted_instance_joins_a_large_fleet);
--- a/tests/test_wire_extension.c
+++ b/tests/test_wire_extension.c
@@ -53,6 +53,44 @@
 }
 END_TEST
 
+/* Guards against capacities lost on the way, directly or by a relay. */
+START_TEST(capacity_arrives)
+{
+	struct peer_news news[2] = {
+		{ .incarnation = 1 },
+		{ .full = true, .features = 2, .capacity = { 120, 10, true } }
+	};
+	struct peer_news news_got[2] = { 0 };
+	struct digest digest = { .count = 2, .news = news };
+	struct digest digest_got = { .count = 2, .news = news_got };
+	struct message sent = { .kind = MSG_HEARTBEAT };
+	struct message got = { .kind = MSG_HEARTBEAT };
+	GBytes *bytes;
+
+	sent.heartbeat.capacity = (struct capacity){ 500, 200, true };
+	digest.heartbeat.capacity = sent.heartbeat.capacity;
+	bytes = wire_extension_write(&sent);
+	ck_assert(read_bytes(bytes, &got));
+	ck_assert_uint_eq(got.heartbeat.capacity.processor_millis, 500);
+	ck_assert_uint_eq(got.heartbeat.capacity.link_mbit, 200);
+	ck_assert(got.heartbeat.capacity.busy);
+	g_bytes_unref(bytes);
+	sent = (struct message){ .kind = MSG_DIGEST, .digest = &digest };
+	got = (struct message){ .kind = MSG_DIGEST, .digest = &digest_got };
+	bytes = wire_extension_write(&sent);
+	ck_assert(read_bytes(bytes, &got));
+	ck_assert_uint_eq(digest_got.heartbeat.capacity.link_mbit, 200);
+	ck_assert_uint_eq(news_got[0].features, 0);
+	ck_assert_uint_eq(news_got[1].features, 2);
+	ck_assert_uint_eq(news_got[1].capacity.processor_millis, 120);
+	ck_assert(news_got[1].capacity.busy);
+	/* A malicious or faulty relay: no such entry. */
+	digest_got.count = 1;
+	ck_assert(read_bytes(bytes, &got));
+	g_bytes_unref(bytes);
+}
+END_TEST
+
 START_TEST(no_field_no_extension)
 {
 	struct run_request run = { .level = 0 };
@@ -138,6 +176,7 @@
 	TCase *tc = tcase_create("wire_extension");
 
 	tcase_add_test(tc, fields_arrive);
+	tcase_add_test(tc, capacity_arrives);
 	tcase_add_test(tc, no_field_no_extension);
 	tcase_add_test(tc, newer_fields_are_skipped);
 	tcase_add_test(tc, level_beyond_the_last_is_limited);
