Report a busy instance by the delay of its ticks

An instance whose event loop is late kept all its members. Changes of owners are logged and counted.

test_loop_delay (4 checks) and test_owners (13) pass with sanitizers; the whole check and the linter were not run.

--- a/core/proxy.c
+++ b/core/proxy.c
@@ -103,9 +103,11 @@
 /* Raises the version of what full news of this instance contain. */
 static void update_state_version(struct proxy *p, const struct heartbeat *h)
 {
-	uint32_t bits =
-		1u | (uint32_t)h->leaving << 1 | (uint32_t)h->stopped << 2 |
-		(uint32_t)h->platform_ok << 3 | (uint32_t)h->issues_tokens << 4;
+	uint32_t bits = 1u | (uint32_t)h->leaving << 1 |
+			(uint32_t)h->stopped << 2 |
+			(uint32_t)h->platform_ok << 3 |
+			(uint32_t)h->issues_tokens << 4 |
+			(uint32_t)p->options.capacity.busy << 5;
 
 	if (bits == p->gossip.state_bits)
 		return;
@@ -193,6 +195,7 @@
 	if (p->reserve)
 		token_reserve_tick(p->reserve, p->store_era, now, out);
 	check_peers(p, now, out);
+	owners_tick(p, now, out);
 	services_tick(p, now, out);
 	sessions_tick(p, now, out);
 	if (now >= p->heartbeat_at)
@@ -366,6 +369,7 @@
 	uint32_t i;
 
 	*out = p->counters;
+	out->busy = p->options.capacity.busy;
 	out->clients = p->session_count;
 	out->config_version = p->config ? p->config->version : 0;
 	out->store_era = p->store_era;
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -346,6 +346,11 @@
 	uint64_t conns_given_up; /**< idle ones closed for another account */
 	uint64_t conns_refused;	 /**< refused by a member at its limit */
 	zone_set evacuated_zones;
+	bool busy; /**< this instance's event loop is late */
+	uint64_t busy_changes;
+	uint32_t members_owned;
+	uint64_t members_gained; /**< members that this instance got */
+	uint64_t members_lost;
 	uint32_t reserves_recorded; /**< accounts with a token reserve */
 	uint64_t reserve_claims;
 	uint64_t reserve_tokens_claimed;
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -13,6 +13,7 @@
 #include "budget.h"
 #include "contracts.h"
 #include "load_level.h"
+#include "loop_delay.h"
 #include "member_stats.h"
 #include "monitor.h"
 #include "peers.h"
@@ -108,6 +109,7 @@
 	hm_time behind_until; /**< until then its log is assumed to lag */
 	struct member_stats stats;
 	struct load_state level;
+	uint64_t owner; /**< when owners_tick() looked last */
 	/** Longest target of the routes of each level to its service. */
 	hm_time target[PRIORITY_LEVELS];
 	uint64_t target_version; /**< configuration that @a target is from */
@@ -207,6 +209,10 @@
 	bool stopped;
 	struct table logged_peers; /**< enum logged_peer by incarnation */
 	uint64_t peers_generation; /**< generation that check_peers() handled */
+	struct loop_delay loop_delay;
+	/** Generation and member list that owners_tick() handled. */
+	uint64_t owners_generation;
+	struct store_version owners_members;
 	struct proxy_counters counters;
 };
 
@@ -241,6 +247,11 @@
 void gossip_answer(struct proxy *p, const struct message *m, hm_time now,
 		   struct proxy_output *out);
 
+/* owners.c */
+
+/** Updates whether this instance is busy, and logs changes of owners. */
+void owners_tick(struct proxy *p, hm_time now, struct proxy_output *out);
+
 /* store_readers.c */
 
 /**
