Give the ownership of keys a file of its own

The choice of owners among the live instances moves to peers_owner.c, the internal types to peers_state.h; behaviour is unchanged. test_peers, test_owners, test_gossip, test_homes and test_docs pass.

--- a/core/peers.c
+++ b/core/peers.c
@@ -1,47 +1,19 @@
-/** @file peers.c Membership of instances and ownership of keys. */
-#include "peers.h"
+/** @file peers.c Membership of instances. */
+#include "peers_state.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "grow.h"
-#include "owner_choice.h"
-#include "table.h"
 
 /* A peer that was not heard for this many times peer_silent is removed. */
 #define REMOVE_FACTOR 60
-#define LISTED_LEAVING_MAX 64
 /*
  * A relay of an older build leaves out the features of a peer. Full news are
  * requested again at this interval, until a newer relay states them.
  */
 #define FEATURES_EVERY (30 * HM_SEC)
 
-struct peer_entry {
-	struct peer peer;
-	uint64_t replaced_by; /* newer incarnation of the instance, or 0 */
-	bool stopped;
-	bool announced_leaving; /* its own heartbeat says it is leaving */
-	hm_time full_wanted_at; /* its features are asked for again then */
-};
-
-struct peers {
-	const struct core_options *options;
-	struct peer_entry *list;
-	uint32_t count;
-	uint32_t capacity;
-	struct table by_incarnation;
-	hm_id listed_leaving[LISTED_LEAVING_MAX];
-	uint32_t listed_leaving_count;
-	hm_time other_zone_at; /* last message of a peer of another zone */
-	hm_time platform_at;   /* last answer of the platform */
-	uint64_t generation;
-	struct owner_choice *choice;
-	struct peer self;
-	bool platform_ok;
-	bool leaving;
-};
-
 struct peers *peers_new(const struct core_options *options, hm_time now)
 {
 	struct peers *p = calloc(1, sizeof(*p));
@@ -384,45 +356,6 @@
 	return p->generation;
 }
 
-static void add_candidate(const struct peers *p, const struct peer *peer,
-			  bool leaving)
-{
-	owner_choice_add(p->choice, &(struct owner_candidate){
-					    .incarnation = peer->incarnation,
-					    .instance = peer->instance,
-					    .zone = peer->zone,
-					    .leaving = leaving,
-					    .weighted = peer->features &
-							PEER_STATES_CAPACITY,
-					    .capacity = peer->capacity });
-}
-
-/*
- * Passes the live instances to the choice of owners. What counts as leaving is
- * what an instance announced itself, since the platform's list may differ
- * between the instances that read it.
- */
-static void update_candidates(const struct peers *p)
-{
-	uint32_t i;
-
-	owner_choice_begin(p->choice, p->generation);
-	add_candidate(p, &p->self, p->leaving);
-	for (i = 0; i < p->count; i++)
-		if (p->list[i].peer.alive)
-			add_candidate(p, &p->list[i].peer,
-				      p->list[i].announced_leaving);
-	owner_choice_end(p->choice);
-}
-
-uint64_t peers_owner(const struct peers *p, hm_id key, uint16_t zone,
-		     bool anywhere)
-{
-	if (owner_choice_version(p->choice) != p->generation)
-		update_candidates(p);
-	return owner_choice_find(p->choice, key, zone, anywhere);
-}
-
 bool peers_isolated(const struct peers *p, hm_time now)
 {
 	hm_time grace = p->options->isolated_grace;
