--- a/core/proxy.c
+++ b/core/proxy.c
@@ -14,7 +14,8 @@
 					    .priority_queue = true,
 					    .connection_queue = true,
 					    .load_levels = true,
-					    .owner_capacity = true };
+					    .owner_capacity = true,
+					    .restart_pace = true };
 }
 
 void proxy_options_default(struct proxy_options *o)
@@ -361,6 +362,7 @@
 	to->conn_waits += n->waits;
 	to->conns_given_up += n->given_up;
 	to->conns_refused += n->refused;
+	to->conns_reassigned += n->reassigned;
 }
 
 void proxy_get_counters(const struct proxy *p, struct proxy_counters *out)
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -244,6 +244,7 @@
 	bool token_reserve;	/**< rate tokens are kept for a restart */
 	bool learned_placement; /**< members chosen by what they did */
 	bool owner_capacity;	/**< owners are chosen by capacity */
+	bool restart_pace;	/**< new pools open few connections at first */
 };
 
 /** What is on unless the settings say otherwise. */
@@ -345,6 +346,8 @@
 	uint64_t conn_waits;	 /**< accounts that began to wait for one */
 	uint64_t conns_given_up; /**< idle ones closed for another account */
 	uint64_t conns_refused;	 /**< refused by a member at its limit */
+	/** Connections given to another account while their pool was starting. */
+	uint64_t conns_reassigned;
 	zone_set evacuated_zones;
 	bool busy; /**< this instance's event loop is late */
 	uint64_t busy_changes;
--- a/src/proxy_settings.c
+++ b/src/proxy_settings.c
@@ -72,6 +72,8 @@
 	      capacity.processor_millis, false, 1, PROCESSOR_MILLIS_MAX),
 	{ .path = "capacity.processor_cores", .kind = FIELD_OTHER },
 	{ .path = "capacity.link_mbit", .kind = FIELD_OTHER },
+	FIELD("scheduling.restart_pace", FIELD_BOOL, scheduling.restart_pace,
+	      false, 0, 0),
 };
 
 #define FIELD_COUNT_ALL (sizeof(fields) / sizeof(fields[0]))
