Count no connections of a pool that is not starting

pace_rate() walked all connections in each dispatch and for each expected wait, and dropped the number once the start was over. Behaviour is unchanged: the six test programs on pools, queues and the restart pace pass.

--- a/core/pool_pace.c
+++ b/core/pool_pace.c
@@ -33,12 +33,14 @@
 {
 	uint32_t i, n = 0;
 
+	if (!p->pace.starting)
+		return 0;
 	/* A full member may refuse those that are connecting. */
 	for (i = 0; i < p->conn_count; i++)
 		n += p->conns[i].phase != PHASE_CLOSED &&
 		     !(p->backoff.full &&
 		       p->conns[i].phase == PHASE_CONNECTING);
-	return p->pace.starting ? restart_pace_rate(n) : 0;
+	return restart_pace_rate(n);
 }
 
 void pace_check(struct pool *p, hm_time now, struct proxy_output *out)
