Compare capacities in one place

Heartbeat forms and the membership compared the same three fields each. Behaviour is unchanged: test_peers, test_owners, test_gossip, test_wire_extension, test_peer_links and test_owner_choice pass.

--- a/core/message.h
+++ b/core/message.h
@@ -93,6 +93,14 @@
 	bool busy; /**< its event loop is late */
 };
 
+/** Whether two instances state the same capacity. */
+static inline bool capacity_equal(const struct capacity *a,
+				  const struct capacity *b)
+{
+	return a->processor_millis == b->processor_millis &&
+	       a->link_mbit == b->link_mbit && a->busy == b->busy;
+}
+
 /** Sent to every peer at a fixed interval. */
 struct heartbeat {
 	hm_id instance;
--- a/core/peers.c
+++ b/core/peers.c
@@ -93,10 +93,7 @@
 static void set_capacity(struct peers *p, struct peer *peer, uint64_t features,
 			 const struct capacity *k)
 {
-	if (peer->features == features &&
-	    peer->capacity.processor_millis == k->processor_millis &&
-	    peer->capacity.link_mbit == k->link_mbit &&
-	    peer->capacity.busy == k->busy)
+	if (peer->features == features && capacity_equal(&peer->capacity, k))
 		return;
 	peer->features = features;
 	peer->capacity = *k;
--- a/src/heartbeat_forms.c
+++ b/src/heartbeat_forms.c
@@ -9,12 +9,6 @@
 	f->sent.seq = 0;
 }
 
-static bool same_capacity(const struct capacity *a, const struct capacity *b)
-{
-	return a->processor_millis == b->processor_millis &&
-	       a->link_mbit == b->link_mbit && a->busy == b->busy;
-}
-
 /* Whether two heartbeats differ only in what a repeated one contains. */
 static bool says_the_same(const struct heartbeat *a, const struct heartbeat *b)
 {
@@ -26,7 +20,7 @@
 	       a->config_digest == b->config_digest &&
 	       a->issues_tokens == b->issues_tokens &&
 	       a->store_era == b->store_era && a->features == b->features &&
-	       same_capacity(&a->capacity, &b->capacity) &&
+	       capacity_equal(&a->capacity, &b->capacity) &&
 	       !store_version_compare(a->members, b->members) &&
 	       !store_version_compare(a->evacuation.at, b->evacuation.at) &&
 	       a->evacuation.requested == b->evacuation.requested &&
