--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -11,6 +11,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -453,7 +454,8 @@
 	in->starts++;
 	in->pid = fork();
 	if (!in->pid) {
-		null = open("/dev/null", O_RDWR);
+		prctl(PR_SET_PDEATHSIG, SIGKILL); /* ends with this program */
+		null = open(getenv("RIG_LOG") ? getenv("RIG_LOG") : "/dev/null", O_RDWR | O_APPEND);
 		dup2(null, 1);
 		dup2(null, 2);
 		execve(program, argv, env);
