--- a/core/proxy.h
+++ b/core/proxy.h
@@ -323,6 +323,8 @@
 	uint64_t config_version;
 	struct store_version members; /**< version of the member list */
 	uint64_t store_era;
+	uint64_t copies_sent;	/**< documents sent to peers */
+	uint64_t copies_denied; /**< requests of peers beyond the bound */
 	uint64_t
 		store_restores; /**< restores of the store from an older copy */
 	uint64_t answered;
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -150,9 +150,13 @@
 	struct proxy_action *a;
 
 	if (store_version_compare(document_version(p, kind),
-				  m->document.version) <= 0 ||
-	    !may_share(p, kind, now))
+				  m->document.version) <= 0)
 		return;
+	if (!may_share(p, kind, now)) {
+		p->counters.copies_denied++;
+		return;
+	}
+	p->counters.copies_sent++;
 	a = proxy_action(out, PROXY_SHARE_DOCUMENT);
 	a->share.to = m->from;
 	a->share.kind = kind;
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -166,6 +166,7 @@
 	struct budget *budget;
 	struct contracts *contracts;
 	struct site_config *config;
+	hm_time config_at; /**< when it came into force */
 	struct site_members *members;
 	uint64_t store_era; /**< newest known era of the store, 0: none yet */
 	struct store_restore
--- a/core/services.c
+++ b/core/services.c
@@ -157,7 +157,13 @@
 void services_apply_config(struct proxy *p, struct site_config *c, hm_time now,
 			   struct proxy_output *out)
 {
+	static const char *const source_names[DOCUMENT_SOURCE_COUNT] = {
+		[FROM_LIST] = "list", [FROM_WATCH] = "watch",
+		[FROM_POLL] = "poll", [FROM_READ] = "read",
+		[FROM_PEER] = "peer",
+	};
 	uint64_t old = p->config ? p->config->version : 0;
+	hm_time behind;
 	uint32_t i;
 
 	if (c->version <= old) {
@@ -172,6 +178,10 @@
 	}
 	site_config_free(p->config);
 	p->config = c;
+	p->config_at = now;
+	behind = p->behind_since[DOCUMENT_CONFIG]
+			 ? now - p->behind_since[DOCUMENT_CONFIG]
+			 : 0;
 	p->behind_since[DOCUMENT_CONFIG] = 0;
 	apply_accounts(p, c, now, out);
 	rate_set_levels(p->rate, p->options.scheduling.priority_tokens
@@ -184,9 +194,11 @@
 	}
 	update_pools(p, now, out);
 	proxy_log(out,
-		  "event=config version=%llu before=%llu routes=%u accounts=%u",
+		  "event=config version=%llu before=%llu routes=%u accounts=%u "
+		  "source=%s behind_us=%lld",
 		  (unsigned long long)c->version, (unsigned long long)old,
-		  c->route_count, c->account_count);
+		  c->route_count, c->account_count, source_names[c->source],
+		  (long long)behind);
 	sessions_check_access(p, now, out);
 }
 
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -44,9 +44,20 @@
 	double cold_per_s; /**< statements for a cold member, 0: no limit */
 };
 
+/** How a document reached this instance. */
+enum document_source {
+	FROM_LIST,  /**< a list, at the start or after the history was lost */
+	FROM_WATCH, /**< a watch of the store */
+	FROM_POLL,  /**< a poll that found the store changed */
+	FROM_READ,  /**< a read, since no peer had sent a copy */
+	FROM_PEER,  /**< a copy of a peer's document */
+	DOCUMENT_SOURCE_COUNT
+};
+
 /** The configuration of an installation. */
 struct site_config {
 	uint64_t version;
+	enum document_source source;
 	hm_time idle_limit; /**< idle transactions are ended after this time */
 	struct route_spec *routes;
 	uint32_t route_count;
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -16,7 +16,8 @@
 	cache->version = version;
 }
 
-static void handle_config(struct site_feed *f, const json_t *json)
+static void handle_config(struct site_feed *f, const json_t *json,
+			  enum document_source source)
 {
 	struct proxy_event e = { .kind = PROXY_CONFIG };
 	const char *fault;
@@ -27,6 +28,7 @@
 			  NULL);
 		return;
 	}
+	e.config->source = source;
 	cache_document(&f->documents[DOCUMENT_CONFIG], json,
 		       (struct store_version){ 0, e.config->version });
 	proxy_sink_event(&f->sink, &e);
@@ -76,7 +78,7 @@
 static void handle_document(struct site_feed *f, const struct delivery *d)
 {
 	if (d->kind == DOCUMENT_CONFIG)
-		handle_config(f, d->json);
+		handle_config(f, d->json, d->source);
 	else
 		handle_members(f, d->json);
 }
@@ -206,8 +208,9 @@
 		return;
 	json = json_loadb(d->data, d->bytes, 0, NULL);
 	if (json)
-		handle_document(
-			f, &(struct delivery){ .kind = d->kind, .json = json });
+		handle_document(f, &(struct delivery){ .kind = d->kind,
+						       .source = FROM_PEER,
+						       .json = json });
 	else
 		log_event(G_LOG_LEVEL_WARNING, "document_malformed", NULL);
 	json_decref(json);
--- a/src/site_feed_state.h
+++ b/src/site_feed_state.h
@@ -63,6 +63,7 @@
 		DELIVER_EVACUATIONS
 	} what;
 	enum document_kind kind;
+	enum document_source source;
 	struct evacuation_report evacuation;
 	json_t *json;
 	bool ok;
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -41,11 +41,12 @@
 	return loop_now() + w->feed->options.call_limit;
 }
 
-static void deliver_config(struct watcher *w)
+static void deliver_config(struct watcher *w, enum document_source source)
 {
 	json_t *value = g_hash_table_lookup(w->objects, "main");
 	struct delivery d = { .what = DELIVER_DOCUMENT,
-			      .kind = DOCUMENT_CONFIG };
+			      .kind = DOCUMENT_CONFIG,
+			      .source = source };
 
 	if (!value)
 		return;
@@ -82,11 +83,12 @@
 }
 
 static void apply_objects(struct watcher *w,
-			  const struct store_objects *objects, bool complete)
+			  const struct store_objects *objects,
+			  enum document_source source)
 {
 	size_t i;
 
-	if (complete) {
+	if (source != FROM_WATCH) {
 		g_hash_table_remove_all(w->objects);
 		/*
 		 * The version of the list itself, not of its newest object:
@@ -98,7 +100,7 @@
 	for (i = 0; i < objects->count; i++)
 		apply_object(w, &objects->list[i]);
 	if (w->kind == STORE_CONFIG)
-		deliver_config(w);
+		deliver_config(w, source);
 	else
 		deliver_members(w);
 }
@@ -116,7 +118,8 @@
  * zero when the store does not answer.
  */
 static struct store_version list_all(struct watcher *w,
-				     struct http_client *http)
+				     struct http_client *http,
+				     enum document_source source)
 {
 	struct store_client store = store_client_of(w, http);
 	struct store_version from = { 0 };
@@ -126,7 +129,7 @@
 			      &objects) != STORE_OK)
 		return from;
 	from = objects.at;
-	apply_objects(w, &objects, true);
+	apply_objects(w, &objects, source);
 	store_objects_clear(&objects);
 	return from;
 }
@@ -197,7 +200,7 @@
 	 */
 	if (objects.count) {
 		from = objects.at;
-		apply_objects(w, &objects, false);
+		apply_objects(w, &objects, FROM_WATCH);
 	}
 	store_objects_clear(&objects);
 	return from;
@@ -222,7 +225,7 @@
 				break;
 			from = watch_once(w, from, &ok);
 		} else {
-			from = list_all(w, w->http);
+			from = list_all(w, w->http, FROM_LIST);
 			ok = from.revision != 0;
 		}
 		if (w->kind == STORE_CONFIG && (!reported || ok != healthy))
@@ -342,7 +345,8 @@
 	if (!store_version_compare(at, *seen))
 		return true;
 	for (kind = 0; kind < DOCUMENT_KIND_COUNT; kind++)
-		if (!list_all(&w->feed->polled[kind], w->http).revision)
+		if (!list_all(&w->feed->polled[kind], w->http, FROM_POLL)
+			     .revision)
 			return false;
 	*seen = at;
 	return true;
@@ -403,7 +407,8 @@
 		if (poll_due(w, &s))
 			poll_now(w, &s, &seen);
 		else if (feed_take_read_config(w->feed))
-			list_all(&w->feed->polled[DOCUMENT_CONFIG], w->http);
+			list_all(&w->feed->polled[DOCUMENT_CONFIG], w->http,
+				 FROM_READ);
 		g_usleep(registered ? PAUSE_SLICE : PAUSE_FIRST);
 	}
 	return NULL;
