Read a configuration from the store in time during a series of changes

Callers of an instance that does not watch the store were refused (NODB, UNAUTH) or served by versions that had been replaced over 5 s before, while the operator made changes less than 2 s apart.

Cause: the read from the store that replaces a missing copy was due 2 s after the newest version was announced. Each newer version put it off, so in a series it never came, and the instance depended on copies of peers. These are bounded, and since all instances hear of a version in the same order, the same ones got them each time.

The read is now due 2 s after the instance fell behind, until it has the newest version that it heard of.

--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -203,8 +203,7 @@
 
 	if (store_version_compare(theirs, have) <= 0)
 		return;
-	if (!p->behind_since[kind])
-		p->behind_since[kind] = now;
+	document_missed(p, kind, now);
 	if (may_arrive_unrequested(p, kind, from, now) &&
 	    now - p->behind_since[kind] < wait)
 		return;
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -119,7 +119,6 @@
 struct newer_config {
 	uint64_t version;
 	uint32_t entries; /**< its routes and accounts */
-	hm_time since;	  /**< when this instance learned of it */
 };
 
 /** Copies of a document that were sent to peers in one window. */
@@ -172,7 +171,7 @@
 	struct store_restore
 		restore; /**< filters old entries after a restore */
 	struct evacuation evacuation;
-	/** Since when a peer has a newer version of the document. */
+	/** Since when peers have newer versions of the document; 0: not. */
 	hm_time behind_since[DOCUMENT_KIND_COUNT];
 	/** Earliest next request for that version. */
 	hm_time next_request_at[DOCUMENT_KIND_COUNT];
@@ -270,6 +269,8 @@
 /** Records that a peer has a configuration in force. */
 void config_announced(struct proxy *p, uint64_t version, uint32_t entries,
 		      hm_time now);
+/** Notes that a peer has a newer version of a document. */
+void document_missed(struct proxy *p, enum document_kind kind, hm_time now);
 
 /* proxy_lifecycle.c */
 
--- a/core/services.c
+++ b/core/services.c
@@ -182,7 +182,8 @@
 	behind = p->behind_since[DOCUMENT_CONFIG]
 			 ? now - p->behind_since[DOCUMENT_CONFIG]
 			 : 0;
-	p->behind_since[DOCUMENT_CONFIG] = 0;
+	if (c->version >= p->newer_config.version)
+		p->behind_since[DOCUMENT_CONFIG] = 0;
 	apply_accounts(p, c, now, out);
 	rate_set_levels(p->rate, p->options.scheduling.priority_tokens
 					 ? c->level_count
--- a/core/store_readers.c
+++ b/core/store_readers.c
@@ -119,7 +119,15 @@
 {
 	if (version <= p->newer_config.version)
 		return;
-	p->newer_config = (struct newer_config){ version, entries, now };
+	p->newer_config = (struct newer_config){ version, entries };
+	if (p->config && version > p->config->version)
+		document_missed(p, DOCUMENT_CONFIG, now);
+}
+
+void document_missed(struct proxy *p, enum document_kind kind, hm_time now)
+{
+	if (!p->behind_since[kind])
+		p->behind_since[kind] = now;
 }
 
 bool proxy_reads_config(struct proxy *p, hm_time now)
@@ -132,7 +140,8 @@
 		return false;
 	if (config_is_large(p))
 		wait = proxy_watches_store(p, now) ? WATCH_OVERDUE : 0;
-	if (now - n->since < wait)
+	/* Not since the newest version: in a series none would be overdue. */
+	if (now - p->behind_since[DOCUMENT_CONFIG] < wait)
 		return false;
 	p->config_read_after = now + CONFIG_READ_EVERY;
 	return true;
