Leave out the entries of the store that cannot be parsed

Cause: Jansson refuses a whole text for one such value, and each answer of the store was parsed as a whole. The same holds for pages and watches of every kind, for single reads, and for documents that peers pass on.

A text that is refused is now split up to the values that cannot be parsed, and these are left out: an object's spec as a whole, in the configuration, which the store accepts only when it is valid, single fields of a route or an account. A value that is nested more than 512 levels counts as one of them, so that all that was parsed can be written again as part of a document. A member whose own entry becomes unreadable is no longer used.

The new tests run two instances beside a stand-in for the store that returns values byte for byte.

--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -3,8 +3,18 @@
 
 #include <string.h>
 
+#include "json_lenient.h"
 #include "log.h"
 
+/*
+ * Levels of a document above the parts that are left out when they cannot be
+ * parsed: fields of a route or an account, and entries of members.
+ */
+static const unsigned int document_levels[DOCUMENT_KIND_COUNT] = {
+	[DOCUMENT_CONFIG] = 3,
+	[DOCUMENT_MEMBERS] = 2,
+};
+
 /* Caches a document for peers, unless the cached one is as new. */
 static void cache_document(struct cached_document *cache, const json_t *json,
 			   struct store_version version)
@@ -201,12 +211,14 @@
 
 void site_feed_take(struct site_feed *f, const struct document *d)
 {
+	unsigned int dropped;
 	json_t *json;
 
 	if (!d->data || store_version_compare(
 				d->version, f->documents[d->kind].version) <= 0)
 		return;
-	json = json_loadb(d->data, d->bytes, 0, NULL);
+	json = json_lenient_load(d->data, d->bytes, document_levels[d->kind],
+				 &dropped);
 	if (json)
 		handle_document(f, &(struct delivery){ .kind = d->kind,
 						       .source = FROM_PEER,
--- a/standin/object_store.c
+++ b/standin/object_store.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "object_history.h"
+#include "raw_values.h"
 
 #define LINE_BYTES 4096
 
@@ -19,7 +20,9 @@
 	GMutex lock;
 	GCond changed;
 	struct object_history *history;
-	uint64_t token; /* highest fencing token of promote calls */
+	GPtrArray *raw_values;
+	size_t page_objects; /* per page of a list, 0: no limit */
+	uint64_t token;	     /* highest fencing token of promote calls */
 	int listener;
 	char address[ADDRESS_BYTES];
 	GThread *thread;
@@ -80,6 +83,36 @@
 	return at ? g_ascii_strtoull(at + strlen(field), NULL, 10) : 0;
 }
 
+static const char *name_at(const json_t *items, size_t index)
+{
+	json_t *meta = json_object_get(json_array_get(items, index), "meta");
+
+	return json_string_value(json_object_get(meta, "Name"));
+}
+
+/* Keeps the objects of a list that are on the page that @a query asks for. */
+static void keep_page(json_t *list, const char *query, size_t objects)
+{
+	static const char field[] = "after=";
+	const char *after = query ? strstr(query, field) : NULL;
+	json_t *items = json_object_get(list, "items");
+	char *name = after ? g_uri_unescape_string(after + strlen(field), NULL)
+			   : NULL;
+	size_t first = 0;
+
+	while (name && first < json_array_size(items) &&
+	       strcmp(name_at(items, first++), name) != 0)
+		;
+	g_free(name);
+	while (first-- > 0)
+		json_array_remove(items, 0);
+	if (json_array_size(items) <= objects)
+		return;
+	while (json_array_size(items) > objects)
+		json_array_remove(items, objects);
+	json_object_set_new(list, "HasMore", json_true());
+}
+
 static int read_call(struct object_store *s, char **parts, const char *query,
 		     json_t **out)
 {
@@ -90,6 +123,8 @@
 			     (gint64)query_number(query, "WaitMs="), out);
 	if (!parts[1]) {
 		*out = history_list(s->history, parts[0]);
+		if (s->page_objects)
+			keep_page(*out, query, s->page_objects);
 		return 200;
 	}
 	o = history_find(s->history, parts[0], parts[1]);
@@ -203,6 +238,18 @@
 	s->delayed--;
 }
 
+static char *answer_text(struct object_store *s, const json_t *json)
+{
+	char *dumped = json ? json_dumps(json, JSON_COMPACT) : NULL;
+	char *text = g_strdup(dumped ? dumped : "{}");
+
+	free(dumped);
+	g_mutex_lock(&s->lock);
+	text = raw_values_insert(s->raw_values, text);
+	g_mutex_unlock(&s->lock);
+	return text;
+}
+
 static gpointer serve(gpointer data)
 {
 	struct accepted_conn *v = data;
@@ -220,13 +267,13 @@
 		era = history_era(v->store->history);
 		wait_while_delayed(v->store, &r);
 		g_mutex_unlock(&v->store->lock);
-		text = json ? json_dumps(json, JSON_COMPACT) : strdup("{}");
+		text = answer_text(v->store, json);
 		answer = g_strdup_printf(
 			"HTTP/1.1 %d X\r\nStore-Era: %" G_GUINT64_FORMAT
 			"\r\nContent-Length: %zu\r\n\r\n%s",
 			status, era, strlen(text), text);
 		status = (int)send(v->fd, answer, strlen(answer), MSG_NOSIGNAL);
-		free(text);
+		g_free(text);
 		g_free(answer);
 		json_decref(json);
 		json_decref(r.body);
@@ -265,6 +312,7 @@
 	g_mutex_init(&s->lock);
 	g_cond_init(&s->changed);
 	s->history = history_new();
+	s->raw_values = g_ptr_array_new_with_free_func(g_free);
 	s->threads = g_ptr_array_new();
 	s->fds = g_array_new(FALSE, FALSE, sizeof(int));
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -300,6 +348,7 @@
 		close(g_array_index(s->fds, int, i));
 	g_ptr_array_unref(s->threads);
 	history_free(s->history);
+	g_ptr_array_unref(s->raw_values);
 	g_array_unref(s->fds);
 	g_cond_clear(&s->changed);
 	g_mutex_clear(&s->lock);
@@ -324,12 +373,31 @@
 void object_store_put(struct object_store *s, const char *kind,
 		      const char *name, const char *spec)
 {
-	json_t *json = json_loads(spec, 0, NULL);
+	json_t *json = json_loads(spec, JSON_DECODE_ANY, NULL);
 
 	put(s, kind, name, json);
 	json_decref(json);
 }
 
+void object_store_put_raw(struct object_store *s, const char *kind,
+			  const char *name, const char *raw)
+{
+	char *spec;
+
+	g_mutex_lock(&s->lock);
+	spec = raw_values_add(s->raw_values, raw);
+	g_mutex_unlock(&s->lock);
+	object_store_put(s, kind, name, spec);
+	g_free(spec);
+}
+
+void object_store_set_page(struct object_store *s, size_t objects)
+{
+	g_mutex_lock(&s->lock);
+	s->page_objects = objects;
+	g_mutex_unlock(&s->lock);
+}
+
 void object_store_remove(struct object_store *s, const char *kind,
 			 const char *name)
 {
--- a/standin/object_store.h
+++ b/standin/object_store.h
@@ -21,6 +21,14 @@
 /** Writes an object unconditionally; @a spec is JSON text. */
 void object_store_put(struct object_store *s, const char *kind,
 		      const char *name, const char *spec);
+/**
+ * Writes an object whose spec is @a raw, returned byte for byte in each answer;
+ * it need not be valid JSON.
+ */
+void object_store_put_raw(struct object_store *s, const char *kind,
+			  const char *name, const char *raw);
+/** Limits the objects on a page of a list, 0: no limit. */
+void object_store_set_page(struct object_store *s, size_t objects);
 /** Deletes an object; watches get a tombstone. */
 void object_store_remove(struct object_store *s, const char *kind,
 			 const char *name);
