--- a/tests/test_stray_entries.c
+++ b/tests/test_stray_entries.c
@@ -123,6 +123,16 @@
 }
 END_TEST
 
+/* The name after which a page begins has a blank, and its entry is no member. */
+START_TEST(pages_continue_after_any_name)
+{
+	put_stray("servers", "a member & its copy", values[3]);
+	object_store_set_page(path_testbed.store, 1);
+	restart_instance(0);
+	path_until_served(0, "rota", "QUERY a0 WRITE shift ann");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("stray_entries");
@@ -132,5 +142,6 @@
 	tcase_add_loop_test(tc, stray_member_is_left_out, 0, VALUES);
 	tcase_add_loop_test(tc, stray_entry_of_any_kind_is_left_out, 0, KINDS);
 	tcase_add_test(tc, overwritten_member_is_no_longer_used);
+	tcase_add_test(tc, pages_continue_after_any_name);
 	return suite_run("stray_entries", tc);
 }
