Use no address of the store whose port is 0 or out of range

An entry of an instance was checked for its length only, and links to it failed each second with a warning. Ports above 65535 in a member's entry were refused before, and still are.

--- a/src/address.c
+++ b/src/address.c
@@ -64,6 +64,17 @@
 	return inet_pton(AF_INET, host, &v4->sin_addr) == 1;
 }
 
+bool address_can_connect(const char *text)
+{
+	struct sockaddr_storage ss;
+
+	if (!address_parse(text, &ss))
+		return false;
+	if (ss.ss_family == AF_INET6)
+		return ((struct sockaddr_in6 *)&ss)->sin6_port != 0;
+	return ((struct sockaddr_in *)&ss)->sin_port != 0;
+}
+
 socklen_t address_bytes(const struct sockaddr_storage *ss)
 {
 	return ss->ss_family == AF_INET6 ? sizeof(struct sockaddr_in6)
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "address.h"
 #include "log.h"
 
 /*
@@ -304,8 +305,12 @@
 	for (i = 0; i < objects.count; i++) {
 		address = json_string_value(
 			json_object_get(objects.list[i].value, "address"));
-		if (address && strlen(address) < ADDRESS_BYTES)
+		if (address && strlen(address) < ADDRESS_BYTES &&
+		    address_can_connect(address))
 			json_array_append_new(d.json, json_string(address));
+		else
+			log_event(G_LOG_LEVEL_WARNING, "instance_ignored",
+				  "instance", objects.list[i].name, NULL);
 	}
 	store_objects_clear(&objects);
 	feed_deliver(w->feed, &d);
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -103,6 +103,16 @@
 	{ "{'Service':['db'],'Address':'10.0.0.1:5','Zone':'a','Capacity':2,"
 	  "'State':'ready','DbRole':'replica','born':1}",
 	  false },
+	/* A port out of range. */
+	{ "{'Service':'db','Address':'10.0.0.1:99999','Zone':'a','Capacity':2,"
+	  "'State':'ready','DbRole':'replica','born':1}",
+	  false },
+	{ "{'Service':'db','Address':'10.0.0.1:0','Zone':'a','Capacity':2,"
+	  "'State':'ready','DbRole':'replica','born':1}",
+	  false },
+	{ "{'Service':'db','Address':'10.0.0.1:-5','Zone':'a','Capacity':2,"
+	  "'State':'ready','DbRole':'replica','born':1}",
+	  false },
 	{ "['ready']", false },
 	{ "{}", false },
 };
