Read a list of members that no peer sends

The cause of the late configuration looked for elsewhere: lists of members travel the same way and had no read in place of a missing copy at all. An instance that does not watch, and whose requests are denied by the bound on copies, kept its list; it would go on sending work to a member that leaves.

The wait for a document, the newest version announced and the read are now kept per kind of document. A list of members is read when none has come for 2 s, in time for the drain limit with a poll and a heartbeat before it (4.6 s).

The new test announces a newer list every 0.2 s and fails before the change.

--- a/core/proxy.h
+++ b/core/proxy.h
@@ -301,15 +301,16 @@
 /**
  * Whether this instance watches the members and the configuration in the
  * store. Instances that do not watch receive changed documents from their
- * peers, but see proxy_reads_config().
+ * peers, but see proxy_reads_document().
  */
 bool proxy_watches_store(const struct proxy *p, hm_time now);
 /**
- * Whether this instance is to read the configuration from the store, since a
- * peer has a newer one that is too large to be sent to every peer, or that no
- * peer has sent. True at most once a second.
+ * Whether this instance is to read a document from the store, since a peer has
+ * a newer one that no peer has sent, or a configuration that is too large to be
+ * sent to every peer. True at most once a second.
  */
-bool proxy_reads_config(struct proxy *p, hm_time now);
+bool proxy_reads_document(struct proxy *p, enum document_kind kind,
+			  hm_time now);
 /** Pause between two watches of the members, which batches their events. */
 hm_time proxy_batch_window(const struct proxy *p);
 
--- a/core/proxy_message.c
+++ b/core/proxy_message.c
@@ -109,19 +109,6 @@
 			  (unsigned long long)m->from);
 }
 
-/* Version of the document in force; zero for none. */
-static struct store_version document_version(const struct proxy *p,
-					     enum document_kind kind)
-{
-	struct store_version none = { 0 };
-
-	if (kind == DOCUMENT_MEMBERS)
-		return p->members ? p->members->at : none;
-	/* A restore of the store does not reset configuration versions. */
-	none.revision = p->config ? p->config->version : 0;
-	return none;
-}
-
 static uint32_t copies_per_window(const struct proxy *p,
 				  enum document_kind kind)
 {
@@ -203,7 +190,6 @@
 
 	if (store_version_compare(theirs, have) <= 0)
 		return;
-	document_missed(p, kind, now);
 	if (may_arrive_unrequested(p, kind, from, now) &&
 	    now - p->behind_since[kind] < wait)
 		return;
@@ -230,7 +216,8 @@
 	proxy_store_read(p, h->store_reads, now - h->store_read_ago);
 	member_list_set_era(p, h->store_era, "peer", now, out);
 	member_list_evacuate(p, &h->evacuation, "peer", now, out);
-	config_announced(p, h->config_version, h->config_entries, now);
+	document_announced(p, DOCUMENT_CONFIG, config, h->config_entries, now);
+	document_announced(p, DOCUMENT_MEMBERS, h->members, 0, now);
 	request_document(p, DOCUMENT_CONFIG, config, from, now, out);
 	request_document(p, DOCUMENT_MEMBERS, h->members, from, now, out);
 }
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -115,10 +115,10 @@
 	uint64_t target_version; /**< configuration that @a target is from */
 };
 
-/** The newest configuration that a peer has in force. */
-struct newer_config {
-	uint64_t version;
-	uint32_t entries; /**< its routes and accounts */
+/** The newest document that a peer has in force. */
+struct newer_document {
+	struct store_version version;
+	uint32_t entries; /**< routes and accounts of the configuration */
 };
 
 /** Copies of a document that were sent to peers in one window. */
@@ -176,8 +176,9 @@
 	/** Earliest next request for that version. */
 	hm_time next_request_at[DOCUMENT_KIND_COUNT];
 	struct share_window shared[DOCUMENT_KIND_COUNT];
-	struct newer_config newer_config;
-	hm_time config_read_after; /**< no read from the store before */
+	struct newer_document newer[DOCUMENT_KIND_COUNT];
+	/** No read from the store before. */
+	hm_time read_after[DOCUMENT_KIND_COUNT];
 	struct session **sessions;
 	uint32_t session_count;
 	uint32_t session_capacity;
@@ -266,11 +267,13 @@
 uint32_t config_entries(const struct site_config *c);
 /** Whether the configuration, or a newer one, is too large for peers. */
 bool config_is_large(const struct proxy *p);
-/** Records that a peer has a configuration in force. */
-void config_announced(struct proxy *p, uint64_t version, uint32_t entries,
-		      hm_time now);
-/** Notes that a peer has a newer version of a document. */
-void document_missed(struct proxy *p, enum document_kind kind, hm_time now);
+/** Version of the document in force; zero for none. */
+struct store_version document_version(const struct proxy *p,
+				      enum document_kind kind);
+/** Records that a peer has a document in force. */
+void document_announced(struct proxy *p, enum document_kind kind,
+			struct store_version version, uint32_t entries,
+			hm_time now);
 
 /* proxy_lifecycle.c */
 
--- a/core/services.c
+++ b/core/services.c
@@ -182,7 +182,7 @@
 	behind = p->behind_since[DOCUMENT_CONFIG]
 			 ? now - p->behind_since[DOCUMENT_CONFIG]
 			 : 0;
-	if (c->version >= p->newer_config.version)
+	if (c->version >= p->newer[DOCUMENT_CONFIG].version.revision)
 		p->behind_since[DOCUMENT_CONFIG] = 0;
 	apply_accounts(p, c, now, out);
 	rate_set_levels(p->rate, p->options.scheduling.priority_tokens
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -204,13 +204,14 @@
 	p->counters.errors[error]++;
 	if (!error)
 		return;
-	proxy_log(out,
-		  "event=session_refused session=%llu error=%s config=%llu "
-		  "in_force_us=%lld newest=%llu",
-		  (unsigned long long)s->number, error_code(error),
-		  (unsigned long long)(p->config ? p->config->version : 0),
-		  (long long)(p->config ? now - p->config_at : 0),
-		  (unsigned long long)p->newer_config.version);
+	proxy_log(
+		out,
+		"event=session_refused session=%llu error=%s config=%llu "
+		"in_force_us=%lld newest=%llu",
+		(unsigned long long)s->number, error_code(error),
+		(unsigned long long)(p->config ? p->config->version : 0),
+		(long long)(p->config ? now - p->config_at : 0),
+		(unsigned long long)p->newer[DOCUMENT_CONFIG].version.revision);
 	close_session(p, s, now, out);
 }
 
--- a/core/store_readers.c
+++ b/core/store_readers.c
@@ -18,7 +18,9 @@
  * change that only a poll found, which is announced up to 1.8 s late.
  */
 #define COPY_OVERDUE (1 * HM_SEC)
-#define CONFIG_READ_EVERY (1 * HM_SEC)
+/* The same for members, whose changes take effect over seconds. */
+#define MEMBERS_OVERDUE (2 * HM_SEC)
+#define READ_EVERY (1 * HM_SEC)
 /* Time to receive the peers' heartbeats: one interval plus network delay. */
 #define WATCH_AFTER (500 * HM_MS)
 /*
@@ -114,38 +116,54 @@
 bool config_is_large(const struct proxy *p)
 {
 	return config_entries(p->config) >= CONFIG_LARGE ||
-	       p->newer_config.entries >= CONFIG_LARGE;
+	       p->newer[DOCUMENT_CONFIG].entries >= CONFIG_LARGE;
 }
 
-void config_announced(struct proxy *p, uint64_t version, uint32_t entries,
-		      hm_time now)
+struct store_version document_version(const struct proxy *p,
+				      enum document_kind kind)
 {
-	if (version <= p->newer_config.version)
-		return;
-	p->newer_config = (struct newer_config){ version, entries };
-	if (p->config && version > p->config->version)
-		document_missed(p, DOCUMENT_CONFIG, now);
+	struct store_version none = { 0 };
+
+	if (kind == DOCUMENT_MEMBERS)
+		return p->members ? p->members->at : none;
+	/* A restore of the store does not reset configuration versions. */
+	none.revision = p->config ? p->config->version : 0;
+	return none;
 }
 
-void document_missed(struct proxy *p, enum document_kind kind, hm_time now)
+void document_announced(struct proxy *p, enum document_kind kind,
+			struct store_version version, uint32_t entries,
+			hm_time now)
 {
-	if (!p->behind_since[kind])
+	if (store_version_compare(version, p->newer[kind].version) > 0)
+		p->newer[kind] = (struct newer_document){ version, entries };
+	if (store_version_compare(version, document_version(p, kind)) > 0 &&
+	    !p->behind_since[kind])
 		p->behind_since[kind] = now;
 }
 
-bool proxy_reads_config(struct proxy *p, hm_time now)
+/* How long an instance waits for a document before it reads the store. */
+static hm_time read_wait(const struct proxy *p, enum document_kind kind,
+			 hm_time now)
+{
+	if (kind == DOCUMENT_MEMBERS)
+		return MEMBERS_OVERDUE;
+	if (!config_is_large(p))
+		return COPY_OVERDUE;
+	return proxy_watches_store(p, now) ? WATCH_OVERDUE : 0;
+}
+
+bool proxy_reads_document(struct proxy *p, enum document_kind kind, hm_time now)
 {
-	const struct newer_config *n = &p->newer_config;
-	hm_time wait = COPY_OVERDUE;
+	struct store_version have = document_version(p, kind);
 
-	if (!p->config || n->version <= p->config->version ||
-	    now < p->config_read_after)
+	if (!have.revision ||
+	    store_version_compare(p->newer[kind].version, have) <= 0 ||
+	    now < p->read_after[kind])
 		return false;
-	if (config_is_large(p))
-		wait = proxy_watches_store(p, now) ? WATCH_OVERDUE : 0;
 	/* Not since the newest version: in a series none would be overdue. */
-	if (now - p->behind_since[DOCUMENT_CONFIG] < wait)
+	if (now - p->behind_since[kind] < read_wait(p, kind, now))
 		return false;
-	p->config_read_after = now + CONFIG_READ_EVERY;
+	p->read_after[kind] = now + READ_EVERY;
 	return true;
 }
--- a/src/proxy_instance.c
+++ b/src/proxy_instance.c
@@ -271,6 +271,7 @@
 	struct proxy_event e = { .kind = PROXY_TICKED };
 	struct feed_schedule schedule;
 	hm_time now = loop_now();
+	enum document_kind kind;
 
 	timer_set(i->tick, now + PROXY_TICK);
 	check_signals(i);
@@ -284,7 +285,9 @@
 		exchange_era(i);
 		schedule.poll_at = proxy_poll_at(i->proxy);
 		schedule.batch_window = proxy_batch_window(i->proxy);
-		schedule.read_config = proxy_reads_config(i->proxy, now);
+		for (kind = 0; kind < DOCUMENT_KIND_COUNT; kind++)
+			schedule.reads[kind] =
+				proxy_reads_document(i->proxy, kind, now);
 		schedule.watches = proxy_watches_store(i->proxy, now);
 		site_feed_set_schedule(i->feed, &schedule);
 	}
--- a/src/site_feed.c
+++ b/src/site_feed.c
@@ -240,13 +240,13 @@
 	return running;
 }
 
-bool feed_take_read_config(struct site_feed *f)
+bool feed_take_read(struct site_feed *f, enum document_kind kind)
 {
 	bool read;
 
 	g_mutex_lock(&f->lock);
-	read = f->read_config;
-	f->read_config = false;
+	read = f->reads[kind];
+	f->reads[kind] = false;
 	g_mutex_unlock(&f->lock);
 	return read;
 }
@@ -264,6 +264,12 @@
 void site_feed_set_schedule(struct site_feed *f,
 			    const struct feed_schedule *schedule)
 {
+	static const char *const read_events[DOCUMENT_KIND_COUNT] = {
+		[DOCUMENT_CONFIG] = "config_read",
+		[DOCUMENT_MEMBERS] = "members_read",
+	};
+	int kind;
+
 	atomic_store(&f->poll_at, schedule->poll_at);
 	atomic_store(&f->batch_window, schedule->batch_window);
 	g_mutex_lock(&f->lock);
@@ -273,9 +279,11 @@
 		f->watches = schedule->watches;
 		g_cond_broadcast(&f->changed);
 	}
-	if (schedule->read_config) {
-		log_event(G_LOG_LEVEL_INFO, "config_read", NULL);
-		f->read_config = true;
+	for (kind = 0; kind < DOCUMENT_KIND_COUNT; kind++) {
+		if (!schedule->reads[kind])
+			continue;
+		log_event(G_LOG_LEVEL_INFO, read_events[kind], NULL);
+		f->reads[kind] = true;
 	}
 	g_mutex_unlock(&f->lock);
 }
--- a/src/site_feed.h
+++ b/src/site_feed.h
@@ -50,7 +50,7 @@
 	hm_time batch_window; /**< pause between watches, to collect events */
 	/** whether the feed watches; otherwise peers send changes */
 	bool watches;
-	bool read_config; /**< read the configuration once */
+	bool reads[DOCUMENT_KIND_COUNT]; /**< read the document once */
 };
 
 /** Changes the schedule; call on the loop's thread. */
--- a/src/site_feed_state.h
+++ b/src/site_feed_state.h
@@ -49,7 +49,7 @@
 	GMutex lock;   /* protects the fields below and stopping */
 	GCond changed; /* signaled when watches or stopping changes */
 	bool watches;
-	bool read_config;
+	bool reads[DOCUMENT_KIND_COUNT];
 };
 
 /* Result of a thread, passed to the loop, which frees it. */
@@ -73,8 +73,8 @@
 
 /** Waits until the store is to be watched; false when the feed stops. */
 bool feed_wait_to_watch(struct site_feed *f);
-/** Whether the configuration is to be read now; clears the request. */
-bool feed_take_read_config(struct site_feed *f);
+/** Whether a document is to be read now; clears the request. */
+bool feed_take_read(struct site_feed *f, enum document_kind kind);
 /** Whether this feed watches. */
 bool feed_is_watching(struct site_feed *f);
 /** Passes a copy of @a d to the loop, which then owns @a d->json. */
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -385,6 +385,16 @@
 		feed_deliver(w->feed, &d);
 }
 
+/* Lists the documents that no peer has sent. */
+static void read_documents(struct watcher *w)
+{
+	int kind;
+
+	for (kind = 0; kind < DOCUMENT_KIND_COUNT; kind++)
+		if (feed_take_read(w->feed, kind))
+			list_all(&w->feed->polled[kind], w->http, FROM_READ);
+}
+
 /* Registers this instance, lists addresses and polls for changes. */
 static gpointer instances_thread(gpointer arg)
 {
@@ -411,9 +421,8 @@
 		}
 		if (poll_due(w, &s))
 			poll_now(w, &s, &seen);
-		else if (feed_take_read_config(w->feed))
-			list_all(&w->feed->polled[DOCUMENT_CONFIG], w->http,
-				 FROM_READ);
+		else
+			read_documents(w);
 		g_usleep(registered ? PAUSE_SLICE : PAUSE_FIRST);
 	}
 	return NULL;
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -170,7 +170,8 @@
 			if (phase % PROXY_TICK == 0)
 				step(z, i, &tick);
 			if (phase % SCHEDULE_EVERY == 0 &&
-			    proxy_reads_config(z->proxies[i], z->now)) {
+			    proxy_reads_document(z->proxies[i], DOCUMENT_CONFIG,
+						 z->now)) {
 				z->reads++;
 				send_packet(z, i, READ_TIME, z->newest, NULL);
 			}
--- a/tests/test_store_readers.c
+++ b/tests/test_store_readers.c
@@ -190,11 +190,11 @@
 	open_reader(&r);
 	heartbeat_config(&r, 1400);
 	ck_assert_uint_eq(r.sent[MSG_DOCUMENT_REQUEST], 0);
-	ck_assert(proxy_reads_config(r.proxy, r.now));
-	ck_assert(!proxy_reads_config(r.proxy, r.now));
+	ck_assert(proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
+	ck_assert(!proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
 	run_beside_watchers(&r, 1600 * HM_MS);
 	/* The store has not delivered it in the meantime. */
-	ck_assert(proxy_reads_config(r.proxy, r.now));
+	ck_assert(proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
 	heartbeat_config(&r, 1400);
 	ck_assert_uint_eq(r.sent[MSG_DOCUMENT_REQUEST], 1);
 	proxy_fixture_close(&r);
@@ -213,9 +213,9 @@
 	proxy_fixture_open(&r);
 	heartbeat_config(&r, 1400);
 	ck_assert(proxy_watches_store(r.proxy, r.now));
-	ck_assert(!proxy_reads_config(r.proxy, r.now));
+	ck_assert(!proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
 	proxy_fixture_run(&r, 600 * HM_MS);
-	ck_assert(proxy_reads_config(r.proxy, r.now));
+	ck_assert(proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
 	proxy_fixture_close(&r);
 }
 END_TEST
@@ -244,14 +244,14 @@
 	open_reader(&r);
 	heartbeat_config(&r, 100);
 	ck_assert_uint_eq(r.sent[MSG_DOCUMENT_REQUEST], 1);
-	ck_assert(!proxy_reads_config(r.proxy, r.now));
+	ck_assert(!proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
 	/* No copy has arrived. */
 	run_beside_watchers(&r, 2200 * HM_MS);
-	ck_assert(proxy_reads_config(r.proxy, r.now));
+	ck_assert(proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
 	while (r.version < 9)
 		proxy_fixture_configure(&r, true, true, 100);
 	run_beside_watchers(&r, 2200 * HM_MS);
-	ck_assert(!proxy_reads_config(r.proxy, r.now));
+	ck_assert(!proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
 	proxy_fixture_close(&r);
 }
 END_TEST
@@ -268,7 +268,35 @@
 	open_reader(&r);
 	heartbeat_config(&r, 100);
 	run_beside_watchers(&r, in_force - told - 200 * HM_MS);
-	ck_assert(proxy_reads_config(r.proxy, r.now));
+	ck_assert(proxy_reads_document(r.proxy, DOCUMENT_CONFIG, r.now));
+	proxy_fixture_close(&r);
+}
+END_TEST
+
+/*
+ * Guards against a list of members that is never in force: the instance does
+ * not watch, and its requests for a copy go unanswered while newer lists come.
+ */
+START_TEST(member_list_that_no_peer_sends_is_read_from_the_store)
+{
+	bool reads = false;
+	struct proxy_fixture r;
+	uint64_t revision;
+
+	open_reader(&r);
+	for (revision = 2; revision <= 14; revision++) {
+		heartbeat(&r, 10, 0, true, revision);
+		heartbeat(&r, 12, 0, true, revision);
+		if (revision == 2)
+			ck_assert(!proxy_reads_document(
+				r.proxy, DOCUMENT_MEMBERS, r.now));
+		proxy_fixture_run(&r, 200 * HM_MS);
+		reads |= proxy_reads_document(r.proxy, DOCUMENT_MEMBERS, r.now);
+	}
+	ck_assert(reads);
+	proxy_fixture_set_members(&r, 14);
+	run_beside_watchers(&r, 2200 * HM_MS);
+	ck_assert(!proxy_reads_document(r.proxy, DOCUMENT_MEMBERS, r.now));
 	proxy_fixture_close(&r);
 }
 END_TEST
@@ -313,6 +341,8 @@
 	tcase_add_test(tc, unanswered_request_is_repeated_soon);
 	tcase_add_test(tc, small_configuration_is_requested_from_a_peer);
 	tcase_add_test(tc, copy_of_a_polled_change_is_overdue_in_time);
+	tcase_add_test(tc,
+		       member_list_that_no_peer_sends_is_read_from_the_store);
 	tcase_add_test(tc, own_zone_is_asked_first);
 	tcase_add_test(tc, copies_of_a_document_are_bounded);
 	return suite_run("store_readers", tc);
