Accept any number of keys of an account

An account with over 64 keys was left out of the configuration as a whole: all its callers were refused (UNAUTH) though the version that lists their keys was in force.

Cause: a contract holds its keys in an array of fixed size. The keys of the platform's accounts are now in an index of the configuration, from which a session finds its account, so a key is valid exactly when the version in force lists it for one account.

--- a/core/services.c
+++ b/core/services.c
@@ -32,23 +32,25 @@
 	}
 }
 
-static void log_account(const struct contract *a, struct proxy_output *out)
+static void log_account(const struct contract *a, uint32_t keys,
+			struct proxy_output *out)
 {
 	proxy_log(out,
 		  "event=account account=%s rate=%u burst=%u keys=%u "
 		  "version=%llu",
-		  a->name, a->rate, a->burst, a->key_count,
+		  a->name, a->rate, a->burst, keys,
 		  (unsigned long long)a->version);
 }
 
 static bool limits_differ(const struct contract *a, const struct contract *b)
 {
-	return !a || a->withdrawn || a->rate != b->rate ||
-	       a->burst != b->burst || a->key_count != b->key_count;
+	return !a || a->withdrawn || a->rate != b->rate || a->burst != b->burst;
 }
 
+/* @param before the configuration until now, NULL for none */
 static void apply_accounts(struct proxy *p, const struct site_config *c,
-			   hm_time now, struct proxy_output *out)
+			   const struct site_config *before, hm_time now,
+			   struct proxy_output *out)
 {
 	const char *fault;
 	uint32_t i;
@@ -56,14 +58,17 @@
 	withdraw_absent_accounts(p, c, now);
 	for (i = 0; i < c->account_count; i++) {
 		const struct contract *a = &c->accounts[i];
-		bool differs = limits_differ(
-			contracts_find(p->contracts, a->account), a);
+		uint32_t keys = site_account_keys(c, a->account);
+		bool differs =
+			limits_differ(contracts_find(p->contracts, a->account),
+				      a) ||
+			keys != site_account_keys(before, a->account);
 
 		if (contracts_apply(p->contracts, a, &fault)) {
 			rate_set_contract(p->rate, a, now);
 			/* New versions are frequent and change few accounts. */
 			if (differs)
-				log_account(a, out);
+				log_account(a, keys, out);
 		}
 		if (fault)
 			proxy_log(out,
@@ -162,7 +167,8 @@
 		[FROM_POLL] = "poll", [FROM_READ] = "read",
 		[FROM_PEER] = "peer",
 	};
-	uint64_t old = p->config ? p->config->version : 0;
+	struct site_config *before = p->config;
+	uint64_t old = before ? before->version : 0;
 	hm_time behind;
 	uint32_t i;
 
@@ -176,7 +182,6 @@
 		site_config_free(c);
 		return;
 	}
-	site_config_free(p->config);
 	p->config = c;
 	p->config_at = now;
 	behind = p->behind_since[DOCUMENT_CONFIG]
@@ -184,7 +189,8 @@
 			 : 0;
 	if (c->version >= p->newer[DOCUMENT_CONFIG].version.revision)
 		p->behind_since[DOCUMENT_CONFIG] = 0;
-	apply_accounts(p, c, now, out);
+	apply_accounts(p, c, before, now, out);
+	site_config_free(before);
 	rate_set_levels(p->rate, p->options.scheduling.priority_tokens
 					 ? c->level_count
 					 : 1);
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -170,11 +170,10 @@
 enum error session_check_key(struct proxy *p, struct session *s,
 			     const struct route_spec *route)
 {
-	const struct contract *c =
-		s->has_key ? contracts_by_key(p->contracts, s->key) : NULL;
+	hm_id account = s->has_key ? site_account_by_key(p->config, s->key) : 0;
 
-	s->account = c ? c->account : 0;
-	if (c || (route && route->open))
+	s->account = contracts_find(p->contracts, account) ? account : 0;
+	if (s->account || (route && route->open))
 		return ERR_NONE;
 	return ERR_UNAUTHENTICATED;
 }
--- a/core/site_config.c
+++ b/core/site_config.c
@@ -4,16 +4,20 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "grow.h"
+
 void site_config_free(struct site_config *c)
 {
 	if (!c)
 		return;
 	table_free(&c->by_database);
 	table_free(&c->by_account);
+	table_free(&c->by_key);
 	free(c->routes);
 	free(c->services);
 	free(c->accounts);
 	free(c->account_barred);
+	free(c->keys);
 	free(c);
 }
 
@@ -66,6 +70,49 @@
 			abort();
 }
 
+static struct account_key *find_key(const struct site_config *c,
+				    struct key_id key)
+{
+	uint32_t i = c ? table_get(&c->by_key, key.lo) : TABLE_NONE;
+
+	if (i == TABLE_NONE || !key_equal(c->keys[i].key, key))
+		return NULL;
+	return &c->keys[i];
+}
+
+void site_config_add_key(struct site_config *c, hm_id account,
+			 struct key_id key)
+{
+	struct account_key *known = find_key(c, key);
+
+	if (known) {
+		known->shared |= known->account != account;
+		return;
+	}
+	c->keys = grow_list(c->keys, c->key_count, &c->key_capacity,
+			    sizeof(*c->keys));
+	if (!table_put(&c->by_key, key.lo, c->key_count))
+		abort();
+	c->keys[c->key_count++] =
+		(struct account_key){ .key = key, .account = account };
+}
+
+hm_id site_account_by_key(const struct site_config *c, struct key_id key)
+{
+	const struct account_key *known = find_key(c, key);
+
+	return known && !known->shared ? known->account : 0;
+}
+
+uint32_t site_account_keys(const struct site_config *c, hm_id account)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; c && i < c->key_count; i++)
+		count += c->keys[i].account == account;
+	return count;
+}
+
 const struct route_spec *site_route(const struct site_config *c, hm_id database)
 {
 	uint32_t h = c ? table_get(&c->by_database, database) : TABLE_NONE;
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -44,6 +44,13 @@
 	double cold_per_s; /**< statements for a cold member, 0: no limit */
 };
 
+/** A key of an account. */
+struct account_key {
+	struct key_id key;
+	hm_id account;
+	bool shared; /**< another account lists it too: it identifies none */
+};
+
 /** How a document reached this instance. */
 enum document_source {
 	FROM_LIST,  /**< a list, at the start or after the history was lost */
@@ -63,13 +70,18 @@
 	uint32_t route_count;
 	struct service_spec *services;
 	uint32_t service_count;
+	/** Without their keys, which are in @a keys, as they have no limit. */
 	struct contract *accounts;
 	/** Zones that must not see an account's statements, as @a accounts. */
 	zone_set *account_barred;
 	uint32_t account_count;
+	struct account_key *keys;
+	uint32_t key_count;
+	uint32_t key_capacity;
 	uint32_t level_count;	  /**< levels in use; 1: all routes are alike */
 	struct table by_database; /**< index in @a routes by database */
 	struct table by_account;  /**< index in @a accounts by account */
+	struct table by_key;	  /**< index in @a keys by a part of the key */
 };
 
 /** A member of a service, as registered in the store by the member. */
@@ -124,6 +136,13 @@
  * call once all are set.
  */
 void site_config_index(struct site_config *c);
+/** Adds a key of an account. */
+void site_config_add_key(struct site_config *c, hm_id account,
+			 struct key_id key);
+/** Account that a key identifies, 0: none, or more than one lists it. */
+hm_id site_account_by_key(const struct site_config *c, struct key_id key);
+/** Number of keys of an account. */
+uint32_t site_account_keys(const struct site_config *c, hm_id account);
 /** Returns the route of a database name, NULL when there is none. */
 const struct route_spec *site_route(const struct site_config *c,
 				    hm_id database);
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -111,8 +111,9 @@
 	c->accounts[0].rate = rate;
 	c->accounts[0].burst = rate;
 	c->accounts[0].weight = 1;
-	c->accounts[0].key_count = with_key;
-	c->accounts[0].keys[0] = key_hash("secret", 6);
+	if (with_key)
+		site_config_add_key(c, c->accounts[0].account,
+				    key_hash("secret", 6));
 	site_config_index(c);
 	proxy_fixture_step(r, &e);
 }
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -4,13 +4,14 @@
  * platform's store: an account or entry is taken completely or ignored.
  */
 #include <check.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../platform/adapter.h"
 #include "../src/names.h"
 #include "suite.h"
 
-#define KEYS 40
+#define KEYS 300
 
 static json_t *account_with_keys(int count)
 {
@@ -23,26 +24,53 @@
 			 keys, "PerS", 10, "Burst", 20);
 }
 
-/* Guards against a limit of 16 keys, above which an account was ignored. */
+/*
+ * Guards against a limit of 16 and later of 64 keys, above which an account was
+ * ignored.
+ */
 START_TEST(account_has_all_its_keys)
 {
 	json_t *json = json_pack("{s:i, s:[], s:[], s:{}, s:[o]}", "Version", 3,
 				 "Routes", "Services", "Limits", "Tenants",
 				 account_with_keys(KEYS));
-	struct key_id last = key_hash("key-39", 6);
 	const char *fault = "";
+	char key[16];
+	int i;
 	struct site_config *c = platform_site.parse_config(
 		json, (struct zone_names){ 0 }, &fault);
 
 	ck_assert_msg(c != NULL, "%s", fault);
 	ck_assert_uint_eq(c->account_count, 1);
-	ck_assert_uint_eq(c->accounts[0].key_count, KEYS);
-	ck_assert(!memcmp(&c->accounts[0].keys[KEYS - 1], &last, sizeof(last)));
+	ck_assert_uint_eq(site_account_keys(c, name_id("acme")), KEYS);
+	for (i = 0; i < KEYS; i++) {
+		g_snprintf(key, sizeof(key), "key-%d", i);
+		ck_assert_uint_eq(
+			site_account_by_key(c, key_hash(key, strlen(key))),
+			name_id("acme"));
+	}
+	ck_assert_uint_eq(site_account_by_key(c, key_hash("key-x", 5)), 0);
 	site_config_free(c);
 	json_decref(json);
 }
 END_TEST
 
+/* A key that two accounts list identifies none, in whatever order. */
+START_TEST(shared_key_identifies_no_account)
+{
+	struct site_config *c = calloc(1, sizeof(*c));
+	struct key_id one = { 1, 1 }, both = { 2, 2 };
+
+	site_config_add_key(c, 10, one);
+	site_config_add_key(c, 10, both);
+	site_config_add_key(c, 10, both);
+	ck_assert_uint_eq(site_account_by_key(c, both), 10);
+	site_config_add_key(c, 20, both);
+	ck_assert_uint_eq(site_account_by_key(c, both), 0);
+	ck_assert_uint_eq(site_account_by_key(c, one), 10);
+	site_config_free(c);
+}
+END_TEST
+
 /* Priorities of routes and the levels that they give. */
 static const struct {
 	int priorities[6];
@@ -138,6 +166,7 @@
 	TCase *tc = tcase_create("documents");
 
 	tcase_add_test(tc, account_has_all_its_keys);
+	tcase_add_test(tc, shared_key_identifies_no_account);
 	tcase_add_loop_test(tc, priorities_of_routes_become_levels, 0,
 			    sizeof(priority_rows) / sizeof(priority_rows[0]));
 	tcase_add_loop_test(tc, invalid_entry_is_no_member, 0,
