--- a/tests/path_testbed.c
+++ b/tests/path_testbed.c
@@ -239,6 +239,20 @@
 	ck_assert_msg(ok, "%s: %s", line, c.answer);
 }
 
+int path_replace_primary(int instance)
+{
+	gint64 until = g_get_monotonic_time() + PATH_WAIT_US;
+	int old = line_members_primary(path_testbed.members);
+
+	path_testbed.leaving[old] = true;
+	path_publish_member(old);
+	while (line_members_primary(path_testbed.members) == old &&
+	       g_get_monotonic_time() < until)
+		path_until_served(instance, "rota", "QUERY d1 WRITE shift x");
+	ck_assert_int_ne(line_members_primary(path_testbed.members), old);
+	return old;
+}
+
 void path_assert_value(const char *item, const char *expected)
 {
 	char *value = line_members_value(path_testbed.members, item);
--- a/tests/path_testbed.h
+++ b/tests/path_testbed.h
@@ -79,6 +79,12 @@
 void path_disconnect(struct path_client *c);
 /** Repeats a statement, each time on a new session, until it succeeds. */
 void path_until_served(int instance, const char *database, const char *line);
+/**
+ * Marks the primary as leaving and writes at an instance until another member
+ * replaces it.
+ * @return index of the old primary
+ */
+int path_replace_primary(int instance);
 /** Opens new sessions until the answer to one begins with @a expected. */
 void path_until_opened(int instance, const char *database, const char *key,
 		       const char *expected);
--- a/tests/test_path_store.c
+++ b/tests/test_path_store.c
@@ -76,24 +76,6 @@
 }
 END_TEST
 
-/*
- * Marks the primary as leaving and writes until another member replaces it.
- * Returns the index of the old primary.
- */
-static int replace_primary(int instance)
-{
-	gint64 until = g_get_monotonic_time() + PATH_WAIT_US;
-	int old = line_members_primary(path_testbed.members);
-
-	path_testbed.leaving[old] = true;
-	path_publish_member(old);
-	while (line_members_primary(path_testbed.members) == old &&
-	       g_get_monotonic_time() < until)
-		path_until_served(instance, "rota", "QUERY d1 WRITE shift x");
-	ck_assert_int_ne(line_members_primary(path_testbed.members), old);
-	return old;
-}
-
 /*
  * The copy lacks the fencing token of the first primary change, and the
  * instance that took it is killed. The next change still needs a higher token.
@@ -106,7 +88,7 @@
 	path_until_served(0, "rota", "QUERY a0 WRITE shift ann");
 	path_until_served(1, "rota", "QUERY a1 READ shift");
 	copy = object_store_revision(path_testbed.store);
-	old = replace_primary(0);
+	old = path_replace_primary(0);
 	token = object_store_token(path_testbed.store);
 	restore_store(copy);
 	/* The copy has the member's entry from before it was leaving. */
@@ -114,7 +96,7 @@
 	path_publish_member(old);
 	path_end_instance(0);
 	path_until_served(1, "rota", "QUERY a2 WRITE shift ben");
-	replace_primary(1);
+	path_replace_primary(1);
 	ck_assert_uint_gt(object_store_token(path_testbed.store), token);
 	path_until_served(1, "rota", "QUERY a3 READ shift");
 }
--- a/tests/test_stray_entries.c
+++ b/tests/test_stray_entries.c
@@ -48,20 +48,6 @@
 	g_free(open);
 }
 
-/* Marks the primary as leaving and writes until another one replaces it. */
-static void replace_primary(void)
-{
-	gint64 until = g_get_monotonic_time() + PATH_WAIT_US;
-	int old = line_members_primary(path_testbed.members);
-
-	path_testbed.leaving[old] = true;
-	path_publish_member(old);
-	while (line_members_primary(path_testbed.members) == old &&
-	       g_get_monotonic_time() < until)
-		path_until_served(0, "rota", "QUERY d1 WRITE shift x");
-	ck_assert_int_ne(line_members_primary(path_testbed.members), old);
-}
-
 static void restart_instance(int index)
 {
 	path_end_instance(index);
@@ -76,7 +62,7 @@
 {
 	path_until_served(0, "rota", "QUERY a0 WRITE shift ann");
 	put_stray("servers", "i-0", values[_i]);
-	replace_primary();
+	path_replace_primary(0);
 	restart_instance(1);
 	path_until_served(1, "rota", "QUERY a1 READ shift");
 }
@@ -98,7 +84,7 @@
 		put_stray(kind, name, values[i]);
 		g_free(name);
 	}
-	replace_primary();
+	path_replace_primary(0);
 	path_configure("other", "");
 	path_until_opened(0, "rota", "other", "READY I -");
 	restart_instance(1);
