Promote only while no more logs are missing than a commit waits for

A silent member blocked a failover unless it was the last primary. A monitor that has seen no primary yet guessed which one that was from the entries in the store, where both the crashed primary and its crashed successor are registered as primary. Both were excused, although they had acknowledged commits for one another alone.

Count the missing logs instead. An acknowledged commit is in SyncReplicas + 1 logs, so a member that replies has it as long as no more than SyncReplicas logs are missing, whichever member was the primary. A member that comes back under another name at its address has its log, so the earlier name does not count. Departed primaries, which were excused in the same way, count too. event=failover_waits names the members that a failover waits for.

--- a/core/monitor.c
+++ b/core/monitor.c
@@ -13,13 +13,13 @@
 		abort();
 	k->service = service;
 	k->deps = deps;
-	k->sync = true;
+	k->sync_replicas = 1;
 	return k;
 }
 
-void monitor_set_sync(struct monitor *k, bool sync)
+void monitor_set_sync_replicas(struct monitor *k, uint32_t count)
 {
-	k->sync = sync;
+	k->sync_replicas = count;
 }
 
 void monitor_free(struct monitor *k)
--- a/core/monitor.h
+++ b/core/monitor.h
@@ -7,7 +7,8 @@
  * A commit is acknowledged once one replica has received it. Before a
  * promotion the monitor pauses all replicas but the target: a paused replica
  * receives no log, so it acknowledges no more commits. The target must have
- * received everything that each paused replica has. It therefore has every
+ * received everything that each paused replica has, and no more logs may be
+ * missing than replicas that a commit waits for. The target therefore has every
  * commit that was ever acknowledged. Paused replicas are resumed only when no
  * promote call can take effect late: after the new primary was seen, or after a
  * newer fencing token was used.
@@ -46,8 +47,8 @@
  */
 void monitor_set_members(struct monitor *k, const struct site_members *members,
 			 hm_time now, struct proxy_output *out);
-/** Sets whether a commit waits for a replica; the default is true. */
-void monitor_set_sync(struct monitor *k, bool sync);
+/** Sets the number of replicas that a commit waits for; the default is 1. */
+void monitor_set_sync_replicas(struct monitor *k, uint32_t count);
 /**
  * Requests a view, that is the monitor's knowledge of the service, for instance
  * @a from; @a seq is the number of the request. monitor_next_view() returns the
--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -164,8 +164,10 @@
 		if (choice_most_advanced(k, true))
 			begin_change(k, true, now, out);
 	} else if (!primary && now >= *k->deps.settled_at &&
-		   choice_reachable_count(k) && choice_sees_all_commits(k)) {
-		begin_change(k, false, now, out);
+		   choice_reachable_count(k)) {
+		choice_log_wait(k, out);
+		if (choice_sees_all_commits(k))
+			begin_change(k, false, now, out);
 	}
 }
 
--- a/core/monitor_choice.c
+++ b/core/monitor_choice.c
@@ -1,40 +1,105 @@
 /** @file monitor_choice.c Choice of the member to promote. */
 #include "monitor_state.h"
 
+#include <stdio.h>
+#include <string.h>
+
+/* Names of missing members in a log line; further ones are cut off. */
+#define MISSING_NAMES_BYTES 256
+
+bool choice_has_successor(const struct monitor *k, const char *address,
+			  uint64_t started)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->member_count; i++)
+		if (k->members[i].spec.started > started &&
+		    !strcmp(k->members[i].spec.address, address))
+			return true;
+	return false;
+}
+
+static bool is_log_missing(const struct monitor *k,
+			   const struct monitored_member *m)
+{
+	return !m->up &&
+	       !choice_has_successor(k, m->spec.address, m->spec.started);
+}
+
 /*
- * Whether @a m is the last known primary, or, if that is no longer a member,
- * whether @a m is registered as primary.
+ * Number of logs that no member in reach has, but that may have an acknowledged
+ * commit: those of the silent members and of the departed ones.
  */
-static bool is_last_primary(const struct monitor *k,
-			    const struct monitored_member *m)
+static uint32_t count_missing_logs(const struct monitor *k)
 {
-	uint32_t i;
+	uint32_t i, n = departed_missing_logs(k);
 
 	for (i = 0; i < k->member_count; i++)
-		if (k->members[i].spec.endpoint == k->primary)
-			return m->spec.endpoint == k->primary;
-	return m->spec.registered_primary;
+		n += is_log_missing(k, &k->members[i]);
+	return n;
+}
+
+/* Without sync_replicas a commit may be in the log of the primary alone. */
+static uint32_t missing_logs_max(const struct monitor *k)
+{
+	return k->sync_replicas ? k->sync_replicas : 1;
 }
 
 /*
- * True if all members except the last primary reply as replicas with a known
- * status, and no departed replica may have commits that they lack.
+ * An acknowledged commit is in the logs of its primary and of sync_replicas
+ * replicas. If no more than sync_replicas logs are missing, a member that
+ * replies therefore has it, whichever member was the primary.
  */
 bool choice_sees_all_commits(const struct monitor *k)
 {
 	uint32_t i;
 
-	if (departed_block_promotion(k))
-		return false;
 	for (i = 0; i < k->member_count; i++) {
 		const struct monitored_member *m = &k->members[i];
 
 		if (m->up && (!m->has_status || m->status.primary))
 			return false;
-		if (!m->up && !is_last_primary(k, m))
-			return false;
 	}
-	return true;
+	return count_missing_logs(k) <= missing_logs_max(k);
+}
+
+/* Appends a name to a list that is separated by commas. */
+static void add_name(char *list, size_t size, const char *name)
+{
+	size_t used = strlen(list);
+
+	snprintf(list + used, size - used, "%s%s", used ? "," : "", name);
+}
+
+/* Lists the names of the members whose logs are missing. */
+static void list_missing(const struct monitor *k, char *list, size_t size)
+{
+	uint32_t i;
+
+	list[0] = '\0';
+	for (i = 0; i < k->member_count; i++)
+		if (is_log_missing(k, &k->members[i]))
+			add_name(list, size, k->members[i].spec.name);
+	for (i = 0; i < k->departed_count; i++)
+		if (departed_is_missing(k, &k->departed[i]))
+			add_name(list, size, k->departed[i].name);
+}
+
+void choice_log_wait(struct monitor *k, struct proxy_output *out)
+{
+	char names[MISSING_NAMES_BYTES];
+	uint32_t missing = count_missing_logs(k);
+
+	if (missing == k->missing_logged)
+		return;
+	k->missing_logged = missing;
+	if (missing <= missing_logs_max(k))
+		return;
+	list_missing(k, names, sizeof(names));
+	proxy_log(out,
+		  "event=failover_waits service=%s members=%s missing=%u "
+		  "allowed=%u",
+		  k->service_name, names, missing, missing_logs_max(k));
 }
 
 uint32_t choice_reachable_count(const struct monitor *k)
@@ -95,7 +160,7 @@
 	for (i = 0; i < k->member_count; i++)
 		if (!k->members[i].up && &k->members[i] != primary)
 			return true;
-	return departed_block_promotion(k);
+	return departed_missing_logs(k) > 0;
 }
 
 /*
--- a/core/monitor_departed.c
+++ b/core/monitor_departed.c
@@ -8,18 +8,46 @@
 	k->departed[index] = k->departed[--k->departed_count];
 }
 
+bool departed_is_missing(const struct monitor *k, const struct departed *d)
+{
+	return !choice_has_successor(k, d->address, d->started);
+}
+
+uint32_t departed_missing_logs(const struct monitor *k)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < k->departed_count; i++)
+		n += departed_is_missing(k, &k->departed[i]);
+	return n;
+}
+
+/*
+ * A departed member whose log is not missing, else any: so many missing logs
+ * prevent a promotion also without one of them.
+ */
+static uint32_t first_to_forget(const struct monitor *k)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->departed_count; i++)
+		if (!departed_is_missing(k, &k->departed[i]))
+			return i;
+	return 0;
+}
+
 void departed_add(struct monitor *k, const struct monitored_member *m)
 {
 	struct departed *d;
 
 	if (k->departed_count == DEPARTED_MAX)
-		drop(k, 0); /* the oldest, or one that drop() put there */
+		drop(k, first_to_forget(k));
 	d = &k->departed[k->departed_count++];
 	*d = (struct departed){ .endpoint = m->spec.endpoint,
+				.started = m->spec.started,
 				.order = ++k->order };
-	d->was_primary = k->primary ? k->primary == m->spec.endpoint
-				    : m->spec.registered_primary;
 	snprintf(d->name, sizeof(d->name), "%s", m->spec.name);
+	snprintf(d->address, sizeof(d->address), "%s", m->spec.address);
 }
 
 void departed_remove(struct monitor *k, hm_id endpoint)
@@ -51,13 +79,3 @@
 		    log_pos_compare(received, k->departed[i].needed) >= 0)
 			drop(k, i);
 }
-
-bool departed_block_promotion(const struct monitor *k)
-{
-	uint32_t i;
-
-	for (i = 0; i < k->departed_count; i++)
-		if (!k->departed[i].was_primary)
-			return true;
-	return false;
-}
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -72,7 +72,8 @@
 struct departed {
 	hm_id endpoint;
 	char name[NAME_BYTES];
-	bool was_primary;
+	char address[ADDRESS_BYTES];
+	uint64_t started;
 	uint64_t order; /**< monitor.order when the member departed */
 	/**
 	 * Log position that another replica must have received, term 0: not
@@ -101,7 +102,7 @@
 	char service_name[NAME_BYTES];
 	struct monitor_deps deps;
 	bool active;
-	bool sync; /**< commits wait for a replica */
+	uint32_t sync_replicas; /**< replicas that a commit waits for */
 	struct monitored_member members[ENDPOINTS_MAX];
 	uint32_t member_count;
 	struct departed departed[DEPARTED_MAX];
@@ -131,6 +132,7 @@
 	uint64_t pause_term;
 	bool call_pending; /**< a promote call may still take effect */
 	uint64_t promotions;
+	uint32_t missing_logged; /**< missing logs in the last log line */
 };
 
 struct monitored_member *monitor_find(struct monitor *k, hm_id endpoint);
@@ -168,8 +170,10 @@
  * same or another name.
  */
 void departed_remove(struct monitor *k, hm_id endpoint);
-/** Whether a departed replica may have commits that the others lack. */
-bool departed_block_promotion(const struct monitor *k);
+/** Whether no registered member has the log of a departed one. */
+bool departed_is_missing(const struct monitor *k, const struct departed *d);
+/** Number of departed members for which that holds. */
+uint32_t departed_missing_logs(const struct monitor *k);
 /**
  * Answers the view requests that arrived before a probe whose reply shows a
  * position of the primary, if no later term had acknowledged a commit when that
@@ -186,6 +190,15 @@
 void monitor_broadcast_view(struct monitor *k);
 /** Whether members that reply have every acknowledged commit. */
 bool choice_sees_all_commits(const struct monitor *k);
+/**
+ * Whether a registered member has the log of the one that started at
+ * @a started at this address: a crashed or leaving member passes its log to the
+ * next member of its service there.
+ */
+bool choice_has_successor(const struct monitor *k, const char *address,
+			  uint64_t started);
+/** Logs, when this has changed, which members a failover waits for. */
+void choice_log_wait(struct monitor *k, struct proxy_output *out);
 /** Number of members that reply and whose status is known. */
 uint32_t choice_reachable_count(const struct monitor *k);
 /**
--- a/core/monitor_view.c
+++ b/core/monitor_view.c
@@ -102,7 +102,7 @@
 	 */
 	n += k->departed_count;
 	since = term_check_current_since(others, n, primary->primary_pos.term,
-					 k->sync);
+					 k->sync_replicas > 0);
 	return since < probed ? since : probed;
 }
 
--- a/core/services.c
+++ b/core/services.c
@@ -196,8 +196,9 @@
 					 : 1);
 	for (i = 0; i < c->service_count; i++) {
 		add_service(p, c->services[i].service, now, out);
-		monitor_set_sync(services_monitor(p, c->services[i].service),
-				 c->services[i].sync_replicas > 0);
+		monitor_set_sync_replicas(
+			services_monitor(p, c->services[i].service),
+			c->services[i].sync_replicas);
 	}
 	update_pools(p, now, out);
 	proxy_log(out,
--- a/tests/monitor_fixture.c
+++ b/tests/monitor_fixture.c
@@ -34,6 +34,9 @@
 		f->spec.service = 5;
 		g_snprintf(f->spec.name, NAME_BYTES, "m%u", i + 1);
 		g_strlcpy(f->spec.service_name, "db", NAME_BYTES);
+		g_snprintf(f->spec.address, ADDRESS_BYTES, "10.0.0.%u:1",
+			   i + 1);
+		f->spec.started = 1;
 		f->term = 1;
 		f->pos = 100;
 	}
@@ -178,6 +181,16 @@
 	}
 }
 
+void monitor_fixture_rename(struct monitor_fixture *r, uint32_t index,
+			    const char *name)
+{
+	struct site_member *spec = &r->fakes[index].spec;
+
+	spec->endpoint += 100;
+	spec->started++;
+	g_strlcpy(spec->name, name, NAME_BYTES);
+}
+
 void monitor_fixture_promote(struct monitor_fixture *r, uint32_t index)
 {
 	uint32_t i;
--- a/tests/monitor_fixture.h
+++ b/tests/monitor_fixture.h
@@ -48,6 +48,9 @@
 void monitor_fixture_run(struct monitor_fixture *r, hm_time span);
 /** Makes a member the primary of term 2. */
 void monitor_fixture_promote(struct monitor_fixture *r, uint32_t index);
+/** Lets a member start again at its address under another name. */
+void monitor_fixture_rename(struct monitor_fixture *r, uint32_t index,
+			    const char *name);
 /** Lets a member reply to one command. */
 void monitor_fixture_reply(struct monitor_fixture *r, struct monitored_fake *f,
 			   const struct member_command *c);
--- a/tests/test_monitor.c
+++ b/tests/test_monitor.c
@@ -139,6 +139,55 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: a monitor that had not seen the primary took two
+ * silent members for it, as both were registered as primary, and promoted the
+ * third, which lacked their commits (review/1).
+ */
+START_TEST(two_silent_members_block_promotion)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	r.fakes[0].refuses = true;
+	r.fakes[1].refuses = true;
+	r.fakes[1].spec.registered_primary = true;
+	r.fakes[2].pos = 60;
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, 5 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	r.fakes[0].refuses = false;
+	r.fakes[0].writable = false;
+	monitor_fixture_run(&r, HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m1 token=1\n"));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/*
+ * Guards against a service that stays without a primary: a crashed member comes
+ * back under another name, with its log, at its address.
+ */
+START_TEST(log_of_a_silent_member_is_at_its_address)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	r.fakes[0].refuses = true;
+	r.fakes[1].refuses = true;
+	r.fakes[2].pos = 60;
+	monitor_fixture_run(&r, 2 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	monitor_fixture_rename(&r, 1, "m5");
+	r.fakes[1].refuses = false;
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m5 token=1\n"));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 START_TEST(switchover_waits_for_its_target)
 {
 	struct monitor_fixture r;
@@ -363,6 +412,8 @@
 	tcase_add_test(tc, member_without_entry_counts_while_it_replies);
 	tcase_add_test(tc, replica_departed_with_the_primary_blocks_promotion);
 	tcase_add_test(tc, replica_departed_earlier_does_not_block_promotion);
+	tcase_add_test(tc, two_silent_members_block_promotion);
+	tcase_add_test(tc, log_of_a_silent_member_is_at_its_address);
 	tcase_add_test(tc, switchover_waits_for_its_target);
 	tcase_add_test(tc,
 		       primary_without_an_entry_is_replaced_while_it_serves);
--- a/tests/test_restart_pace.c
+++ b/tests/test_restart_pace.c
@@ -257,7 +257,7 @@
 	r->lost = LOST;
 	r->rng.state = seed;
 	r->monitor = monitor_new(5, deps);
-	monitor_set_sync(r->monitor, false);
+	monitor_set_sync_replicas(r->monitor, 0);
 	members.list = &r->f.member;
 	monitor_set_members(r->monitor, &members, r->f.now, &r->out);
 	return r;
