Count the log of a member that restarted without it as missing

A replica that starts again under its name has an empty log. The monitor counted it as a member in reach, so it promoted another replica although the commits that the first one had acknowledged were in the log of the silent primary alone.

Keep the former life of such a member among the departed ones: its log is missing until the primary has replied and another replica has received all up to that reply.

test_monitor lost_log_blocks_promotion_until_another_has_it fails before: m2 is promoted with position 60 of 100.

--- a/core/monitor_departed.c
+++ b/core/monitor_departed.c
@@ -10,7 +10,7 @@
 
 bool departed_is_missing(const struct monitor *k, const struct departed *d)
 {
-	return !choice_has_successor(k, d->address, d->started);
+	return d->log_lost || !choice_has_successor(k, d->address, d->started);
 }
 
 uint32_t departed_missing_logs(const struct monitor *k)
@@ -36,7 +36,8 @@
 	return 0;
 }
 
-void departed_add(struct monitor *k, const struct monitored_member *m)
+void departed_add(struct monitor *k, const struct monitored_member *m,
+		  bool log_lost)
 {
 	struct departed *d;
 
@@ -45,18 +46,26 @@
 	d = &k->departed[k->departed_count++];
 	*d = (struct departed){ .endpoint = m->spec.endpoint,
 				.started = m->spec.started,
+				.log_lost = log_lost,
 				.order = ++k->order };
 	snprintf(d->name, sizeof(d->name), "%s", m->spec.name);
 	snprintf(d->address, sizeof(d->address), "%s", m->spec.address);
 }
 
-void departed_remove(struct monitor *k, hm_id endpoint)
+void departed_registered(struct monitor *k, const struct site_member *spec)
 {
 	uint32_t i = k->departed_count;
 
-	while (i-- > 0)
-		if (k->departed[i].endpoint == endpoint)
+	while (i-- > 0) {
+		struct departed *d = &k->departed[i];
+
+		if (d->endpoint != spec->endpoint)
+			continue;
+		if (d->started == spec->started && !d->log_lost)
 			drop(k, i);
+		else
+			d->log_lost = true;
+	}
 }
 
 void departed_note_primary(struct monitor *k,
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -64,16 +64,18 @@
 };
 
 /**
- * A member that has no entry in the store and does not reply. While it was up,
- * it and the primary may have acknowledged commits that no other member has.
- * That is ruled out once the primary has replied to a later probe and another
- * replica has received the log up to the position in that reply.
+ * A member that has no entry in the store and does not reply, or that has lost
+ * its log. While it was up, it and the primary may have acknowledged commits
+ * that no other member has. That is ruled out once the primary has replied to a
+ * later probe and another replica has received the log up to the position in
+ * that reply.
  */
 struct departed {
 	hm_id endpoint;
 	char name[NAME_BYTES];
 	char address[ADDRESS_BYTES];
 	uint64_t started;
+	bool log_lost;	/**< it started again under its name, without its log */
 	uint64_t order; /**< monitor.order when the member departed */
 	/**
 	 * Log position that another replica must have received, term 0: not
@@ -163,13 +165,17 @@
  * members whose commits it therefore has.
  */
 void departed_note_received(struct monitor *k, struct log_pos received);
-/** Adds @a m, which has no entry and does not reply, to monitor.departed. */
-void departed_add(struct monitor *k, const struct monitored_member *m);
 /**
- * Removes a departed member because its endpoint is registered again, under the
- * same or another name.
+ * Adds @a m to monitor.departed: it has no entry and does not reply, or has
+ * lost its log in a restart (@a log_lost).
  */
-void departed_remove(struct monitor *k, hm_id endpoint);
+void departed_add(struct monitor *k, const struct monitored_member *m,
+		  bool log_lost);
+/**
+ * A departed member is registered again: removes it, or records that its log is
+ * lost if it has restarted.
+ */
+void departed_registered(struct monitor *k, const struct site_member *spec);
 /** Whether no registered member has the log of a departed one. */
 bool departed_is_missing(const struct monitor *k, const struct departed *d);
 /** Number of departed members for which that holds. */
--- a/core/monitor_view.c
+++ b/core/monitor_view.c
@@ -99,8 +99,10 @@
 			others[n++] = k->members[i].reported;
 	/*
 	 * Departed members count as silent: one may be primary of a later term.
+	 * One that lost its log runs, and is among the others.
 	 */
-	n += k->departed_count;
+	for (i = 0; i < k->departed_count; i++)
+		n += !k->departed[i].log_lost;
 	since = term_check_current_since(others, n, primary->primary_pos.term,
 					 k->sync_replicas > 0);
 	return since < probed ? since : probed;
--- a/tests/test_monitor.c
+++ b/tests/test_monitor.c
@@ -188,6 +188,35 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: a replica had acknowledged commits that the
+ * other lacked, and started again under its name with an empty log.
+ */
+START_TEST(lost_log_blocks_promotion_until_another_has_it)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	r.fakes[1].pos = 60; /* m3 has acknowledged up to 100 */
+	r.fakes[2].spec.started++;
+	r.fakes[2].pos = 0;
+	r.fakes[0].refuses = true;
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, 5 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	r.fakes[0].refuses = false;
+	r.fakes[1].pos = 100;
+	monitor_fixture_run(&r, 2 * HM_SEC);
+	r.fakes[0].refuses = true;
+	monitor_conn_closed(r.monitor, r.fakes[0].conn, ERR_NO_ENDPOINT, r.now,
+			    &r.out);
+	monitor_fixture_run(&r, 500 * HM_MS);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m2 token=1\n"));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 START_TEST(switchover_waits_for_its_target)
 {
 	struct monitor_fixture r;
@@ -414,6 +443,7 @@
 	tcase_add_test(tc, replica_departed_earlier_does_not_block_promotion);
 	tcase_add_test(tc, two_silent_members_block_promotion);
 	tcase_add_test(tc, log_of_a_silent_member_is_at_its_address);
+	tcase_add_test(tc, lost_log_blocks_promotion_until_another_has_it);
 	tcase_add_test(tc, switchover_waits_for_its_target);
 	tcase_add_test(tc,
 		       primary_without_an_entry_is_replaced_while_it_serves);
