Acknowledge a commit once a registered replica is known to have it

The owner of the primary acknowledged a commit while a view at most 0.7 s old showed a replica, or while other zones had been heard in the last 0.5 s. Both tell of the time before the cut, and neither of the member that had completed the commit.

The replica that showed the last commit the soonest is asked alone, the others when it does not have the commit. One exchange serves all commits before it. Views still make an outcome unknown while a change of primary is known to run.

--- a/core/pool.c
+++ b/core/pool.c
@@ -44,6 +44,7 @@
 		if (p->conns[i].job)
 			job_free(p->conns[i].job);
 	}
+	commits_free(p);
 	fair_queue_free(p->queue);
 	conn_queue_free(p->conn_queue);
 	primary_check_free(p->check);
@@ -153,6 +154,7 @@
 
 	if (!c) {
 		primary_check_conn_ready(p->check, conn, now, out);
+		commits_check(p, now, out);
 		return;
 	}
 	j = c->job;
@@ -185,6 +187,7 @@
 		primary_check_replied(p->check, conn, reply, now, out);
 		conns_resume_setup(p, now, out);
 	}
+	commits_check(p, now, out);
 	pool_dispatch(p, now, out);
 	conns_sweep(p);
 	if (c)
@@ -346,6 +349,7 @@
 	pace_check(p, now, out);
 	primary_check_tick(p->check, now, out);
 	conns_resume_setup(p, now, out);
+	commits_tick(p, now, out);
 	jobs_end(p, is_late, &now, ERR_OVERLOADED, now);
 	pool_refuse_stalled(p, now);
 	job_expire_conn_waiter(p, now);
@@ -362,6 +366,7 @@
 	uint32_t i;
 
 	jobs_end_all(p, ERR_NO_ENDPOINT, now);
+	commits_give_up(p, now, out);
 	for (i = 0; i < p->conn_count; i++)
 		if (p->conns[i].phase != PHASE_CLOSED)
 			conn_drop(p, &p->conns[i], ERR_NONE, now, out);
@@ -374,7 +379,7 @@
 	uint32_t i;
 
 	*out = (struct pool_load){ .queued = fair_queue_count(p->queue),
-				   .running = p->running,
+				   .running = p->running + p->commit_count,
 				   .connections = p->conn_count,
 				   .displaced = p->displaced,
 				   .conn_waiting =
--- a/core/pool_job.c
+++ b/core/pool_job.c
@@ -6,7 +6,7 @@
 
 #include "grow.h"
 
-static void add_ended(struct pool *p, uint64_t reply_to, struct run_result *r)
+void result_add(struct pool *p, uint64_t reply_to, struct run_result *r)
 {
 	p->results = grow_list(p->results, p->result_count, &p->result_capacity,
 			       sizeof(*p->results));
@@ -105,7 +105,7 @@
 	r->execution = execution;
 	r->retry_at = retry_at;
 	r->state = j->run->scope == RUN_SINGLE ? SESSION_IDLE : SESSION_FAILED;
-	add_ended(p, j->reply_to, r);
+	result_add(p, j->reply_to, r);
 	job_free(j);
 }
 
@@ -129,7 +129,10 @@
 		memcpy(r->rows, reply->rows, reply->row_bytes);
 		r->row_bytes = reply->row_bytes;
 	}
-	add_ended(p, j->reply_to, r);
+	if (commit_must_wait(p, r))
+		commit_hold(p, j->reply_to, r, j->run->deadline, now);
+	else
+		result_add(p, j->reply_to, r);
 	job_free(j);
 }
 
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -3,6 +3,7 @@
  * Internals of a pool, shared by pool.c (events and deadlines), pool_submit.c
  * (admission of statements), pool_withdraw.c (members that evacuate or hang),
  * pool_job.c (queued statements and results),
+ * pool_commit.c (commits that wait for their confirmation),
  * pool_dispatch.c (choice of the next statement and its connection),
  * pool_capacity.c (accounts that share the connections),
  * pool_pace.c (few connections after the creation),
@@ -118,6 +119,18 @@
 	struct run_result *result;
 };
 
+/** Which replicas were asked whether they have received a commit. */
+enum commit_asked { ASKED_NONE, ASKED_ONE, ASKED_ALL };
+
+/** A commit that completed at the member and is not confirmed yet. */
+struct held_commit {
+	uint64_t reply_to;
+	struct run_result *result;
+	hm_time held_since;
+	hm_time until; /**< its outcome is unknown then */
+	enum commit_asked asked;
+};
+
 struct pool {
 	struct pool_deps deps;
 	struct site_member member;
@@ -153,6 +166,9 @@
 	struct conn_choice choice; /**< valid during a dispatch */
 	bool choice_valid;
 	struct conn_counts conn_counts;
+	struct held_commit *commits;
+	uint32_t commit_count;
+	uint32_t commit_capacity;
 	struct pool_result *results;
 	uint32_t result_first;
 	uint32_t result_count;
@@ -183,6 +199,8 @@
 void job_answer(struct pool *p, struct job *j, const struct member_reply *reply,
 		enum session_state state, hm_time now);
 void job_free(struct job *j);
+/** Queues a result for pool_next_result(). */
+void result_add(struct pool *p, uint64_t reply_to, struct run_result *r);
 void job_queue(struct pool *p, struct job *j, hm_time now);
 /** Puts a scheduled job back in front of its queue. */
 void job_requeue(struct pool *p, struct job *j, hm_time now);
@@ -207,6 +225,19 @@
 void jobs_displace(struct pool *p, const struct run_request *by, hm_time now,
 		   struct proxy_output *out);
 
+/** Whether a result has to wait until replicas are known to have a commit. */
+bool commit_must_wait(const struct pool *p, const struct run_result *r);
+/** Holds such a result, until @a deadline at most. */
+void commit_hold(struct pool *p, uint64_t reply_to, struct run_result *r,
+		 hm_time deadline, hm_time now);
+/** Releases what is confirmed or overdue, and asks for new commits. */
+void commits_check(struct pool *p, hm_time now, struct proxy_output *out);
+/** The same, and asks again for all that wait. */
+void commits_tick(struct pool *p, hm_time now, struct proxy_output *out);
+/** Releases all with an unknown outcome. */
+void commits_give_up(struct pool *p, hm_time now, struct proxy_output *out);
+void commits_free(struct pool *p);
+
 /** Starts a job on an idle connection, or on that of its transaction. */
 void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
 		struct proxy_output *out);
--- a/core/primary_check.c
+++ b/core/primary_check.c
@@ -1,11 +1,8 @@
-/** @file primary_check.c Confirms the term of a primary by its replicas. */
-#include "primary_check.h"
+/** @file primary_check.c Confirms a primary's term and commits. */
+#include "primary_check_state.h"
 
 #include <stdlib.h>
 
-#include "probe_conn.h"
-#include "term_check.h"
-
 /*
  * A member that has not replied for this time is late. The statuses of the
  * other members are then requested, to confirm the term without its reply.
@@ -16,42 +13,6 @@
 /* Probe connections without a new ticket for this time are closed. */
 #define IDLE_CLOSE (10 * HM_SEC)
 
-/**
- * What a pending command is for. CHECK_PRIMARY begins a read-write transaction,
- * which only a primary accepts; CHECK_PRIMARY_END rolls it back.
- */
-enum check_command { CHECK_PRIMARY, CHECK_PRIMARY_END, CHECK_STATUS };
-
-struct checked_member {
-	struct site_member spec;
-	struct probe_conn probe;
-	uint64_t primary_order; /**< number of the last CHECK_PRIMARY */
-	uint64_t status_order;	/**< number of the last CHECK_STATUS */
-	struct term_report reported;
-	bool registered;
-};
-
-struct primary_check {
-	hm_id endpoint; /**< the primary, which is not probed */
-	struct primary_check_deps deps;
-	bool sync;
-	struct checked_member others[ENDPOINTS_MAX];
-	uint32_t count;
-	/** Logical clock: counts tickets, probes and restarts of members. */
-	uint64_t order;
-	uint64_t newest_ticket;
-	hm_time ticket_at; /**< when the newest ticket was issued */
-	uint64_t probed;   /**< number of the newest probe */
-	hm_time probed_at; /**< when the newest probe was sent */
-	/** Number of the newest probe whose replies confirmed the term. */
-	uint64_t confirmed;
-	/**
-	 * Since when tickets have waited without a new confirmation; 0: no
-	 * ticket waits.
-	 */
-	hm_time unconfirmed_since;
-};
-
 struct primary_check *primary_check_new(hm_id endpoint,
 					struct primary_check_deps deps)
 {
@@ -61,7 +22,7 @@
 		abort();
 	c->endpoint = endpoint;
 	c->deps = deps;
-	c->sync = true;
+	c->sync_replicas = 1;
 	return c;
 }
 
@@ -70,9 +31,14 @@
 	free(c);
 }
 
-void primary_check_set_sync(struct primary_check *c, bool sync)
+void primary_check_set_sync_replicas(struct primary_check *c, uint32_t count)
+{
+	c->sync_replicas = count;
+}
+
+uint32_t primary_check_sync_replicas(const struct primary_check *c)
 {
-	c->sync = sync;
+	return c->sync_replicas;
 }
 
 static struct checked_member *find_member(struct primary_check *c,
@@ -86,6 +52,12 @@
 	return NULL;
 }
 
+static void disconnect(struct checked_member *m, struct proxy_output *out)
+{
+	probe_conn_close(&m->probe, out);
+	m->commit_requested_at = 0;
+}
+
 static void update_member(struct primary_check *c,
 			  const struct site_member *spec,
 			  struct proxy_output *out)
@@ -157,8 +129,8 @@
 	return false;
 }
 
-static void connect_members(struct primary_check *c, hm_time now,
-			    struct proxy_output *out)
+void check_connect_members(struct primary_check *c, hm_time now,
+			   struct proxy_output *out)
 {
 	uint32_t i;
 
@@ -194,10 +166,10 @@
 	bool status;
 	uint32_t i;
 
-	connect_members(c, now, out);
+	check_connect_members(c, now, out);
 	if (is_reply_due(c, now))
 		return;
-	status = c->sync && is_any_late(c, now);
+	status = c->sync_replicas && is_any_late(c, now);
 	c->probed = ++c->order;
 	c->probed_at = now;
 	for (i = 0; i < c->count; i++)
@@ -223,7 +195,7 @@
 	if (c->deps.options->guards_off & PROXY_GUARD_SUPERSEDED)
 		return;
 	c->ticket_at = now; /* keeps the connections open for IDLE_CLOSE */
-	connect_members(c, now, out);
+	check_connect_members(c, now, out);
 }
 
 /* Copies the reports of the other members; @return their number. */
@@ -243,8 +215,8 @@
 	struct term_report others[ENDPOINTS_MAX];
 	uint32_t count = collect_reports(c, others);
 
-	if (!ticket ||
-	    ticket <= term_check_current_since(others, count, term, c->sync))
+	if (!ticket || ticket <= term_check_current_since(others, count, term,
+							  c->sync_replicas > 0))
 		return TERM_CONFIRMED;
 	return term_check_superseded(others, count, term) ? TERM_SUPERSEDED
 							  : TERM_PENDING;
@@ -256,7 +228,8 @@
 	struct term_report others[ENDPOINTS_MAX];
 	uint32_t count = collect_reports(c, others);
 	uint64_t since = term_check_current_since(
-		others, count, term_check_newest(others, count), c->sync);
+		others, count, term_check_newest(others, count),
+		c->sync_replicas > 0);
 
 	if (since <= c->confirmed)
 		return;
@@ -303,13 +276,19 @@
 	if (tag == CHECK_PRIMARY && valid) {
 		m->reported.probed = m->primary_order;
 		m->reported.applied_term = r->at.term;
+		check_note_received(m, r);
 	}
 	if (tag == CHECK_PRIMARY && !r->error)
 		probe_conn_send(&m->probe, CHECK_PRIMARY_END, MEMBER_ROLLBACK,
 				0, now, out);
+	if (tag == CHECK_COMMIT) {
+		check_commit_replied(m, r, now);
+		return;
+	}
 	if (tag == CHECK_STATUS && r->has_status) {
 		m->reported.status_probed = m->status_order;
 		m->reported.received_term = r->status.received.term;
+		check_note_received(m, r);
 	}
 }
 
@@ -321,7 +300,7 @@
 	uint8_t tag;
 
 	if (!probe_conn_replied(&m->probe, now, &tag)) {
-		probe_conn_close(&m->probe, out);
+		disconnect(m, out);
 		return;
 	}
 	handle_reply(m, tag, reply, now, out);
@@ -337,6 +316,7 @@
 	bool was_ready = m->probe.ready;
 
 	probe_conn_reset(&m->probe);
+	m->commit_requested_at = 0;
 	m->probe.connect_after = was_ready ? now : now + PROBE_RECONNECT_DELAY;
 }
 
@@ -344,13 +324,13 @@
 			     bool needed, hm_time now, struct proxy_output *out)
 {
 	if (!needed) {
-		probe_conn_close(&m->probe, out);
+		disconnect(m, out);
 		return;
 	}
 	if (!probe_conn_timed_out(&m->probe,
 				  c->deps.options->member_probe_limit, now))
 		return;
-	probe_conn_close(&m->probe, out);
+	disconnect(m, out);
 	m->probe.connect_after = now;
 }
 
--- a/core/primary_check.h
+++ b/core/primary_check.h
@@ -1,9 +1,11 @@
 /**
  * @file primary_check.h
- * Confirms, at the owner of a primary, that the term of the primary was current
- * when a statement arrived. A superseded primary continues to reply, so the
- * other members are probed. One probe serves all statements that arrived before
- * it was sent.
+ * Probes, at the owner of a primary, the other members of its service. Their
+ * replies confirm two things: that the term of the primary was current when a
+ * statement arrived, since a superseded primary continues to reply; and that a
+ * commit is in the logs of registered replicas, since one that only the primary
+ * has heard of completes commits, too. One probe serves all statements that
+ * arrived, or commits that completed, before it was sent.
  */
 #ifndef PRIMARY_CHECK_H
 #define PRIMARY_CHECK_H
@@ -26,8 +28,8 @@
 void primary_check_set_members(struct primary_check *c,
 			       const struct site_members *members,
 			       hm_id service, struct proxy_output *out);
-/** Sets whether a commit of the service waits for a replica. */
-void primary_check_set_sync(struct primary_check *c, bool sync);
+/** Sets the number of replicas that a commit waits for; the default is 1. */
+void primary_check_set_sync_replicas(struct primary_check *c, uint32_t count);
 
 /**
  * Starts the check for a statement that may run only if the term of the primary
@@ -62,6 +64,21 @@
  */
 bool primary_check_is_failing(const struct primary_check *c, hm_time now);
 
+/** Number of replicas that a commit waits for. */
+uint32_t primary_check_sync_replicas(const struct primary_check *c);
+/**
+ * Asks members whether they have received @a commit: the one that showed the
+ * last commit the soonest, or @a all.
+ */
+void primary_check_request_commit(struct primary_check *c,
+				  struct log_pos commit, bool all, hm_time now,
+				  struct proxy_output *out);
+/** Whether the reply of a member to such a request is expected soon. */
+bool primary_check_commit_requested(const struct primary_check *c);
+/** Whether as many of the members as a commit waits for have received it. */
+bool primary_check_has_commit(const struct primary_check *c,
+			      struct log_pos commit);
+
 /** Whether @a conn is a probe connection of this check. */
 bool primary_check_owns_conn(const struct primary_check *c, uint64_t conn);
 void primary_check_conn_ready(struct primary_check *c, uint64_t conn,
--- /dev/null
+++ b/core/primary_check_commit.c
@@ -0,0 +1,101 @@
+/** @file primary_check_commit.c Confirms that replicas have a commit. */
+#include "primary_check_state.h"
+
+/* Delay of a member that did not show a commit; longer than any other. */
+#define COMMIT_LATE (10 * HM_SEC)
+
+void check_note_received(struct checked_member *m, const struct member_reply *r)
+{
+	/* A promotion may have rolled it back. */
+	if (r->has_status)
+		m->received = r->status.received;
+	else if (log_pos_compare(r->at, m->received) > 0)
+		m->received = r->at;
+}
+
+static bool has_received(const struct checked_member *m, struct log_pos commit)
+{
+	return m->received.term == commit.term && m->received.pos >= commit.pos;
+}
+
+void check_commit_replied(struct checked_member *m,
+			  const struct member_reply *r, hm_time now)
+{
+	check_note_received(m, r);
+	m->commit_delay = has_received(m, m->commit)
+				  ? now - m->commit_requested_at
+				  : COMMIT_LATE;
+	m->commit_requested_at = 0;
+}
+
+static void request_commit(struct checked_member *m, struct log_pos commit,
+			   hm_time now, struct proxy_output *out)
+{
+	if (m->commit_requested_at) {
+		m->commit_delay = COMMIT_LATE;
+		return;
+	}
+	if (!probe_conn_send(&m->probe, CHECK_COMMIT, MEMBER_STATUS, 0, now,
+			     out))
+		return;
+	m->commit = commit;
+	m->commit_requested_at = now;
+}
+
+/* The connected member that showed the last commit the soonest. */
+static struct checked_member *soonest(struct primary_check *c)
+{
+	struct checked_member *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < c->count; i++) {
+		struct checked_member *m = &c->others[i];
+
+		if (m->probe.ready &&
+		    (!best || m->commit_delay < best->commit_delay))
+			best = m;
+	}
+	return best;
+}
+
+void primary_check_request_commit(struct primary_check *c,
+				  struct log_pos commit, bool all, hm_time now,
+				  struct proxy_output *out)
+{
+	struct checked_member *m = soonest(c);
+	uint32_t i;
+
+	c->ticket_at = now; /* keeps the connections open for IDLE_CLOSE */
+	check_connect_members(c, now, out);
+	if (!all && c->sync_replicas == 1 && m) {
+		request_commit(m, commit, now, out);
+		return;
+	}
+	for (i = 0; i < c->count; i++)
+		request_commit(&c->others[i], commit, now, out);
+}
+
+bool primary_check_commit_requested(const struct primary_check *c)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->count; i++)
+		if (c->others[i].commit_requested_at &&
+		    c->others[i].commit_delay < COMMIT_LATE)
+			return true;
+	return false;
+}
+
+/*
+ * A position in a later term proves nothing: that term may have begun without
+ * the commit.
+ */
+bool primary_check_has_commit(const struct primary_check *c,
+			      struct log_pos commit)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < c->count; i++)
+		count += has_received(&c->others[i], commit);
+	return count >= c->sync_replicas;
+}
--- a/core/run.c
+++ b/core/run.c
@@ -88,6 +88,14 @@
 	return copy;
 }
 
+void run_result_unknown(struct run_result *r)
+{
+	r->error = ERR_OUTCOME_UNKNOWN;
+	r->execution = EXEC_UNKNOWN;
+	free(r->signature);
+	r->signature = NULL;
+}
+
 void run_result_free(struct run_result *r)
 {
 	if (!r)
--- a/core/run.h
+++ b/core/run.h
@@ -109,6 +109,8 @@
 void run_request_free(struct run_request *o);
 struct run_result *run_result_copy(const struct run_result *from);
 void run_result_free(struct run_result *r);
+/** Changes a success to ERR_OUTCOME_UNKNOWN. */
+void run_result_unknown(struct run_result *r);
 
 /** Copies a string; NULL for NULL. Aborts when out of memory. */
 char *text_copy(const char *text);
--- a/core/services.c
+++ b/core/services.c
@@ -141,7 +141,8 @@
 
 	pool_set_cold(pool, s ? s->cold_per_s : 0, s ? s->cold_time : 0);
 	pool_set_levels(pool, p->config ? p->config->level_count : 1);
-	primary_check_set_sync(pool_check(pool), !s || s->sync_replicas);
+	primary_check_set_sync_replicas(pool_check(pool),
+					s ? s->sync_replicas : 1);
 	primary_check_set_members(pool_check(pool), p->members,
 				  pool_service(pool), out);
 }
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -3,8 +3,8 @@
  * Test fixture: a single proxy, a service "db" with primary m1 and replica m2,
  * the routes "rota" (CONSISTENT_PRIMARY) and "view" (CONSISTENT_BOUNDED), and
  * the account "acme" with the key "secret". Primary checks that the proxy
- * sends to m2 are answered at once with "read only" and are not part of the
- * recorded text.
+ * sends to m2 are answered at once with "read only" and its position, and are
+ * not part of the recorded text.
  */
 #ifndef PROXY_FIXTURE_H
 #define PROXY_FIXTURE_H
@@ -22,6 +22,9 @@
 	uint64_t peer_seq;
 	uint32_t sent[MSG_KIND_COUNT]; /* messages to peers in the last step */
 	uint64_t replica_conn;	       /* connection of the check to m2 */
+	uint64_t primary_pos;	       /* end of the log of m1 */
+	uint64_t replica_pos;	       /* m2 has the log up to here */
+	bool replica_silent;	       /* m2 replies to no check */
 };
 
 /** Starts a proxy that has no configuration and no member list yet. */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -441,6 +441,29 @@
 }
 END_TEST
 
+/* A pool that is closed has asked nobody whether a replica has the commit. */
+START_TEST(commit_that_waits_ends_with_an_unknown_outcome)
+{
+	struct run_request o = pool_fixture_request(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_fixture r;
+	struct pool_load load;
+
+	pool_fixture_open(&r, 2, 4);
+	pool_fixture_add_idle_conn(&r);
+	primary_check_set_sync_replicas(pool_check(r.pool), 1);
+	pool_fixture_submit(&r, &o);
+	pool_fixture_reply(&r, 1, ERR_NONE, SESSION_IDLE);
+	pool_fixture_results(&r);
+	proxy_text_expect(r.text, "statement 1 r1 WRITE a b\n");
+	pool_load(r.pool, &load);
+	ck_assert_uint_eq(load.running, 1);
+	pool_close(r.pool, r.now, &r.out);
+	pool_fixture_results(&r);
+	proxy_text_expect(r.text, "r1: outcome_unknown, unknown, I\n");
+	pool_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("pool");
@@ -463,5 +486,6 @@
 		       leaving_member_gets_no_new_statements_after_drain_limit);
 	tcase_add_test(tc, queue_of_a_hanging_member_is_refused_early);
 	tcase_add_test(tc, queue_of_a_slow_member_is_kept);
+	tcase_add_test(tc, commit_that_waits_ends_with_an_unknown_outcome);
 	return suite_run("pool", tc);
 }
--- a/tests/test_primary_check.c
+++ b/tests/test_primary_check.c
@@ -382,6 +382,96 @@
 }
 END_TEST
 
+static void request_commit(struct fixture *r, uint64_t pos, bool all)
+{
+	primary_check_request_commit(r->pc, (struct log_pos){ 1, pos }, all,
+				     r->now, &r->out);
+	proxy_text(r->text, &r->out);
+}
+
+static void reply_received(struct fixture *r, uint64_t conn,
+			   struct log_pos received)
+{
+	struct member_reply m = { .has_status = true };
+
+	m.status.received = received;
+	reply(r, conn, m);
+}
+
+static bool has_commit(const struct fixture *r, uint64_t pos)
+{
+	return primary_check_has_commit(r->pc, (struct log_pos){ 1, pos });
+}
+
+START_TEST(commit_is_confirmed_by_one_replica)
+{
+	struct fixture r;
+
+	fixture_open(&r);
+	open_connections(&r);
+	ck_assert(has_commit(&r, 9)); /* in the log that m2 has applied */
+	request_commit(&r, 12, false);
+	proxy_text_expect(r.text, "status 1\n");
+	ck_assert(!has_commit(&r, 12));
+	reply_received(&r, 1, (struct log_pos){ 1, 12 });
+	ck_assert(has_commit(&r, 12));
+	ck_assert(!has_commit(&r, 13));
+	fixture_close(&r);
+}
+END_TEST
+
+/* A member that does not show a commit is not the first to be asked again. */
+START_TEST(commit_is_asked_for_where_the_last_one_was)
+{
+	struct fixture r;
+
+	fixture_open(&r);
+	open_connections(&r);
+	request_commit(&r, 12, false);
+	reply_received(&r, 1, (struct log_pos){ 1, 11 });
+	ck_assert(!has_commit(&r, 12));
+	request_commit(&r, 12, true);
+	proxy_text_expect(r.text, "status 1\nstatus 1\nstatus 2\n");
+	reply_received(&r, 2, (struct log_pos){ 1, 12 });
+	ck_assert(has_commit(&r, 12));
+	request_commit(&r, 13, false);
+	proxy_text_expect(r.text, "status 2\n");
+	fixture_close(&r);
+}
+END_TEST
+
+/* A term that began without the commit may have reached its number. */
+START_TEST(commit_is_not_confirmed_by_a_later_term)
+{
+	struct fixture r;
+
+	fixture_open(&r);
+	open_connections(&r);
+	request_commit(&r, 12, true);
+	reply_received(&r, 1, (struct log_pos){ 2, 14 });
+	reply_received(&r, 2, (struct log_pos){ 1, 11 });
+	ck_assert(!has_commit(&r, 12));
+	fixture_close(&r);
+}
+END_TEST
+
+START_TEST(commit_of_two_replicas_needs_both)
+{
+	struct fixture r;
+
+	fixture_open(&r);
+	primary_check_set_sync_replicas(r.pc, 2);
+	open_connections(&r);
+	request_commit(&r, 12, false);
+	proxy_text_expect(r.text, "status 1\nstatus 2\n");
+	reply_received(&r, 1, (struct log_pos){ 1, 12 });
+	ck_assert(!has_commit(&r, 12));
+	reply_received(&r, 2, (struct log_pos){ 1, 12 });
+	ck_assert(has_commit(&r, 12));
+	fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("primary_check");
@@ -398,5 +488,9 @@
 	tcase_add_test(tc, restarted_replica_alone_confirms_nothing);
 	tcase_add_test(tc, unused_connections_are_closed);
 	tcase_add_test(tc, check_switched_off_probes_nobody);
+	tcase_add_test(tc, commit_is_confirmed_by_one_replica);
+	tcase_add_test(tc, commit_is_asked_for_where_the_last_one_was);
+	tcase_add_test(tc, commit_is_not_confirmed_by_a_later_term);
+	tcase_add_test(tc, commit_of_two_replicas_needs_both);
 	return suite_run("primary_check", tc);
 }
