Divide a zone's share among owners that do not hear each other

The owner of a bucket is chosen among the instances that are heard. Two instances of a zone that do not hear each other are both the owner, and after the wait for a link that is being replaced both issued the whole share. Nothing tells a peer that has failed from one that runs and is cut off.

An owner now issues the part of the share that corresponds to the instances of its zone that it hears, of all that may run: silent ones count until they announced their exit, a newer process of theirs is heard, or they are forgotten. The parts of all sides add up to at most the share.

After a crash the share is whole once the new process is heard (share_is_whole_again_once_a_failed_instance_is_back).

--- a/core/peers.c
+++ b/core/peers.c
@@ -324,6 +324,23 @@
 	return index < p->count ? &p->list[index].peer : NULL;
 }
 
+struct zone_reach peers_count_zone(const struct peers *p)
+{
+	struct zone_reach n = { .reached = 1 };
+	uint32_t i;
+
+	for (i = 0; i < p->count; i++) {
+		const struct peer_entry *e = &p->list[i];
+
+		if (e->peer.zone != p->options->zone ||
+		    e->peer.announced_exit || is_obsolete(p, e))
+			continue;
+		n.reached += e->peer.alive;
+		n.silent += !e->peer.alive;
+	}
+	return n;
+}
+
 const struct peer *peers_find(const struct peers *p, uint64_t incarnation)
 {
 	const struct peer_entry *e = find(p, incarnation);
--- a/core/peers.h
+++ b/core/peers.h
@@ -74,6 +74,18 @@
  * instance is alive. Messages from it are to be dropped.
  */
 bool peers_obsolete(const struct peers *p, uint64_t incarnation);
+/** Instances of the own zone that may run, see peers_count_zone(). */
+struct zone_reach {
+	uint32_t reached; /**< this one and those heard, unless they leave */
+	uint32_t silent;  /**< not heard, and neither stopped nor replaced */
+};
+
+/**
+ * Counts the instances of this zone. Nothing tells a silent one that has failed
+ * from one that runs and is cut off, until it announced its exit, a newer
+ * incarnation of it is heard, or it is removed.
+ */
+struct zone_reach peers_count_zone(const struct peers *p);
 /** Counter that grows whenever the result of peers_owner() may have changed. */
 uint64_t peers_generation(const struct peers *p);
 
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -209,6 +209,7 @@
 	bool was_ready; /**< has been ready since the start */
 	bool stopped;
 	struct table logged_peers; /**< enum logged_peer by incarnation */
+	struct zone_reach logged_reach;
 	uint64_t peers_generation; /**< generation that check_peers() handled */
 	struct loop_delay loop_delay;
 	/** Generation and member list that owners_tick() handled. */
--- a/core/rate.c
+++ b/core/rate.c
@@ -23,6 +23,7 @@
 	r->peers = peers;
 	r->level_count = 1;
 	r->last_at = now;
+	r->reach.reached = 1;
 	r->issue_after = now + (options->start_wait ? options->start_wait
 						    : options->peer_silent);
 	return r;
@@ -373,11 +374,17 @@
 		rate_receive_grant(r, m, now, actions);
 }
 
+struct zone_reach rate_reach(const struct rate *r)
+{
+	return r->reach;
+}
+
 void rate_tick(struct rate *r, hm_time now, struct actions *actions)
 {
 	uint32_t i;
 
 	rate_detect_pause(r, now);
+	rate_update_reach(r, now);
 	for (i = 0; i < r->count; i++) {
 		struct quota *q = &r->list[i];
 
--- a/core/rate.h
+++ b/core/rate.h
@@ -6,6 +6,10 @@
  * requests tokens from the owner of its own zone first, then from the owners
  * of other zones. A grant of tokens expires a fixed time after its request was
  * sent, so that a delayed grant cannot exceed the burst.
+ *
+ * Instances of a zone that do not hear each other have an owner each, on every
+ * side. An owner issues the part of the share that corresponds to the instances
+ * of the zone that it hears, of all that may run.
  */
 #ifndef RATE_H
 #define RATE_H
@@ -89,6 +93,12 @@
 hm_time rate_retry_at(const struct rate *r, hm_id account, uint32_t level,
 		      uint32_t waiting, hm_time now);
 
+/**
+ * Instances of this zone by which its shares are divided: where this instance
+ * is the owner it issues the part of those that it reaches.
+ */
+struct zone_reach rate_reach(const struct rate *r);
+
 /** Handles MSG_RATE_REQUEST and MSG_RATE_GRANT of peers. */
 void rate_message(struct rate *r, const struct message *m, hm_time now,
 		  struct actions *actions);
--- a/core/rate_issue.c
+++ b/core/rate_issue.c
@@ -196,35 +196,52 @@
 		q->filled_at = r->issue_after - r->options->start_wait;
 }
 
+/* The part of a zone's tokens that is issued here. */
+static int64_t reached_part(const struct rate *r, int64_t tokens)
+{
+	return tokens * r->reach.reached / (r->reach.reached + r->reach.silent);
+}
+
+static uint32_t reserved_tokens(const struct bucket_reserve *b)
+{
+	return b->recorded > b->unconfirmed ? b->recorded : b->unconfirmed;
+}
+
 /*
  * Capacity of the bucket without the tokens that others may claim, and without
  * those that were claimed here. It grows after the refill up to now, so that
  * the refill of a time with less capacity does not exceed that capacity.
  */
-static int64_t update_capacity(struct quota *q, hm_time now)
+static int64_t update_capacity(const struct rate *r, struct quota *q,
+			       hm_time now)
 {
 	struct bucket_reserve *b = &q->reserve;
 	int64_t capacity = rate_capacity(&q->share);
+	int64_t reserved = reserved_tokens(b) * TOKEN;
 	int64_t last = b->capacity;
 
 	if (now < b->half_until)
 		capacity -= rate_reserve_size(&q->share) * TOKEN;
 	else if (now < b->claimed_until)
 		capacity -= b->claimed * TOKEN;
+	/* Reserved tokens are not issued from the bucket. */
+	if (capacity > reserved)
+		capacity = reserved + reached_part(r, capacity - reserved);
 	b->capacity = capacity;
 	return last && last < capacity ? last : capacity;
 }
 
 bool rate_refill(const struct rate *r, struct quota *q, hm_time now)
 {
-	int64_t capacity = update_capacity(q, now);
+	int64_t capacity = update_capacity(r, q, now);
 
 	rate_update_owner(r, q, now);
 	if (!q->owned)
 		return false;
 	refill_startup_wait(r, q, now);
 	if (now > q->filled_at) {
-		q->level += q->share.rate * (now - q->filled_at);
+		q->level +=
+			reached_part(r, q->share.rate * (now - q->filled_at));
 		q->filled_at = now;
 	}
 	if (q->level > capacity)
@@ -232,6 +249,21 @@
 	return true;
 }
 
+void rate_update_reach(struct rate *r, hm_time now)
+{
+	struct zone_reach reach = peers_count_zone(r->peers);
+	uint32_t i;
+
+	if (reach.reached == r->reach.reached &&
+	    reach.silent == r->reach.silent)
+		return;
+	/* The time until now counts by the part that was issued until now. */
+	for (i = 0; i < r->count; i++)
+		if (r->list[i].live)
+			rate_refill(r, &r->list[i], now);
+	r->reach = reach;
+}
+
 bool rate_may_issue(const struct rate *r, hm_time now)
 {
 	return now >= r->issue_after;
@@ -272,9 +304,7 @@
 
 int64_t rate_available(const struct rate *r, struct quota *q, hm_time now)
 {
-	const struct bucket_reserve *b = &q->reserve;
-	uint32_t reserve =
-		b->recorded > b->unconfirmed ? b->recorded : b->unconfirmed;
+	uint32_t reserve = reserved_tokens(&q->reserve);
 	int64_t claimed = claimed_tokens(r, q, now) * TOKEN;
 
 	if (!rate_refill(r, q, now) || q->level < reserve * TOKEN)
--- a/core/rate_state.h
+++ b/core/rate_state.h
@@ -113,6 +113,8 @@
 	hm_time last_at;
 	/* This instance issues no tokens before this time. */
 	hm_time issue_after;
+	/* Determines the part of the zone's shares that is issued here. */
+	struct zone_reach reach;
 	/* Buckets have reserves in the store; see token_reserve_new(). */
 	bool reserves;
 };
@@ -184,6 +186,12 @@
  * ownership of all accounts and restarts the wait before it issues tokens.
  */
 void rate_detect_pause(struct rate *r, hm_time now);
+/**
+ * Updates which part of the zone's shares this instance issues where it is the
+ * owner: the part of the zone's instances that it hears. Two owners that do not
+ * hear each other so issue no more than the share between them.
+ */
+void rate_update_reach(struct rate *r, hm_time now);
 /** Capacity of the bucket of a zone share, in millionths of a token. */
 int64_t rate_capacity(const struct rate_share *share);
 /**
--- a/tests/rate_fleet.c
+++ b/tests/rate_fleet.c
@@ -128,6 +128,8 @@
 {
 	uint16_t za = zone_of(a), zb = zone_of(b);
 
+	if ((f->alone >> a | f->alone >> b) & 1)
+		return false;
 	if (f->now < f->mute_until && f->mute_from == a && f->mute_to == b)
 		return false;
 	return za == zb || !((f->cut >> za | f->cut >> zb) & 1);
--- a/tests/rate_fleet.h
+++ b/tests/rate_fleet.h
@@ -57,7 +57,8 @@
 	struct rng rng;
 	hm_time now;
 	uint64_t last_incarnation;
-	uint32_t cut; /* bit set of isolated zones */
+	uint32_t cut;	/* bit set of isolated zones */
+	uint32_t alone; /* bit set of instances that reach no other one */
 	/* link between two instances that loses all messages */
 	uint32_t mute_from, mute_to;
 	hm_time mute_until;
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -209,6 +209,87 @@
 }
 END_TEST
 
+/* Cuts off instances 1 and 3, while clients of all press. */
+static uint64_t admitted_beside_cut_instances(struct rate_fleet *f)
+{
+	uint64_t admitted;
+
+	while (f->now < 5 * HM_SEC) {
+		rate_fleet_step(f);
+		rate_fleet_offer(f, 1000, 0);
+	}
+	f->alone = 1U << 1 | 1U << 3;
+	admitted = f->admitted;
+	while (f->now < 17 * HM_SEC) {
+		rate_fleet_step(f);
+		rate_fleet_offer(f, 1000, 0);
+	}
+	admitted = f->admitted - admitted;
+	f->alone = 0;
+	while (f->now < 22 * HM_SEC) {
+		rate_fleet_step(f);
+		rate_fleet_offer(f, 1000, 0);
+	}
+	return admitted;
+}
+
+/*
+ * Guards against requests over the contract: two instances of a zone that did
+ * not hear each other both issued the zone's whole share (review/5).
+ */
+START_TEST(instances_that_do_not_hear_each_other_share_the_contract)
+{
+	static const hm_time start_waits[] = { 0, 500 * HM_MS };
+	struct rate_fleet *f = rate_fleet_new(5, 200, 200, start_waits[_i]);
+	uint64_t admitted = admitted_beside_cut_instances(f);
+
+	printf("alone: admitted=%d over=%d\n", (int)admitted, (int)f->over);
+	ck_assert_uint_eq(f->over, 0);
+	/* Each new owner waits 3 s before it issues its half of a share. */
+	ck_assert_uint_gt(admitted, 12 * 200 * 8 / 10);
+	rate_fleet_free(f);
+}
+END_TEST
+
+/* Tokens that are admitted while instance 1 does not run. */
+static uint64_t admitted_without_instance(hm_time down)
+{
+	struct rate_fleet *f = rate_fleet_new(5, 200, 200, 500 * HM_MS);
+	uint64_t admitted;
+
+	while (f->now < 5 * HM_SEC) {
+		rate_fleet_step(f);
+		rate_fleet_offer(f, 1000, 0);
+	}
+	rate_node_stop(&f->nodes[1]);
+	f->nodes[1].down_until = f->now + down;
+	while (f->now < 10 * HM_SEC) {
+		rate_fleet_step(f);
+		rate_fleet_offer(f, 1000, 0);
+	}
+	admitted = f->admitted;
+	while (f->now < 15 * HM_SEC) {
+		rate_fleet_step(f);
+		rate_fleet_offer(f, 1000, 0);
+	}
+	admitted = f->admitted - admitted;
+	printf("down_us=%d admitted=%d\n", (int)down, (int)admitted);
+	ck_assert_uint_eq(f->over, 0);
+	rate_fleet_free(f);
+	return admitted;
+}
+
+/* A process that runs again counts as the one that failed. */
+START_TEST(share_is_whole_again_once_a_failed_instance_is_back)
+{
+	ck_assert_uint_ge(admitted_without_instance(500 * HM_MS),
+			  5 * 200 * 95 / 100);
+	/* Half of a quarter of the contract is kept for it. */
+	ck_assert_uint_ge(admitted_without_instance(60 * HM_SEC),
+			  5 * 200 * 83 / 100);
+}
+END_TEST
+
 /* Faults in inside_the_rate_is_served, in the middle third of each run. */
 enum fault {
 	FAULT_NONE,
@@ -335,6 +416,10 @@
 	TCase *tc = tcase_create("rate");
 
 	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(
+		tc, instances_that_do_not_hear_each_other_share_the_contract, 0,
+		2);
+	tcase_add_test(tc, share_is_whole_again_once_a_failed_instance_is_back);
 	tcase_add_loop_test(tc, never_over_contract_under_faults, 0, 2);
 	tcase_add_test(tc, restarted_fleet_issues_the_tokens_of_its_startup);
 	tcase_add_test(tc, startup_tokens_are_issued_once);
