--- a/core/owners.c
+++ b/core/owners.c
@@ -71,11 +71,25 @@
 		  reason_of(p, from));
 }
 
+/* Logs which part of the zone's shares of rates is issued here. */
+static void log_reach(struct proxy *p, struct proxy_output *out)
+{
+	struct zone_reach n = rate_reach(p->rate);
+
+	if (n.reached == p->logged_reach.reached &&
+	    n.silent == p->logged_reach.silent)
+		return;
+	p->logged_reach = n;
+	proxy_log(out, "event=rate_part reached=%u silent=%u", n.reached,
+		  n.silent);
+}
+
 void owners_tick(struct proxy *p, hm_time now, struct proxy_output *out)
 {
 	uint64_t generation;
 	uint32_t i;
 
+	log_reach(p, out);
 	check_busy(p, now, out);
 	generation = peers_generation(p->peers);
 	if (!p->members ||
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -189,18 +189,6 @@
 	}
 }
 
-static void log_reach(struct proxy *p, struct proxy_output *out)
-{
-	struct zone_reach n = rate_reach(p->rate);
-
-	if (n.reached == p->logged_reach.reached &&
-	    n.silent == p->logged_reach.silent)
-		return;
-	p->logged_reach = n;
-	proxy_log(out, "event=rate_part reached=%u silent=%u", n.reached,
-		  n.silent);
-}
-
 static void tick(struct proxy *p, hm_time now, struct proxy_output *out)
 {
 	peers_tick(p->peers, now);
@@ -208,7 +196,6 @@
 	if (p->reserve)
 		token_reserve_tick(p->reserve, p->store_era, now, out);
 	check_peers(p, now, out);
-	log_reach(p, out);
 	owners_tick(p, now, out);
 	services_tick(p, now, out);
 	sessions_tick(p, now, out);
