--- a/core/pool_commit.c
+++ b/core/pool_commit.c
@@ -40,12 +40,13 @@
 	};
 }
 
-static void release(struct pool *p, struct held_commit *c, bool confirmed,
-		    const char *why, hm_time now, struct proxy_output *out)
+/* @param why the commit is not confirmed, NULL: it is */
+static void release(struct pool *p, struct held_commit *c, const char *why,
+		    hm_time now, struct proxy_output *out)
 {
 	struct run_result *r = c->result;
 
-	if (!confirmed) {
+	if (why) {
 		proxy_log(out,
 			  "event=unconfirmed request=%s member=%s reason=%s "
 			  "term=%llu pos=%llu waited_us=%lld",
@@ -66,9 +67,9 @@
 		struct held_commit *c = &p->commits[i];
 
 		if (primary_check_has_commit(p->check, c->result->at))
-			release(p, c, true, NULL, now, out);
+			release(p, c, NULL, now, out);
 		else if (now > c->until)
-			release(p, c, false, "no_replica", now, out);
+			release(p, c, "no_replica", now, out);
 		else
 			p->commits[kept++] = *c;
 	}
@@ -117,7 +118,7 @@
 	uint32_t i;
 
 	for (i = 0; i < p->commit_count; i++)
-		release(p, &p->commits[i], false, "pool_closed", now, out);
+		release(p, &p->commits[i], "pool_closed", now, out);
 	p->commit_count = 0;
 }
 
