--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -260,6 +260,21 @@
 static const hm_time intervals[] = { 150 * HM_MS, 400 * HM_MS, 900 * HM_MS,
 				     1700 * HM_MS };
 
+/* Writes a series of versions; each must be in force everywhere in time. */
+static void play_series(struct zone_fixture *z, hm_time interval)
+{
+	uint32_t i;
+
+	for (i = 0; i < VERSIONS_MAX - 3; i++) {
+		write_version(z);
+		run(z, interval);
+	}
+	run(z, IN_FORCE_WITHIN);
+	for (i = 0; i < INSTANCES; i++)
+		ck_assert_uint_eq(version_of(z, i), z->newest);
+	ck_assert_int_le(z->latest, IN_FORCE_WITHIN);
+}
+
 /*
  * Guards against a configuration that is late during a series of changes: each
  * newer version put off the read from the store that replaces a copy, and the
@@ -268,19 +283,10 @@
  */
 START_TEST(each_version_of_a_series_is_in_force_in_time)
 {
-	hm_time interval = intervals[_i];
 	struct zone_fixture z;
-	uint32_t i;
 
 	zone_open(&z);
-	for (i = 0; i < VERSIONS_MAX - 3; i++) {
-		write_version(&z);
-		run(&z, interval);
-	}
-	run(&z, IN_FORCE_WITHIN);
-	for (i = 0; i < INSTANCES; i++)
-		ck_assert_uint_eq(version_of(&z, i), z.newest);
-	ck_assert_int_le(z.latest, IN_FORCE_WITHIN);
+	play_series(&z, intervals[_i]);
 	zone_close(&z);
 }
 END_TEST
@@ -293,19 +299,11 @@
 START_TEST(series_is_in_force_in_time_at_instances_that_wake_late)
 {
 	struct zone_fixture z;
-	uint32_t i;
 
 	zone_open(&z);
 	z.sleepy = true;
 	z.rng.state = 1 + (uint64_t)_i;
-	for (i = 0; i < VERSIONS_MAX - 3; i++) {
-		write_version(&z);
-		run(&z, intervals[_i]);
-	}
-	run(&z, IN_FORCE_WITHIN);
-	for (i = 0; i < INSTANCES; i++)
-		ck_assert_uint_eq(version_of(&z, i), z.newest);
-	ck_assert_int_le(z.latest, IN_FORCE_WITHIN);
+	play_series(&z, intervals[_i]);
 	/* At most one read a second of each instance that does not watch. */
 	ck_assert_int_le(z.reads, INSTANCES * ((VERSIONS_MAX * intervals[_i] +
 						IN_FORCE_WITHIN) /
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -209,27 +209,27 @@
 }
 END_TEST
 
+/* Sends far more requests than the contract allows. */
+static void press_until(struct rate_fleet *f, hm_time until)
+{
+	while (f->now < until) {
+		rate_fleet_step(f);
+		rate_fleet_offer(f, 1000, 0);
+	}
+}
+
 /* Cuts off instances 1 and 3, while clients of all press. */
 static uint64_t admitted_beside_cut_instances(struct rate_fleet *f)
 {
 	uint64_t admitted;
 
-	while (f->now < 5 * HM_SEC) {
-		rate_fleet_step(f);
-		rate_fleet_offer(f, 1000, 0);
-	}
+	press_until(f, 5 * HM_SEC);
 	f->alone = 1U << 1 | 1U << 3;
 	admitted = f->admitted;
-	while (f->now < 17 * HM_SEC) {
-		rate_fleet_step(f);
-		rate_fleet_offer(f, 1000, 0);
-	}
+	press_until(f, 17 * HM_SEC);
 	admitted = f->admitted - admitted;
 	f->alone = 0;
-	while (f->now < 22 * HM_SEC) {
-		rate_fleet_step(f);
-		rate_fleet_offer(f, 1000, 0);
-	}
+	press_until(f, 22 * HM_SEC);
 	return admitted;
 }
 
@@ -257,21 +257,12 @@
 	struct rate_fleet *f = rate_fleet_new(5, 200, 200, 500 * HM_MS);
 	uint64_t admitted;
 
-	while (f->now < 5 * HM_SEC) {
-		rate_fleet_step(f);
-		rate_fleet_offer(f, 1000, 0);
-	}
+	press_until(f, 5 * HM_SEC);
 	rate_node_stop(&f->nodes[1]);
 	f->nodes[1].down_until = f->now + down;
-	while (f->now < 10 * HM_SEC) {
-		rate_fleet_step(f);
-		rate_fleet_offer(f, 1000, 0);
-	}
+	press_until(f, 10 * HM_SEC);
 	admitted = f->admitted;
-	while (f->now < 15 * HM_SEC) {
-		rate_fleet_step(f);
-		rate_fleet_offer(f, 1000, 0);
-	}
+	press_until(f, 15 * HM_SEC);
 	admitted = f->admitted - admitted;
 	printf("down_us=%d admitted=%d\n", (int)down, (int)admitted);
 	ck_assert_uint_eq(f->over, 0);
