Play late promote calls in the random walk

The walk executed 1 in 20 promote calls late, by up to 3 s, while the platform executes them many seconds late. Its 60 commits were used up in 15 s of 60, and with later calls 4 or 5 commits a walk were acknowledged: the primary check of an owner never timed out a connection that a partition had silenced, views came by chance alone, and a commit had one moment to be confirmed.

A second profile, "late", executes 1 in 3 promote calls 2 to 12 s late. It has 384 commits, which wait 400 ms for their confirmation as in the pool, ticks the primary checks, and requests views as instances do; views are late or lost. The store has entries of its own, which a member writes with its status reports, and lists are up to 2.5 s old. Instances, members and the store are also parted one by one. A crashed primary leads again if no other was promoted, and a leaving member may hand its log to the next one at its address. A commit that a superseded primary acknowledges later counts as lost at once.

Late calls for a life that has ended do not count, as before, but the life is now the one that had replied to the caller; they are printed.

VOTER_WALK_PROFILE=late chooses the profile, VOTER_WALKS=FIRST-LAST plays a range and prints the losing seeds, VOTER_WALK_LOG=1 prints what happens.

late_promotions_have_each_acknowledged_commit fails: 5 of 1,000 walks lose commits, 47 of 20,000 by hand, with 69.6 acknowledged a walk.

--- a/tests/voter_walk.h
+++ b/tests/voter_walk.h
@@ -4,6 +4,9 @@
  * primary by what they know, members that crash, return, join and leave, a store
  * whose list and views each instance knows late, and partitions. The check: the
  * member that is promoted has each commit that was acknowledged before.
+ *
+ * A profile says how late calls are and what else happens. A seed means the same
+ * walk as long as its profile stays as it is.
  */
 #ifndef VOTER_WALK_H
 #define VOTER_WALK_H
@@ -14,9 +17,41 @@
 
 #define WALK_ZONES 3
 #define WALK_MEMBERS 6
-#define WALK_COMMITS 60
-#define WALK_CALLS 8
+#define WALK_LOG_WORDS 6
+#define WALK_COMMITS (64 * WALK_LOG_WORDS)
+#define WALK_CALLS 32
 #define WALK_CONNS 32
+#define WALK_ENTRIES 16
+#define WALK_VIEWS 48
+#define WALK_HELD 8
+
+/** Commits, a bit each. */
+struct walk_log {
+	uint64_t words[WALK_LOG_WORDS];
+};
+
+struct walk_profile {
+	const char *name;
+	uint32_t slots; /* most members at a time */
+	uint32_t commits, calls;
+	hm_time commit_every;
+	hm_time crash_least, crash_most;
+	hm_time cut_every; /* a zone is cut off */
+	uint32_t late_in;  /* one of so many promote calls is late */
+	hm_time late_least, late_most;
+	uint32_t empty_in; /* one of so many members is back without its log */
+	/*
+	 * What the platform does besides: entries and lists of members that are
+	 * old, late views, connections that are cut one by one, commits that
+	 * wait for their confirmation.
+	 */
+	bool platform;
+};
+
+/** Calls seldom late, as the walk has been from the start. */
+extern const struct walk_profile walk_usual;
+/** Promote calls are executed up to 12 s late. */
+extern const struct walk_profile walk_late;
 
 /** A member; each bit of its log is a commit. */
 struct walk_member {
@@ -27,11 +62,40 @@
 	hm_time back_at;     /* when a crashed one runs again */
 	hm_time ends_at;     /* when a leaving one exits, 0: it stays */
 	hm_time listed_till; /* when the store drops its entry */
-	uint64_t log;
+	struct walk_log log;
 	struct log_pos at;
 	uint64_t primary_term; /* under which it is primary, 0: replica */
 	uint64_t paused_term;
 	uint64_t least_term; /* it follows primaries of this term or later */
+	/* With walk_profile.platform: */
+	bool has_heir;	    /* a member at its address takes over its log */
+	uint64_t lost_term; /* under which it was primary when it crashed */
+	hm_time report_at;  /* its next status report */
+	hm_time store_cut_till;
+	hm_time cut_till[WALK_ZONES];	  /* from instances */
+	hm_time apart_till[WALK_MEMBERS]; /* from members */
+};
+
+/** What the store says of a member. */
+struct walk_entry {
+	struct site_member spec;
+	hm_time till; /* when it expires */
+};
+
+/** A view that has not arrived yet. */
+struct walk_view {
+	uint32_t to;
+	hm_time at;
+	struct service_view view;
+};
+
+/** A commit that waits for its confirmation. */
+struct walk_held {
+	uint32_t bit;
+	hm_id primary;
+	uint64_t started;
+	struct log_pos at;
+	hm_time until;
 };
 
 /** A connection of an instance, to one life of a member. */
@@ -53,6 +117,12 @@
 	uint64_t store_era, next_conn;
 	struct walk_conn conns[WALK_CONNS]; /* the newest ones */
 	struct proxy_output out;
+	/* With walk_profile.platform: */
+	uint64_t heard[WALK_MEMBERS]; /* the life that replied last */
+	struct walk_held held[WALK_HELD];
+	uint32_t held_count;
+	struct site_members read; /* a list that is not in force yet */
+	hm_time read_at, read_applied_at, next_read_at;
 };
 
 /** A call to the store or the platform that is not executed yet. */
@@ -68,8 +138,10 @@
 };
 
 struct walk {
+	const struct walk_profile *profile; /* NULL: walk_usual */
+	bool log;			    /* prints what happens */
 	struct rng rng;
-	hm_time now;
+	hm_time began_at, now;
 	struct walk_member members[WALK_MEMBERS];
 	struct walk_instance instances[WALK_ZONES];
 	struct walk_call calls[WALK_CALLS];
@@ -81,9 +153,19 @@
 	uint64_t fence; /* newest token that a promote call had */
 	uint64_t term;
 	uint64_t names; /* counts the members so far */
-	uint64_t commits, acked;
+	uint32_t commits;
+	struct walk_log acked;
 	bool any_member_votes; /* the fault: no record is kept */
 	uint32_t promotions, acks, lost;
+	/* With walk_profile.platform: */
+	struct walk_entry entries[WALK_ENTRIES];
+	struct walk_view views[WALK_VIEWS];
+	uint32_t view_count;
+	hm_time store_down_till;
+	struct walk_log promoted; /* what the newest primary began with */
+	/* Calls for a life that has ended; today they lose commits. */
+	uint32_t uncovered;
+	hm_time led; /* how long a primary of the newest term ran */
 };
 
 /** Runs a walk of @a span from a seed. */
