Print who has a commit that the walk acknowledges

A losing walk showed that a commit was acknowledged during a change, not which voters confirmed it, nor that one of them was a life of a member that the record doesn't state.

--- a/tests/voter_walk.c
+++ b/tests/voter_walk.c
@@ -861,14 +861,36 @@
 	primary_check_set_members(n->check, &n->members, SERVICE, &n->out);
 }
 
+/* Prints who has a commit; a star: a life that the record doesn't state. */
+static void note_holders(struct walk *w, uint32_t zone, uint32_t bit,
+			 struct log_pos at)
+{
+	char holders[8 * WALK_MEMBERS + 1] = "";
+	uint32_t i;
+
+	for (i = 0; i < WALK_MEMBERS; i++) {
+		const struct walk_member *m = &w->members[i];
+		size_t used = strlen(holders);
+
+		if (m->exists && m->up && log_has(&m->log, bit))
+			snprintf(holders + used, sizeof(holders) - used,
+				 " %.5s%s", m->spec.name,
+				 voters_have(&w->record.voters,
+					     m->spec.endpoint, m->spec.started)
+					 ? ""
+					 : "*");
+	}
+	note(w, "z%u: commit %u (%u.%u) acknowledged:%s", zone, bit,
+	     (unsigned)at.term, (unsigned)at.pos, holders);
+}
+
 /* A commit that no member of the newest term began with is lost already. */
 static void acknowledge(struct walk *w, uint32_t zone, uint32_t bit,
 			struct log_pos at)
 {
 	log_add(&w->acked, bit);
 	w->acks++;
-	note(w, "z%u: commit %u (%u.%u) acknowledged", zone, bit,
-	     (unsigned)at.term, (unsigned)at.pos);
+	note_holders(w, zone, bit, at);
 	if (!w->profile->platform || at.term == w->term ||
 	    log_has(&w->promoted, bit))
 		return;
