--- /dev/null
+++ b/core/monitor_call.c
@@ -0,0 +1,99 @@
+/** @file monitor_call.c The promote call of a primary change. */
+#include "monitor_state.h"
+
+#include <stdio.h>
+
+/* After its limit the promote call is made again. */
+#define CALL_LIMIT (3 * HM_SEC)
+#define SETTLE_LIMIT (4 * HM_SEC)
+/* Pause before a refused or unanswered promote call is repeated. */
+#define CALL_RETRY_DELAY (200 * HM_MS)
+
+void change_call(struct monitor *k, const struct monitored_member *m,
+		 struct proxy_output *out)
+{
+	struct proxy_action *a = monitor_duty(k, PROXY_PROMOTE, NULL, out);
+
+	a->duty.token = k->token;
+	snprintf(a->duty.endpoint, sizeof(a->duty.endpoint), "%s",
+		 m->spec.name);
+}
+
+void change_promote(struct monitor *k, const struct monitored_member *target,
+		    hm_time now, struct proxy_output *out)
+{
+	proxy_log(out,
+		  "event=promote service=%s member=%s token=%llu term=%llu "
+		  "received=%llu.%llu planned=%d",
+		  k->service_name, target->spec.name,
+		  (unsigned long long)k->token, (unsigned long long)k->term,
+		  (unsigned long long)target->status.received.term,
+		  (unsigned long long)target->status.received.pos, k->planned);
+	change_enter(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
+	k->call_pending = true;
+	change_call(k, target, out);
+}
+
+static bool target_is_primary(struct monitor *k)
+{
+	const struct monitored_member *primary = monitor_primary(k);
+
+	return primary && primary->spec.endpoint == k->target;
+}
+
+void change_await(struct monitor *k, hm_time now, struct proxy_output *out)
+{
+	struct monitored_member *target = monitor_find(k, k->target);
+
+	if (target_is_primary(k)) {
+		k->promotions++;
+		k->call_pending = false;
+		proxy_log(out, "event=promoted service=%s member=%s term=%llu",
+			  k->service_name, target->spec.name,
+			  (unsigned long long)k->term);
+		change_finish(k, now, out);
+	} else if (!target || !target->up) {
+		/*
+		 * The target may still become primary: a new change takes a
+		 * newer token first.
+		 */
+		k->planned = monitor_primary(k) != NULL;
+		change_begin(k, k->planned, now, out);
+	} else if (now > k->step_until) {
+		change_enter(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
+		change_call(k, target, out);
+	}
+}
+
+void monitor_promote_result(struct monitor *k, uint64_t token,
+			    enum promote_outcome outcome, hm_time now,
+			    struct proxy_output *out)
+{
+	if (!k->active || token != k->token)
+		return;
+	if (k->step == CHANGE_CANCEL) {
+		if (outcome != PROMOTE_DONE)
+			return;
+		k->call_pending = false;
+		change_finish(k, now, out);
+		return;
+	}
+	if (k->step != CHANGE_PROMOTE)
+		return;
+	switch (outcome) {
+	case PROMOTE_DONE:
+		change_enter(k, CHANGE_SETTLE, now + SETTLE_LIMIT, out);
+		break;
+	case PROMOTE_REJECTED:
+		/*
+		 * A newer token was used, or the target does not run: the
+		 * probes show either before the next attempt.
+		 */
+		change_stop(k, now);
+		break;
+	case PROMOTE_REFUSED:
+	case PROMOTE_LOST:
+		k->step_until = now + CALL_RETRY_DELAY;
+		break;
+	}
+}
--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -4,18 +4,11 @@
 #include <stdio.h>
 #include <string.h>
 
-/*
- * Time limits of the steps. After its limit a step is given up, except that the
- * promote call is made again.
- */
+/* Time limits of the steps. After its limit a step is given up. */
 #define TOKEN_LIMIT (3 * HM_SEC)
 #define PAUSE_LIMIT (2 * HM_SEC)
-#define CALL_LIMIT (3 * HM_SEC)
-#define SETTLE_LIMIT (4 * HM_SEC)
 /* Pause before a primary change is started again. */
 #define RETRY_DELAY (500 * HM_MS)
-/* Pause before a refused or unanswered promote call is repeated. */
-#define CALL_RETRY_DELAY (200 * HM_MS)
 /* Probe interval during a primary change. */
 #define CHANGE_PROBE_EVERY (40 * HM_MS)
 /*
@@ -42,8 +35,14 @@
 	return step_names[step];
 }
 
-static void enter_step(struct monitor *k, enum change_step step, hm_time until,
-		       struct proxy_output *out)
+void change_stop(struct monitor *k, hm_time now)
+{
+	k->step = CHANGE_NONE;
+	k->retry_at = now + RETRY_DELAY;
+}
+
+void change_enter(struct monitor *k, enum change_step step, hm_time until,
+		  struct proxy_output *out)
 {
 	struct monitored_member *target = monitor_find(k, k->target);
 
@@ -57,16 +56,6 @@
 		  (unsigned long long)k->token);
 }
 
-static void call_promote(struct monitor *k, const struct monitored_member *m,
-			 struct proxy_output *out)
-{
-	struct proxy_action *a = monitor_duty(k, PROXY_PROMOTE, NULL, out);
-
-	a->duty.token = k->token;
-	snprintf(a->duty.endpoint, sizeof(a->duty.endpoint), "%s",
-		 m->spec.name);
-}
-
 static void resume_all(struct monitor *k, hm_time now, struct proxy_output *out)
 {
 	uint32_t i;
@@ -84,12 +73,11 @@
 	}
 }
 
-static void finish(struct monitor *k, hm_time now, struct proxy_output *out)
+void change_finish(struct monitor *k, hm_time now, struct proxy_output *out)
 {
 	resume_all(k, now, out);
 	record_change_ended(k, now);
-	k->step = CHANGE_NONE;
-	k->retry_at = now + RETRY_DELAY;
+	change_stop(k, now);
 	monitor_broadcast_view(k);
 }
 
@@ -101,18 +89,18 @@
 {
 	k->token = 0;
 	k->target = 0;
-	enter_step(k, CHANGE_CANCEL, now + TOKEN_LIMIT, out);
+	change_enter(k, CHANGE_CANCEL, now + TOKEN_LIMIT, out);
 	record_request_token(k, out);
 	monitor_broadcast_view(k);
 }
 
-static void begin_change(struct monitor *k, bool planned, hm_time now,
-			 struct proxy_output *out)
+void change_begin(struct monitor *k, bool planned, hm_time now,
+		  struct proxy_output *out)
 {
 	k->planned = planned;
 	k->target = 0;
 	k->token = 0;
-	enter_step(k, CHANGE_TOKEN, now + TOKEN_LIMIT, out);
+	change_enter(k, CHANGE_TOKEN, now + TOKEN_LIMIT, out);
 	record_request_token(k, out);
 	monitor_broadcast_view(k);
 }
@@ -155,7 +143,7 @@
 		cancel(k, now, out);
 	} else if (primary && is_leaving(k, primary, now)) {
 		if (choice_most_advanced(k, true))
-			begin_change(k, true, now, out);
+			change_begin(k, true, now, out);
 	} else if (!primary && now >= *k->deps.settled_at &&
 		   now - *k->deps.members_current_at <= MEMBERS_CURRENT &&
 		   choice_reachable_count(k)) {
@@ -163,7 +151,7 @@
 		/* The token brings a record that could not be read yet. */
 		if (k->record_read ? choice_sees_all_commits(k)
 				   : choice_sees_only_replicas(k))
-			begin_change(k, false, now, out);
+			change_begin(k, false, now, out);
 	}
 }
 
@@ -224,52 +212,7 @@
 	    !choice_target_has_all(k) ||
 	    (k->planned && !choice_switchover_is_safe(k)))
 		return;
-	proxy_log(out,
-		  "event=promote service=%s member=%s token=%llu term=%llu "
-		  "received=%llu.%llu planned=%d",
-		  k->service_name, target->spec.name,
-		  (unsigned long long)k->token, (unsigned long long)k->term,
-		  (unsigned long long)target->status.received.term,
-		  (unsigned long long)target->status.received.pos, k->planned);
-	enter_step(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
-	k->call_pending = true;
-	call_promote(k, target, out);
-}
-
-static bool target_is_primary(struct monitor *k)
-{
-	const struct monitored_member *primary = monitor_primary(k);
-
-	return primary && primary->spec.endpoint == k->target;
-}
-
-/*
- * Continues a change whose promote call was made or accepted: waits until the
- * target is primary.
- */
-static void wait_for_primary(struct monitor *k, hm_time now,
-			     struct proxy_output *out)
-{
-	struct monitored_member *target = monitor_find(k, k->target);
-
-	if (target_is_primary(k)) {
-		k->promotions++;
-		k->call_pending = false;
-		proxy_log(out, "event=promoted service=%s member=%s term=%llu",
-			  k->service_name, target->spec.name,
-			  (unsigned long long)k->term);
-		finish(k, now, out);
-	} else if (!target || !target->up) {
-		/*
-		 * The target may still become primary: a new change takes a
-		 * newer token first.
-		 */
-		k->planned = monitor_primary(k) != NULL;
-		begin_change(k, k->planned, now, out);
-	} else if (now > k->step_until) {
-		enter_step(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
-		call_promote(k, target, out);
-	}
+	change_promote(k, target, now, out);
 }
 
 void change_check(struct monitor *k, hm_time now, struct proxy_output *out)
@@ -286,8 +229,7 @@
 	case CHANGE_TOKEN:
 	case CHANGE_CANCEL:
 		if (now > k->step_until) {
-			k->step = CHANGE_NONE;
-			k->retry_at = now + RETRY_DELAY;
+			change_stop(k, now);
 		}
 		break;
 	case CHANGE_PAUSE_REPLICAS:
@@ -295,7 +237,7 @@
 		break;
 	case CHANGE_PROMOTE:
 	case CHANGE_SETTLE:
-		wait_for_primary(k, now, out);
+		change_await(k, now, out);
 		break;
 	case CHANGE_STEP_COUNT:
 		break;
@@ -308,12 +250,11 @@
 	struct monitored_member *primary = monitor_primary(k);
 
 	if (!k->token || !choice_sees_newest_primary(k)) {
-		k->step = CHANGE_NONE;
-		k->retry_at = now + RETRY_DELAY;
+		change_stop(k, now);
 		return;
 	}
 	k->target = primary->spec.endpoint;
-	call_promote(k, primary, out);
+	change_call(k, primary, out);
 }
 
 void monitor_token_taken(struct monitor *k, uint64_t token,
@@ -338,48 +279,13 @@
 	if (!token || (!k->planned && !choice_sees_all_commits(k))) {
 		if (token)
 			record_token_unused(k);
-		k->step = CHANGE_NONE;
-		k->retry_at = now + RETRY_DELAY;
+		change_stop(k, now);
 		return;
 	}
 	k->pause_term = k->term + token;
 	target = k->planned ? choice_most_advanced(k, true) : NULL;
 	k->target = target ? target->spec.endpoint : 0;
-	enter_step(k, CHANGE_PAUSE_REPLICAS, now + PAUSE_LIMIT, out);
+	change_enter(k, CHANGE_PAUSE_REPLICAS, now + PAUSE_LIMIT, out);
 	monitor_discard_replies(k);
 	change_check(k, now, out);
 }
-
-void monitor_promote_result(struct monitor *k, uint64_t token,
-			    enum promote_outcome outcome, hm_time now,
-			    struct proxy_output *out)
-{
-	if (!k->active || token != k->token)
-		return;
-	if (k->step == CHANGE_CANCEL) {
-		if (outcome != PROMOTE_DONE)
-			return;
-		k->call_pending = false;
-		finish(k, now, out);
-		return;
-	}
-	if (k->step != CHANGE_PROMOTE)
-		return;
-	switch (outcome) {
-	case PROMOTE_DONE:
-		enter_step(k, CHANGE_SETTLE, now + SETTLE_LIMIT, out);
-		break;
-	case PROMOTE_REJECTED:
-		/*
-		 * A newer token was used, or the target does not run: the
-		 * probes show either before the next attempt.
-		 */
-		k->step = CHANGE_NONE;
-		k->retry_at = now + RETRY_DELAY;
-		break;
-	case PROMOTE_REFUSED:
-	case PROMOTE_LOST:
-		k->step_until = now + CALL_RETRY_DELAY;
-		break;
-	}
-}
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -262,5 +262,25 @@
 void change_check(struct monitor *k, hm_time now, struct proxy_output *out);
 /** Name of a step for log lines. */
 const char *change_name(enum change_step step);
+void change_enter(struct monitor *k, enum change_step step, hm_time until,
+		  struct proxy_output *out);
+/** Begins a change with a token of its own. */
+void change_begin(struct monitor *k, bool planned, hm_time now,
+		  struct proxy_output *out);
+/** Ends a change after which no promote call can take effect. */
+void change_finish(struct monitor *k, hm_time now, struct proxy_output *out);
+/** Ends a change without knowing that; the next one begins a while later. */
+void change_stop(struct monitor *k, hm_time now);
+/** Makes the promote call that the change has prepared. */
+void change_promote(struct monitor *k, const struct monitored_member *target,
+		    hm_time now, struct proxy_output *out);
+/** Makes a promote call for a member with the change's token. */
+void change_call(struct monitor *k, const struct monitored_member *m,
+		 struct proxy_output *out);
+/**
+ * Continues a change whose promote call was made or accepted: waits until the
+ * target is primary.
+ */
+void change_await(struct monitor *k, hm_time now, struct proxy_output *out);
 
 #endif
