Log which voters each promote call counts on

The lines of a change showed its steps, its target and what that had received, but not which voters were paused and which could go on confirming commits without the target. A call beside a silent voter (hypothesis 1), a pause that ends before the call takes effect (2) and a target that has started again looked alike.

event=promote now comes with each call, also a repeated one, and lists both kinds of voters; event=pause_lost says that a paused one receives again; event=promoted has what the new primary has. Members record for it whether the present change holds them.

--- a/core/monitor.c
+++ b/core/monitor.c
@@ -97,6 +97,8 @@
 	m->has_status = false;
 	m->answered = false;
 	m->paused_since = 0;
+	if (!change_is_called(k))
+		m->held = false;
 	if (!m->up)
 		return;
 	m->up = false;
@@ -119,6 +121,7 @@
 		struct monitored_member *m = &k->members[i];
 
 		m->stale_replies = m->probe.pending;
+		m->held = false;
 		m->fresh_status = false;
 		m->fresh_primary = false;
 		m->first_primary_pos = (struct log_pos){ 0 };
@@ -228,6 +231,25 @@
 	probe_member(k, m, false, now, out);
 }
 
+/* Notes whether a member is paused by the present change. */
+static void note_hold(struct monitor *k, struct monitored_member *m,
+		      struct proxy_output *out)
+{
+	bool held =
+		m->status.paused_term && m->status.paused_term == k->pause_term;
+
+	if (m->held && !held && change_is_called(k))
+		proxy_log(out,
+			  "event=pause_lost service=%s member=%s "
+			  "received=%llu.%llu paused_term=%llu token=%llu",
+			  k->service_name, m->spec.name,
+			  (unsigned long long)m->status.received.term,
+			  (unsigned long long)m->status.received.pos,
+			  (unsigned long long)m->status.paused_term,
+			  (unsigned long long)k->token);
+	m->held = held;
+}
+
 static void take_status(struct monitor *k, struct monitored_member *m,
 			const struct member_reply *r, hm_time now,
 			struct proxy_output *out)
@@ -236,6 +258,7 @@
 		return; /* the member is busy, its status is unknown */
 	m->status = r->status;
 	m->has_status = true;
+	note_hold(k, m, out);
 	m->reported.status_probed = m->status_order;
 	m->reported.received_term = r->status.received.term;
 	monitor_raise_term(k, r->status.term);
--- a/core/monitor_call.c
+++ b/core/monitor_call.c
@@ -9,6 +9,11 @@
 /* Pause before a refused or unanswered promote call is repeated. */
 #define CALL_RETRY_DELAY (200 * HM_MS)
 
+bool change_is_called(const struct monitor *k)
+{
+	return k->step == CHANGE_PROMOTE || k->step == CHANGE_SETTLE;
+}
+
 void change_call(struct monitor *k, const struct monitored_member *m,
 		 struct proxy_output *out)
 {
@@ -19,16 +24,36 @@
 		 m->spec.name);
 }
 
-void change_promote(struct monitor *k, const struct monitored_member *target,
-		    hm_time now, struct proxy_output *out)
+/* Which voters are paused at this call, and which may go on without it. */
+static void log_call(const struct monitor *k,
+		     const struct monitored_member *target,
+		     struct proxy_output *out)
 {
+	char held[MISSING_NAMES_BYTES] = "", loose[MISSING_NAMES_BYTES] = "";
+	uint32_t i;
+
+	for (i = 0; i < k->record.voters.count; i++) {
+		const char *name = k->record.contacts[i].name;
+
+		if (voter_is_loose(k, i))
+			monitor_list_name(loose, sizeof(loose), name);
+		else if (k->record.voters.list[i].endpoint != k->target)
+			monitor_list_name(held, sizeof(held), name);
+	}
 	proxy_log(out,
 		  "event=promote service=%s member=%s token=%llu term=%llu "
-		  "received=%llu.%llu planned=%d",
+		  "received=%llu.%llu planned=%d paused=%s loose=%s",
 		  k->service_name, target->spec.name,
 		  (unsigned long long)k->token, (unsigned long long)k->term,
 		  (unsigned long long)target->status.received.term,
-		  (unsigned long long)target->status.received.pos, k->planned);
+		  (unsigned long long)target->status.received.pos, k->planned,
+		  held[0] ? held : "-", loose[0] ? loose : "-");
+}
+
+void change_promote(struct monitor *k, const struct monitored_member *target,
+		    hm_time now, struct proxy_output *out)
+{
+	log_call(k, target, out);
 	change_enter(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
 	k->call_pending = true;
 	change_call(k, target, out);
@@ -48,9 +73,13 @@
 	if (target_is_primary(k)) {
 		k->promotions++;
 		k->call_pending = false;
-		proxy_log(out, "event=promoted service=%s member=%s term=%llu",
+		proxy_log(out,
+			  "event=promoted service=%s member=%s term=%llu "
+			  "received=%llu.%llu",
 			  k->service_name, target->spec.name,
-			  (unsigned long long)k->term);
+			  (unsigned long long)k->term,
+			  (unsigned long long)target->primary_pos.term,
+			  (unsigned long long)target->primary_pos.pos);
 		change_finish(k, now, out);
 	} else if (!target || !target->up) {
 		/*
@@ -60,8 +89,7 @@
 		k->planned = monitor_primary(k) != NULL;
 		change_begin(k, k->planned, now, out);
 	} else if (now > k->step_until) {
-		change_enter(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
-		change_call(k, target, out);
+		change_promote(k, target, now, out);
 	}
 }
 
--- a/core/monitor_members.c
+++ b/core/monitor_members.c
@@ -9,8 +9,10 @@
 {
 	bool restarted = site_member_restarted(&m->spec, spec);
 
-	if (m->spec.started != spec->started)
+	if (m->spec.started != spec->started) {
 		m->received_most = (struct log_pos){ 0 };
+		m->held = false;
+	}
 	m->spec = *spec;
 	if (!restarted)
 		return;
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -59,7 +59,12 @@
 	hm_time paused_since;
 	/* Reset when a primary change begins to pause replicas: */
 	uint32_t stale_replies; /**< pending replies to earlier commands */
-	bool fresh_status;	/**< a status has been received since */
+	/**
+	 * Paused by the present change, by its last status. One that falls
+	 * silent after the promote call is taken to stay paused.
+	 */
+	bool held;
+	bool fresh_status;  /**< a status has been received since */
 	bool fresh_primary; /**< its last reply showed that it is writable */
 	struct log_pos
 		first_primary_pos; /**< position in the first such reply */
@@ -176,6 +181,13 @@
 bool voter_is_missing(const struct monitor *k, uint32_t index);
 /** Number of voters for which that holds. */
 uint32_t voters_missing(const struct monitor *k);
+/**
+ * Whether a voter may confirm commits that the target of the present change
+ * lacks: it is neither the target nor paused by the change.
+ */
+bool voter_is_loose(const struct monitor *k, uint32_t index);
+/** Number of voters for which that holds. */
+uint32_t voters_loose(const struct monitor *k);
 /** Whether a member that replies has lost the log that it had. */
 bool voter_has_lost_log(const struct monitor *k,
 			const struct monitored_member *m);
@@ -260,6 +272,8 @@
 bool choice_target_has_all(struct monitor *k);
 /** Starts or continues a primary change; call after each event. */
 void change_check(struct monitor *k, hm_time now, struct proxy_output *out);
+/** Whether a promote call of the present change may still take effect. */
+bool change_is_called(const struct monitor *k);
 /** Name of a step for log lines. */
 const char *change_name(enum change_step step);
 void change_enter(struct monitor *k, enum change_step step, hm_time until,
--- a/core/monitor_voters.c
+++ b/core/monitor_voters.c
@@ -91,6 +91,26 @@
 	return n;
 }
 
+bool voter_is_loose(const struct monitor *k, uint32_t index)
+{
+	const struct monitored_member *m =
+		member_of(k, &k->record.voters.list[index]);
+
+	if (!m || (!m->up && !m->held))
+		m = successor_of(k, index);
+	return !m || voter_has_lost_log(k, m) ||
+	       (!m->held && m->spec.endpoint != k->target);
+}
+
+uint32_t voters_loose(const struct monitor *k)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < k->record.voters.count; i++)
+		n += voter_is_loose(k, i);
+	return n;
+}
+
 bool monitor_is_voter(const struct monitor *k, const struct monitored_member *m)
 {
 	return voters_have(&k->record.voters, m->spec.endpoint,
--- a/tests/monitor_fixture.c
+++ b/tests/monitor_fixture.c
@@ -53,6 +53,7 @@
 	r->record.voters.at.revision = 1;
 	r->record.committed = true;
 	r->text = g_string_new(NULL);
+	r->log = g_string_new(NULL);
 	r->count = MONITOR_FIXTURE_MEMBERS;
 	for (i = 0; i < MONITOR_FIXTURE_MEMBERS; i++) {
 		struct monitored_fake *f = &r->fakes[i];
@@ -80,6 +81,7 @@
 	monitor_free(r->monitor);
 	proxy_output_free(&r->out);
 	g_string_free(r->text, TRUE);
+	g_string_free(r->log, TRUE);
 }
 
 static struct monitored_fake *fake_by_name(struct monitor_fixture *r,
@@ -209,6 +211,8 @@
 				connect_fake(r, a);
 			else if (a->kind == PROXY_COMMAND)
 				run_command(r, a);
+			else if (a->kind == PROXY_LOG)
+				g_string_append_printf(r->log, "%s\n", a->line);
 			else if (a->kind == PROXY_TAKE_TOKEN &&
 				 !r->token_silent)
 				take_token(r, a);
--- a/tests/monitor_fixture.h
+++ b/tests/monitor_fixture.h
@@ -33,6 +33,7 @@
 	uint32_t count;
 	struct proxy_output out;
 	GString *text; /* pause, resume, step_down and promote commands */
+	GString *log;  /* log lines */
 	hm_time now;
 	bool token_silent; /* requests for a token get no answer */
 	uint64_t token;
