Begin a switchover only while each other voter replies

Clients lost acknowledged commits: while a primary was replaced as planned, a replica that the monitor did not reach, but the primary and its owner did, confirmed commits that the new primary lacked.

Cause: a failover and a switchover had rules of their own. A failover lets at most SyncReplicas voters go on. A switchover beside a silent voter asked only that the target had what the primary had at the call. That covers the past; primary and silent voter went on confirming commits until the call took effect, seconds later if it was late. With SyncReplicas 1 these are two where one is allowed.

One rule for both now: at most SyncReplicas voters are loose, that is neither paused for the change nor its target. The primary of a switchover is one of them. The comparison with the primary's position goes, since among any voters that can confirm a commit there is the target, or one that is paused and has nothing that the target lacks. A switchover that would not be allowed does not begin, as pausing the others would refuse writes; event=switchover_waits names the voters.

test_monitor switchover_waits_while_a_voter_is_silent takes the place of switchover_waits_for_commits_of_a_silent_replica, which expected the call once the target had the primary's position: the new test has that moment, too, and expects no call until the voter is back. On the code before it fails with "promote m2 token=1".

--- a/core/monitor.c
+++ b/core/monitor.c
@@ -124,7 +124,6 @@
 		m->held = false;
 		m->fresh_status = false;
 		m->fresh_primary = false;
-		m->first_primary_pos = (struct log_pos){ 0 };
 	}
 }
 
@@ -293,8 +292,6 @@
 	}
 	if (tag == PROBE_PRIMARY) {
 		primary_probed(k, m, reply, now, out);
-		if (m->writable && !old && !m->first_primary_pos.term)
-			m->first_primary_pos = m->primary_pos;
 		m->fresh_primary = m->writable && !old;
 	} else if (tag == PROBE_STATUS || tag == PROBE_CONTROL) {
 		take_status(k, m, reply, now, out);
--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -142,7 +142,8 @@
 		k->planned = true;
 		cancel(k, now, out);
 	} else if (primary && is_leaving(k, primary, now)) {
-		if (choice_most_advanced(k, true))
+		choice_log_wait(k, out);
+		if (choice_may_switch(k))
 			change_begin(k, true, now, out);
 	} else if (!primary && now >= *k->deps.settled_at &&
 		   now - *k->deps.members_current_at <= MEMBERS_CURRENT &&
@@ -208,9 +209,7 @@
 		k->target = target ? target->spec.endpoint : 0;
 	}
 	target = monitor_find(k, k->target);
-	if (!target || !target->up || !target->has_status ||
-	    !choice_target_has_all(k) ||
-	    (k->planned && !choice_switchover_is_safe(k)))
+	if (!target || !target->up || !target->has_status || !choice_is_safe(k))
 		return;
 	change_promote(k, target, now, out);
 }
--- a/core/monitor_choice.c
+++ b/core/monitor_choice.c
@@ -58,6 +58,23 @@
 	snprintf(list + used, size - used, "%s%s", used ? "," : "", name);
 }
 
+/*
+ * How many voters may be missing when a change begins. The primary is loose in
+ * a switchover, which leaves one less.
+ */
+static uint32_t missing_max(struct monitor *k)
+{
+	const struct monitored_member *primary = monitor_primary(k);
+
+	return missing_logs_max(k) - (primary && monitor_is_voter(k, primary));
+}
+
+bool choice_may_switch(struct monitor *k)
+{
+	return choice_most_advanced(k, true) &&
+	       voters_missing(k) <= missing_max(k);
+}
+
 static void list_missing(const struct monitor *k, char *list, size_t size)
 {
 	uint32_t i;
@@ -72,18 +89,18 @@
 void choice_log_wait(struct monitor *k, struct proxy_output *out)
 {
 	char names[MISSING_NAMES_BYTES];
-	uint32_t missing = voters_missing(k);
+	uint32_t missing = voters_missing(k), allowed = missing_max(k);
 
 	if (missing == k->missing_logged)
 		return;
 	k->missing_logged = missing;
-	if (missing <= missing_logs_max(k))
+	if (missing <= allowed)
 		return;
 	list_missing(k, names, sizeof(names));
 	proxy_log(out,
-		  "event=failover_waits service=%s members=%s missing=%u "
-		  "allowed=%u",
-		  k->service_name, names, missing, missing_logs_max(k));
+		  "event=%s_waits service=%s members=%s missing=%u allowed=%u",
+		  monitor_primary(k) ? "switchover" : "failover",
+		  k->service_name, names, missing, allowed);
 }
 
 uint32_t choice_reachable_count(const struct monitor *k)
@@ -133,44 +150,21 @@
 	return m->spec.endpoint != k->target && m != monitor_primary(k);
 }
 
-/*
- * Whether a voter other than the primary does not reply: it may have
- * acknowledged commits until now.
- */
-static bool has_silent_replica(struct monitor *k)
-{
-	const struct monitored_member *primary = monitor_primary(k);
-	uint32_t i;
-
-	for (i = 0; i < k->record.voters.count; i++)
-		if (voter_is_missing(k, i) &&
-		    (!primary || k->record.voters.list[i].endpoint !=
-					 primary->spec.endpoint))
-			return true;
-	return false;
-}
-
 /*
  * The primary continues to commit during a switchover. It must still be the
  * primary, and the target must not be paused; both must be known from replies
- * to probes sent after the other replicas were paused. Commits that a silent
- * replica acknowledged are in the primary's log, so in that case the target
- * must also have reached the position that the primary had then.
+ * to probes sent after the other replicas were paused.
  */
-bool choice_switchover_is_safe(struct monitor *k)
+static bool switchover_is_fresh(struct monitor *k)
 {
 	const struct monitored_member *primary = monitor_primary(k);
 	const struct monitored_member *target = monitor_find(k, k->target);
 
-	if (!primary || !primary->fresh_primary || !target->fresh_status ||
-	    target->status.paused_term)
-		return false;
-	return !has_silent_replica(k) ||
-	       log_pos_compare(target->status.received,
-			       primary->first_primary_pos) >= 0;
+	return primary && primary->fresh_primary && target->fresh_status &&
+	       !target->status.paused_term;
 }
 
-bool choice_target_has_all(struct monitor *k)
+static bool target_has_all(struct monitor *k)
 {
 	const struct monitored_member *target = monitor_find(k, k->target);
 	uint32_t i;
@@ -186,3 +180,14 @@
 	}
 	return true;
 }
+
+/*
+ * Commits are confirmed by sync_replicas + 1 voters. No more than sync_replicas
+ * are loose, so one of these is the target or was paused: the target has each
+ * commit already, or receives it.
+ */
+bool choice_is_safe(struct monitor *k)
+{
+	return voters_loose(k) <= missing_logs_max(k) && target_has_all(k) &&
+	       (!k->planned || switchover_is_fresh(k));
+}
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -66,8 +66,6 @@
 	bool held;
 	bool fresh_status;  /**< a status has been received since */
 	bool fresh_primary; /**< its last reply showed that it is writable */
-	struct log_pos
-		first_primary_pos; /**< position in the first such reply */
 };
 
 /**
@@ -245,7 +243,7 @@
 bool choice_sees_newest_primary(struct monitor *k);
 /** Whether members that reply have every acknowledged commit. */
 bool choice_sees_all_commits(const struct monitor *k);
-/** Logs, when this has changed, which members a failover waits for. */
+/** Logs, when this has changed, which members a change waits for. */
 void choice_log_wait(struct monitor *k, struct proxy_output *out);
 /** Number of members that reply and whose status is known. */
 uint32_t choice_reachable_count(const struct monitor *k);
@@ -266,10 +264,13 @@
  * primary.
  */
 bool choice_must_pause(struct monitor *k, const struct monitored_member *m);
-/** Whether a switchover to the target loses no commit. */
-bool choice_switchover_is_safe(struct monitor *k);
-/** Whether the target has received everything that paused replicas have. */
-bool choice_target_has_all(struct monitor *k);
+/** Whether a switchover can begin: it has a target, and may pause the others. */
+bool choice_may_switch(struct monitor *k);
+/**
+ * Whether the target has, or will receive, every commit that is acknowledged
+ * until a promote call takes effect, once the replicas are paused.
+ */
+bool choice_is_safe(struct monitor *k);
 /** Starts or continues a primary change; call after each event. */
 void change_check(struct monitor *k, hm_time now, struct proxy_output *out);
 /** Whether a promote call of the present change may still take effect. */
--- a/tests/test_monitor.c
+++ b/tests/test_monitor.c
@@ -308,12 +308,11 @@
 END_TEST
 
 /*
- * Run twinkle-pool primaries-zone-cut --vary --seed 888509524187 lost an
- * acknowledged commit at 30.8 s: a replica that was leaving in a zone cut off
- * had acknowledged commits, and a switchover promoted a replica that had not
- * received them yet.
+ * Guards against lost commits: a replica that only the primary and its owner
+ * reached was silent when a switchover began. It confirmed commits that the
+ * target did not receive before the promote call took effect.
  */
-START_TEST(switchover_waits_for_commits_of_a_silent_replica)
+START_TEST(switchover_waits_while_a_voter_is_silent)
 {
 	struct monitor_fixture r;
 
@@ -328,9 +327,16 @@
 	monitor_fixture_publish(&r);
 	monitor_fixture_run(&r, HM_SEC);
 	proxy_text_expect(r.text, "");
+	/* m2 has what m1 has now, not what m3 may confirm next. */
 	r.fakes[1].pos = 100;
-	monitor_fixture_run(&r, 500 * HM_MS);
-	proxy_text_expect(r.text, "promote m2 token=1\n");
+	monitor_fixture_run(&r, HM_SEC);
+	proxy_text_expect(r.text, "");
+	ck_assert_ptr_nonnull(strstr(r.log->str,
+				     "event=switchover_waits service=db "
+				     "members=m3 missing=1 allowed=0\n"));
+	r.fakes[2].refuses = r.fakes[2].silent = false;
+	monitor_fixture_run(&r, HM_SEC);
+	proxy_text_expect(r.text, "pause m3\npromote m2 token=1\n");
 	monitor_fixture_close(&r);
 }
 END_TEST
@@ -459,7 +465,7 @@
 		       primary_without_an_entry_is_replaced_while_it_serves);
 	tcase_add_test(tc, member_without_an_entry_is_no_target);
 	tcase_add_test(tc, switchover_skips_a_paused_target);
-	tcase_add_test(tc, switchover_waits_for_commits_of_a_silent_replica);
+	tcase_add_test(tc, switchover_waits_while_a_voter_is_silent);
 	tcase_add_test(tc, switchover_waits_while_all_targets_are_paused);
 	tcase_add_test(tc, lost_call_keeps_replicas_paused);
 	tcase_add_test(tc, orphaned_pause_is_cancelled_then_resumed);
