Give a promote call up when what it counted on has changed

Clients can lose acknowledged commits: a random walk with calls that are executed seconds late promoted a member that had started again empty after the call, and the call was repeated for that life.

Cause: the conditions of a promotion were looked at once, before the call. Until it took effect, up to 12 s later, and before each repeat the monitor asked only whether the target was up. A target that has lost its log, or begun another life, was called again; so was one whose paused peers another monitor had resumed.

The monitor now keeps looking while the call is open: the target must be in the life for which the call was made and have its log, and no more than SyncReplicas voters may be loose. If not, a newer token is taken, for a new failover or, with a primary, to end the change, which makes the old call void once it is used. A voter that was paused at the call and falls silent stays paused; replicas that are seen receiving may have been resumed by the promotion itself, so the target has 200 ms to show it.

--- a/core/monitor_call.c
+++ b/core/monitor_call.c
@@ -8,6 +8,8 @@
 #define SETTLE_LIMIT (4 * HM_SEC)
 /* Pause before a refused or unanswered promote call is repeated. */
 #define CALL_RETRY_DELAY (200 * HM_MS)
+/* How long the target may take to show that it is the primary. */
+#define RESUMED_DELAY (200 * HM_MS)
 
 bool change_is_called(const struct monitor *k)
 {
@@ -54,6 +56,8 @@
 		    hm_time now, struct proxy_output *out)
 {
 	log_call(k, target, out);
+	k->target_started = target->spec.started;
+	k->give_up_at = 0;
 	change_enter(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
 	k->call_pending = true;
 	change_call(k, target, out);
@@ -66,6 +70,28 @@
 	return primary && primary->spec.endpoint == k->target;
 }
 
+/* Whether the target is in the life that the call was made for, with its log. */
+static bool target_is_intact(const struct monitor *k,
+			     const struct monitored_member *target)
+{
+	return target && target->up &&
+	       target->spec.started == k->target_started &&
+	       !voter_has_lost_log(k, target);
+}
+
+/*
+ * Whether paused voters receive again. A promotion resumes them, too, and the
+ * target's next reply then shows that it is the primary.
+ */
+static bool is_resumed(struct monitor *k, hm_time now)
+{
+	if (choice_is_held(k))
+		k->give_up_at = 0;
+	else if (!k->give_up_at)
+		k->give_up_at = now + RESUMED_DELAY;
+	return k->give_up_at && now >= k->give_up_at;
+}
+
 void change_await(struct monitor *k, hm_time now, struct proxy_output *out)
 {
 	struct monitored_member *target = monitor_find(k, k->target);
@@ -81,14 +107,10 @@
 			  (unsigned long long)target->primary_pos.term,
 			  (unsigned long long)target->primary_pos.pos);
 		change_finish(k, now, out);
-	} else if (!target || !target->up) {
-		/*
-		 * The target may still become primary: a new change takes a
-		 * newer token first.
-		 */
-		k->planned = monitor_primary(k) != NULL;
-		change_begin(k, k->planned, now, out);
-	} else if (now > k->step_until) {
+	} else if (!target_is_intact(k, target) || is_resumed(k, now)) {
+		change_give_up(k, now, out);
+	} else if (now > k->step_until && !k->give_up_at &&
+		   target->has_status) {
 		change_promote(k, target, now, out);
 	}
 }
--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -178,16 +178,21 @@
 	return all;
 }
 
-static void give_up_change(struct monitor *k, hm_time now,
-			   struct proxy_output *out)
+void change_give_up(struct monitor *k, hm_time now, struct proxy_output *out)
 {
-	proxy_log(out, "event=change_given_up service=%s call_open=%d",
-		  k->service_name, k->call_pending);
+	proxy_log(out,
+		  "event=change_given_up service=%s step=%s call_open=%d "
+		  "loose=%u",
+		  k->service_name, change_name(k->step), k->call_pending,
+		  voters_loose(k));
 	/*
 	 * Another monitor may have paused the same members for a promote call
 	 * that has not taken effect yet: cancel() invalidates that one, too.
 	 */
-	cancel(k, now, out);
+	if (monitor_primary(k) || !k->call_pending)
+		cancel(k, now, out);
+	else
+		change_begin(k, false, now, out);
 }
 
 static void pause_step(struct monitor *k, hm_time now, struct proxy_output *out)
@@ -199,7 +204,7 @@
 
 	if (now > k->step_until || (!k->planned && primary) ||
 	    (k->planned && !primary)) {
-		give_up_change(k, now, out);
+		change_give_up(k, now, out);
 		return;
 	}
 	if (!paused || (!k->planned && !choice_sees_all_commits(k)))
--- a/core/monitor_choice.c
+++ b/core/monitor_choice.c
@@ -186,8 +186,13 @@
  * are loose, so one of these is the target or was paused: the target has each
  * commit already, or receives it.
  */
+bool choice_is_held(const struct monitor *k)
+{
+	return voters_loose(k) <= missing_logs_max(k);
+}
+
 bool choice_is_safe(struct monitor *k)
 {
-	return voters_loose(k) <= missing_logs_max(k) && target_has_all(k) &&
+	return choice_is_held(k) && target_has_all(k) &&
 	       (!k->planned || switchover_is_fresh(k));
 }
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -141,9 +141,12 @@
 	hm_time retry_at;
 	bool planned;
 	hm_id target;
+	uint64_t target_started; /**< life for which the call was made */
 	uint64_t token;
 	uint64_t pause_term;
 	bool call_pending; /**< a promote call may still take effect */
+	/** When the call is given up, as paused voters receive; 0: they do not. */
+	hm_time give_up_at;
 	uint64_t promotions;
 	uint32_t missing_logged; /**< missing logs in the last log line */
 };
@@ -266,6 +269,8 @@
 bool choice_must_pause(struct monitor *k, const struct monitored_member *m);
 /** Whether a switchover can begin: it has a target, and may pause the others. */
 bool choice_may_switch(struct monitor *k);
+/** Whether no commit can be confirmed without the target or a paused voter. */
+bool choice_is_held(const struct monitor *k);
 /**
  * Whether the target has, or will receive, every commit that is acknowledged
  * until a promote call takes effect, once the replicas are paused.
@@ -282,6 +287,11 @@
 /** Begins a change with a token of its own. */
 void change_begin(struct monitor *k, bool planned, hm_time now,
 		  struct proxy_output *out);
+/**
+ * Ends a change whose promote call may still take effect: another one takes a
+ * newer token, to invalidate the call.
+ */
+void change_give_up(struct monitor *k, hm_time now, struct proxy_output *out);
 /** Ends a change after which no promote call can take effect. */
 void change_finish(struct monitor *k, hm_time now, struct proxy_output *out);
 /** Ends a change without knowing that; the next one begins a while later. */
--- a/tests/test_monitor_call.c
+++ b/tests/test_monitor_call.c
@@ -36,10 +36,105 @@
 }
 END_TEST
 
+/* A promote call for m2 has no answer yet; m3 is paused, m1 has crashed. */
+static void open_call(struct monitor_fixture *r)
+{
+	monitor_fixture_open(r);
+	monitor_fixture_run(r, HM_SEC);
+	r->promote_silent = true;
+	monitor_fixture_crash(r, 0);
+	monitor_fixture_run(r, 400 * HM_MS);
+	proxy_text_expect(r->text, "pause m2\npause m3\npromote m2 token=1\n");
+}
+
+static void restart_empty(struct monitor_fixture *r, uint32_t index)
+{
+	struct monitored_fake *f = &r->fakes[index];
+
+	f->pos = 0;
+	f->paused_term = 0;
+	monitor_conn_closed(r->monitor, f->conn, ERR_NO_ENDPOINT, r->now,
+			    &r->out);
+}
+
+/*
+ * Guards against lost commits: the target of a promote call started again
+ * empty, and the call was repeated for its new life.
+ */
+START_TEST(call_is_not_repeated_for_a_target_that_has_restarted)
+{
+	struct monitor_fixture r;
+
+	open_call(&r);
+	restart_empty(&r, 1);
+	monitor_fixture_run(&r, 10 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	/* Its new entry has arrived, and the primary is back. */
+	r.fakes[1].spec.started++;
+	r.fakes[0].refuses = false;
+	monitor_fixture_publish(&r);
+	r.promote_silent = false;
+	monitor_fixture_run(&r, 5 * HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m1 token="));
+	ck_assert_ptr_null(strstr(r.text->str, "promote m2"));
+	ck_assert_ptr_nonnull(strstr(r.text->str, "resume m3\n"));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/* The entry may tell of the restart before any probe does. */
+START_TEST(call_is_given_up_for_a_new_life_of_its_target)
+{
+	struct monitor_fixture r;
+
+	open_call(&r);
+	r.fakes[1].spec.started++;
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, 10 * HM_SEC);
+	ck_assert_ptr_null(strstr(r.text->str, "token=1\n"));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/*
+ * Guards against lost commits: a paused replica was resumed by another monitor
+ * while the call could still take effect, and confirmed commits of the old
+ * primary.
+ */
+START_TEST(replica_that_receives_again_needs_a_newer_call)
+{
+	struct monitor_fixture r;
+
+	open_call(&r);
+	r.fakes[2].paused_term = 0;
+	monitor_fixture_run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, "pause m2\npause m3\npromote m2 token=2\n");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/* A paused replica that falls silent is not taken for one that receives. */
+START_TEST(silence_after_the_call_does_not_end_it)
+{
+	struct monitor_fixture r;
+
+	open_call(&r);
+	r.fakes[2].silent = true;
+	monitor_fixture_run(&r, 3500 * HM_MS);
+	proxy_text_expect(r.text, "promote m2 token=1\n");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("monitor_call");
 
 	tcase_add_test(tc, call_lists_paused_and_loose_voters);
+	tcase_add_test(tc,
+		       call_is_not_repeated_for_a_target_that_has_restarted);
+	tcase_add_test(tc, call_is_given_up_for_a_new_life_of_its_target);
+	tcase_add_test(tc, replica_that_receives_again_needs_a_newer_call);
+	tcase_add_test(tc, silence_after_the_call_does_not_end_it);
 	return suite_run("monitor_call", tc);
 }
