Let a drained primary step down while a voter is silent

Since a switchover waits for each voter, a primary that leaves beside a voter that stays silent was replaced only after it had exited and the next member at its address was up: until then its service had no primary that may be used, as a leaving member gets no requests once the drain limit has passed.

From that moment the old primary has nothing left to serve. If the target has received all that it has, the monitor orders it to become a replica, and a failover follows: it pauses the old primary, too, so that one more voter may be missing. It is the same rule; only the primary is no longer loose.

test_monitor_call drained_primary_steps_down_beside_a_silent_voter fails on the code before, which sends nothing.

--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -130,6 +130,40 @@
 		now >= *k->deps.settled_at);
 }
 
+/* Whether the list of members is complete and current. */
+static bool members_are_known(const struct monitor *k, hm_time now)
+{
+	return now >= *k->deps.settled_at &&
+	       now - *k->deps.members_current_at <= MEMBERS_CURRENT;
+}
+
+/* Whether instances send a leaving member no more requests. */
+static bool is_drained(const struct monitor *k,
+		       const struct monitored_member *m, hm_time now)
+{
+	return (m->drained_at && now >= m->drained_at) ||
+	       site_member_is_evacuated(&m->spec,
+					k->deps.options->evacuation_limit, now);
+}
+
+/*
+ * A switchover waits while a voter is silent. Once the primary gets no more
+ * requests there is nothing to wait for: it becomes a replica, and a failover
+ * follows, in which one more voter may be missing.
+ */
+static void replace_leaving(struct monitor *k, struct monitored_member *primary,
+			    hm_time now, struct proxy_output *out)
+{
+	choice_log_wait(k, out);
+	if (choice_may_switch(k)) {
+		change_begin(k, true, now, out);
+	} else if (is_drained(k, primary, now) && members_are_known(k, now) &&
+		   choice_may_retire(k)) {
+		primary_retire(k, primary, now, out);
+		k->retry_at = now + RETRY_DELAY;
+	}
+}
+
 static void decide(struct monitor *k, hm_time now, struct proxy_output *out)
 {
 	struct monitored_member *primary = monitor_primary(k);
@@ -142,11 +176,8 @@
 		k->planned = true;
 		cancel(k, now, out);
 	} else if (primary && is_leaving(k, primary, now)) {
-		choice_log_wait(k, out);
-		if (choice_may_switch(k))
-			change_begin(k, true, now, out);
-	} else if (!primary && now >= *k->deps.settled_at &&
-		   now - *k->deps.members_current_at <= MEMBERS_CURRENT &&
+		replace_leaving(k, primary, now, out);
+	} else if (!primary && members_are_known(k, now) &&
 		   choice_reachable_count(k)) {
 		choice_log_wait(k, out);
 		/* The token brings a record that could not be read yet. */
--- a/core/monitor_choice.c
+++ b/core/monitor_choice.c
@@ -75,6 +75,16 @@
 	       voters_missing(k) <= missing_max(k);
 }
 
+bool choice_may_retire(struct monitor *k)
+{
+	const struct monitored_member *primary = monitor_primary(k);
+	const struct monitored_member *target = choice_most_advanced(k, true);
+
+	return target && voters_missing(k) <= missing_logs_max(k) &&
+	       log_pos_compare(target->status.received, primary->primary_pos) >=
+		       0;
+}
+
 static void list_missing(const struct monitor *k, char *list, size_t size)
 {
 	uint32_t i;
--- a/core/monitor_primary.c
+++ b/core/monitor_primary.c
@@ -70,15 +70,15 @@
 }
 
 /*
- * A superseded primary accepts writes until it is ordered to step down. The
- * command may get lost, so it is sent again while the member is writable.
+ * Orders a primary of a lower term than @a term to become a replica. The command
+ * may get lost, so it is sent again while the member is writable.
  */
 static void step_down(struct monitor *k, struct monitored_member *m,
-		      hm_time now, struct proxy_output *out)
+		      uint64_t term, hm_time now, struct proxy_output *out)
 {
 	m->status_order = m->primary_order;
-	if (!probe_conn_send(&m->probe, PROBE_CONTROL, MEMBER_STEP_DOWN,
-			     k->term, now, out))
+	if (!probe_conn_send(&m->probe, PROBE_CONTROL, MEMBER_STEP_DOWN, term,
+			     now, out))
 		return;
 	proxy_log(out,
 		  "event=step_down service=%s member=%s term=%llu newest=%llu",
@@ -87,6 +87,12 @@
 		  (unsigned long long)k->term);
 }
 
+void primary_retire(struct monitor *k, struct monitored_member *primary,
+		    hm_time now, struct proxy_output *out)
+{
+	step_down(k, primary, k->term + 1, now, out);
+}
+
 void primary_observed(struct monitor *k, struct monitored_member *m,
 		      hm_time now, struct proxy_output *out)
 {
@@ -95,7 +101,8 @@
 		if (monitor_primary(k) == m)
 			voters_note_primary(k, m);
 	} else if (m->has_status && m->status.primary) {
-		step_down(k, m, now, out);
+		/* A superseded primary accepts writes until then. */
+		step_down(k, m, k->term, now, out);
 	} else {
 		m->next_status_at = now; /* only the status shows its term */
 	}
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -40,6 +40,7 @@
 	struct site_member spec;
 	struct probe_conn probe;
 	hm_time next_status_at; /**< when its status is requested next */
+	hm_time drained_at;	/**< when a leaving one gets no more requests */
 	bool unregistered;	/**< no entry in the store, but it replies */
 	bool up;		/**< assumed up until a probe fails */
 	bool answered;		/**< replied since this monitor started */
@@ -170,6 +171,9 @@
  */
 void primary_observed(struct monitor *k, struct monitored_member *m,
 		      hm_time now, struct proxy_output *out);
+/** Orders the current primary to become a replica. */
+void primary_retire(struct monitor *k, struct monitored_member *primary,
+		    hm_time now, struct proxy_output *out);
 /**
  * Records the primary's position for voters that had ended before the probe was
  * sent: the primary's log up to there has all that they had received.
@@ -267,6 +271,11 @@
  * primary.
  */
 bool choice_must_pause(struct monitor *k, const struct monitored_member *m);
+/**
+ * Whether a failover would lose nothing that the primary has if that became a
+ * replica now: the target of a switchover has received it all.
+ */
+bool choice_may_retire(struct monitor *k);
 /** Whether a switchover can begin: it has a target, and may pause the others. */
 bool choice_may_switch(struct monitor *k);
 /** Whether no commit can be confirmed without the target or a paused voter. */
--- a/tests/test_monitor_call.c
+++ b/tests/test_monitor_call.c
@@ -126,6 +126,31 @@
 }
 END_TEST
 
+/*
+ * A primary that leaves is not replaced beside a silent voter. When it gets no
+ * more requests it steps down, and the voter may be missing in the failover.
+ */
+START_TEST(drained_primary_steps_down_beside_a_silent_voter)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	r.fakes[2].silent = true;
+	r.fakes[1].pos = 99;
+	monitor_fixture_run(&r, 2 * HM_SEC);
+	r.fakes[0].spec.leaving = true;
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, r.options.drain_limit + HM_SEC);
+	proxy_text_expect(r.text, ""); /* m2 lacks a commit of m1 */
+	r.fakes[1].pos = 100;
+	monitor_fixture_run(&r, HM_SEC);
+	proxy_text_expect(r.text, "step_down m1 2\npause m1\npause m2\n"
+				  "promote m2 token=1\n");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("monitor_call");
@@ -136,5 +161,6 @@
 	tcase_add_test(tc, call_is_given_up_for_a_new_life_of_its_target);
 	tcase_add_test(tc, replica_that_receives_again_needs_a_newer_call);
 	tcase_add_test(tc, silence_after_the_call_does_not_end_it);
+	tcase_add_test(tc, drained_primary_steps_down_beside_a_silent_voter);
 	return suite_run("monitor_call", tc);
 }
