Begin the failover at once when a drained primary has stepped down

The change waited 500 ms after the order, the pause between two changes, although the reply to the order is there within a round trip. 100 ms suffice for the order and a probe of its effect.

--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -9,6 +9,8 @@
 #define PAUSE_LIMIT (2 * HM_SEC)
 /* Pause before a primary change is started again. */
 #define RETRY_DELAY (500 * HM_MS)
+/* For the order to step down, and a probe that shows its effect. */
+#define STEP_DOWN_DELAY (100 * HM_MS)
 /* Probe interval during a primary change. */
 #define CHANGE_PROBE_EVERY (40 * HM_MS)
 /*
@@ -160,7 +162,8 @@
 	} else if (is_drained(k, primary, now) && members_are_known(k, now) &&
 		   choice_may_retire(k)) {
 		primary_retire(k, primary, now, out);
-		k->retry_at = now + RETRY_DELAY;
+		k->next_probe_at = now + CHANGE_PROBE_EVERY;
+		k->retry_at = now + STEP_DOWN_DELAY;
 	}
 }
 
