Prefer the same target at each monitor

Which of two equal replicas is the target followed from the order of the members at each monitor. It is now the one of the lowest identity, so that a call of another monitor is as a rule for the same member, and harmless.

test_monitor_call monitors_prefer_the_same_target fails on the code before (promote m3).

--- a/core/monitor_choice.c
+++ b/core/monitor_choice.c
@@ -122,6 +122,23 @@
 	return n;
 }
 
+/*
+ * Among equals each monitor prefers the same one: another monitor's call for it
+ * may still take effect, and would resume it.
+ */
+static bool is_preferred(const struct monitored_member *m,
+			 const struct monitored_member *to)
+{
+	int order = log_pos_compare(m->status.received, to->status.received);
+	bool retires = site_member_retires(&m->spec);
+
+	if (order)
+		return order > 0;
+	if (retires != site_member_retires(&to->spec))
+		return !retires;
+	return m->spec.endpoint < to->spec.endpoint;
+}
+
 /*
  * The target of a switchover must not retire or be paused, and must be a voter:
  * it has to receive the commits that the primary acknowledges meanwhile.
@@ -133,7 +150,6 @@
 
 	for (i = 0; i < k->member_count; i++) {
 		struct monitored_member *m = &k->members[i];
-		int order;
 
 		if (!m->up || !m->has_status || m->writable)
 			continue;
@@ -141,11 +157,7 @@
 		    (site_member_retires(&m->spec) || m->spec.missing_since ||
 		     m->status.paused_term || !monitor_is_voter(k, m)))
 			continue;
-		order = best ? log_pos_compare(m->status.received,
-					       best->status.received)
-			     : 1;
-		if (order > 0 || (!order && site_member_retires(&best->spec) &&
-				  !site_member_retires(&m->spec)))
+		if (!best || is_preferred(m, best))
 			best = m;
 	}
 	return best;
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -256,7 +256,7 @@
 uint32_t choice_reachable_count(const struct monitor *k);
 /**
  * The replying replica that has received the most log; at equal positions one
- * that is not leaving. With @a planned (a switchover), leaving, unregistered
+ * that is not leaving, then the one of the lowest identity. With @a planned (a switchover), leaving, unregistered
  * and paused replicas are left out. NULL if there is none.
  */
 struct monitored_member *choice_most_advanced(struct monitor *k, bool planned);
--- a/tests/test_monitor_call.c
+++ b/tests/test_monitor_call.c
@@ -126,6 +126,29 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: two monitors called for different targets that
+ * had the same log. The call that took effect first resumed the one that the
+ * other counted as paused.
+ */
+START_TEST(monitors_prefer_the_same_target)
+{
+	struct monitor_fixture r;
+	struct monitored_fake m2;
+
+	monitor_fixture_open(&r);
+	m2 = r.fakes[1];
+	r.fakes[1] = r.fakes[2];
+	r.fakes[2] = m2;
+	monitor_fixture_restart(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	monitor_fixture_crash(&r, 0);
+	monitor_fixture_run(&r, 400 * HM_MS);
+	proxy_text_expect(r.text, "pause m3\npause m2\npromote m2 token=1\n");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 /*
  * A primary that leaves is not replaced beside a silent voter. When it gets no
  * more requests it steps down, and the voter may be missing in the failover.
@@ -161,6 +184,7 @@
 	tcase_add_test(tc, call_is_given_up_for_a_new_life_of_its_target);
 	tcase_add_test(tc, replica_that_receives_again_needs_a_newer_call);
 	tcase_add_test(tc, silence_after_the_call_does_not_end_it);
+	tcase_add_test(tc, monitors_prefer_the_same_target);
 	tcase_add_test(tc, drained_primary_steps_down_beside_a_silent_voter);
 	return suite_run("monitor_call", tc);
 }
