Log commits that are acknowledged during a change of primary

A lost commit's cause could not be told: no line said which members had confirmed it, nor that the owner knew of a change. The owner now logs event=confirmed_in_change with the holders and what its view says of each, at most 200 lines a change and the count of the rest at its end, and counts such commits in hyssopmount_confirmed_in_change. It also logs when the connection to a replica that has shown its log ends, and when a replica shows less than before, once a second for a member.

--- a/core/pool.c
+++ b/core/pool.c
@@ -250,7 +250,7 @@
 	struct pool_conn *c = conn_find(p, conn);
 
 	if (!c) {
-		primary_check_conn_closed(p->check, conn, now);
+		primary_check_conn_closed(p->check, conn, now, out);
 		return;
 	}
 	if (c->phase == PHASE_CONNECTING) {
@@ -350,6 +350,7 @@
 	primary_check_tick(p->check, now, out);
 	conns_resume_setup(p, now, out);
 	commits_tick(p, now, out);
+	change_tick(p, out);
 	jobs_end(p, is_late, &now, ERR_OVERLOADED, now);
 	pool_refuse_stalled(p, now);
 	job_expire_conn_waiter(p, now);
@@ -382,6 +383,8 @@
 				   .running = p->running + p->commit_count,
 				   .connections = p->conn_count,
 				   .displaced = p->displaced,
+				   .confirmed_in_change =
+					   p->confirmed_in_change,
 				   .conn_waiting =
 					   conn_queue_waiting(p->conn_queue),
 				   .conn_counts = p->conn_counts };
--- a/core/pool.h
+++ b/core/pool.h
@@ -101,6 +101,8 @@
 	hm_time wait; /**< expected time in the queue of a new statement */
 	uint64_t
 		displaced; /**< refused for more urgent ones, since its start */
+	/** Commits acknowledged during changes of primary, since its start. */
+	uint64_t confirmed_in_change;
 	struct conn_counts conn_counts; /**< since the pool was made */
 };
 void pool_load(const struct pool *p, struct pool_load *out);
--- a/core/pool_commit.c
+++ b/core/pool_commit.c
@@ -54,6 +54,8 @@
 			  (unsigned long long)r->at.pos,
 			  (long long)(now - c->held_since));
 		run_result_unknown(r);
+	} else {
+		change_note_confirmed(p, r, now, out);
 	}
 	result_add(p, c->reply_to, r);
 }
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -4,6 +4,7 @@
  * (admission of statements), pool_withdraw.c (members that evacuate or hang),
  * pool_job.c (queued statements and results),
  * pool_commit.c (commits that wait for their confirmation),
+ * pool_change.c (commits acknowledged during a change of primary),
  * pool_dispatch.c (choice of the next statement and its connection),
  * pool_capacity.c (accounts that share the connections),
  * pool_pace.c (few connections after the creation),
@@ -159,6 +160,8 @@
 	hm_time connect_backoff;
 	bool down; /**< the last connect failed */
 	uint64_t displaced;
+	uint64_t confirmed_in_change;
+	uint32_t change_commits; /**< those of the present change */
 	/* Used only if capacity_is_shared(): */
 	struct conn_queue *conn_queue;
 	struct conn_backoff backoff;
@@ -237,6 +240,11 @@
 /** Releases all with an unknown outcome. */
 void commits_give_up(struct pool *p, hm_time now, struct proxy_output *out);
 void commits_free(struct pool *p);
+/** Counts an acknowledged commit, and logs it, while a change runs. */
+void change_note_confirmed(struct pool *p, const struct run_result *r,
+			   hm_time now, struct proxy_output *out);
+/** Logs how many commits were acknowledged during a change that has ended. */
+void change_tick(struct pool *p, struct proxy_output *out);
 
 /** Starts a job on an idle connection, or on that of its transaction. */
 void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
--- a/core/primary_check.c
+++ b/core/primary_check.c
@@ -52,6 +52,23 @@
 	return NULL;
 }
 
+/*
+ * The connection to a member that has shown its log has failed: it may have
+ * started again with an empty log.
+ */
+static void log_cut(struct checked_member *m, const char *reason, hm_time now,
+		    struct proxy_output *out)
+{
+	if (!m->received.term || !m->probe.ready || now < m->log_cut_after)
+		return;
+	m->log_cut_after = now + CHECK_LOG_EVERY;
+	proxy_log(out,
+		  "event=replica_disconnected member=%s reason=%s "
+		  "received=%llu.%llu",
+		  m->spec.name, reason, (unsigned long long)m->received.term,
+		  (unsigned long long)m->received.pos);
+}
+
 static void disconnect(struct checked_member *m, struct proxy_output *out)
 {
 	probe_conn_close(&m->probe, out);
@@ -276,19 +293,19 @@
 	if (tag == CHECK_PRIMARY && valid) {
 		m->reported.probed = m->primary_order;
 		m->reported.applied_term = r->at.term;
-		check_note_received(m, r);
+		check_note_received(m, r, now, out);
 	}
 	if (tag == CHECK_PRIMARY && !r->error)
 		probe_conn_send(&m->probe, CHECK_PRIMARY_END, MEMBER_ROLLBACK,
 				0, now, out);
 	if (tag == CHECK_COMMIT) {
-		check_commit_replied(m, r, now);
+		check_commit_replied(m, r, now, out);
 		return;
 	}
 	if (tag == CHECK_STATUS && r->has_status) {
 		m->reported.status_probed = m->status_order;
 		m->reported.received_term = r->status.received.term;
-		check_note_received(m, r);
+		check_note_received(m, r, now, out);
 	}
 }
 
@@ -310,11 +327,12 @@
 }
 
 void primary_check_conn_closed(struct primary_check *c, uint64_t conn,
-			       hm_time now)
+			       hm_time now, struct proxy_output *out)
 {
 	struct checked_member *m = find_conn(c, conn);
 	bool was_ready = m->probe.ready;
 
+	log_cut(m, "closed", now, out);
 	probe_conn_reset(&m->probe);
 	m->commit_requested_at = 0;
 	m->probe.connect_after = was_ready ? now : now + PROBE_RECONNECT_DELAY;
@@ -330,6 +348,7 @@
 	if (!probe_conn_timed_out(&m->probe,
 				  c->deps.options->member_probe_limit, now))
 		return;
+	log_cut(m, "silent", now, out);
 	disconnect(m, out);
 	m->probe.connect_after = now;
 }
--- a/core/primary_check.h
+++ b/core/primary_check.h
@@ -92,6 +92,15 @@
 uint32_t primary_check_received(const struct primary_check *c,
 				struct log_pos commit,
 				const struct voters *voters, hm_time now);
+/**
+ * Lists the members that count for the confirmation of @a commit.
+ * @param v what is known of their service
+ * @return their number
+ */
+uint32_t primary_check_holders(const struct primary_check *c,
+			       struct log_pos commit,
+			       const struct service_state *v, hm_time now,
+			       const struct site_member *list[ENDPOINTS_MAX]);
 
 /** Whether @a conn is a probe connection of this check. */
 bool primary_check_owns_conn(const struct primary_check *c, uint64_t conn);
@@ -101,7 +110,7 @@
 			   const struct member_reply *reply, hm_time now,
 			   struct proxy_output *out);
 void primary_check_conn_closed(struct primary_check *c, uint64_t conn,
-			       hm_time now);
+			       hm_time now, struct proxy_output *out);
 /** Repeats probes and closes silent or unused connections. */
 void primary_check_tick(struct primary_check *c, hm_time now,
 			struct proxy_output *out);
--- a/core/primary_check_commit.c
+++ b/core/primary_check_commit.c
@@ -4,13 +4,33 @@
 /* Delay of a member that did not show a commit; longer than any other. */
 #define COMMIT_LATE (10 * HM_SEC)
 
-void check_note_received(struct checked_member *m, const struct member_reply *r)
+/* It was rolled back by a promotion, or has started again with an empty log. */
+static void log_shrank(struct checked_member *m, struct log_pos received,
+		       hm_time now, struct proxy_output *out)
 {
-	/* A promotion may have rolled it back. */
-	if (r->has_status)
-		m->received = r->status.received;
-	else if (log_pos_compare(r->at, m->received) > 0)
-		m->received = r->at;
+	if (now < m->log_shrank_after)
+		return;
+	m->log_shrank_after = now + CHECK_LOG_EVERY;
+	proxy_log(out,
+		  "event=replica_log_shrank member=%s received=%llu.%llu "
+		  "before=%llu.%llu",
+		  m->spec.name, (unsigned long long)received.term,
+		  (unsigned long long)received.pos,
+		  (unsigned long long)m->received.term,
+		  (unsigned long long)m->received.pos);
+}
+
+void check_note_received(struct checked_member *m, const struct member_reply *r,
+			 hm_time now, struct proxy_output *out)
+{
+	if (!r->has_status) {
+		if (log_pos_compare(r->at, m->received) > 0)
+			m->received = r->at;
+		return;
+	}
+	if (log_pos_compare(r->status.received, m->received) < 0)
+		log_shrank(m, r->status.received, now, out);
+	m->received = r->status.received;
 }
 
 static bool has_received(const struct checked_member *m, struct log_pos commit)
@@ -19,9 +39,10 @@
 }
 
 void check_commit_replied(struct checked_member *m,
-			  const struct member_reply *r, hm_time now)
+			  const struct member_reply *r, hm_time now,
+			  struct proxy_output *out)
 {
-	check_note_received(m, r);
+	check_note_received(m, r, now, out);
 	m->commit_delay = has_received(m, m->commit)
 				  ? now - m->commit_requested_at
 				  : COMMIT_LATE;
@@ -97,6 +118,15 @@
 				   now - missing_since <= VOTER_MISSING_GRACE));
 }
 
+/* Whose logs count; NULL: all members', the monitor's build records no voters. */
+static const struct voters *voters_of(const struct service_state *v)
+{
+	return voters_known(&v->voters) || !v->received_at ||
+			       v->latest.states_voters
+		       ? &v->voters
+		       : NULL;
+}
+
 /*
  * The voters of an older view serve, too: what they lack are added ones. One of
  * them may have been removed only if the list of members is out of date.
@@ -107,9 +137,7 @@
 {
 	uint32_t have, spare = now - v->members_current_at > MEMBERS_CURRENT;
 
-	/* The monitor is of a build that records no voters. */
-	if (!voters_known(&v->voters) && v->received_at &&
-	    !v->latest.states_voters)
+	if (!voters_of(v))
 		return primary_check_received(c, commit, NULL, now) >=
 		       c->sync_replicas;
 	if (commit.term < v->voters.term)
@@ -123,17 +151,32 @@
  * A position in a later term proves nothing: that term may have begun without
  * the commit.
  */
+static bool confirms(const struct checked_member *m, struct log_pos commit,
+		     const struct voters *voters, hm_time now)
+{
+	return has_received(m, commit) && (!voters || counts(m, voters, now));
+}
+
 uint32_t primary_check_received(const struct primary_check *c,
 				struct log_pos commit,
 				const struct voters *voters, hm_time now)
 {
 	uint32_t i, count = 0;
 
-	for (i = 0; i < c->count; i++) {
-		const struct checked_member *m = &c->others[i];
+	for (i = 0; i < c->count; i++)
+		count += confirms(&c->others[i], commit, voters, now);
+	return count;
+}
 
-		count += has_received(m, commit) &&
-			 (!voters || counts(m, voters, now));
-	}
+uint32_t primary_check_holders(const struct primary_check *c,
+			       struct log_pos commit,
+			       const struct service_state *v, hm_time now,
+			       const struct site_member *list[ENDPOINTS_MAX])
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < c->count; i++)
+		if (confirms(&c->others[i], commit, voters_of(v), now))
+			list[count++] = &c->others[i].spec;
 	return count;
 }
--- a/core/primary_check_state.h
+++ b/core/primary_check_state.h
@@ -21,6 +21,9 @@
 	CHECK_COMMIT /**< status that shows whether a commit was received */
 };
 
+/** Pause between two lines of one kind on a member. */
+#define CHECK_LOG_EVERY HM_SEC
+
 struct checked_member {
 	struct site_member spec;
 	struct probe_conn probe;
@@ -34,6 +37,8 @@
 	/** How long it took to show the last commit, COMMIT_LATE if it did not. */
 	hm_time commit_delay;
 	bool registered;
+	hm_time log_cut_after;	  /**< no line on its connection before */
+	hm_time log_shrank_after; /**< no line on its log before */
 };
 
 struct primary_check {
@@ -64,10 +69,10 @@
  * Records the position in a reply, which has been received: by a status, else
  * the end of the log that the member has applied.
  */
-void check_note_received(struct checked_member *m,
-			 const struct member_reply *r);
+void check_note_received(struct checked_member *m, const struct member_reply *r,
+			 hm_time now, struct proxy_output *out);
 /** Handles the reply to CHECK_COMMIT. */
 void check_commit_replied(struct checked_member *m,
-			  const struct member_reply *r, hm_time now);
-
+			  const struct member_reply *r, hm_time now,
+			  struct proxy_output *out);
 #endif
--- a/core/proxy.c
+++ b/core/proxy.c
@@ -365,6 +365,7 @@
 		pool_load(p->pools[i], &load);
 		out->queued += load.queued;
 		out->displaced += load.displaced;
+		out->confirmed_in_change += load.confirmed_in_change;
 		out->connections += load.connections;
 		out->transactions += load.transactions;
 		out->conn_waiting += load.conn_waiting;
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -359,6 +359,8 @@
 	uint64_t reads_primary;
 	uint64_t retries;
 	uint64_t displaced; /**< refused in a queue for more urgent ones */
+	/** Commits acknowledged while a change of primary was seen. */
+	uint64_t confirmed_in_change;
 	uint64_t handshakes;
 	uint64_t ejections; /**< members ejected for their failures */
 	uint64_t promotions;
--- a/core/services.c
+++ b/core/services.c
@@ -313,6 +313,7 @@
 			continue;
 		}
 		p->counters.displaced += load.displaced;
+		p->counters.confirmed_in_change += load.confirmed_in_change;
 		proxy_count_conns(&p->counters, &load.conn_counts);
 		pool_free(pool);
 		p->pools[i] = p->pools[--p->pool_count];
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -73,6 +73,8 @@
 	memset(r->sent, 0, sizeof(r->sent));
 	for (i = 0; i < r->out.peers.count; i++)
 		r->sent[r->out.peers.list[i].send.message.kind]++;
+	if (r->logged)
+		proxy_text_lines(r->log, &r->out, r->logged);
 	proxy_text(r->text, &r->out);
 }
 
@@ -183,6 +185,7 @@
 	o.member_probe_limit = 3600 * HM_SEC;
 	r->proxy = proxy_new(&o, r->now);
 	r->text = g_string_new(NULL);
+	r->log = g_string_new(NULL);
 }
 
 void proxy_fixture_open(struct proxy_fixture *r)
@@ -199,6 +202,7 @@
 	proxy_free(r->proxy);
 	proxy_output_free(&r->out);
 	g_string_free(r->text, TRUE);
+	g_string_free(r->log, TRUE);
 }
 
 void proxy_fixture_open_session(struct proxy_fixture *r, uint64_t client,
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -27,6 +27,8 @@
 	uint64_t replica_pos;	       /* m2 has the log up to here */
 	bool replica_silent;	       /* m2 replies to no check */
 	struct voter_record record;    /* at first m1 and m2 */
+	const char *logged; /* prefix of the lines in the log, NULL: none */
+	GString *log;
 };
 
 /** Starts a proxy that has no configuration and no member list yet. */
--- a/tests/proxy_text.c
+++ b/tests/proxy_text.c
@@ -101,6 +101,20 @@
 	}
 }
 
+void proxy_text_lines(GString *to, const struct proxy_output *out,
+		      const char *prefix)
+{
+	size_t i;
+
+	for (i = 0; i < out->count; i++) {
+		const struct proxy_action *a = &out->list[i];
+
+		if (a->kind == PROXY_LOG && a->line &&
+		    g_str_has_prefix(a->line, prefix))
+			g_string_append_printf(to, "%s\n", a->line);
+	}
+}
+
 void proxy_text(GString *to, struct proxy_output *out)
 {
 	size_t i;
--- a/tests/proxy_text.h
+++ b/tests/proxy_text.h
@@ -10,6 +10,9 @@
 
 #include "../core/proxy.h"
 
+/** Appends those log lines of @a out that begin with @a prefix. */
+void proxy_text_lines(GString *to, const struct proxy_output *out,
+		      const char *prefix);
 /** Appends the actions to @a to and clears @a out. */
 void proxy_text(GString *to, struct proxy_output *out);
 /** Asserts that the text equals @a expected, then clears it. */
--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -463,6 +463,88 @@
 }
 END_TEST
 
+/* Passes a view of a switchover that has paused m2, or, without, of none. */
+static void view_pause(struct proxy_fixture *r, bool paused, bool reached)
+{
+	struct message m = { .kind = MSG_VIEW, .from = 1001 };
+	struct service_view v = {
+		.service = name_id("db"), .primary = 1, .term = 1, .count = 2
+	};
+
+	v.members[0] = (struct member_view){ 1, true, true, true, { 0 }, 0 };
+	v.members[1] = (struct member_view){ 2,	    reached, reached,
+					     false, { 0 },   paused };
+	m.view = &v;
+	proxy_fixture_message(r, &m);
+}
+
+static void watch_log(struct proxy_fixture *r, const char *prefix)
+{
+	r->logged = prefix;
+	g_string_truncate(r->log, 0);
+}
+
+/*
+ * Guards against a lost commit whose cause cannot be told: none of the lines
+ * said which members had confirmed it beside a promote call.
+ */
+START_TEST(commit_during_a_switchover_is_logged_with_its_holders)
+{
+	struct proxy_fixture r;
+	uint64_t conn = open_with_view(&r, false, true);
+
+	watch_log(&r, "event=confirmed_in_change");
+	write_once(&r, conn, ACKNOWLEDGED);
+	proxy_text_expect(r.log, "");
+	view_pause(&r, true, true);
+	r.now += 7;
+	write_once(&r, conn, ACKNOWLEDGED);
+	proxy_text_expect(r.log,
+			  "event=confirmed_in_change request=w member=m1 "
+			  "term=1 pos=50 view_age_us=7 by=m2:paused\n");
+	view_pause(&r, true, false);
+	write_once(&r, conn, ACKNOWLEDGED);
+	proxy_text_expect(r.log,
+			  "event=confirmed_in_change request=w member=m1 "
+			  "term=1 pos=50 view_age_us=0 by=m2:paused/silent\n");
+	view_pause(&r, false, true);
+	proxy_fixture_run(&r, PROXY_TICK);
+	proxy_text_expect(r.log, "event=confirmed_in_change_end member=m1 "
+				 "commits=2 unlogged=0\n");
+	write_once(&r, conn, ACKNOWLEDGED);
+	proxy_text_expect(r.log, "");
+	proxy_fixture_close(&r);
+}
+END_TEST
+
+/* Many commits beside a change that lasts do not fill the log. */
+START_TEST(commits_during_a_switchover_are_logged_up_to_a_bound)
+{
+	struct proxy_counters counters;
+	struct proxy_fixture r;
+	uint64_t conn = open_with_view(&r, false, true);
+	uint32_t i, lines = 0;
+
+	view_pause(&r, true, true);
+	watch_log(&r, "event=confirmed_in_change ");
+	for (i = 0; i < 205; i++) {
+		proxy_fixture_run(&r, PROXY_TICK);
+		write_once(&r, conn, ACKNOWLEDGED);
+		lines += r.log->len != 0;
+		g_string_truncate(r.log, 0);
+	}
+	ck_assert_uint_eq(lines, 200);
+	watch_log(&r, "event=confirmed_in_change_end");
+	view_pause(&r, false, true);
+	proxy_fixture_run(&r, PROXY_TICK);
+	proxy_text_expect(r.log, "event=confirmed_in_change_end member=m1 "
+				 "commits=205 unlogged=5\n");
+	proxy_get_counters(r.proxy, &counters);
+	ck_assert_uint_eq(counters.confirmed_in_change, 205);
+	proxy_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("confirm");
@@ -486,5 +568,9 @@
 	tcase_add_test(tc, write_is_refused_while_replicas_are_paused);
 	tcase_add_test(tc, writing_transaction_ends_while_replicas_are_paused);
 	tcase_add_test(tc, view_of_a_new_monitor_does_not_block_commits);
+	tcase_add_test(tc,
+		       commit_during_a_switchover_is_logged_with_its_holders);
+	tcase_add_test(tc,
+		       commits_during_a_switchover_are_logged_up_to_a_bound);
 	return suite_run("confirm", tc);
 }
--- a/tests/test_primary_check.c
+++ b/tests/test_primary_check.c
@@ -22,15 +22,23 @@
 	struct site_member list[MEMBERS];
 	struct proxy_output out;
 	GString *text;
+	GString *log; /* lines about replicas */
 	hm_time now;
 };
 
+/* Appends the actions to the text, and the lines about replicas to the log. */
+static void record(struct fixture *r)
+{
+	proxy_text_lines(r->log, &r->out, "event=replica_");
+	proxy_text(r->text, &r->out);
+}
+
 static void publish(struct fixture *r)
 {
 	struct site_members m = { .list = r->list, .count = MEMBERS };
 
 	primary_check_set_members(r->pc, &m, SERVICE, &r->out);
-	proxy_text(r->text, &r->out);
+	record(r);
 }
 
 static void fixture_open(struct fixture *r)
@@ -42,6 +50,7 @@
 	proxy_options_default(&r->options);
 	r->now = NOW;
 	r->text = g_string_new(NULL);
+	r->log = g_string_new(NULL);
 	r->pc = primary_check_new(1, deps);
 	for (i = 0; i < MEMBERS; i++) {
 		r->list[i].endpoint = i + 1;
@@ -57,13 +66,14 @@
 	primary_check_free(r->pc);
 	proxy_output_free(&r->out);
 	g_string_free(r->text, TRUE);
+	g_string_free(r->log, TRUE);
 }
 
 static uint64_t begin(struct fixture *r)
 {
 	uint64_t ticket = primary_check_begin(r->pc, r->now, &r->out);
 
-	proxy_text(r->text, &r->out);
+	record(r);
 	return ticket;
 }
 
@@ -71,19 +81,19 @@
 {
 	r->now += later;
 	primary_check_tick(r->pc, r->now, &r->out);
-	proxy_text(r->text, &r->out);
+	record(r);
 }
 
 static void ready(struct fixture *r, uint64_t conn)
 {
 	primary_check_conn_ready(r->pc, conn, r->now, &r->out);
-	proxy_text(r->text, &r->out);
+	record(r);
 }
 
 static void reply(struct fixture *r, uint64_t conn, struct member_reply m)
 {
 	primary_check_replied(r->pc, conn, &m, r->now, &r->out);
-	proxy_text(r->text, &r->out);
+	record(r);
 }
 
 static void reply_as_replica(struct fixture *r, uint64_t conn, uint64_t term)
@@ -386,7 +396,7 @@
 {
 	primary_check_request_commit(r->pc, (struct log_pos){ 1, pos }, all,
 				     r->now, &r->out);
-	proxy_text(r->text, &r->out);
+	record(r);
 }
 
 static void reply_received(struct fixture *r, uint64_t conn,
@@ -500,6 +510,54 @@
 }
 END_TEST
 
+static void closed(struct fixture *r, uint64_t conn)
+{
+	primary_check_conn_closed(r->pc, conn, r->now, &r->out);
+	record(r);
+}
+
+/* What an operator needs to see that a replica has started again. */
+START_TEST(replica_whose_connection_ends_is_logged)
+{
+	struct fixture r;
+	int i;
+
+	fixture_open(&r);
+	open_connections(&r);
+	closed(&r, 1);
+	proxy_text_expect(r.log, "event=replica_disconnected member=m2 "
+				 "reason=closed received=1.9\n");
+	for (i = 0; i < 5; i++) {
+		request_commit(&r, 9, true); /* reconnects */
+		ready(&r, r.next_conn);
+		closed(&r, r.next_conn);
+	}
+	proxy_text_expect(r.log, "");
+	request_commit(&r, 9, true);
+	ready(&r, r.next_conn);
+	request_commit(&r, 9, true);
+	reply_received(&r, r.next_conn, (struct log_pos){ 1, 0 });
+	proxy_text_expect(r.log, "event=replica_log_shrank member=m2 "
+				 "received=1.0 before=1.9\n");
+	fixture_close(&r);
+}
+END_TEST
+
+START_TEST(silent_replica_is_logged)
+{
+	struct fixture r;
+
+	fixture_open(&r);
+	open_connections(&r);
+	r.options.member_probe_limit = 200 * HM_MS;
+	request_commit(&r, 9, false);
+	tick(&r, 300 * HM_MS);
+	proxy_text_expect(r.log, "event=replica_disconnected member=m2 "
+				 "reason=silent received=1.9\n");
+	fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("primary_check");
@@ -521,5 +579,7 @@
 	tcase_add_test(tc, commit_is_not_confirmed_by_a_later_term);
 	tcase_add_test(tc, commit_of_two_replicas_needs_both);
 	tcase_add_test(tc, only_a_voter_in_its_present_life_counts);
+	tcase_add_test(tc, replica_whose_connection_ends_is_logged);
+	tcase_add_test(tc, silent_replica_is_logged);
 	return suite_run("primary_check", tc);
 }
--- a/tests/voter_walk.c
+++ b/tests/voter_walk.c
@@ -209,7 +209,8 @@
 		return; /* no answer */
 	if (!m || !m->up) {
 		if (checks)
-			primary_check_conn_closed(n->check, conn, w->now);
+			primary_check_conn_closed(n->check, conn, w->now,
+						  &n->out);
 		else
 			monitor_conn_closed(n->monitor, conn, ERR_NO_ENDPOINT,
 					    w->now, &n->out);
