--- a/tests/test_runner.c
+++ b/tests/test_runner.c
@@ -12,7 +12,9 @@
 
 #define LISTED "test: test_budget jitter_follows_the_seed\n"
 #define COUNTS "echo '50%: Checks: 2, Failures: 1, Errors: 0'\n"
+/* As check does, which names no failures when it is to print the least. */
 #define FAILS(function)                                   \
+	"[ \"$CK_VERBOSITY\" = minimal ] || "             \
 	"echo 'tests/test_budget.c:57:F:budget:" function \
 	":0: Failed'\n" COUNTS "exit 1\n"
 
