--- a/core/monitor.h
+++ b/core/monitor.h
@@ -9,8 +9,11 @@
  * and with it the recorded voters, and pauses all replicas but the target: a
  * paused replica receives no log, so it acknowledges no more commits. The
  * target must have received everything that each paused replica has, and no
- * more voters may be missing than replicas that a commit waits for. The target
- * therefore has every commit that was ever acknowledged. The monitor also keeps
+ * more voters may be loose, that is neither paused nor the target, than
+ * replicas that a commit waits for. The primary of a switchover is loose. The
+ * target therefore has, or receives, every commit that is acknowledged until the
+ * promote call takes effect, which may be seconds later. The monitor gives the
+ * call up if it sees that this no longer holds (monitor_call.c). It also keeps
  * the record of voters up to date (monitor_record.c). Paused replicas are
  * resumed only when no promote call can take effect late: after the new primary
  * was seen, or after a newer fencing token was used.
