--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -40,6 +40,7 @@
 	struct site_member spec;
 	struct probe_conn probe;
 	hm_time next_status_at; /**< when its status is requested next */
+	hm_time drained_at;	/**< when a leaving one gets no more requests */
 	bool unregistered;	/**< no entry in the store, but it replies */
 	bool up;		/**< assumed up until a probe fails */
 	bool answered;		/**< replied since this monitor started */
@@ -59,10 +60,13 @@
 	hm_time paused_since;
 	/* Reset when a primary change begins to pause replicas: */
 	uint32_t stale_replies; /**< pending replies to earlier commands */
-	bool fresh_status;	/**< a status has been received since */
+	/**
+	 * Paused by the present change, by its last status. One that falls
+	 * silent after the promote call is taken to stay paused.
+	 */
+	bool held;
+	bool fresh_status;  /**< a status has been received since */
 	bool fresh_primary; /**< its last reply showed that it is writable */
-	struct log_pos
-		first_primary_pos; /**< position in the first such reply */
 };
 
 /**
@@ -138,9 +142,12 @@
 	hm_time retry_at;
 	bool planned;
 	hm_id target;
+	uint64_t target_started; /**< life for which the call was made */
 	uint64_t token;
 	uint64_t pause_term;
 	bool call_pending; /**< a promote call may still take effect */
+	/** When the call is given up, as paused voters receive; 0: they do not. */
+	hm_time give_up_at;
 	uint64_t promotions;
 	uint32_t missing_logged; /**< missing logs in the last log line */
 };
@@ -164,6 +171,9 @@
  */
 void primary_observed(struct monitor *k, struct monitored_member *m,
 		      hm_time now, struct proxy_output *out);
+/** Orders the current primary to become a replica. */
+void primary_retire(struct monitor *k, struct monitored_member *primary,
+		    hm_time now, struct proxy_output *out);
 /**
  * Records the primary's position for voters that had ended before the probe was
  * sent: the primary's log up to there has all that they had received.
@@ -176,6 +186,13 @@
 bool voter_is_missing(const struct monitor *k, uint32_t index);
 /** Number of voters for which that holds. */
 uint32_t voters_missing(const struct monitor *k);
+/**
+ * Whether a voter may confirm commits that the target of the present change
+ * lacks: it is neither the target nor paused by the change.
+ */
+bool voter_is_loose(const struct monitor *k, uint32_t index);
+/** Number of voters for which that holds. */
+uint32_t voters_loose(const struct monitor *k);
 /** Whether a member that replies has lost the log that it had. */
 bool voter_has_lost_log(const struct monitor *k,
 			const struct monitored_member *m);
@@ -233,13 +250,13 @@
 bool choice_sees_newest_primary(struct monitor *k);
 /** Whether members that reply have every acknowledged commit. */
 bool choice_sees_all_commits(const struct monitor *k);
-/** Logs, when this has changed, which members a failover waits for. */
+/** Logs, when this has changed, which members a change waits for. */
 void choice_log_wait(struct monitor *k, struct proxy_output *out);
 /** Number of members that reply and whose status is known. */
 uint32_t choice_reachable_count(const struct monitor *k);
 /**
  * The replying replica that has received the most log; at equal positions one
- * that is not leaving. With @a planned (a switchover), leaving, unregistered
+ * that is not leaving, then the one of the lowest identity. With @a planned (a switchover), leaving, unregistered
  * and paused replicas are left out. NULL if there is none.
  */
 struct monitored_member *choice_most_advanced(struct monitor *k, bool planned);
@@ -254,13 +271,50 @@
  * primary.
  */
 bool choice_must_pause(struct monitor *k, const struct monitored_member *m);
-/** Whether a switchover to the target loses no commit. */
-bool choice_switchover_is_safe(struct monitor *k);
-/** Whether the target has received everything that paused replicas have. */
-bool choice_target_has_all(struct monitor *k);
+/**
+ * Whether a failover would lose nothing that the primary has if that became a
+ * replica now: the target of a switchover has received it all.
+ */
+bool choice_may_retire(struct monitor *k);
+/** Whether a switchover can begin: it has a target, and may pause the others. */
+bool choice_may_switch(struct monitor *k);
+/** Whether no commit can be confirmed without the target or a paused voter. */
+bool choice_is_held(const struct monitor *k);
+/**
+ * Whether the target has, or will receive, every commit that is acknowledged
+ * until a promote call takes effect, once the replicas are paused.
+ */
+bool choice_is_safe(struct monitor *k);
 /** Starts or continues a primary change; call after each event. */
 void change_check(struct monitor *k, hm_time now, struct proxy_output *out);
+/** Whether a promote call of the present change may still take effect. */
+bool change_is_called(const struct monitor *k);
 /** Name of a step for log lines. */
 const char *change_name(enum change_step step);
+void change_enter(struct monitor *k, enum change_step step, hm_time until,
+		  struct proxy_output *out);
+/** Begins a change with a token of its own. */
+void change_begin(struct monitor *k, bool planned, hm_time now,
+		  struct proxy_output *out);
+/**
+ * Ends a change whose promote call may still take effect: another one takes a
+ * newer token, to invalidate the call.
+ */
+void change_give_up(struct monitor *k, hm_time now, struct proxy_output *out);
+/** Ends a change after which no promote call can take effect. */
+void change_finish(struct monitor *k, hm_time now, struct proxy_output *out);
+/** Ends a change without knowing that; the next one begins a while later. */
+void change_stop(struct monitor *k, hm_time now);
+/** Makes the promote call that the change has prepared. */
+void change_promote(struct monitor *k, const struct monitored_member *target,
+		    hm_time now, struct proxy_output *out);
+/** Makes a promote call for a member with the change's token. */
+void change_call(struct monitor *k, const struct monitored_member *m,
+		 struct proxy_output *out);
+/**
+ * Continues a change whose promote call was made or accepted: waits until the
+ * target is primary.
+ */
+void change_await(struct monitor *k, hm_time now, struct proxy_output *out);
 
 #endif
--- a/tests/voter_walk.c
+++ b/tests/voter_walk.c
@@ -408,7 +408,8 @@
 		return; /* no answer */
 	if (!m || !m->up) {
 		if (checks)
-			primary_check_conn_closed(n->check, conn, w->now);
+			primary_check_conn_closed(n->check, conn, w->now,
+						  &n->out);
 		else
 			monitor_conn_closed(n->monitor, conn, ERR_NO_ENDPOINT,
 					    w->now, &n->out);
@@ -987,7 +988,7 @@
 			n->conns[i] = (struct walk_conn){ 0 };
 			if (n->check && primary_check_owns_conn(n->check, conn))
 				primary_check_conn_closed(n->check, conn,
-							  w->now);
+							  w->now, &n->out);
 			else if (monitor_owns_conn(n->monitor, conn))
 				monitor_conn_closed(n->monitor, conn,
 						    ERR_NO_ENDPOINT, w->now,
