Let promoted members of the walk lead some hundred ms after the call

A promoted member led in the moment in which its call was executed, while it takes 200 ms to 1 s on the platform. In that time the fence has been checked: a cancelling call that is answered first does not stop the older one.

A third profile, "slow", is "late" with that delay, to be played by hand (VOTER_WALK_PROFILE=slow). The other two profiles mean the same walks as before. An unknown name of a profile is an error.

--- a/tests/test_voter_walk.c
+++ b/tests/test_voter_walk.c
@@ -5,7 +5,8 @@
  *
  * VOTER_WALK=SEED runs one walk of 60 s and prints what it lost, with
  * VOTER_WALK_LOG=1 also all that happens. VOTER_WALKS=FIRST-LAST runs many, and
- * prints each that loses commits. VOTER_WALK_PROFILE=late chooses late calls.
+ * prints each that loses commits. VOTER_WALK_PROFILE names another profile: late,
+ * slow.
  */
 #include <check.h>
 #include <stdio.h>
@@ -114,6 +115,22 @@
 }
 END_TEST
 
+static const struct walk_profile *chosen_profile(void)
+{
+	const struct walk_profile *all[] = { &walk_usual, &walk_late,
+					     &walk_slow };
+	const char *name = getenv("VOTER_WALK_PROFILE");
+	size_t i;
+
+	for (i = 0; name && i < sizeof(all) / sizeof(all[0]); i++)
+		if (!strcmp(name, all[i]->name))
+			return all[i];
+	if (!name)
+		return &walk_usual;
+	fprintf(stderr, "no profile %s\n", name);
+	exit(EXIT_FAILURE);
+}
+
 static int run_one(const struct walk_profile *profile, uint64_t seed)
 {
 	struct totals t = { 0 };
@@ -149,10 +166,7 @@
 int main(void)
 {
 	const char *one = getenv("VOTER_WALK"), *many = getenv("VOTER_WALKS");
-	const char *name = getenv("VOTER_WALK_PROFILE");
-	const struct walk_profile *profile =
-		name && !strcmp(name, walk_late.name) ? &walk_late
-						      : &walk_usual;
+	const struct walk_profile *profile = chosen_profile();
 	TCase *tc;
 
 	if (one)
--- a/tests/voter_walk.c
+++ b/tests/voter_walk.c
@@ -47,6 +47,24 @@
 	.platform = true,
 };
 
+const struct walk_profile walk_slow = {
+	.name = "slow",
+	.slots = 4,
+	.commits = WALK_COMMITS,
+	.calls = WALK_CALLS,
+	.commit_every = 200 * HM_MS,
+	.crash_least = 100 * HM_MS,
+	.crash_most = 4 * HM_SEC,
+	.cut_every = 15 * HM_SEC,
+	.late_in = 3,
+	.late_least = 2 * HM_SEC,
+	.late_most = 12 * HM_SEC,
+	.empty_in = 3,
+	.effect_least = 200 * HM_MS,
+	.effect_most = 1 * HM_SEC,
+	.platform = true,
+};
+
 static void note(struct walk *w, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
 
@@ -524,11 +542,52 @@
 
 /* Calls */
 
+/* A member leads the next term with what it has. */
+static void lead(struct walk *w, struct walk_member *m)
+{
+	uint32_t i;
+
+	w->lost += log_lacks(&m->log, &w->acked) != 0;
+	note(w, "%s leads term %u from %u.%u, %u lost", m->spec.name,
+	     (unsigned)w->term + 1, (unsigned)m->at.term, (unsigned)m->at.pos,
+	     log_lacks(&m->log, &w->acked));
+	log_keep(&w->acked, &m->log);
+	w->promoted = m->log;
+	w->promotions++;
+	m->primary_term = ++w->term;
+	m->paused_term = 0;
+	for (i = 0; i < WALK_MEMBERS; i++)
+		if (joined(w, m, &w->members[i]) || told(w, &w->members[i]))
+			w->members[i].least_term = w->term;
+}
+
+/* The member leads some hundred ms after the call. The last call holds. */
+static void lead_soon(struct walk *w, const struct walk_member *m)
+{
+	w->next = m->spec.endpoint;
+	w->next_started = m->spec.started;
+	w->next_at = w->now + between(w, w->profile->effect_least,
+				      w->profile->effect_most);
+	note(w, "%s is to lead at %.2f", m->spec.name,
+	     (double)(w->next_at - w->began_at) / (double)HM_SEC);
+}
+
+static void lead_when_due(struct walk *w)
+{
+	struct walk_member *m = find(w, w->next);
+
+	if (!w->next || w->now < w->next_at)
+		return;
+	w->next = 0;
+	if (m && m->up && m->spec.started == w->next_started &&
+	    m->primary_term != w->term)
+		lead(w, m);
+}
+
 static void promote(struct walk *w, const struct walk_call *c)
 {
 	struct walk_member *m = find(w, c->endpoint);
 	enum promote_outcome outcome = PROMOTE_REJECTED;
-	uint32_t i;
 
 	/* A late call for a member that has restarted empty is not covered. */
 	if (c->token >= w->fence && m && m->up &&
@@ -540,20 +599,11 @@
 		note(w, "%s is not the life meant", m->spec.name);
 		w->uncovered++;
 	}
-	if (outcome == PROMOTE_DONE && m->primary_term != w->term) {
-		w->lost += log_lacks(&m->log, &w->acked) != 0;
-		note(w, "%s leads term %u from %u.%u, %u lost", m->spec.name,
-		     (unsigned)w->term + 1, (unsigned)m->at.term,
-		     (unsigned)m->at.pos, log_lacks(&m->log, &w->acked));
-		log_keep(&w->acked, &m->log);
-		w->promoted = m->log;
-		w->promotions++;
-		m->primary_term = ++w->term;
-		m->paused_term = 0;
-		for (i = 0; i < WALK_MEMBERS; i++)
-			if (joined(w, m, &w->members[i]) ||
-			    told(w, &w->members[i]))
-				w->members[i].least_term = w->term;
+	if (outcome == PROMOTE_DONE && w->profile->effect_most) {
+		if (m->primary_term != w->term && w->next != m->spec.endpoint)
+			lead_soon(w, m);
+	} else if (outcome == PROMOTE_DONE && m->primary_term != w->term) {
+		lead(w, m);
 	}
 	if (c->answered)
 		monitor_promote_result(w->instances[c->from].monitor, c->token,
@@ -1118,6 +1168,7 @@
 		for (i = 0; i < WALK_ZONES; i++)
 			step_instance(w, i);
 		execute_calls(w);
+		lead_when_due(w);
 		if (w->profile->platform) {
 			deliver_views(w);
 			for (i = 0; i < WALK_ZONES; i++)
--- a/tests/voter_walk.h
+++ b/tests/voter_walk.h
@@ -39,6 +39,7 @@
 	hm_time cut_every; /* a zone is cut off */
 	uint32_t late_in;  /* one of so many promote calls is late */
 	hm_time late_least, late_most;
+	hm_time effect_least, effect_most; /* until the promoted one leads */
 	uint32_t empty_in; /* one of so many members is back without its log */
 	/*
 	 * What the platform does besides: entries and lists of members that are
@@ -52,6 +53,8 @@
 extern const struct walk_profile walk_usual;
 /** Promote calls are executed up to 12 s late. */
 extern const struct walk_profile walk_late;
+/** The same, and the promoted member leads some hundred ms after the call. */
+extern const struct walk_profile walk_slow;
 
 /** A member; each bit of its log is a commit. */
 struct walk_member {
@@ -162,6 +165,9 @@
 	struct walk_view views[WALK_VIEWS];
 	uint32_t view_count;
 	hm_time store_down_till;
+	hm_id next; /* the member that is to lead, 0: none */
+	uint64_t next_started;
+	hm_time next_at;
 	struct walk_log promoted; /* what the newest primary began with */
 	/* Calls for a life that has ended; today they lose commits. */
 	uint32_t uncovered;
