Hold replicas after a cancelled change while a call may still lead

A change is ended by promoting the present primary with a newer token. Its success was taken to say that no call can take effect any more, and replicas were resumed at once. But an older call that had been accepted before leads a moment later, although its token is outdated by then; and if it led before the newer call was executed, that call was a promotion of the former primary, no no-op.

While a call may be open, also one of another monitor, replicas now stay paused for 1.5 s after that success, and are resumed only if the target is still the primary. If not, event=cancel_overtaken says so, and the next change deals with the new primary. A change that made no call, while none was open before, ends at once as before.

test_monitor_call replicas_stay_paused_while_an_accepted_call_may_lead fails on the code before (m2 and m3 are resumed after promote m1).

--- a/core/monitor_call.c
+++ b/core/monitor_call.c
@@ -8,6 +8,8 @@
 #define SETTLE_LIMIT (4 * HM_SEC)
 /* Pause before a refused or unanswered promote call is repeated. */
 #define CALL_RETRY_DELAY (200 * HM_MS)
+/* An accepted call takes some hundred ms; a newer token is no obstacle then. */
+#define LEAD_LIMIT (1500 * HM_MS)
 /* How long the target may take to show that it is the primary. */
 #define RESUMED_DELAY (200 * HM_MS)
 
@@ -63,7 +65,7 @@
 	change_call(k, target, out);
 }
 
-static bool target_is_primary(struct monitor *k)
+bool change_target_leads(struct monitor *k)
 {
 	const struct monitored_member *primary = monitor_primary(k);
 
@@ -96,7 +98,7 @@
 {
 	struct monitored_member *target = monitor_find(k, k->target);
 
-	if (target_is_primary(k)) {
+	if (change_target_leads(k)) {
 		k->promotions++;
 		k->call_pending = false;
 		proxy_log(out,
@@ -115,6 +117,23 @@
 	}
 }
 
+/*
+ * The call for the present primary was accepted and changes nothing, unless an
+ * earlier one was accepted before it. Then the next change deals with both.
+ */
+void change_confirm_cancel(struct monitor *k, hm_time now,
+			   struct proxy_output *out)
+{
+	if (!change_target_leads(k)) {
+		proxy_log(out, "event=cancel_overtaken service=%s token=%llu",
+			  k->service_name, (unsigned long long)k->token);
+		change_stop(k, now);
+	} else if (now >= k->step_until) {
+		k->call_pending = false;
+		change_finish(k, now, out);
+	}
+}
+
 void monitor_promote_result(struct monitor *k, uint64_t token,
 			    enum promote_outcome outcome, hm_time now,
 			    struct proxy_output *out)
@@ -124,8 +143,9 @@
 	if (k->step == CHANGE_CANCEL) {
 		if (outcome != PROMOTE_DONE)
 			return;
-		k->call_pending = false;
-		change_finish(k, now, out);
+		change_enter(k, CHANGE_CANCELLED,
+			     k->call_pending ? now + LEAD_LIMIT : now, out);
+		change_confirm_cancel(k, now, out);
 		return;
 	}
 	if (k->step != CHANGE_PROMOTE)
--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -30,6 +30,7 @@
 	[CHANGE_NONE] = "none",		  [CHANGE_TOKEN] = "token",
 	[CHANGE_PAUSE_REPLICAS] = "hold", [CHANGE_PROMOTE] = "promote",
 	[CHANGE_SETTLE] = "settle",	  [CHANGE_CANCEL] = "cancel",
+	[CHANGE_CANCELLED] = "cancelled",
 };
 
 const char *change_name(enum change_step step)
@@ -177,6 +178,7 @@
 	     record_change_is_orphaned(k, ORPHAN_CHANGE_LIMIT, now)) &&
 	    choice_sees_newest_primary(k)) {
 		k->planned = true;
+		k->call_pending = true;
 		cancel(k, now, out);
 	} else if (primary && is_leaving(k, primary, now)) {
 		replace_leaving(k, primary, now, out);
@@ -277,6 +279,9 @@
 	case CHANGE_SETTLE:
 		change_await(k, now, out);
 		break;
+	case CHANGE_CANCELLED:
+		change_confirm_cancel(k, now, out);
+		break;
 	case CHANGE_STEP_COUNT:
 		break;
 	}
@@ -320,6 +325,7 @@
 		change_stop(k, now);
 		return;
 	}
+	k->call_pending |= k->record.was_changing;
 	k->pause_term = k->term + token;
 	target = k->planned ? choice_most_advanced(k, true) : NULL;
 	k->target = target ? target->spec.endpoint : 0;
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -19,7 +19,8 @@
 	CHANGE_PAUSE_REPLICAS, /**< pausing replicas */
 	CHANGE_PROMOTE,	       /**< promote call made, no outcome yet */
 	CHANGE_SETTLE,	       /**< call accepted, target not yet primary */
-	CHANGE_CANCEL, /**< invalidating calls that may take effect late */
+	CHANGE_CANCEL,	  /**< invalidating calls that may take effect late */
+	CHANGE_CANCELLED, /**< an earlier call that was accepted may lead */
 	CHANGE_STEP_COUNT
 };
 
@@ -145,7 +146,8 @@
 	uint64_t target_started; /**< life for which the call was made */
 	uint64_t token;
 	uint64_t pause_term;
-	bool call_pending; /**< a promote call may still take effect */
+	/** A promote call, also another monitor's, may still take effect. */
+	bool call_pending;
 	/** When the call is given up, as paused voters receive; 0: they do not. */
 	hm_time give_up_at;
 	uint64_t promotions;
@@ -305,6 +307,8 @@
 void change_finish(struct monitor *k, hm_time now, struct proxy_output *out);
 /** Ends a change without knowing that; the next one begins a while later. */
 void change_stop(struct monitor *k, hm_time now);
+/** Whether the target is the primary, as far as is known. */
+bool change_target_leads(struct monitor *k);
 /** Makes the promote call that the change has prepared. */
 void change_promote(struct monitor *k, const struct monitored_member *target,
 		    hm_time now, struct proxy_output *out);
@@ -316,5 +320,8 @@
  * target is primary.
  */
 void change_await(struct monitor *k, hm_time now, struct proxy_output *out);
+/** Ends a change that was cancelled, once no earlier call can take effect. */
+void change_confirm_cancel(struct monitor *k, hm_time now,
+			   struct proxy_output *out);
 
 #endif
--- a/core/monitor_view.c
+++ b/core/monitor_view.c
@@ -9,7 +9,7 @@
 
 	*v = (struct service_view){ .service = k->service, .term = k->term };
 	v->primary = primary ? primary->spec.endpoint : 0;
-	v->replacing = k->step == CHANGE_CANCEL ||
+	v->replacing = k->step >= CHANGE_CANCEL ||
 		       (k->step != CHANGE_NONE && !k->planned);
 	v->states_voters = true;
 	v->voters = k->record.voters;
--- a/tests/test_monitor_call.c
+++ b/tests/test_monitor_call.c
@@ -113,6 +113,33 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: replicas were resumed once the call that cancels
+ * a change had succeeded, while the older call had been accepted and took effect
+ * a moment later.
+ */
+START_TEST(replicas_stay_paused_while_an_accepted_call_may_lead)
+{
+	struct monitor_fixture r;
+
+	open_call(&r);
+	r.promote_silent = false;
+	r.fakes[0].refuses = false;
+	r.fakes[2].paused_term = 0;
+	monitor_fixture_run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, "promote m1 token=2\n");
+	monitor_fixture_promote(&r, 1);
+	r.fakes[2].paused_term = 9; /* still paused */
+	monitor_fixture_run(&r, 2 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	ck_assert_ptr_nonnull(strstr(r.log->str, "event=cancel_overtaken"));
+	/* The next change, for the new primary, is not overtaken. */
+	monitor_fixture_run(&r, 6 * HM_SEC);
+	proxy_text_expect(r.text, "promote m2 token=3\nresume m2\nresume m3\n");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 /* A paused replica that falls silent is not taken for one that receives. */
 START_TEST(silence_after_the_call_does_not_end_it)
 {
@@ -183,6 +210,8 @@
 		       call_is_not_repeated_for_a_target_that_has_restarted);
 	tcase_add_test(tc, call_is_given_up_for_a_new_life_of_its_target);
 	tcase_add_test(tc, replica_that_receives_again_needs_a_newer_call);
+	tcase_add_test(tc,
+		       replicas_stay_paused_while_an_accepted_call_may_lead);
 	tcase_add_test(tc, silence_after_the_call_does_not_end_it);
 	tcase_add_test(tc, monitors_prefer_the_same_target);
 	tcase_add_test(tc, drained_primary_steps_down_beside_a_silent_voter);
