Acknowledge no commit before the record of voters knows of one

The record of voters says that a service had a commit once the monitor has seen a log that is not empty: by statuses, that is up to 3 s late, and half a second or a second after that. Owners acknowledged commits before. If two of three voters then started again empty while the third was silent, the empty logs counted as complete, and one of these members was promoted.

The views now state whether the record knows of a commit, and an owner acknowledges none until it does. So that the first ones don't wait longer, the monitor looks at the position in the primary's probe, and writes the record at once: without the time in which new members are collected, without the pause between two calls, but never while a change runs, which counts by the record that came with its token. Nor does the write of a token bring it any more (src/promoter.c): a call with an older token may be under way, made when empty logs counted. The monitor asks for the statuses again then, as older ones look like lost logs. What a monitor knows of commits stays known while a new era has no record.

On the wire the views get an extension field of their own, which says that there was no commit. Earlier builds skip it; a view without it counts as before.

test_confirm's views and the record of its proxies now state that there were commits, and the stores of the fixtures take a token as the real one does; what these tests check is as before.

--- a/core/monitor_record.c
+++ b/core/monitor_record.c
@@ -28,8 +28,19 @@
 				m->spec.name, m->spec.address);
 }
 
+/*
+ * Whether the service has had a commit. The probe of the primary shows one long
+ * before the statuses do.
+ */
+static bool has_commit(struct monitor *k)
+{
+	const struct monitored_member *primary = monitor_primary(k);
+
+	return voters_committed(k) || (primary && primary->primary_pos.pos);
+}
+
 /* Fills in a record where none is stored: all members that are known. */
-static bool first_record(const struct monitor *k, struct voter_record *to)
+static bool first_record(struct monitor *k, struct voter_record *to)
 {
 	uint32_t i;
 
@@ -37,7 +48,7 @@
 	for (i = 0; i < k->member_count; i++)
 		if (!monitor_is_voter(k, &k->members[i]))
 			add(to, &k->members[i]);
-	to->committed = voters_committed(k);
+	to->committed = has_commit(k);
 	return to->voters.count > 0;
 }
 
@@ -70,18 +81,22 @@
 	for (i = 0; i < k->member_count; i++)
 		if (may_be_added(k, &k->members[i]))
 			changed |= add(to, &k->members[i]);
-	changed |= !to->committed && voters_committed(k);
-	to->committed = voters_committed(k);
+	to->committed = has_commit(k);
+	changed |= to->committed != k->record.committed;
 	to->changing = false;
 	if (k->term > to->voters.term)
 		to->voters.term = k->term;
 	return changed;
 }
 
-/* Whether a commit or a change of primary may need the new voters. */
-static bool is_urgent(struct monitor *k)
+/*
+ * Whether a commit or a change of primary may need the new voters. No commit is
+ * acknowledged before the record says that there are any.
+ */
+static bool is_urgent(struct monitor *k, const struct voter_record *next)
 {
-	return k->record_stored && (!monitor_primary(k) || voters_missing(k));
+	return k->record_stored && (!monitor_primary(k) || voters_missing(k) ||
+				    next->committed != k->record.committed);
 }
 
 static void call(struct monitor *k, const struct voter_record *record,
@@ -164,8 +179,10 @@
 		k->record_due_at = 0;
 		return;
 	}
-	if (!k->record_due_at)
-		k->record_due_at = now + (is_urgent(k) ? 0 : RECORD_BATCH);
+	if (is_urgent(k, &next))
+		k->record_due_at = now;
+	else if (!k->record_due_at)
+		k->record_due_at = now + RECORD_BATCH;
 	if (now >= k->record_due_at)
 		call(k, &next, now, out);
 }
@@ -179,14 +196,24 @@
 		monitor_list_name(names, sizeof(names),
 				  k->record.contacts[i].name);
 	proxy_log(out,
-		  "event=voters service=%s voters=%s changing=%d term=%llu "
-		  "era=%llu revision=%llu",
+		  "event=voters service=%s voters=%s changing=%d committed=%d "
+		  "term=%llu era=%llu revision=%llu",
 		  k->service_name, names, k->record.changing,
+		  k->record.committed,
 		  (unsigned long long)k->record.voters.term,
 		  (unsigned long long)k->record.voters.at.era,
 		  (unsigned long long)k->record.voters.at.revision);
 }
 
+/* Statuses from before the first commit look like those of lost logs. */
+static void request_statuses(struct monitor *k, hm_time now)
+{
+	uint32_t i;
+
+	for (i = 0; i < k->member_count; i++)
+		k->members[i].next_status_at = now;
+}
+
 /*
  * A position of the primary that was seen before another monitor changed the
  * record says nothing of what the voters have acknowledged since.
@@ -205,6 +232,7 @@
 	k->record = *record;
 	/* A new era has no record until one is written. */
 	if (!k->record_stored) {
+		k->record.committed = before.committed;
 		k->record.voters = before.voters;
 		k->record.voters.at = record->voters.at;
 		memcpy(k->record.contacts, before.contacts,
@@ -213,16 +241,27 @@
 	monitor_raise_term(k, record->voters.term);
 	k->changing_since = record->changing ? now : 0;
 	memset(k->ends, 0, sizeof(k->ends));
+	if (record->committed && !before.committed &&
+	    voters_known(&before.voters))
+		request_statuses(k, now);
 	log_record(k, out);
 	monitor_broadcast_view(k);
 }
 
+/* The first commit may come at any moment and is recorded without a pause. */
+static hm_time pause_after(const struct voter_record *record)
+{
+	if (!record)
+		return RECORD_RETRY;
+	return record->committed ? RECORD_PAUSE : 0;
+}
+
 void monitor_voters_recorded(struct monitor *k,
 			     const struct voter_record *record, hm_time now,
 			     struct proxy_output *out)
 {
 	k->record_until = 0;
-	k->record_after = now + (record ? RECORD_PAUSE : RECORD_RETRY);
+	k->record_after = now + pause_after(record);
 	if (!k->active || !record)
 		return;
 	record_take(k, record, now, out);
--- a/core/monitor_view.c
+++ b/core/monitor_view.c
@@ -13,6 +13,7 @@
 		       (k->step != CHANGE_NONE && !k->planned);
 	v->states_voters = true;
 	v->voters = k->record.voters;
+	v->committed = k->record.committed;
 	v->count = k->member_count;
 	for (i = 0; i < k->member_count; i++) {
 		const struct monitored_member *m = &k->members[i];
--- a/core/primary_check_commit.c
+++ b/core/primary_check_commit.c
@@ -114,6 +114,8 @@
 		       c->sync_replicas;
 	if (commit.term < v->voters.term)
 		return false; /* the primary has been superseded */
+	if (!v->committed)
+		return false; /* empty logs still count as complete */
 	have = primary_check_received(c, commit, &v->voters, now) +
 	       voters_have(&v->voters, c->endpoint, started);
 	return have > c->sync_replicas + spare;
--- a/core/view.c
+++ b/core/view.c
@@ -21,7 +21,8 @@
 void view_update(struct service_state *v, const struct service_view *from,
 		 hm_time now)
 {
-	voters_update(&v->voters, &from->voters);
+	if (voters_update(&v->voters, &from->voters))
+		v->committed = from->committed;
 	if (from->term < v->latest.term)
 		return;
 	if (from->seq && from->seq == v->seq) {
--- a/core/view.h
+++ b/core/view.h
@@ -46,6 +46,8 @@
 	/** Whether @a voters is set; builds without a record leave it out. */
 	bool states_voters;
 	struct voters voters;
+	/** The record of @a voters says that the service had a commit. */
+	bool committed;
 };
 
 /**
@@ -63,6 +65,7 @@
 	struct service_view latest;
 	hm_time received_at;  /**< when @a latest arrived, 0: none yet */
 	struct voters voters; /**< the newest that a view has stated */
+	bool committed;	      /**< the same view said so */
 	/** Time up to which the list of members is known to be current. */
 	hm_time members_current_at;
 	struct view_sample samples[VIEW_SAMPLES]; /**< oldest first */
--- a/src/promoter.c
+++ b/src/promoter.c
@@ -118,17 +118,18 @@
 	return outcome;
 }
 
-/* Takes over the stored record, or keeps the job's own if there is none. */
+/*
+ * Takes over the stored record, or keeps the job's own if there is none. That
+ * there was a commit is not added: a call with an older token may be under way,
+ * made when empty logs counted as complete.
+ */
 static void take_over_record(struct job *job,
 			     const struct store_object *current)
 {
-	bool committed = job->record.committed;
 	struct voter_record stored;
 
-	if (!token_object_read_voters(current->value, current->at, &stored))
-		return;
-	job->record = stored;
-	job->record.committed |= committed;
+	if (token_object_read_voters(current->value, current->at, &stored))
+		job->record = stored;
 }
 
 /*
--- a/src/wire_extension.c
+++ b/src/wire_extension.c
@@ -12,7 +12,8 @@
 	EXTENSION_CAPACITY = 5,
 	EXTENSION_NEWS_CAPACITY = 7, /* once for each entry of the digest */
 	EXTENSION_VOTERS_VERSION = 8,
-	EXTENSION_VOTER = 9 /* once for each voter */
+	EXTENSION_VOTER = 9, /* once for each voter */
+	EXTENSION_UNCOMMITTED = 10
 };
 
 /* Most numbers of one field that this build knows. */
@@ -168,10 +169,23 @@
 static void set_voters_version(struct message *m, const uint64_t *values)
 {
 	m->view->states_voters = true;
+	m->view->committed = true; /* a build that does not tell counts so */
 	m->view->voters.at = (struct store_version){ values[0], values[1] };
 	m->view->voters.term = values[2];
 }
 
+/* Comes after the version, which sets the opposite. */
+static bool get_uncommitted(const struct message *m, uint64_t *values)
+{
+	values[0] = 1;
+	return m->view->states_voters && !m->view->committed;
+}
+
+static void set_uncommitted(struct message *m, const uint64_t *values)
+{
+	m->view->committed = !values[0];
+}
+
 /* Never by the table: one view has many of them. */
 static bool get_voter(const struct message *m, uint64_t *values)
 {
@@ -204,6 +218,8 @@
 	  set_news_capacity },
 	{ EXTENSION_VOTERS_VERSION, MSG_VIEW, 3, get_voters_version,
 	  set_voters_version },
+	{ EXTENSION_UNCOMMITTED, MSG_VIEW, 1, get_uncommitted,
+	  set_uncommitted },
 	{ EXTENSION_VOTER, MSG_VIEW, 2, get_voter, set_voter },
 };
 
--- a/tests/monitor_fixture.c
+++ b/tests/monitor_fixture.c
@@ -168,7 +168,6 @@
 {
 	if (!voters_known(&r->record.voters))
 		r->record = *a->duty.record;
-	r->record.committed |= a->duty.record->committed;
 	r->record.token = ++r->token;
 	r->record.was_changing = r->record.changing;
 	r->record.changing = true;
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -171,6 +171,7 @@
 	r->primary_pos = 50;
 	r->replica_pos = 50;
 	r->record.voters.at.revision = 1;
+	r->record.committed = true;
 	voter_record_add(&r->record, 1, 0, "m1", "10.0.0.1:1");
 	voter_record_add(&r->record, 2, 0, "m2", "10.0.0.1:1");
 	proxy_options_default(&o);
--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -110,7 +110,8 @@
 	struct service_view v = { .service = name_id("db"),
 				  .primary = 1,
 				  .term = 1,
-				  .states_voters = true };
+				  .states_voters = true,
+				  .committed = true };
 
 	v.voters.at.revision = revision;
 	v.voters.count = 2 + votes;
@@ -232,7 +233,8 @@
 	uint64_t conn = open_with_view(&r, false, true);
 	struct service_view v = { .service = name_id("db"),
 				  .states_voters = true,
-				  .voters = { { 0, 5 }, 2, 2, { { 1, 0 } } } };
+				  .voters = { { 0, 5 }, 2, 2, { { 1, 0 } } },
+				  .committed = true };
 
 	v.voters.list[1].endpoint = 2;
 	m.view = &v;
@@ -297,6 +299,36 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: while the record knows of none, a monitor takes
+ * an empty log for a complete one.
+ */
+START_TEST(commit_that_the_record_does_not_know_of_is_not_acknowledged)
+{
+	struct message m = { .kind = MSG_VIEW, .from = 1001 };
+	struct proxy_fixture r;
+	uint64_t conn = open_with_view(&r, false, true);
+	struct service_view v = { .service = name_id("db"),
+				  .primary = 1,
+				  .term = 1,
+				  .states_voters = true,
+				  .voters = { { 0, 5 }, 1, 2, { { 1, 0 } } } };
+
+	v.voters.list[1].endpoint = 2;
+	m.view = &v;
+	proxy_fixture_message(&r, &m);
+	write_once(&r, conn, "");
+	proxy_fixture_run(&r, 300 * HM_MS);
+	proxy_text_expect(r.text, "");
+	v.committed = true;
+	v.voters.at.revision++;
+	proxy_fixture_message(&r, &m);
+	proxy_fixture_run(&r, 40 * HM_MS);
+	proxy_text_expect(r.text, ACKNOWLEDGED);
+	proxy_fixture_close(&r);
+}
+END_TEST
+
 /* The replica that completed the commit is not registered. */
 START_TEST(commit_waits_until_a_registered_replica_has_it)
 {
@@ -475,6 +507,9 @@
 	tcase_add_test(tc,
 		       commit_that_only_a_new_replica_has_is_not_acknowledged);
 	tcase_add_test(tc, commit_without_known_voters_is_not_acknowledged);
+	tcase_add_test(
+		tc,
+		commit_that_the_record_does_not_know_of_is_not_acknowledged);
 	tcase_add_test(tc, commit_by_an_outdated_list_needs_one_more_voter);
 	tcase_add_test(tc, commit_of_an_earlier_term_is_not_acknowledged);
 	tcase_add_test(tc, voter_without_an_entry_counts_for_a_while);
--- a/tests/test_promoter.c
+++ b/tests/test_promoter.c
@@ -212,6 +212,32 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: a token brought that the service had a commit, and
+ * owners acknowledged the first ones while a call with an older token was under
+ * way, made when empty logs counted as complete.
+ */
+START_TEST(token_does_not_bring_the_first_commit)
+{
+	struct proxy_action a = { .kind = PROXY_TAKE_TOKEN };
+	struct voter_record seen;
+	struct fixture r;
+
+	fixture_open(&r, true);
+	record_two_voters(&r);
+	ck_assert(!r.record.committed);
+	seen = r.record;
+	seen.committed = true;
+	a.duty.record = &seen;
+	g_strlcpy(a.duty.service, SERVICE, sizeof(a.duty.service));
+	perform(&r, &a);
+	ck_assert(r.last.token.taken);
+	ck_assert(r.record.changing);
+	ck_assert(!r.record.committed);
+	fixture_close(&r);
+}
+END_TEST
+
 /* An older build takes a token without a record of voters. */
 START_TEST(token_brings_the_first_record)
 {
@@ -329,6 +355,7 @@
 
 	tcase_add_test(tc, record_is_read_as_it_was_written);
 	tcase_add_test(tc, token_is_taken_with_the_voters);
+	tcase_add_test(tc, token_does_not_bring_the_first_commit);
 	tcase_add_test(tc, token_brings_the_first_record);
 	tcase_add_test(tc, older_token_is_not_sent);
 	tcase_add_test(tc, token_that_cannot_be_looked_up_is_not_sent);
--- a/tests/test_wire_extension.c
+++ b/tests/test_wire_extension.c
@@ -23,6 +23,16 @@
 	return wire_extension_read(data, size, m);
 }
 
+static void pack_field(msgpack_packer *k, uint32_t key, uint32_t count)
+{
+	uint32_t i;
+
+	msgpack_pack_uint32(k, key);
+	msgpack_pack_uint32(k, count);
+	for (i = 0; i < count; i++)
+		msgpack_pack_uint32(k, 10 + i);
+}
+
 START_TEST(fields_arrive)
 {
 	struct run_request run = { .level = 2 }, run_got = { 0 };
@@ -81,6 +91,39 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: an owner that does not hear that the record knows
+ * of no commit acknowledges the first ones. Builds before do not tell.
+ */
+START_TEST(record_without_commits_arrives)
+{
+	struct service_view view = { .states_voters = true,
+				     .voters = { { 2, 40 } } };
+	struct service_view got_view = { .committed = true };
+	struct message sent = { .kind = MSG_VIEW, .view = &view };
+	struct message got = { .kind = MSG_VIEW, .view = &got_view };
+	GBytes *bytes = wire_extension_write(&sent);
+	msgpack_sbuffer buffer;
+	msgpack_packer k;
+
+	ck_assert(read_bytes(bytes, &got));
+	ck_assert(got_view.states_voters && !got_view.committed);
+	g_bytes_unref(bytes);
+	view.committed = true;
+	bytes = wire_extension_write(&sent);
+	ck_assert(read_bytes(bytes, &got));
+	ck_assert(got_view.committed);
+	g_bytes_unref(bytes);
+	got_view.committed = false;
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&k, &buffer, msgpack_sbuffer_write);
+	pack_field(&k, 8, 3); /* all that such a build says of the version */
+	ck_assert(wire_extension_read(buffer.data, buffer.size, &got));
+	ck_assert(got_view.committed);
+	msgpack_sbuffer_destroy(&buffer);
+}
+END_TEST
+
 /* Guards against capacities lost on the way, directly or by a relay. */
 START_TEST(capacity_arrives)
 {
@@ -130,16 +173,6 @@
 }
 END_TEST
 
-static void pack_field(msgpack_packer *k, uint32_t key, uint32_t count)
-{
-	uint32_t i;
-
-	msgpack_pack_uint32(k, key);
-	msgpack_pack_uint32(k, count);
-	for (i = 0; i < count; i++)
-		msgpack_pack_uint32(k, 10 + i);
-}
-
 /* A build that comes later sends a field and levels that this one lacks. */
 START_TEST(newer_fields_are_skipped)
 {
@@ -205,6 +238,7 @@
 
 	tcase_add_test(tc, fields_arrive);
 	tcase_add_test(tc, voters_arrive);
+	tcase_add_test(tc, record_without_commits_arrives);
 	tcase_add_test(tc, capacity_arrives);
 	tcase_add_test(tc, no_field_no_extension);
 	tcase_add_test(tc, newer_fields_are_skipped);
--- a/tests/voter_walk.c
+++ b/tests/voter_walk.c
@@ -328,7 +328,6 @@
 {
 	if (!voters_known(&w->record.voters))
 		w->record = c->record;
-	w->record.committed |= c->record.committed;
 	w->record.voters.at.revision = ++w->revision;
 	w->record.token++;
 	w->record.was_changing = w->record.changing;
