Count a voter behind a new connection once the store shows its life

A paused voter that starts again under its name is empty and not paused. It may receive all from a primary that is being replaced before its entry says that it has started again. The owner counted its position as that of the voter that it had been, so the primary and it acknowledged commits that the promotion's target lacked.

A connection outlives no process. Once the connection to a voter has ended, what the voter shows counts when a list of members, read from the store 4 s after the connection is open again, still names its life (an entry is gone after three report intervals of silence, 3.6 s). Until then such voters count only if one more than needed has the commit. What was shown before counts on. All members are asked at once while none is known.

On the former code the tests failed: voter_behind_a_new_connection_may_have_started_again: Assertion '!confirms(&r, 12)' failed (primary and m2, back with an empty log, confirm) and three more of test_primary_check that are new here.

--- a/core/primary_check.c
+++ b/core/primary_check.c
@@ -154,9 +154,11 @@
 	for (i = 0; i < c->count; i++) {
 		struct checked_member *m = &c->others[i];
 
-		if (!m->probe.conn && now >= m->probe.connect_after)
-			probe_conn_open(&m->probe, &m->spec, c->deps.next_conn,
-					now, out);
+		if (m->probe.conn || now < m->probe.connect_after)
+			continue;
+		m->life_known = false;
+		probe_conn_open(&m->probe, &m->spec, c->deps.next_conn, now,
+				out);
 	}
 }
 
@@ -279,7 +281,12 @@
 void primary_check_conn_ready(struct primary_check *c, uint64_t conn,
 			      hm_time now, struct proxy_output *out)
 {
-	find_conn(c, conn)->probe.ready = true;
+	struct checked_member *m = find_conn(c, conn);
+
+	m->probe.ready = true;
+	m->life_known = !m->connected_before;
+	m->life_shown_at = now + VOTER_LIFE_SHOWN;
+	m->connected_before = true;
 	if (c->newest_ticket > c->confirmed)
 		probe_others(c, now, out);
 }
--- a/core/primary_check.h
+++ b/core/primary_check.h
@@ -29,6 +29,12 @@
 void primary_check_set_members(struct primary_check *c,
 			       const struct site_members *members,
 			       hm_id service, struct proxy_output *out);
+/**
+ * The members set last are those in the store at @a read_at: a member whose
+ * entry still names the life that it had VOTER_LIFE_SHOWN earlier has not
+ * started again before that.
+ */
+void primary_check_members_read(struct primary_check *c, hm_time read_at);
 /** Sets the number of replicas that a commit waits for; the default is 1. */
 void primary_check_set_sync_replicas(struct primary_check *c, uint32_t count);
 
--- a/core/primary_check_commit.c
+++ b/core/primary_check_commit.c
@@ -23,19 +23,24 @@
 void check_note_received(struct checked_member *m, const struct member_reply *r,
 			 hm_time now, struct proxy_output *out)
 {
-	if (!r->has_status) {
-		if (log_pos_compare(r->at, m->received) > 0)
-			m->received = r->at;
-		return;
+	if (r->has_status) {
+		if (log_pos_compare(r->status.received, m->received) < 0)
+			log_shrank(m, r->status.received, now, out);
+		m->received = r->status.received;
+	} else if (log_pos_compare(r->at, m->received) > 0) {
+		m->received = r->at;
 	}
-	if (log_pos_compare(r->status.received, m->received) < 0)
-		log_shrank(m, r->status.received, now, out);
-	m->received = r->status.received;
+	if (m->life_known || log_pos_compare(m->received, m->proved) < 0)
+		m->proved = m->received;
 }
 
-static bool has_received(const struct checked_member *m, struct log_pos commit)
+/*
+ * A position in a later term proves nothing: that term may have begun without
+ * the commit.
+ */
+static bool covers(struct log_pos received, struct log_pos commit)
 {
-	return m->received.term == commit.term && m->received.pos >= commit.pos;
+	return received.term == commit.term && received.pos >= commit.pos;
 }
 
 void check_commit_replied(struct checked_member *m,
@@ -43,7 +48,7 @@
 			  struct proxy_output *out)
 {
 	check_note_received(m, r, now, out);
-	m->commit_delay = has_received(m, m->commit)
+	m->commit_delay = covers(m->received, m->commit)
 				  ? now - m->commit_requested_at
 				  : COMMIT_LATE;
 	m->commit_requested_at = 0;
@@ -63,7 +68,10 @@
 	m->commit_requested_at = now;
 }
 
-/* The connected member that showed the last commit the soonest. */
+/*
+ * The connected member that showed the last commit the soonest, of those whose
+ * life is known: no other one confirms a commit alone.
+ */
 static struct checked_member *soonest(struct primary_check *c)
 {
 	struct checked_member *best = NULL;
@@ -72,7 +80,7 @@
 	for (i = 0; i < c->count; i++) {
 		struct checked_member *m = &c->others[i];
 
-		if (m->probe.ready &&
+		if (m->probe.ready && m->life_known &&
 		    (!best || m->commit_delay < best->commit_delay))
 			best = m;
 	}
@@ -118,6 +126,21 @@
 				   now - missing_since <= VOTER_MISSING_GRACE));
 }
 
+void primary_check_members_read(struct primary_check *c, hm_time read_at)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->count; i++) {
+		struct checked_member *m = &c->others[i];
+
+		if (m->life_known || !m->probe.ready || m->spec.missing_since ||
+		    read_at < m->life_shown_at)
+			continue;
+		m->life_known = true;
+		m->proved = m->received;
+	}
+}
+
 /* Whose logs count; NULL: all members', the monitor's build records no voters. */
 static const struct voters *voters_of(const struct service_state *v)
 {
@@ -127,47 +150,59 @@
 		       : NULL;
 }
 
+/*
+ * Number of members that have received @a commit, of the @a voters that may be
+ * counted or, with NULL, of all.
+ * @param proved count only what the lives that the voters name have shown
+ */
+static uint32_t count_holders(const struct primary_check *c,
+			      struct log_pos commit,
+			      const struct voters *voters, bool proved,
+			      hm_time now)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < c->count; i++) {
+		const struct checked_member *m = &c->others[i];
+
+		count += covers(proved ? m->proved : m->received, commit) &&
+			 (!voters || counts(m, voters, now));
+	}
+	return count;
+}
+
 /*
  * The voters of an older view serve, too: what they lack are added ones. One of
- * them may have been removed only if the list of members is out of date.
+ * them may have been removed only if the list of members is out of date. And
+ * one of those behind a new connection may have started again. One more than
+ * needed outlasts either.
  */
 bool primary_check_confirms(const struct primary_check *c,
 			    struct log_pos commit, uint64_t started,
 			    const struct service_state *v, hm_time now)
 {
-	uint32_t have, spare = now - v->members_current_at > MEMBERS_CURRENT;
+	bool current = now - v->members_current_at <= MEMBERS_CURRENT;
+	const struct voters *voters = voters_of(v);
+	uint32_t primary, needed = c->sync_replicas;
 
-	if (!voters_of(v))
-		return primary_check_received(c, commit, NULL, now) >=
-		       c->sync_replicas;
-	if (commit.term < v->voters.term)
+	if (!voters)
+		return primary_check_received(c, commit, NULL, now) >= needed;
+	if (commit.term < voters->term)
 		return false; /* the primary has been superseded */
 	if (!v->committed)
 		return false; /* empty logs still count as complete */
-	have = primary_check_received(c, commit, &v->voters, now) +
-	       voters_have(&v->voters, c->endpoint, started);
-	return have > c->sync_replicas + spare;
-}
-
-/*
- * A position in a later term proves nothing: that term may have begun without
- * the commit.
- */
-static bool confirms(const struct checked_member *m, struct log_pos commit,
-		     const struct voters *voters, hm_time now)
-{
-	return has_received(m, commit) && (!voters || counts(m, voters, now));
+	primary = voters_have(voters, c->endpoint, started);
+	if (primary + count_holders(c, commit, voters, false, now) > needed + 1)
+		return true;
+	return current &&
+	       primary + count_holders(c, commit, voters, true, now) > needed;
 }
 
 uint32_t primary_check_received(const struct primary_check *c,
 				struct log_pos commit,
 				const struct voters *voters, hm_time now)
 {
-	uint32_t i, count = 0;
-
-	for (i = 0; i < c->count; i++)
-		count += confirms(&c->others[i], commit, voters, now);
-	return count;
+	return count_holders(c, commit, voters, false, now);
 }
 
 uint32_t primary_check_holders(const struct primary_check *c,
@@ -175,10 +210,12 @@
 			       const struct service_state *v, hm_time now,
 			       const struct site_member *list[ENDPOINTS_MAX])
 {
+	const struct voters *voters = voters_of(v);
 	uint32_t i, count = 0;
 
 	for (i = 0; i < c->count; i++)
-		if (confirms(&c->others[i], commit, voters_of(v), now))
+		if (covers(c->others[i].received, commit) &&
+		    (!voters || counts(&c->others[i], voters, now)))
 			list[count++] = &c->others[i].spec;
 	return count;
 }
--- a/core/primary_check_state.h
+++ b/core/primary_check_state.h
@@ -32,6 +32,18 @@
 	struct term_report reported;
 	/** The log up to here has been received, by its last replies. */
 	struct log_pos received;
+	/**
+	 * The same by its replies over connections to the life that @a spec
+	 * names, for certain.
+	 */
+	struct log_pos proved;
+	/**
+	 * A list of members of this time or later tells which life the
+	 * connection is to, unless it is the first one.
+	 */
+	hm_time life_shown_at;
+	bool life_known; /**< the connection is to the life in @a spec */
+	bool connected_before;
 	struct log_pos commit;	     /**< asked for in the last CHECK_COMMIT */
 	hm_time commit_requested_at; /**< 0: there is no reply to await */
 	/** How long it took to show the last commit, COMMIT_LATE if it did not. */
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -271,6 +271,8 @@
  * none of them reads it, nobody can act by a newer list.
  */
 hm_time members_current_at(const struct proxy *p, hm_time now);
+/** Time of the last read that found the member list in force. */
+hm_time members_read_at(const struct proxy *p);
 /** Number of routes and accounts, by which the size is estimated. */
 uint32_t config_entries(const struct site_config *c);
 /** Whether the configuration, or a newer one, is too large for peers. */
--- a/core/services.c
+++ b/core/services.c
@@ -367,8 +367,10 @@
 		p->settled_at = now + p->timing->reconnect_settle;
 	member_list_tick(p, now, out);
 	p->members_current_at = members_current_at(p, now);
-	for (i = 0; i < p->service_count; i++)
+	for (i = 0; i < p->service_count; i++) {
 		p->views[i]->members_current_at = p->members_current_at;
+		p->views[i]->members_read_at = members_read_at(p);
+	}
 	tick_pools(p, now, out);
 	for (i = 0; i < p->service_count; i++)
 		tick_service(p, i, now, out);
--- a/core/store_readers.c
+++ b/core/store_readers.c
@@ -121,14 +121,24 @@
 	return true;
 }
 
-hm_time members_current_at(const struct proxy *p, hm_time now)
+/* The list of members is current up to @a at, unless a newer one is known. */
+static hm_time limit_current(const struct proxy *p, hm_time at)
 {
-	hm_time at = hears_all_peers(p) ? now : proxy_last_read(p);
 	hm_time behind = p->behind_since[DOCUMENT_MEMBERS];
 
 	return behind && behind < at ? behind : at;
 }
 
+hm_time members_read_at(const struct proxy *p)
+{
+	return limit_current(p, proxy_last_read(p));
+}
+
+hm_time members_current_at(const struct proxy *p, hm_time now)
+{
+	return limit_current(p, hears_all_peers(p) ? now : proxy_last_read(p));
+}
+
 uint32_t config_entries(const struct site_config *c)
 {
 	return c ? c->route_count + c->account_count : 0;
--- a/core/view.h
+++ b/core/view.h
@@ -68,6 +68,8 @@
 	bool committed;	      /**< the same view said so */
 	/** Time up to which the list of members is known to be current. */
 	hm_time members_current_at;
+	/** When the store was read last without a change of that list. */
+	hm_time members_read_at;
 	struct view_sample samples[VIEW_SAMPLES]; /**< oldest first */
 	uint32_t sample_count;
 	uint64_t seq;	      /**< number of the newest view request */
--- a/core/voters.h
+++ b/core/voters.h
@@ -29,6 +29,13 @@
 #define VOTER_LEAVING_ENDS (3500 * HM_MS)
 #define VOTER_ENDS (VOTER_LEAVING_ENDS + VOTER_MISSING_GRACE)
 
+/*
+ * A member that has started again may serve before its entry says so. Its old
+ * entry disappears after three intervals of silence (3.6 s), so an entry that is
+ * still there after that time is of the life that was there at its begin.
+ */
+#define VOTER_LIFE_SHOWN (4 * HM_SEC)
+
 /** One life of a member: a member that starts again has an empty log. */
 struct voter {
 	hm_id endpoint;
--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -495,6 +495,43 @@
 }
 END_TEST
 
+/* A read of the store at @a read_at found the list of members in force. */
+static void read_store(struct proxy_fixture *r, hm_time read_at)
+{
+	struct proxy_event e = { .kind = PROXY_STORE_READ };
+
+	e.read_at = read_at;
+	proxy_fixture_step(r, &e);
+	proxy_fixture_run(r, PROXY_TICK);
+}
+
+/*
+ * Guards against lost commits: m2 may have started again with an empty log, and
+ * have received this commit from a primary that is being replaced.
+ */
+START_TEST(voter_that_was_cut_counts_once_the_store_shows_its_life)
+{
+	struct proxy_event e = { .kind = PROXY_MEMBER_CLOSED };
+	struct proxy_fixture r;
+	uint64_t conn = open_with_view(&r, false, true);
+
+	write_once(&r, conn, ACKNOWLEDGED);
+	e.member.conn = r.replica_conn;
+	proxy_fixture_step(&r, &e);
+	r.primary_pos = r.replica_pos = 51;
+	write_once(&r, conn, "");
+	proxy_fixture_run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, OUTCOME_UNKNOWN);
+	read_store(&r, r.now);
+	proxy_fixture_run(&r, VOTER_LIFE_SHOWN);
+	write_once(&r, conn, "");
+	read_store(&r, r.now);
+	proxy_text_expect(r.text, ACKNOWLEDGED);
+	write_once(&r, conn, ACKNOWLEDGED);
+	proxy_fixture_close(&r);
+}
+END_TEST
+
 /* Passes a view of a switchover that has paused m2, or, without, of none. */
 static void view_pause(struct proxy_fixture *r, bool paused, bool reached)
 {
@@ -595,6 +632,8 @@
 	tcase_add_test(tc, commit_by_an_outdated_list_needs_one_more_voter);
 	tcase_add_test(tc, commit_of_an_earlier_term_is_not_acknowledged);
 	tcase_add_test(tc, voter_without_an_entry_counts_for_a_while);
+	tcase_add_test(tc,
+		       voter_that_was_cut_counts_once_the_store_shows_its_life);
 	tcase_add_test(tc, leaving_voter_without_an_entry_does_not_count);
 	tcase_add_test(tc, commit_without_changes_is_acknowledged);
 	tcase_add_test(tc,
--- a/tests/test_primary_check.c
+++ b/tests/test_primary_check.c
@@ -558,6 +558,145 @@
 }
 END_TEST
 
+/* Whether commit 1.@a pos may be acknowledged; all members are voters. */
+static bool confirms(const struct fixture *r, uint64_t pos)
+{
+	struct service_state v = {
+		.voters = { { 0, 1 }, 1, 3, { { 1, 0 }, { 2, 0 }, { 3, 0 } } },
+		.committed = true,
+		.members_current_at = r->now,
+	};
+
+	return primary_check_confirms(r->pc, (struct log_pos){ 1, pos }, 0, &v,
+				      r->now);
+}
+
+/* Opens the connections, and the list shows the members' lives after that. */
+static void open_known(struct fixture *r)
+{
+	fixture_open(r);
+	open_connections(r);
+	r->now += 5 * HM_SEC;
+	primary_check_members_read(r->pc, r->now);
+}
+
+/* Breaks connection 1 to m2, which is reached again by connection 3. */
+static void reconnect_m2(struct fixture *r)
+{
+	closed(r, 1);
+	request_commit(r, 12, true);
+	ready(r, 3);
+	request_commit(r, 12, true);
+}
+
+/*
+ * Guards against lost commits: a voter that a change of primary had paused
+ * started again under its name with an empty log, not paused. It received all
+ * from the primary that was being replaced, and its entry did not say yet that
+ * it had started again. The owner counted it as the voter that it had been.
+ */
+START_TEST(voter_behind_a_new_connection_may_have_started_again)
+{
+	struct log_pos commit = { 1, 12 };
+	struct fixture r;
+
+	open_known(&r);
+	reconnect_m2(&r);
+	reply_received(&r, 3, commit);
+	ck_assert(!confirms(&r, 12));
+	ck_assert(confirms(&r, 9)); /* it showed that before */
+	r.now += HM_SEC;
+	primary_check_members_read(r.pc, r.now);
+	ck_assert(!confirms(&r, 12));
+	/* The entry of its new life. */
+	r.list[1].started = 1234;
+	publish(&r);
+	r.now += 4 * HM_SEC;
+	primary_check_members_read(r.pc, r.now);
+	ck_assert(!confirms(&r, 12));
+	fixture_close(&r);
+}
+END_TEST
+
+/* The network broke the connection: the entry stays as it was. */
+START_TEST(voter_behind_a_new_connection_counts_once_its_life_is_shown)
+{
+	struct log_pos commit = { 1, 12 };
+	struct fixture r;
+
+	open_known(&r);
+	reconnect_m2(&r);
+	reply_received(&r, 3, commit);
+	ck_assert(!confirms(&r, 12));
+	r.now += 4 * HM_SEC;
+	primary_check_members_read(r.pc, r.now - 1);
+	ck_assert(!confirms(&r, 12));
+	primary_check_members_read(r.pc, r.now);
+	ck_assert(confirms(&r, 12));
+	fixture_close(&r);
+}
+END_TEST
+
+/* One of them may have started again, and the other one has the commit, too. */
+START_TEST(two_voters_behind_new_connections_count_as_one)
+{
+	struct log_pos commit = { 1, 12 };
+	struct fixture r;
+
+	open_known(&r);
+	closed(&r, 2);
+	reconnect_m2(&r);
+	ready(&r, 4);
+	request_commit(&r, 12, true);
+	reply_received(&r, 3, commit);
+	ck_assert(!confirms(&r, 12));
+	reply_received(&r, 4, commit);
+	ck_assert(confirms(&r, 12));
+	fixture_close(&r);
+}
+END_TEST
+
+/* The same for an owner that starts while the list is old. */
+START_TEST(voter_behind_a_first_connection_may_have_started_again)
+{
+	struct fixture r;
+
+	fixture_open(&r);
+	open_connections(&r);
+	request_commit(&r, 12, true);
+	reply_received(&r, 1, (struct log_pos){ 1, 12 });
+	ck_assert(!confirms(&r, 12));
+	fixture_close(&r);
+}
+END_TEST
+
+/* All are asked at once while one alone confirms nothing. */
+START_TEST(commit_is_asked_for_behind_a_known_connection)
+{
+	struct fixture r;
+
+	open_known(&r);
+	g_string_truncate(r.text, 0);
+	request_commit(&r, 12, false);
+	proxy_text_expect(r.text, "status 1\n");
+	reply_received(&r, 1, (struct log_pos){ 1, 12 });
+	ck_assert(confirms(&r, 12));
+	reconnect_m2(&r);
+	reply_received(&r, 3, (struct log_pos){ 1, 12 });
+	reply_received(&r, 2, (struct log_pos){ 1, 12 });
+	g_string_truncate(r.text, 0);
+	request_commit(&r, 13, false);
+	proxy_text_expect(r.text, "status 2\n");
+	closed(&r, 2);
+	begin(&r);
+	ready(&r, 4);
+	g_string_truncate(r.text, 0);
+	request_commit(&r, 13, false);
+	proxy_text_expect(r.text, "status 3\nstatus 4\n");
+	fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("primary_check");
@@ -581,5 +720,14 @@
 	tcase_add_test(tc, only_a_voter_in_its_present_life_counts);
 	tcase_add_test(tc, replica_whose_connection_ends_is_logged);
 	tcase_add_test(tc, silent_replica_is_logged);
+	tcase_add_test(tc,
+		       voter_behind_a_new_connection_may_have_started_again);
+	tcase_add_test(
+		tc,
+		voter_behind_a_new_connection_counts_once_its_life_is_shown);
+	tcase_add_test(tc, two_voters_behind_new_connections_count_as_one);
+	tcase_add_test(tc, commit_is_asked_for_behind_a_known_connection);
+	tcase_add_test(tc,
+		       voter_behind_a_first_connection_may_have_started_again);
 	return suite_run("primary_check", tc);
 }
