Show faults of the call that ends a change

Tests only, from a review; no product code changes. Seven tests of test_monitor_call fail (7 of 14 checks).

While the call for the present primary is open (step=cancel) the monitor looks at nothing: not at another member that leads, a newer term, a new life of the primary or its crash. A newer call comes 3.5 to 5 s later. The end of that call resumes replicas that another monitor has paused for a newer change. A leaving primary that exits before the drain limit beside a silent voter is not replaced in 60 s. A switchover that has lost its target when its token comes pauses all replicas.

Running suite(s): monitor_call 50%: Checks: 14, Failures: 7, Errors: 0 tests/test_monitor_call.c:210:F:monitor_call:cancel_is_made_void_once_another_member_leads:0: Assertion 'next_call_after(&r) <= ((hm_time)1000000)' failed: next_call_after(&r) == 5020000, ((hm_time)1000000) == 1000000 tests/test_monitor_call.c:228:F:monitor_call:cancel_is_made_void_once_a_newer_term_is_seen:0: Assertion 'next_call_after(&r) <= ((hm_time)1000000)' failed: next_call_after(&r) == 3520000, ((hm_time)1000000) == 1000000 tests/test_monitor_call.c:243:F:monitor_call:cancel_is_made_void_for_a_new_life_of_the_primary:0: Assertion 'next_call_after(&r) <= ((hm_time)1000000)' failed: next_call_after(&r) == 3520000, ((hm_time)1000000) == 1000000 tests/test_monitor_call.c:256:F:monitor_call:failover_begins_beside_an_open_cancel:0: Assertion 'next_call_after(&r) <= ((hm_time)1000000)' failed: next_call_after(&r) == 3520000, ((hm_time)1000000) == 1000000 tests/proxy_text.c:129:F:monitor_call:cancel_resumes_no_replica_of_a_newer_change:0: Assertion 'text->str == expected' failed: text->str == "resume m2 resume m3 ", expected == "" tests/test_monitor_call.c:299:F:monitor_call:leaving_primary_that_exits_is_replaced_beside_a_silent_voter:0: Assertion 'strstr(r.text->str, "promote m2 token=") != NULL' failed: strstr(r.text->str, "promote m2 token=") == 0 tests/proxy_text.c:129:F:monitor_call:switchover_without_a_target_pauses_no_replica:0: Assertion 'text->str == expected' failed: text->str == "pause m2 pause m3 ", expected == ""

--- a/tests/test_monitor_call.c
+++ b/tests/test_monitor_call.c
@@ -201,6 +201,156 @@
 }
 END_TEST
 
+/* Another monitor's pause is orphaned: the call for the present primary is open. */
+static void open_cancel(struct monitor_fixture *r)
+{
+	monitor_fixture_open(r);
+	monitor_fixture_run(r, HM_SEC);
+	r->promote_silent = true;
+	r->fakes[2].paused_term = 2;
+	while (!r->text->len && r->now < 130 * HM_SEC)
+		monitor_fixture_run(r, PROXY_TICK);
+	proxy_text_expect(r->text, "promote m1 token=1\n");
+}
+
+/* How long it takes until a newer promote call is made, 20 s at most. */
+static hm_time next_call_after(struct monitor_fixture *r)
+{
+	hm_time from = r->now;
+
+	while (!strstr(r->text->str, "promote ") && r->now < from + 20 * HM_SEC)
+		monitor_fixture_run(r, PROXY_TICK);
+	return r->now - from;
+}
+
+/*
+ * Guards against lost commits: an older call took effect while the call for the
+ * former primary was still open. That one then takes the lead back, without
+ * what the new primary has acknowledged.
+ */
+START_TEST(cancel_is_made_void_once_another_member_leads)
+{
+	struct monitor_fixture r;
+
+	open_cancel(&r);
+	monitor_fixture_promote(&r, 1);
+	ck_assert_int_le(next_call_after(&r), HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m2 token="));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/*
+ * The same, seen by a replica alone: its status shows the term of a primary
+ * that this monitor does not reach.
+ */
+START_TEST(cancel_is_made_void_once_a_newer_term_is_seen)
+{
+	struct monitor_fixture r;
+
+	open_cancel(&r);
+	r.fakes[2].term = 2;
+	r.fakes[2].pos = 101;
+	r.fakes[2].paused_term = 0;
+	ck_assert_int_le(next_call_after(&r), HM_SEC);
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/* The call for the primary would promote its new life, which has nothing. */
+START_TEST(cancel_is_made_void_for_a_new_life_of_the_primary)
+{
+	struct monitor_fixture r;
+
+	open_cancel(&r);
+	restart_empty(&r, 0);
+	r.fakes[0].writable = false;
+	r.fakes[0].spec.started++;
+	monitor_fixture_publish(&r);
+	ck_assert_int_le(next_call_after(&r), HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m2 token="));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/* A primary that crashes beside its own open call is replaced as soon as else. */
+START_TEST(failover_begins_beside_an_open_cancel)
+{
+	struct monitor_fixture r;
+
+	open_cancel(&r);
+	monitor_fixture_crash(&r, 0);
+	ck_assert_int_le(next_call_after(&r), HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m2 token="));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/*
+ * Guards against lost commits: another monitor took a newer token and paused
+ * the replicas for a promote call, and the end of the cancel resumed them.
+ */
+START_TEST(cancel_resumes_no_replica_of_a_newer_change)
+{
+	struct monitor_fixture r;
+
+	open_cancel(&r);
+	r.fakes[1].paused_term = r.fakes[2].paused_term = 100;
+	monitor_fixture_run(&r, 200 * HM_MS);
+	monitor_promote_result(r.monitor, 1, PROMOTE_DONE, r.now, &r.out);
+	monitor_fixture_run(&r, 100 * HM_MS);
+	proxy_text_expect(r.text, "");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/*
+ * A leaving primary exits at the drain limit, before it could be ordered to
+ * step down beside a silent voter.
+ */
+START_TEST(leaving_primary_that_exits_is_replaced_beside_a_silent_voter)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	r.fakes[2].silent = true;
+	monitor_fixture_run(&r, 2 * HM_SEC);
+	r.fakes[0].spec.leaving = true;
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, r.options.drain_limit - 100 * HM_MS);
+	r.fakes[0].spec.missing_since = r.now;
+	monitor_fixture_crash(&r, 0);
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, 60 * HM_SEC);
+	ck_assert_ptr_nonnull(strstr(r.text->str, "promote m2 token="));
+	monitor_fixture_close(&r);
+}
+END_TEST
+
+/* A switchover that has no target any more once it has its token. */
+START_TEST(switchover_without_a_target_pauses_no_replica)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	r.token_silent = true;
+	r.fakes[0].spec.leaving = true;
+	monitor_fixture_publish(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	r.fakes[1].spec.leaving = r.fakes[2].spec.leaving = true;
+	monitor_fixture_publish(&r);
+	r.record.token = ++r.token;
+	r.record.changing = true;
+	r.record.voters.at.revision++;
+	monitor_token_taken(r.monitor, r.token, &r.record, r.now, &r.out);
+	monitor_fixture_run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, "");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("monitor_call");
@@ -215,5 +365,14 @@
 	tcase_add_test(tc, silence_after_the_call_does_not_end_it);
 	tcase_add_test(tc, monitors_prefer_the_same_target);
 	tcase_add_test(tc, drained_primary_steps_down_beside_a_silent_voter);
+	tcase_add_test(tc, cancel_is_made_void_once_another_member_leads);
+	tcase_add_test(tc, cancel_is_made_void_once_a_newer_term_is_seen);
+	tcase_add_test(tc, cancel_is_made_void_for_a_new_life_of_the_primary);
+	tcase_add_test(tc, failover_begins_beside_an_open_cancel);
+	tcase_add_test(tc, cancel_resumes_no_replica_of_a_newer_change);
+	tcase_add_test(
+		tc,
+		leaving_primary_that_exits_is_replaced_beside_a_silent_voter);
+	tcase_add_test(tc, switchover_without_a_target_pauses_no_replica);
 	return suite_run("monitor_call", tc);
 }
