Show that two removed voters confirm a commit

Tests only, from a review. A monitor removes two voters one after the other; failover_after_the_removal_of_two_voters passes and is the other half of voters_that_may_both_be_removed_confirm_nothing, which fails: an owner whose list of members is 60 s old confirms by exactly these two, as it asks for one more than needed, not for one more for each voter that may have been removed.

--- a/tests/test_primary_check.c
+++ b/tests/test_primary_check.c
@@ -510,6 +510,35 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: an owner with an old list of members confirms by
+ * two voters. A monitor may have removed both, as in
+ * failover_after_the_removal_of_two_voters of test_voters, and promotes another
+ * voter with only the primary missing.
+ */
+START_TEST(voters_that_may_both_be_removed_confirm_nothing)
+{
+	struct voters voters = {
+		{ 0, 1 },
+		0,
+		5,
+		{ { 1, 0 }, { 2, 0 }, { 3, 0 }, { 4, 0 }, { 5, 0 } }
+	};
+	struct log_pos commit = { 1, 12 };
+	struct service_state v = { .voters = voters, .committed = true };
+	struct fixture r;
+
+	fixture_open(&r);
+	open_connections(&r);
+	request_commit(&r, 12, true);
+	reply_received(&r, 1, commit);
+	reply_received(&r, 2, commit);
+	v.members_current_at = r.now - 60 * HM_SEC;
+	ck_assert(!primary_check_confirms(r.pc, commit, 0, &v, r.now));
+	fixture_close(&r);
+}
+END_TEST
+
 static void closed(struct fixture *r, uint64_t conn)
 {
 	primary_check_conn_closed(r->pc, conn, r->now, &r->out);
@@ -729,5 +758,6 @@
 	tcase_add_test(tc, commit_is_asked_for_behind_a_known_connection);
 	tcase_add_test(tc,
 		       voter_behind_a_first_connection_may_have_started_again);
+	tcase_add_test(tc, voters_that_may_both_be_removed_confirm_nothing);
 	return suite_run("primary_check", tc);
 }
--- a/tests/test_voters.c
+++ b/tests/test_voters.c
@@ -490,6 +490,28 @@
 }
 END_TEST
 
+/*
+ * Two voters that this monitor does not reach, and that have no entry, are
+ * removed one after the other. An owner that reaches them and the primary, and
+ * has old views and an old list, still counts them:
+ * voters_that_may_both_be_removed_confirm_nothing of test_primary_check.
+ */
+START_TEST(failover_after_the_removal_of_two_voters)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	voter_record_add(&r.record, 4, 1, "m4", "10.0.0.4:1");
+	voter_record_add(&r.record, 5, 1, "m5", "10.0.0.5:1");
+	monitor_fixture_run(&r, 20 * HM_SEC);
+	ck_assert_uint_eq(r.record.voters.count, 3);
+	monitor_fixture_crash(&r, 0);
+	monitor_fixture_run(&r, HM_SEC);
+	proxy_text_expect(r.text, "pause m2\npause m3\npromote m2 token=1\n");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("voters");
@@ -517,5 +539,6 @@
 	tcase_add_test(tc, change_without_a_call_is_ended_at_once);
 	tcase_add_test(tc, record_that_the_token_brings_is_counted);
 	tcase_add_test(tc, silent_store_causes_few_calls);
+	tcase_add_test(tc, failover_after_the_removal_of_two_voters);
 	return suite_run("voters", tc);
 }
