Let a switchover without SyncReplicas wait for no replica

Found by review: with SyncReplicas 0 a leaving primary was not replaced beside a silent replica, as the primary counted as the one voter that may be loose. Commits are in the log of the primary alone there, and no replica confirms any, so a silent one is no reason to wait.

--- a/core/monitor_choice.c
+++ b/core/monitor_choice.c
@@ -60,19 +60,22 @@
 
 /*
  * How many voters may be missing when a change begins. The primary is loose in
- * a switchover, which leaves one less.
+ * a switchover, which leaves one less. Without sync_replicas commits are in its
+ * log alone, and no replica confirms any.
  */
-static uint32_t missing_max(struct monitor *k)
+static uint32_t missing_allowed(struct monitor *k)
 {
 	const struct monitored_member *primary = monitor_primary(k);
 
+	if (!k->sync_replicas && primary)
+		return VOTERS_MAX;
 	return missing_logs_max(k) - (primary && monitor_is_voter(k, primary));
 }
 
 bool choice_may_switch(struct monitor *k)
 {
-	return choice_most_advanced(k, true) &&
-	       voters_missing(k) <= missing_max(k);
+	return monitor_primary(k) && choice_most_advanced(k, true) &&
+	       voters_missing(k) <= missing_allowed(k);
 }
 
 bool choice_may_retire(struct monitor *k)
@@ -99,7 +102,7 @@
 void choice_log_wait(struct monitor *k, struct proxy_output *out)
 {
 	char names[MISSING_NAMES_BYTES];
-	uint32_t missing = voters_missing(k), allowed = missing_max(k);
+	uint32_t missing = voters_missing(k), allowed = missing_allowed(k);
 
 	if (missing == k->missing_logged)
 		return;
@@ -210,7 +213,7 @@
  */
 bool choice_is_held(const struct monitor *k)
 {
-	return voters_loose(k) <= missing_logs_max(k);
+	return !k->sync_replicas || voters_loose(k) <= k->sync_replicas;
 }
 
 bool choice_is_safe(struct monitor *k)
