Pause no replica for a switchover that has lost its target

Found by review: if the target was gone when the token came, or a voter had fallen silent, all replicas were paused for up to 2 s and the writes of the primary refused, before the change was given up. The conditions of the beginning are now looked at again with the token, as those of a failover are.

test_monitor_call switchover_without_a_target_pauses_no_replica failed on the code before (pause m2, pause m3).

--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -319,7 +319,8 @@
 		token_for_cancel(k, now, out);
 		return;
 	}
-	if (!token || (!k->planned && !choice_sees_all_commits(k))) {
+	if (!token ||
+	    !(k->planned ? choice_may_switch(k) : choice_sees_all_commits(k))) {
 		if (token)
 			record_token_unused(k);
 		change_stop(k, now);
