Resume no replica that a newer change has paused

Found by review: the end of a change resumed each paused replica, also those that another monitor had paused meanwhile with a newer token, for a promote call of its own. They could then confirm commits that the target of that call lacks.

The term in a pause grows with the token, so a replica whose pause has a later term than one's own is left paused. Its monitor resumes it, or the next change that finds it orphaned.

Two tests of test_monitor had a pause of term 9 while the newest token was 0, which no monitor can have made: there the tokens begin at 8 now, and the commands expected are the same.

--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -59,6 +59,12 @@
 		  (unsigned long long)k->token);
 }
 
+/* The term in the pause commands of a change: each change has a later one. */
+static uint64_t pause_term(const struct monitor *k)
+{
+	return k->term + k->token;
+}
+
 static void resume_all(struct monitor *k, hm_time now, struct proxy_output *out)
 {
 	uint32_t i;
@@ -68,6 +74,9 @@
 
 		if (!m->pause_sent && !m->status.paused_term)
 			continue;
+		/* Paused for a newer change, of another monitor. */
+		if (m->status.paused_term > pause_term(k))
+			continue;
 		if (!probe_conn_send(&m->probe, PROBE_CONTROL, MEMBER_RESUME, 0,
 				     now, out))
 			continue;
@@ -327,7 +336,7 @@
 		return;
 	}
 	k->call_pending |= k->record.was_changing;
-	k->pause_term = k->term + token;
+	k->pause_term = pause_term(k);
 	target = k->planned ? choice_most_advanced(k, true) : NULL;
 	k->target = target ? target->spec.endpoint : 0;
 	change_enter(k, CHANGE_PAUSE_REPLICAS, now + PAUSE_LIMIT, out);
--- a/tests/test_monitor.c
+++ b/tests/test_monitor.c
@@ -286,6 +286,7 @@
 	struct monitor_fixture r;
 
 	monitor_fixture_open(&r);
+	r.token = 8; /* newer than that of the pause below */
 	monitor_fixture_run(&r, HM_SEC);
 	monitor_fixture_promote(&r, 1);
 	r.fakes[0].pos = 90;
@@ -301,7 +302,8 @@
 	 * invalidates older calls before any replica is resumed.
 	 */
 	monitor_fixture_run(&r, 1200 * HM_MS);
-	proxy_text_expect(r.text, "promote m2 token=2\nresume m1\nresume m3\n");
+	proxy_text_expect(r.text,
+			  "promote m2 token=10\nresume m1\nresume m3\n");
 	ck_assert_uint_eq(r.fakes[2].paused_term, 0);
 	monitor_fixture_close(&r);
 }
@@ -387,11 +389,12 @@
 	struct monitor_fixture r;
 
 	monitor_fixture_open(&r);
+	r.token = 8; /* taken by that monitor */
 	monitor_fixture_run(&r, HM_SEC);
 	r.fakes[2].paused_term = 9; /* set by a monitor that has stopped */
 	monitor_fixture_run(&r, 8 * HM_SEC);
 	/* Promotes the current primary: only older calls become invalid. */
-	proxy_text_expect(r.text, "promote m1 token=1\nresume m3\n");
+	proxy_text_expect(r.text, "promote m1 token=9\nresume m3\n");
 	ck_assert_uint_eq(r.fakes[2].paused_term, 0);
 	monitor_fixture_close(&r);
 }
