Give a cancelling call up as soon as its target does not lead

If an older call takes effect first, or the primary crashes, that call is a promotion like any other, and the monitor did not look at it for 3.5 to 5 s. By then it could take the lead back without commits that the new primary had acknowledged.

The monitor now looks at each reply: if the target of the call no longer leads, a newer token is taken at once, for the member that leads, or for a failover.

--- a/core/monitor.c
+++ b/core/monitor.c
@@ -136,6 +136,7 @@
 	k->active = true;
 	k->step = CHANGE_NONE;
 	k->retry_at = now;
+	k->cancel_due = k->call_pending = false;
 	for (i = 0; i < k->member_count; i++) {
 		k->members[i].up = true; /* assumed until a probe fails */
 		k->members[i].answered = false;
--- a/core/monitor_call.c
+++ b/core/monitor_call.c
@@ -60,6 +60,7 @@
 	log_call(k, target, out);
 	k->target_started = target->spec.started;
 	k->give_up_at = 0;
+	k->cancel_due = false;
 	change_enter(k, CHANGE_PROMOTE, now + CALL_LIMIT, out);
 	k->call_pending = true;
 	change_call(k, target, out);
@@ -119,15 +120,13 @@
 
 /*
  * The call for the present primary was accepted and changes nothing, unless an
- * earlier one was accepted before it. Then the next change deals with both.
+ * earlier one was accepted before it.
  */
 void change_confirm_cancel(struct monitor *k, hm_time now,
 			   struct proxy_output *out)
 {
 	if (!change_target_leads(k)) {
-		proxy_log(out, "event=cancel_overtaken service=%s token=%llu",
-			  k->service_name, (unsigned long long)k->token);
-		change_stop(k, now);
+		change_give_up(k, now, out);
 	} else if (now >= k->step_until) {
 		k->call_pending = false;
 		change_finish(k, now, out);
--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -101,6 +101,7 @@
 {
 	k->token = 0;
 	k->target = 0;
+	k->cancel_due = false;
 	change_enter(k, CHANGE_CANCEL, now + TOKEN_LIMIT, out);
 	record_request_token(k, out);
 	monitor_broadcast_view(k);
@@ -183,7 +184,7 @@
 
 	if (now < k->retry_at)
 		return;
-	if ((has_orphan_pause(k, now) ||
+	if ((k->cancel_due || has_orphan_pause(k, now) ||
 	     record_change_is_orphaned(k, ORPHAN_CHANGE_LIMIT, now)) &&
 	    choice_sees_newest_primary(k)) {
 		k->planned = true;
@@ -230,14 +231,20 @@
 		  "loose=%u",
 		  k->service_name, change_name(k->step), k->call_pending,
 		  voters_loose(k));
+	if (k->step >= CHANGE_CANCEL)
+		k->call_pending = true;
 	/*
 	 * Another monitor may have paused the same members for a promote call
-	 * that has not taken effect yet: cancel() invalidates that one, too.
+	 * that has not taken effect yet: cancel() invalidates that one, too. So
+	 * does a failover.
 	 */
-	if (monitor_primary(k) || !k->call_pending)
+	if (monitor_primary(k)) {
 		cancel(k, now, out);
-	else
-		change_begin(k, false, now, out);
+	} else {
+		k->step = CHANGE_NONE;
+		k->retry_at = now;
+		k->cancel_due = true;
+	}
 }
 
 static void pause_step(struct monitor *k, hm_time now, struct proxy_output *out)
@@ -276,10 +283,14 @@
 		decide(k, now, out);
 		break;
 	case CHANGE_TOKEN:
+		if (now > k->step_until)
+			change_stop(k, now);
+		break;
 	case CHANGE_CANCEL:
-		if (now > k->step_until) {
+		if (k->target && !change_target_leads(k))
+			change_give_up(k, now, out);
+		else if (now > k->step_until)
 			change_stop(k, now);
-		}
 		break;
 	case CHANGE_PAUSE_REPLICAS:
 		pause_step(k, now, out);
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -146,6 +146,7 @@
 	uint64_t target_started; /**< life for which the call was made */
 	uint64_t token;
 	uint64_t pause_term;
+	bool cancel_due; /**< a call that was given up is to be cancelled */
 	/** A promote call, also another monitor's, may still take effect. */
 	bool call_pending;
 	/** When the call is given up, as paused voters receive; 0: they do not. */
