--- a/tests/test_confirm.c
+++ b/tests/test_confirm.c
@@ -110,7 +110,8 @@
 	struct service_view v = { .service = name_id("db"),
 				  .primary = 1,
 				  .term = 1,
-				  .states_voters = true };
+				  .states_voters = true,
+				  .committed = true };
 
 	v.voters.at.revision = revision;
 	v.voters.count = 2 + votes;
@@ -232,7 +233,8 @@
 	uint64_t conn = open_with_view(&r, false, true);
 	struct service_view v = { .service = name_id("db"),
 				  .states_voters = true,
-				  .voters = { { 0, 5 }, 2, 2, { { 1, 0 } } } };
+				  .voters = { { 0, 5 }, 2, 2, { { 1, 0 } } },
+				  .committed = true };
 
 	v.voters.list[1].endpoint = 2;
 	m.view = &v;
@@ -297,6 +299,36 @@
 }
 END_TEST
 
+/*
+ * Guards against lost commits: while the record knows of none, a monitor takes
+ * an empty log for a complete one.
+ */
+START_TEST(commit_that_the_record_does_not_know_of_is_not_acknowledged)
+{
+	struct message m = { .kind = MSG_VIEW, .from = 1001 };
+	struct proxy_fixture r;
+	uint64_t conn = open_with_view(&r, false, true);
+	struct service_view v = { .service = name_id("db"),
+				  .primary = 1,
+				  .term = 1,
+				  .states_voters = true,
+				  .voters = { { 0, 5 }, 1, 2, { { 1, 0 } } } };
+
+	v.voters.list[1].endpoint = 2;
+	m.view = &v;
+	proxy_fixture_message(&r, &m);
+	write_once(&r, conn, "");
+	proxy_fixture_run(&r, 300 * HM_MS);
+	proxy_text_expect(r.text, "");
+	v.committed = true;
+	v.voters.at.revision++;
+	proxy_fixture_message(&r, &m);
+	proxy_fixture_run(&r, 40 * HM_MS);
+	proxy_text_expect(r.text, ACKNOWLEDGED);
+	proxy_fixture_close(&r);
+}
+END_TEST
+
 /* The replica that completed the commit is not registered. */
 START_TEST(commit_waits_until_a_registered_replica_has_it)
 {
@@ -463,6 +495,43 @@
 }
 END_TEST
 
+/* A read of the store at @a read_at found the list of members in force. */
+static void read_store(struct proxy_fixture *r, hm_time read_at)
+{
+	struct proxy_event e = { .kind = PROXY_STORE_READ };
+
+	e.read_at = read_at;
+	proxy_fixture_step(r, &e);
+	proxy_fixture_run(r, PROXY_TICK);
+}
+
+/*
+ * Guards against lost commits: m2 may have started again with an empty log, and
+ * have received this commit from a primary that is being replaced.
+ */
+START_TEST(voter_that_was_cut_counts_once_the_store_shows_its_life)
+{
+	struct proxy_event e = { .kind = PROXY_MEMBER_CLOSED };
+	struct proxy_fixture r;
+	uint64_t conn = open_with_view(&r, false, true);
+
+	write_once(&r, conn, ACKNOWLEDGED);
+	e.member.conn = r.replica_conn;
+	proxy_fixture_step(&r, &e);
+	r.primary_pos = r.replica_pos = 51;
+	write_once(&r, conn, "");
+	proxy_fixture_run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, OUTCOME_UNKNOWN);
+	read_store(&r, r.now);
+	proxy_fixture_run(&r, VOTER_LIFE_SHOWN);
+	write_once(&r, conn, "");
+	read_store(&r, r.now);
+	proxy_text_expect(r.text, ACKNOWLEDGED);
+	write_once(&r, conn, ACKNOWLEDGED);
+	proxy_fixture_close(&r);
+}
+END_TEST
+
 /* Passes a view of a switchover that has paused m2, or, without, of none. */
 static void view_pause(struct proxy_fixture *r, bool paused, bool reached)
 {
@@ -557,9 +626,14 @@
 	tcase_add_test(tc,
 		       commit_that_only_a_new_replica_has_is_not_acknowledged);
 	tcase_add_test(tc, commit_without_known_voters_is_not_acknowledged);
+	tcase_add_test(
+		tc,
+		commit_that_the_record_does_not_know_of_is_not_acknowledged);
 	tcase_add_test(tc, commit_by_an_outdated_list_needs_one_more_voter);
 	tcase_add_test(tc, commit_of_an_earlier_term_is_not_acknowledged);
 	tcase_add_test(tc, voter_without_an_entry_counts_for_a_while);
+	tcase_add_test(tc,
+		       voter_that_was_cut_counts_once_the_store_shows_its_life);
 	tcase_add_test(tc, leaving_voter_without_an_entry_does_not_count);
 	tcase_add_test(tc, commit_without_changes_is_acknowledged);
 	tcase_add_test(tc,
