--- a/core/confirm.c
+++ b/core/confirm.c
@@ -5,7 +5,7 @@
 #define VIEW_MAX_AGE (700 * HM_MS)
 
 /*
- * Registered replicas have the commit, see pool_commit.c. What is known of a
+ * Voters have the commit, see pool_commit.c. What is known of a
  * change of primary still counts: the former primary must acknowledge nothing
  * once another one leads.
  */
--- a/core/pool_commit.c
+++ b/core/pool_commit.c
@@ -3,7 +3,8 @@
  * Commits that wait for their confirmation. A member acknowledges a commit once
  * any replica has received it, also one that only the member has heard of. The
  * commit is safe once SyncReplicas + 1 voters have it, of which the member is
- * one: a monitor promotes no member while that many of them are missing.
+ * one: a monitor promotes no member while that many of them are loose
+ * (voters.h).
  */
 #include "pool_state.h"
 
--- a/core/voters.h
+++ b/core/voters.h
@@ -2,8 +2,8 @@
  * @file voters.h
  * Voters of a service: the members whose logs count. A commit is acknowledged
  * once SyncReplicas + 1 voters have it, and a member is promoted only while no
- * more than SyncReplicas voters are missing, so at least one of the others has
- * the commit. Both hold only if everyone counts over the same members. The
+ * more than SyncReplicas voters are loose, that is neither paused nor the member
+ * itself, so at least one of the others has the commit. Both hold only if everyone counts over the same members. The
  * voters are therefore recorded in the platform's store, in the object of the
  * service's fencing tokens: a change of primary takes its token and the voters
  * in one conditional write, and no voter is added until that change has ended.
