--- a/core/pool.c
+++ b/core/pool.c
@@ -347,7 +347,8 @@
 	uint32_t i;
 
 	pace_check(p, now, out);
-	primary_check_members_read(p->check, p->deps.view->members_read_at);
+	primary_check_members_read(p->check, p->deps.view->members_read_at,
+				   out);
 	primary_check_tick(p->check, now, out);
 	conns_resume_setup(p, now, out);
 	commits_tick(p, now, out);
--- a/core/primary_check.h
+++ b/core/primary_check.h
@@ -34,7 +34,8 @@
  * entry still names the life that it had VOTER_LIFE_SHOWN earlier has not
  * started again before that.
  */
-void primary_check_members_read(struct primary_check *c, hm_time read_at);
+void primary_check_members_read(struct primary_check *c, hm_time read_at,
+				struct proxy_output *out);
 /** Sets the number of replicas that a commit waits for; the default is 1. */
 void primary_check_set_sync_replicas(struct primary_check *c, uint32_t count);
 
--- a/core/primary_check_commit.c
+++ b/core/primary_check_commit.c
@@ -126,7 +126,8 @@
 				   now - missing_since <= VOTER_MISSING_GRACE));
 }
 
-void primary_check_members_read(struct primary_check *c, hm_time read_at)
+void primary_check_members_read(struct primary_check *c, hm_time read_at,
+				struct proxy_output *out)
 {
 	uint32_t i;
 
@@ -138,6 +139,11 @@
 			continue;
 		m->life_known = true;
 		m->proved = m->received;
+		proxy_log(out,
+			  "event=replica_counts_again member=%s "
+			  "received=%llu.%llu",
+			  m->spec.name, (unsigned long long)m->received.term,
+			  (unsigned long long)m->received.pos);
 	}
 }
 
--- a/tests/test_primary_check.c
+++ b/tests/test_primary_check.c
@@ -600,13 +600,19 @@
 				      r->now);
 }
 
+static void members_read(struct fixture *r, hm_time read_at)
+{
+	primary_check_members_read(r->pc, read_at, &r->out);
+	record(r);
+}
+
 /* Opens the connections, and the list shows the members' lives after that. */
 static void open_known(struct fixture *r)
 {
 	fixture_open(r);
 	open_connections(r);
 	r->now += 5 * HM_SEC;
-	primary_check_members_read(r->pc, r->now);
+	members_read(r, r->now);
 }
 
 /* Breaks connection 1 to m2, which is reached again by connection 3. */
@@ -635,13 +641,13 @@
 	ck_assert(!confirms(&r, 12));
 	ck_assert(confirms(&r, 9)); /* it showed that before */
 	r.now += HM_SEC;
-	primary_check_members_read(r.pc, r.now);
+	members_read(&r, r.now);
 	ck_assert(!confirms(&r, 12));
 	/* The entry of its new life. */
 	r.list[1].started = 1234;
 	publish(&r);
 	r.now += 4 * HM_SEC;
-	primary_check_members_read(r.pc, r.now);
+	members_read(&r, r.now);
 	ck_assert(!confirms(&r, 12));
 	fixture_close(&r);
 }
@@ -658,10 +664,16 @@
 	reply_received(&r, 3, commit);
 	ck_assert(!confirms(&r, 12));
 	r.now += 4 * HM_SEC;
-	primary_check_members_read(r.pc, r.now - 1);
+	g_string_truncate(r.log, 0);
+	members_read(&r, r.now - 1);
 	ck_assert(!confirms(&r, 12));
-	primary_check_members_read(r.pc, r.now);
+	proxy_text_expect(r.log, "");
+	members_read(&r, r.now);
 	ck_assert(confirms(&r, 12));
+	proxy_text_expect(r.log, "event=replica_counts_again member=m2 "
+				 "received=1.12\n");
+	members_read(&r, r.now);
+	proxy_text_expect(r.log, "");
 	fixture_close(&r);
 }
 END_TEST
@@ -689,13 +701,15 @@
 START_TEST(voter_behind_a_first_connection_may_have_started_again)
 {
 	struct fixture r;
+	bool confirmed;
 
 	fixture_open(&r);
 	open_connections(&r);
 	request_commit(&r, 12, true);
 	reply_received(&r, 1, (struct log_pos){ 1, 12 });
-	ck_assert(!confirms(&r, 12));
-	fixture_close(&r);
+	confirmed = confirms(&r, 12);
+	fixture_close(&r); /* it fails: see KNOWN-RED.txt */
+	ck_assert(!confirmed);
 }
 END_TEST
 
