End a connection of the walk whose command was lost

A connection is silent from then on, in the profiles late and slow; the usual walk means the same as before.

--- a/tests/voter_walk.c
+++ b/tests/voter_walk.c
@@ -454,8 +454,15 @@
 	struct walk_member *m = member_at(w, n, a->member.conn);
 	struct member_reply r;
 
-	if (!m || !reaches(w, zone, m))
+	if (!m)
 		return;
+	if (!reaches(w, zone, m)) {
+		/* Later replies would be taken for the one that is lost. */
+		if (w->profile->platform)
+			n->conns[a->member.conn % WALK_CONNS] =
+				(struct walk_conn){ 0 };
+		return;
+	}
 	n->heard[m - w->members] = m->spec.started;
 	reply_to(m, &a->member.command, &r);
 	if (a->member.command.kind == MEMBER_PAUSE ||
