Count a drain from the last list without it

Requests reached a primary 8.7 s after the store had acknowledged that it leaves (the limit is 7 s, instances stop at 5.25 s). The owner of the primary had been cut off from the store and from half of its peers. It got the list that marks the primary as leaving 5.5 s late, and its pool counted the whole drain limit from then, to 10.8 s. A pool that is made late did the same. All promote calls were late, so nothing else ended it.

The list does not say when a member began to leave, but an instance knows until when its list before was surely the newest: as long as all peers are heard, or up to the last read of the store, and not while a newer list is announced. This time is kept with the member, and the drain is counted from it. After a partition the first heartbeats may be old ones, or tell of a read whose list the peer does not have yet; they count after two more heartbeats.

An instance that starts still counts from its start, and the monitor's own time of the end of a drain is as it was.

--- a/core/member_list.c
+++ b/core/member_list.c
@@ -149,6 +149,27 @@
 	}
 }
 
+/*
+ * Sets since when members leave. The list does not say when that was, and may be
+ * late by seconds where the store and the peers could not be reached: it was
+ * after the last time at which the list before was the newest one.
+ */
+static void mark_leaving(const struct proxy *p, struct site_members *m)
+{
+	uint32_t i;
+
+	for (i = 0; i < m->count; i++) {
+		struct site_member *s = &m->list[i];
+		const struct site_member *old =
+			site_members_find(p->members, s->endpoint);
+
+		s->leaving_since =
+			old && old->leaving && !site_member_restarted(old, s)
+				? old->leaving_since
+				: p->members_known.until;
+	}
+}
+
 /* After an evacuation a member may be cold before its entry says so. */
 static void assume_cold(const struct proxy *p, zone_set zones, hm_time now)
 {
@@ -220,10 +241,13 @@
 		return;
 	}
 	p->behind_since[DOCUMENT_MEMBERS] = 0;
-	if (!p->members)
+	if (!p->members) {
 		p->settled_at = now + p->options.settle_time;
+		p->members_known.until = now;
+	}
 	if (new_era)
 		store_restore_begin(&p->restore, now);
+	mark_leaving(p, m);
 	store_restore_filter(&p->restore, p->members, m, now);
 	log_withheld(&p->restore, out);
 	keep_missing(p, m, new_era, now, out);
--- a/core/pool.c
+++ b/core/pool.c
@@ -18,7 +18,7 @@
 	p->check = primary_check_new(
 		member->endpoint,
 		(struct primary_check_deps){ deps.options, deps.next_conn });
-	pool_member(p, member, connections, now);
+	pool_member(p, member, connections);
 	if (capacity_is_shared(p) && deps.options->scheduling.restart_pace)
 		restart_pace_begin(&p->pace, now);
 	return p;
@@ -55,10 +55,8 @@
 }
 
 void pool_member(struct pool *p, const struct site_member *member,
-		 uint32_t connections, hm_time now)
+		 uint32_t connections)
 {
-	if (member->leaving && !p->member.leaving)
-		p->leaving_since = now;
 	p->member = *member;
 	if (!p->member.slots)
 		p->member.slots = 1;
--- a/core/pool.h
+++ b/core/pool.h
@@ -28,7 +28,7 @@
 void pool_free(struct pool *p);
 /** Updates the member's configuration and the connection limit. */
 void pool_member(struct pool *p, const struct site_member *member,
-		 uint32_t connections, hm_time now);
+		 uint32_t connections);
 /** Sets the limits of a cold member; cold_per_s 0: no limit. */
 void pool_set_cold(struct pool *p, double cold_per_s, hm_time cold_time);
 /**
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -136,7 +136,6 @@
 	struct pool_deps deps;
 	struct site_member member;
 	uint32_t connection_limit; /**< of the member, over all instances */
-	hm_time leaving_since;
 	struct cold_limit cold;
 	hm_time cold_time; /**< after its start the member is cold so long */
 	struct fair_queue *queue;
--- a/core/pool_submit.c
+++ b/core/pool_submit.c
@@ -30,7 +30,7 @@
 		       hm_time now)
 {
 	if (p->member.leaving &&
-	    now - p->leaving_since > p->deps.options->drain_limit)
+	    now - p->member.leaving_since > p->deps.options->drain_limit)
 		return true;
 	return p->member.evacuated_since &&
 	       (!o->primary_only || pool_is_evacuated(p, now));
--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -121,6 +121,14 @@
 	uint32_t entries; /**< routes and accounts of the configuration */
 };
 
+/** What is known about the age of the list of members in force. */
+struct members_known {
+	hm_time until;	   /**< it was surely the newest one until then */
+	hm_time all_since; /**< since when all peers are heard; 0: not */
+	hm_time read_at;   /**< a later read of the store, not yet certain */
+	hm_time heard_at;  /**< when that read was heard of; 0: there is none */
+};
+
 /** Copies of a document that were sent to peers in one window. */
 struct share_window {
 	hm_time since;
@@ -200,6 +208,7 @@
 	hm_time started_at;
 	hm_time settled_at; /**< from then on the member list is complete */
 	hm_time members_current_at; /**< members_current_at() at the last tick */
+	struct members_known members_known;
 	hm_time heartbeat_at;
 	hm_time stop_since;	   /**< start of the shutdown, or HM_NEVER */
 	hm_time partitioned_since; /**< 0: not partitioned */
@@ -271,6 +280,8 @@
  * none of them reads it, nobody can act by a newer list.
  */
 hm_time members_current_at(const struct proxy *p, hm_time now);
+/** Updates the time until which the list in force was surely the newest. */
+void members_note_current(struct proxy *p, hm_time now);
 /** Number of routes and accounts, by which the size is estimated. */
 uint32_t config_entries(const struct site_config *c);
 /** Whether the configuration, or a newer one, is too large for peers. */
--- a/core/services.c
+++ b/core/services.c
@@ -176,7 +176,7 @@
 				  pool_service(pool), out);
 }
 
-static void update_pools(struct proxy *p, hm_time now, struct proxy_output *out)
+static void update_pools(struct proxy *p, struct proxy_output *out)
 {
 	const struct site_member *m;
 	uint32_t i;
@@ -185,7 +185,7 @@
 		update_service(p, p->pools[i], out);
 		m = site_members_find(p->members, pool_endpoint(p->pools[i]));
 		if (m)
-			pool_member(p->pools[i], m, connections_of(p, m), now);
+			pool_member(p->pools[i], m, connections_of(p, m));
 	}
 }
 
@@ -230,7 +230,7 @@
 			services_monitor(p, c->services[i].service),
 			c->services[i].sync_replicas);
 	}
-	update_pools(p, now, out);
+	update_pools(p, out);
 	proxy_log(out,
 		  "event=config version=%llu before=%llu routes=%u accounts=%u "
 		  "source=%s behind_us=%lld",
@@ -247,7 +247,7 @@
 
 	for (i = 0; i < p->service_count; i++)
 		monitor_set_members(p->monitors[i], p->members, now, out);
-	update_pools(p, now, out);
+	update_pools(p, out);
 }
 
 /*
@@ -367,6 +367,7 @@
 		p->settled_at = now + p->timing->reconnect_settle;
 	member_list_tick(p, now, out);
 	p->members_current_at = members_current_at(p, now);
+	members_note_current(p, now);
 	for (i = 0; i < p->service_count; i++)
 		p->views[i]->members_current_at = p->members_current_at;
 	tick_pools(p, now, out);
--- a/core/site_config.h
+++ b/core/site_config.h
@@ -94,6 +94,8 @@
 	uint16_t zone;
 	uint32_t slots; /**< number of concurrent statements */
 	bool leaving;	/**< will stop soon, gets no new work */
+	/** It was not leaving before, by this instance's clock. */
+	hm_time leaving_since;
 	/** The member's entry, which may be outdated, says it is primary. */
 	bool registered_primary;
 	uint64_t started;      /**< start time, differs after a restart */
--- a/core/store_readers.c
+++ b/core/store_readers.c
@@ -129,6 +129,39 @@
 	return behind && behind < at ? behind : at;
 }
 
+/*
+ * After a partition a peer's first heartbeats may be old ones that were held
+ * up, and it tells others of a read before it has the list that the read found.
+ * What they say counts once the heartbeats of this time have announced no newer
+ * list.
+ */
+#define NEWS_COUNT_AFTER (600 * HM_MS)
+
+void members_note_current(struct proxy *p, hm_time now)
+{
+	struct members_known *k = &p->members_known;
+
+	if (!hears_all_peers(p))
+		k->all_since = 0;
+	else if (!k->all_since)
+		k->all_since = now;
+	/* Not behind_since: an outdated list may have arrived meanwhile. */
+	if (store_version_compare(p->newer[DOCUMENT_MEMBERS].version,
+				  document_version(p, DOCUMENT_MEMBERS)) > 0) {
+		k->heard_at = 0;
+	} else if (k->all_since) {
+		k->heard_at = 0;
+		if (now - k->all_since >= NEWS_COUNT_AFTER)
+			k->until = now;
+	} else if (!k->heard_at) {
+		k->read_at = proxy_last_read(p);
+		k->heard_at = now;
+	} else if (now - k->heard_at >= NEWS_COUNT_AFTER) {
+		k->until = k->until > k->read_at ? k->until : k->read_at;
+		k->heard_at = 0;
+	}
+}
+
 uint32_t config_entries(const struct site_config *c)
 {
 	return c ? c->route_count + c->account_count : 0;
--- a/tests/test_cold_limit.c
+++ b/tests/test_cold_limit.c
@@ -101,7 +101,7 @@
 	pool_fixture_add_idle_conn(&r);
 	r.member.cold_until = r.now + HM_SEC;
 	pool_set_cold(r.pool, 2, 5 * HM_SEC);
-	pool_member(r.pool, &r.member, 16, r.now);
+	pool_member(r.pool, &r.member, 16);
 	pool_fixture_submit(&r, &o);
 	pool_fixture_results(&r);
 	proxy_text_expect(r.text, "r1: no_endpoint, not run, I\n");
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -265,7 +265,7 @@
 
 	pool_fixture_open(&r, 2, 16);
 	r.member.evacuated_since = r.now;
-	pool_member(r.pool, &r.member, 16, r.now);
+	pool_member(r.pool, &r.member, 16);
 	o.max_age = HM_SEC;
 	pool_fixture_submit(&r, &o);
 	pool_fixture_results(&r);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -431,7 +431,8 @@
 	pool_fixture_open(&r, 2, 16);
 	pool_fixture_add_idle_conn(&r);
 	r.member.leaving = true;
-	pool_member(r.pool, &r.member, 16, r.now);
+	r.member.leaving_since = r.now;
+	pool_member(r.pool, &r.member, 16);
 	r.now += r.options.drain_limit + HM_MS;
 	o.start_by = r.now + HM_SEC;
 	pool_fixture_submit(&r, &o);
@@ -441,6 +442,26 @@
 }
 END_TEST
 
+/*
+ * Guards against requests to a member that left long ago: an instance that
+ * became its owner late counted the drain limit from the start of its pool.
+ */
+START_TEST(pool_made_late_does_not_restart_the_drain_limit)
+{
+	struct run_request o = pool_fixture_request(1, STMT_WRITE, RUN_SINGLE);
+	struct pool_fixture r;
+
+	pool_fixture_open(&r, 2, 16);
+	r.member.leaving = true;
+	r.member.leaving_since = r.now - r.options.drain_limit - HM_MS;
+	pool_member(r.pool, &r.member, 16);
+	pool_fixture_submit(&r, &o);
+	pool_fixture_results(&r);
+	proxy_text_expect(r.text, "r1: no_endpoint, not run, I\n");
+	pool_fixture_close(&r);
+}
+END_TEST
+
 /* A pool that is closed has asked nobody whether a replica has the commit. */
 START_TEST(commit_that_waits_ends_with_an_unknown_outcome)
 {
@@ -484,6 +505,7 @@
 	tcase_add_test(tc, transactions_of_a_dead_instance_are_rolled_back);
 	tcase_add_test(tc,
 		       leaving_member_gets_no_new_statements_after_drain_limit);
+	tcase_add_test(tc, pool_made_late_does_not_restart_the_drain_limit);
 	tcase_add_test(tc, queue_of_a_hanging_member_is_refused_early);
 	tcase_add_test(tc, queue_of_a_slow_member_is_kept);
 	tcase_add_test(tc, commit_that_waits_ends_with_an_unknown_outcome);
