Take the end of a drain from the member list at the monitor, too

The monitor counted the drain limit from the moment at which it heard that the primary leaves. The list now says until when the primary surely was not leaving, which the pools count from; the monitor uses the same time, and keeps none of its own.

--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -154,9 +154,11 @@
 static bool is_drained(const struct monitor *k,
 		       const struct monitored_member *m, hm_time now)
 {
-	return (m->drained_at && now >= m->drained_at) ||
-	       site_member_is_evacuated(&m->spec,
-					k->deps.options->evacuation_limit, now);
+	const struct proxy_options *o = k->deps.options;
+
+	return (m->spec.leaving &&
+		now - m->spec.leaving_since > o->drain_limit) ||
+	       site_member_is_evacuated(&m->spec, o->evacuation_limit, now);
 }
 
 /*
--- a/core/monitor_members.c
+++ b/core/monitor_members.c
@@ -3,18 +3,8 @@
 
 #include <stdio.h>
 
-/* Sets when a member that leaves gets no more requests. */
-static void note_leaving(const struct monitor *k, struct monitored_member *m,
-			 hm_time now)
-{
-	if (!m->spec.leaving)
-		m->drained_at = 0;
-	else if (!m->drained_at)
-		m->drained_at = now + k->deps.options->drain_limit;
-}
-
 static void update_member(struct monitor *k, struct monitored_member *m,
-			  const struct site_member *spec, hm_time now,
+			  const struct site_member *spec,
 			  struct proxy_output *out)
 {
 	bool restarted = site_member_restarted(&m->spec, spec);
@@ -24,7 +14,6 @@
 		m->held = false;
 	}
 	m->spec = *spec;
-	note_leaving(k, m, now);
 	if (!restarted)
 		return;
 	/* The member restarted: its earlier replies are obsolete. */
@@ -75,12 +64,11 @@
 			 s->service_name);
 		m = monitor_find(k, s->endpoint);
 		if (m) {
-			update_member(k, m, s, now, out);
+			update_member(k, m, s, out);
 		} else if (k->member_count < ENDPOINTS_MAX) {
 			m = &k->members[k->member_count++];
 			*m = (struct monitored_member){ .spec = *s,
 							.up = true };
-			note_leaving(k, m, now);
 		}
 	}
 	k->next_probe_at = now;
--- a/tests/monitor_fixture.c
+++ b/tests/monitor_fixture.c
@@ -10,8 +10,13 @@
 	uint32_t i;
 
 	m.list = list;
-	for (i = 0; i < r->count; i++)
-		list[m.count++] = r->fakes[i].spec;
+	for (i = 0; i < r->count; i++) {
+		struct site_member *spec = &r->fakes[i].spec;
+
+		if (spec->leaving && !spec->leaving_since)
+			spec->leaving_since = r->now;
+		list[m.count++] = *spec;
+	}
 	monitor_set_members(r->monitor, &m, r->now, &r->out);
 }
 
