Cancel a change by a current list of members only

The second monitor had been cut off: it began 0.1 s after the cut, before it had heard of the other one, and ceased to monitor 0.8 s later.

A failover already waits until the list of members is complete and current. A cancel, which takes a token and makes a call like it, now does the same.

test_monitor_call outdated_list_cancels_no_change fails on the code before (promote m1 token=1).

--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -188,7 +188,7 @@
 		return;
 	if ((k->cancel_due || has_orphan_pause(k, now) ||
 	     record_change_is_orphaned(k, ORPHAN_CHANGE_LIMIT, now)) &&
-	    choice_sees_newest_primary(k)) {
+	    members_are_known(k, now) && choice_sees_newest_primary(k)) {
 		k->planned = true;
 		k->call_pending = true;
 		cancel(k, now, out);
--- a/tests/test_monitor_call.c
+++ b/tests/test_monitor_call.c
@@ -367,6 +367,27 @@
 }
 END_TEST
 
+/*
+ * Guards against two monitors that cancel in turn: one that had been cut off
+ * began before it had heard of the other.
+ */
+START_TEST(outdated_list_cancels_no_change)
+{
+	struct monitor_fixture r;
+
+	monitor_fixture_open(&r);
+	monitor_fixture_run(&r, HM_SEC);
+	r.members_outdated = true;
+	r.fakes[2].paused_term = 2;
+	monitor_fixture_run(&r, 10 * HM_SEC);
+	proxy_text_expect(r.text, "");
+	r.members_outdated = false;
+	monitor_fixture_run(&r, 500 * HM_MS);
+	proxy_text_expect(r.text, "promote m1 token=1\n");
+	monitor_fixture_close(&r);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("monitor_call");
@@ -392,5 +413,6 @@
 	tcase_add_test(tc, switchover_without_a_target_pauses_no_replica);
 	tcase_add_test(tc,
 		       switchover_waits_for_no_replica_without_sync_replicas);
+	tcase_add_test(tc, outdated_list_cancels_no_change);
 	return suite_run("monitor_call", tc);
 }
