Name limits and calls of a change by what they are

Found by a read of the change as a newcomer: two limits on voters had nearly the same name, a delay was named after the wrong member, and comments did not say which function logs a call.

--- a/core/monitor_call.c
+++ b/core/monitor_call.c
@@ -8,10 +8,13 @@
 #define SETTLE_LIMIT (4 * HM_SEC)
 /* Pause before a refused or unanswered promote call is repeated. */
 #define CALL_RETRY_DELAY (200 * HM_MS)
-/* An accepted call takes some hundred ms; a newer token is no obstacle then. */
+/*
+ * An accepted call takes effect some hundred ms later, whatever tokens are used
+ * meanwhile.
+ */
 #define LEAD_LIMIT (1500 * HM_MS)
 /* How long the target may take to show that it is the primary. */
-#define RESUMED_DELAY (200 * HM_MS)
+#define LEAD_SHOWN_LIMIT (200 * HM_MS)
 
 bool change_is_called(const struct monitor *k)
 {
@@ -91,7 +94,7 @@
 	if (choice_is_held(k))
 		k->give_up_at = 0;
 	else if (!k->give_up_at)
-		k->give_up_at = now + RESUMED_DELAY;
+		k->give_up_at = now + LEAD_SHOWN_LIMIT;
 	return k->give_up_at && now >= k->give_up_at;
 }
 
--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -94,8 +94,8 @@
 }
 
 /*
- * A promote call may still take effect. Invalidates it by a call with a newer
- * token before any replica is resumed.
+ * A promote call may still take effect. Invalidates it, before any replica is
+ * resumed, by promoting the present primary with a newer token.
  */
 static void cancel(struct monitor *k, hm_time now, struct proxy_output *out)
 {
--- a/core/monitor_choice.c
+++ b/core/monitor_choice.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Without sync_replicas a commit may be in the log of the primary alone. */
-static uint32_t missing_logs_max(const struct monitor *k)
+static uint32_t loose_max(const struct monitor *k)
 {
 	return k->sync_replicas ? k->sync_replicas : 1;
 }
@@ -31,7 +31,7 @@
 bool choice_sees_all_commits(const struct monitor *k)
 {
 	return voters_known(&k->record.voters) &&
-	       voters_missing(k) <= missing_logs_max(k) &&
+	       voters_missing(k) <= loose_max(k) &&
 	       choice_sees_only_replicas(k);
 }
 
@@ -43,7 +43,7 @@
 {
 	uint32_t i;
 
-	if (!monitor_primary(k) || voters_missing(k) > missing_logs_max(k))
+	if (!monitor_primary(k) || voters_missing(k) > loose_max(k))
 		return false;
 	for (i = 0; i < k->member_count; i++)
 		if (k->members[i].up && !k->members[i].has_status)
@@ -69,7 +69,7 @@
 
 	if (!k->sync_replicas && primary)
 		return VOTERS_MAX;
-	return missing_logs_max(k) - (primary && monitor_is_voter(k, primary));
+	return loose_max(k) - (primary && monitor_is_voter(k, primary));
 }
 
 bool choice_may_switch(struct monitor *k)
@@ -83,7 +83,7 @@
 	const struct monitored_member *primary = monitor_primary(k);
 	const struct monitored_member *target = choice_most_advanced(k, true);
 
-	return target && voters_missing(k) <= missing_logs_max(k) &&
+	return target && voters_missing(k) <= loose_max(k) &&
 	       log_pos_compare(target->status.received, primary->primary_pos) >=
 		       0;
 }
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -149,7 +149,7 @@
 	bool cancel_due; /**< a call that was given up is to be cancelled */
 	/** A promote call, also another monitor's, may still take effect. */
 	bool call_pending;
-	/** When the call is given up, as paused voters receive; 0: they do not. */
+	/** When the call is given up; 0: as few voters are loose as must be. */
 	hm_time give_up_at;
 	uint64_t promotions;
 	uint32_t missing_logged; /**< missing logs in the last log line */
@@ -194,7 +194,7 @@
  * lacks: it is neither the target nor paused by the change.
  */
 bool voter_is_loose(const struct monitor *k, uint32_t index);
-/** Number of voters for which that holds. */
+/** Number of loose voters. */
 uint32_t voters_loose(const struct monitor *k);
 /** Whether a member that replies has lost the log that it had. */
 bool voter_has_lost_log(const struct monitor *k,
@@ -310,10 +310,10 @@
 void change_stop(struct monitor *k, hm_time now);
 /** Whether the target is the primary, as far as is known. */
 bool change_target_leads(struct monitor *k);
-/** Makes the promote call that the change has prepared. */
+/** Logs and makes, or repeats, the promote call of the change. */
 void change_promote(struct monitor *k, const struct monitored_member *target,
 		    hm_time now, struct proxy_output *out);
-/** Makes a promote call for a member with the change's token. */
+/** Makes a promote call with the change's token, and nothing else. */
 void change_call(struct monitor *k, const struct monitored_member *m,
 		 struct proxy_output *out);
 /**
