--- a/core/monitor_change.c
+++ b/core/monitor_change.c
@@ -107,8 +107,8 @@
 	monitor_broadcast_view(k);
 }
 
-void change_begin(struct monitor *k, bool planned, hm_time now,
-		  struct proxy_output *out)
+static void begin_change(struct monitor *k, bool planned, hm_time now,
+			 struct proxy_output *out)
 {
 	k->planned = planned;
 	k->target = 0;
@@ -171,7 +171,7 @@
 {
 	choice_log_wait(k, out);
 	if (choice_may_switch(k)) {
-		change_begin(k, true, now, out);
+		begin_change(k, true, now, out);
 	} else if (is_drained(k, primary, now) && members_are_known(k, now) &&
 		   choice_may_retire(k)) {
 		primary_retire(k, primary, now, out);
@@ -200,7 +200,7 @@
 		/* The token brings a record that could not be read yet. */
 		if (k->record_read ? choice_sees_all_commits(k)
 				   : choice_sees_only_replicas(k))
-			change_begin(k, false, now, out);
+			begin_change(k, false, now, out);
 	}
 }
 
--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -296,9 +296,6 @@
 const char *change_name(enum change_step step);
 void change_enter(struct monitor *k, enum change_step step, hm_time until,
 		  struct proxy_output *out);
-/** Begins a change with a token of its own. */
-void change_begin(struct monitor *k, bool planned, hm_time now,
-		  struct proxy_output *out);
 /**
  * Ends a change whose promote call may still take effect: another one takes a
  * newer token, to invalidate the call.
