--- a/core/monitor_state.h
+++ b/core/monitor_state.h
@@ -41,7 +41,6 @@
 	struct site_member spec;
 	struct probe_conn probe;
 	hm_time next_status_at; /**< when its status is requested next */
-	hm_time drained_at;	/**< when a leaving one gets no more requests */
 	bool unregistered;	/**< no entry in the store, but it replies */
 	bool up;		/**< assumed up until a probe fails */
 	bool answered;		/**< replied since this monitor started */
