--- a/core/member_list.c
+++ b/core/member_list.c
@@ -160,9 +160,11 @@
 
 	for (i = 0; i < m->count; i++) {
 		struct site_member *s = &m->list[i];
-		const struct site_member *old =
-			site_members_find(p->members, s->endpoint);
+		const struct site_member *old;
 
+		if (!s->leaving)
+			continue;
+		old = site_members_find(p->members, s->endpoint);
 		s->leaving_since =
 			old && old->leaving && !site_member_restarted(old, s)
 				? old->leaving_since
