Log which commit of its session a read requires

A read at a replica that lacked a commit of its own session left no line that says which commit the session knew and why it did not count: it may be too old for the accepted age, of another service, or forgotten.

event=route states the service, what the statement requires (sample, own_commit, primary or transaction) and the session's newest commit: its request, its service and its age.

--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -95,6 +95,7 @@
 	struct log_pos
 		own_commit;    /**< position of the session's newest commit */
 	hm_time own_commit_at; /**< when that commit was acknowledged */
+	char own_commit_request[REQUEST_ID_BYTES];
 	struct refused_op last_refused;
 	struct return_ticket told; /**< when to retry the last refused one */
 };
--- a/core/sessions_result.c
+++ b/core/sessions_result.c
@@ -1,6 +1,8 @@
 /** @file sessions_result.c Results of statements that were sent to members. */
 #include "sessions_internal.h"
 
+#include <string.h>
+
 /* No statements are sent to an unreachable member for this time. */
 #define AVOID_FAILED (300 * HM_MS)
 /* A replica that lags is avoided until it may have caught up. */
@@ -113,6 +115,8 @@
 	s->own_commit_service = route->service;
 	s->own_commit = r->at;
 	s->own_commit_at = now;
+	memcpy(s->own_commit_request, s->pending.request,
+	       sizeof(s->own_commit_request));
 }
 
 /* Updates the state of the session's transaction from a statement's result. */
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -151,6 +151,18 @@
 	return o;
 }
 
+/* By what the statement sees the commits that it must see, for the log. */
+static const char *requirement_name(const struct session *s,
+				    const struct route_spec *route,
+				    const struct run_request *o, hm_time now)
+{
+	if (o->scope == RUN_INSIDE)
+		return "transaction";
+	if (o->primary_only || o->writes)
+		return "primary";
+	return requires_own_commit(s, route, now) ? "own_commit" : "sample";
+}
+
 static void send_run_request(struct proxy *p, struct session *s,
 			     struct run_request *o, uint64_t owner,
 			     const char *reason, hm_time now,
@@ -159,17 +171,24 @@
 	struct member_load *l = place_load(p, o->endpoint);
 	const struct site_member *m =
 		site_members_find(p->members, o->endpoint);
+	const struct service_spec *wrote =
+		site_service(p->config, s->own_commit_service);
 
 	proxy_log(
 		out,
 		"event=route request=%s session=%llu account=%s member=%s "
 		"home=%016llx reason=%s scope=%d lead=%d floor=%llu.%llu "
-		"age_us=%lld attempt=%u config=%llu",
+		"age_us=%lld attempt=%u config=%llu service=%s requires=%s "
+		"commit=%s commit_service=%s commit_age_us=%lld",
 		o->request, (unsigned long long)s->number, o->account_name,
 		m ? m->name : "-", (unsigned long long)owner, reason, o->scope,
 		o->primary_only, (unsigned long long)o->min_position.term,
 		(unsigned long long)o->min_position.pos, (long long)o->max_age,
-		s->pending.tried_count, (unsigned long long)p->config->version);
+		s->pending.tried_count, (unsigned long long)p->config->version,
+		m ? m->service_name : "-",
+		requirement_name(s, session_route(p, s), o, now),
+		wrote ? s->own_commit_request : "-", wrote ? wrote->name : "-",
+		wrote ? (long long)(now - s->own_commit_at) : 0LL);
 	s->pending.phase = PENDING_RESULT;
 	s->pending.sent_at = now;
 	s->pending.owner = owner;
