Keep a session's newest commit of each service

Cause: a session kept the position of its newest commit only, with the service that this was of. The commit at the other service replaced it, and at the first one nothing was required any more. event=route showed this: requires=sample floor=0.0, with a newest commit of the other service that was 0.33 s old (accepted age 2.5 s).

When the list is full the oldest is dropped, with the time at which it was acknowledged: as long as a commit of that time may be required, reads at a service without a commit in the list go to its primary, which has all. No commit is dropped for its age, since a configuration may lengthen the accepted age.

--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -16,6 +16,7 @@
 #include "loop_delay.h"
 #include "member_stats.h"
 #include "monitor.h"
+#include "own_commits.h"
 #include "peers.h"
 #include "pool.h"
 #include "proxy.h"
@@ -91,11 +92,7 @@
 	uint32_t prepared_count;
 	struct session_tx tx;
 	struct pending pending;
-	hm_id own_commit_service; /**< service of @a own_commit */
-	struct log_pos
-		own_commit;    /**< position of the session's newest commit */
-	hm_time own_commit_at; /**< when that commit was acknowledged */
-	char own_commit_request[REQUEST_ID_BYTES];
+	struct own_commits own_commits;
 	struct refused_op last_refused;
 	struct return_ticket told; /**< when to retry the last refused one */
 };
--- a/core/sessions.c
+++ b/core/sessions.c
@@ -60,6 +60,7 @@
 	}
 	free(s->prepared);
 	values_free(s->values, s->value_count);
+	own_commits_clear(&s->own_commits);
 	refused_op_clear(&s->last_refused);
 	return_ticket_clear(&s->told);
 	free(s);
--- a/core/sessions_internal.h
+++ b/core/sessions_internal.h
@@ -14,7 +14,7 @@
 enum run_scope session_scope(const struct session *s);
 /** Whether only the primary may run the statement. */
 bool session_needs_primary(const struct session *s,
-			   const struct route_spec *route);
+			   const struct route_spec *route, hm_time now);
 /** Age of the commit that the session's read must see, 0: none. */
 hm_time session_commit_age(const struct session *s,
 			   const struct route_spec *route, hm_time now);
--- a/core/sessions_result.c
+++ b/core/sessions_result.c
@@ -48,7 +48,7 @@
 		return false;
 	if (r->error == ERR_READ_ONLY && s->tx.read_only && s->pending.writes)
 		return false;
-	if (r->error == ERR_OVERLOADED && session_needs_primary(s, route))
+	if (r->error == ERR_OVERLOADED && session_needs_primary(s, route, now))
 		return false;
 	/* A lagging replica did no work, so this retry uses no budget. */
 	if (r->error == ERR_NOT_CAUGHT_UP)
@@ -110,13 +110,13 @@
 	bool commits = s->pending.op == STMT_COMMIT ||
 		       (s->pending.writes && session_scope(s) == RUN_SINGLE);
 
+	struct own_commit c = { .at = r->at, .acknowledged_at = now };
+
 	if (r->error || !commits || !route || !r->at.term)
 		return;
-	s->own_commit_service = route->service;
-	s->own_commit = r->at;
-	s->own_commit_at = now;
-	memcpy(s->own_commit_request, s->pending.request,
-	       sizeof(s->own_commit_request));
+	c.service = route->service;
+	memcpy(c.request, s->pending.request, sizeof(c.request));
+	own_commits_add(&s->own_commits, &c);
 }
 
 /* Updates the state of the session's transaction from a statement's result. */
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -45,46 +45,57 @@
 	return s->tx.started ? RUN_INSIDE : RUN_FIRST;
 }
 
-bool session_needs_primary(const struct session *s,
-			   const struct route_spec *route)
+/*
+ * When a commit was acknowledged that a read must see as a commit of its own
+ * session, at the earliest. An older one is covered by the minimum position
+ * that the view gives for max_age.
+ */
+static hm_time own_commits_since(const struct route_spec *route, hm_time now)
 {
-	if (route->consistency == CONSISTENT_PRIMARY || !route->max_age)
-		return true;
-	if (s->tx.state == SESSION_OPEN)
-		return !s->tx.read_only;
-	return s->pending.writes;
+	return now - route->max_age - OWN_COMMIT_MARGIN;
 }
 
-/*
- * Whether a read of the session must see its own newest commit. An older one is
- * covered by the minimum position that the view gives for max_age.
- */
-static bool requires_own_commit(const struct session *s,
-				const struct route_spec *route, hm_time now)
+/* The commit of its session that a read must see, NULL for none. */
+static const struct own_commit *required_commit(const struct session *s,
+						const struct route_spec *route,
+						hm_time now)
+{
+	const struct own_commit *c =
+		own_commits_find(&s->own_commits, route->service);
+
+	if (!c || route->consistency != CONSISTENT_SESSION ||
+	    c->acknowledged_at < own_commits_since(route, now))
+		return NULL;
+	return c;
+}
+
+/* Whether a read must see a commit whose position is not kept any more. */
+static bool requires_dropped_commit(const struct session *s,
+				    const struct route_spec *route, hm_time now)
 {
 	return route->consistency == CONSISTENT_SESSION &&
-	       s->own_commit_service == route->service &&
-	       now - s->own_commit_at <= route->max_age + OWN_COMMIT_MARGIN;
+	       own_commits_dropped(&s->own_commits, route->service,
+				   own_commits_since(route, now));
 }
 
-hm_time session_commit_age(const struct session *s,
+bool session_needs_primary(const struct session *s,
 			   const struct route_spec *route, hm_time now)
 {
-	return requires_own_commit(s, route, now) ? now - s->own_commit_at + 1
-						  : 0;
+	if (route->consistency == CONSISTENT_PRIMARY || !route->max_age)
+		return true;
+	if (s->tx.state == SESSION_OPEN && !s->tx.read_only)
+		return true;
+	if (s->tx.state != SESSION_OPEN && s->pending.writes)
+		return true;
+	return requires_dropped_commit(s, route, now);
 }
 
-/*
- * Position of the session's newest commit, or none if it is older than
- * max_age: the minimum position that the view gives for max_age then covers it.
- */
-static struct log_pos own_min_position(const struct session *s,
-				       const struct route_spec *route,
-				       hm_time now)
+hm_time session_commit_age(const struct session *s,
+			   const struct route_spec *route, hm_time now)
 {
-	struct log_pos none = { 0 };
+	const struct own_commit *c = required_commit(s, route, now);
 
-	return requires_own_commit(s, route, now) ? s->own_commit : none;
+	return c ? now - c->acknowledged_at + 1 : 0;
 }
 
 /* What the pending statement requires of the member that runs it. */
@@ -94,7 +105,7 @@
 {
 	return (struct member_requirements){
 		.service = route->service,
-		.primary_only = session_needs_primary(s, route),
+		.primary_only = session_needs_primary(s, route, now),
 		.writes = s->pending.writes,
 		.level = route->level,
 		.commit_age = session_commit_age(s, route, now),
@@ -158,9 +169,11 @@
 {
 	if (o->scope == RUN_INSIDE)
 		return "transaction";
+	if (!o->writes && requires_dropped_commit(s, route, now))
+		return "dropped_commit";
 	if (o->primary_only || o->writes)
 		return "primary";
-	return requires_own_commit(s, route, now) ? "own_commit" : "sample";
+	return required_commit(s, route, now) ? "own_commit" : "sample";
 }
 
 static void send_run_request(struct proxy *p, struct session *s,
@@ -171,15 +184,15 @@
 	struct member_load *l = place_load(p, o->endpoint);
 	const struct site_member *m =
 		site_members_find(p->members, o->endpoint);
-	const struct service_spec *wrote =
-		site_service(p->config, s->own_commit_service);
+	const struct own_commit *commit =
+		own_commits_find(&s->own_commits, o->service);
 
 	proxy_log(
 		out,
 		"event=route request=%s session=%llu account=%s member=%s "
 		"home=%016llx reason=%s scope=%d lead=%d floor=%llu.%llu "
 		"age_us=%lld attempt=%u config=%llu service=%s requires=%s "
-		"commit=%s commit_service=%s commit_age_us=%lld",
+		"commit=%s commit_age_us=%lld",
 		o->request, (unsigned long long)s->number, o->account_name,
 		m ? m->name : "-", (unsigned long long)owner, reason, o->scope,
 		o->primary_only, (unsigned long long)o->min_position.term,
@@ -187,8 +200,8 @@
 		s->pending.tried_count, (unsigned long long)p->config->version,
 		m ? m->service_name : "-",
 		requirement_name(s, session_route(p, s), o, now),
-		wrote ? s->own_commit_request : "-", wrote ? wrote->name : "-",
-		wrote ? (long long)(now - s->own_commit_at) : 0LL);
+		commit ? commit->request : "-",
+		commit ? (long long)(now - commit->acknowledged_at) : 0LL);
 	s->pending.phase = PENDING_RESULT;
 	s->pending.sent_at = now;
 	s->pending.owner = owner;
@@ -244,6 +257,7 @@
 		 struct proxy_output *out)
 {
 	const struct route_spec *route = session_route(p, s);
+	const struct own_commit *commit;
 	struct placement place;
 	struct run_request *o;
 	struct member_requirements need;
@@ -266,8 +280,9 @@
 	}
 	o->endpoint = place.endpoint;
 	o->primary_only = place.is_primary;
-	if (!place.is_primary)
-		o->min_position = own_min_position(s, route, now);
+	commit = required_commit(s, route, now);
+	if (!place.is_primary && commit)
+		o->min_position = commit->at;
 	o->max_age = place.is_primary ? 0 : route->max_age;
 	if (place.is_primary)
 		p->counters.reads_primary += !o->writes;
