Finish a request for the route that it was begun for

Callers saw, when their route moved while a request was on its way: a read that lacked a commit of their own session once the route was back (STALE), reads at the new service that no replica served at first, and a read that was begun at one service and answered by another.

Cause: the service of a commit, of a second attempt, and of the load and the order of return that a result is counted for, was that of the route in force when the result came.

A pending request carries a copy of its route, made when it arrived (that of its transaction, if it is in one), and all that is decided for it uses this copy. A change of a route still applies from the next request outside of a transaction. A request that waits for a rate token while its route is removed is now served, at the service that it asked for.

test_route_moves request_keeps_the_route_that_it_began_with fails before and passes.

--- a/core/proxy_state.h
+++ b/core/proxy_state.h
@@ -54,7 +54,12 @@
 	char request[REQUEST_ID_BYTES];
 	char *name;
 	char *text;
-	bool writes;	  /**< the statement may change data */
+	bool writes; /**< the statement may change data */
+	/**
+	 * Copy made when the request arrived, that of its transaction if it is
+	 * in one; database 0: there was none.
+	 */
+	struct route_spec route;
 	uint64_t owner;	  /**< instance (incarnation) that it was sent to */
 	hm_id endpoint;	  /**< member that it was sent to */
 	hm_time since;	  /**< when the request arrived */
@@ -404,6 +409,12 @@
 
 /* sessions_run.c */
 
+/**
+ * Route of the session: that of its pending request, or of its transaction, or
+ * the one in force. NULL: there is none.
+ */
+const struct route_spec *session_route(const struct proxy *p,
+				       const struct session *s);
 /** Sends the pending statement of a session to the owner of a member. */
 void session_run(struct proxy *p, struct session *s, hm_time now,
 		 struct proxy_output *out);
--- a/core/sessions_internal.h
+++ b/core/sessions_internal.h
@@ -8,9 +8,6 @@
 
 #include "proxy_state.h"
 
-/** Route of the session, in a transaction the one that it began with. */
-const struct route_spec *session_route(const struct proxy *p,
-				       const struct session *s);
 enum run_scope session_scope(const struct session *s);
 /** Whether only the primary may run the statement. */
 bool session_needs_primary(const struct session *s,
--- a/core/sessions_load.c
+++ b/core/sessions_load.c
@@ -60,7 +60,7 @@
 {
 	const struct site_member *m =
 		site_members_find(p->members, r->endpoint);
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 	struct member_load *l = place_load(p, r->endpoint);
 	hm_time slack[PRIORITY_LEVELS];
 	struct load_report report = { s->pending.owner, r->load.wait, slack };
@@ -83,7 +83,7 @@
 			    const struct placement *place, hm_time now,
 			    struct proxy_output *out)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 	const struct site_member *m =
 		site_members_find(p->members, place->endpoint);
 	struct load_state *l = &place_load(p, place->endpoint)->level;
@@ -130,7 +130,7 @@
 			     enum error error, bool ran, hm_time retry_at,
 			     hm_time now)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 	bool tokens = wait_kinds[error] == WAIT_TOKENS;
 
 	if (!p->options.scheduling.load_levels || !route)
--- a/core/sessions_request.c
+++ b/core/sessions_request.c
@@ -114,7 +114,7 @@
 static void start_admitted(struct proxy *p, struct session *s, hm_time now,
 			   struct proxy_output *out)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 	enum statement_op op = s->pending.op;
 
 	if (op != STMT_BEGIN && op != STMT_BEGIN_READ) {
@@ -143,7 +143,7 @@
 
 static hm_time token_wait(const struct proxy *p, const struct session *s)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 	const struct contract *c = contracts_find(p->contracts, s->account);
 	hm_time wait = route ? route->target / TOKEN_WAIT_DIVISOR : 0;
 	hm_time issue_time = c ? TOKEN_WAIT_TOKENS * HM_SEC / c->rate : 0;
@@ -160,7 +160,7 @@
 static bool yields_token(const struct proxy *p, const struct session *s,
 			 hm_time now, struct proxy_output *out)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 	hm_time since =
 		refused_op_since(&s->last_refused, s->pending.text, now);
 
@@ -218,12 +218,9 @@
  */
 static enum error check_access(struct proxy *p, struct session *s)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
-	bool in_tx = s->tx.state != SESSION_IDLE;
+	const struct route_spec *route = session_route(p, s);
 
-	if (!in_tx && !route)
-		return ERR_NOT_FOUND;
-	return session_check_key(p, s, in_tx ? &s->tx.route : route);
+	return route ? session_check_key(p, s, route) : ERR_NOT_FOUND;
 }
 
 /*
@@ -319,8 +316,11 @@
 static void begin_pending(struct proxy *p, struct session *s,
 			  const struct proxy_event *e, hm_time now)
 {
+	const struct route_spec *route = session_route(p, s);
 	struct pending *q = &s->pending;
 
+	if (route)
+		q->route = *route;
 	q->op = e->asked.op;
 	q->id.incarnation = p->options.core.incarnation;
 	q->id.seq = ++p->next_request;
--- a/core/sessions_run.c
+++ b/core/sessions_run.c
@@ -33,6 +33,8 @@
 const struct route_spec *session_route(const struct proxy *p,
 				       const struct session *s)
 {
+	if (s->pending.request[0])
+		return s->pending.route.database ? &s->pending.route : NULL;
 	if (s->tx.state != SESSION_IDLE)
 		return &s->tx.route;
 	return site_route(p->config, s->database);
@@ -237,7 +239,7 @@
 bool session_refuse_unplaceable(struct proxy *p, struct session *s, hm_time now,
 				struct proxy_output *out)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 	struct member_requirements need;
 	struct placement place;
 
--- a/core/sessions_token.c
+++ b/core/sessions_token.c
@@ -3,7 +3,7 @@
 
 uint32_t session_level(const struct proxy *p, const struct session *s)
 {
-	const struct route_spec *route = site_route(p->config, s->database);
+	const struct route_spec *route = session_route(p, s);
 
 	return route ? priority_level(route->level) : 0;
 }
--- a/tests/route_fixture.c
+++ b/tests/route_fixture.c
@@ -275,22 +275,18 @@
 	route->target = 400 * HM_MS;
 	route->max_age = r->max_age;
 	c->routes = route;
-	c->route_count = 1;
 }
 
-void route_fixture_move(struct route_fixture *r, uint32_t service,
-			enum consistency consistency, hm_time max_age)
+static void configure(struct route_fixture *r, bool with_route)
 {
 	struct site_config *c = calloc(1, sizeof(*c));
 	struct proxy_event e = { .kind = PROXY_CONFIG, .config = c };
 	uint32_t i;
 
 	ck_assert_ptr_nonnull(c);
-	r->service = service;
-	r->consistency = consistency;
-	r->max_age = max_age;
 	c->version = ++r->version;
 	set_route(r, c);
+	c->route_count = with_route;
 	c->services = calloc(ROUTE_SERVICES, sizeof(*c->services));
 	c->service_count = ROUTE_SERVICES;
 	for (i = 0; i < ROUTE_SERVICES; i++) {
@@ -311,6 +307,20 @@
 	step(r, &e);
 }
 
+void route_fixture_move(struct route_fixture *r, uint32_t service,
+			enum consistency consistency, hm_time max_age)
+{
+	r->service = service;
+	r->consistency = consistency;
+	r->max_age = max_age;
+	configure(r, true);
+}
+
+void route_fixture_remove(struct route_fixture *r)
+{
+	configure(r, false);
+}
+
 static void set_members(struct route_fixture *r)
 {
 	struct site_members *m = calloc(1, sizeof(*m));
--- a/tests/route_fixture.h
+++ b/tests/route_fixture.h
@@ -75,6 +75,8 @@
 /** Puts the next version of the configuration in force. */
 void route_fixture_move(struct route_fixture *r, uint32_t service,
 			enum consistency consistency, hm_time max_age);
+/** The same, without the route. */
+void route_fixture_remove(struct route_fixture *r);
 /** Passes ticks to the proxy until @a span has passed. */
 void route_fixture_run(struct route_fixture *r, hm_time span);
 void route_fixture_connect(struct route_fixture *r, uint64_t client);
--- a/tests/test_route_moves.c
+++ b/tests/test_route_moves.c
@@ -69,6 +69,8 @@
 		route_fixture_move(r, service_arg(line, "to"),
 				   consistency_of(line),
 				   script_int(line, "age", 2500) * HM_MS);
+	else if (g_str_has_prefix(line, "remove"))
+		route_fixture_remove(r);
 	else if (g_str_has_prefix(line, "lag"))
 		r->services[service_arg(line, "of")].lag =
 			script_int(line, "ms", 0) * HM_MS;
@@ -102,11 +104,22 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that is finished for another service than the one
+ * that it was begun for, when its route moves meanwhile.
+ */
+START_TEST(request_keeps_the_route_that_it_began_with)
+{
+	run_script("tests/scripts/route_moves_in_flight.txt");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("route moves");
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, own_commit_is_read_after_the_route_returns);
+	tcase_add_test(tc, request_keeps_the_route_that_it_began_with);
 	return suite_run("route moves", tc);
 }
