Do not take the end of a read-only transaction for a commit

A session on a bounded route wrote, read in a transaction at a replica that was behind, and ended that. After a change of the route to read_your_writes it read without its own commit (STALE).

Cause: the COMMIT of any transaction was recorded as the session's newest commit, at the log position of its member. That of a replica can be lower than the session's own commit, which it replaced.

Only a statement that may have written is recorded now. A transaction that only read commits nothing (the log gets no number), and a read that follows it requires what it required before.

test_route_moves read_only_transaction_replaces_no_commit fails before ("a-2 r2 after=1.50", 1.51 is required) and passes.

--- a/core/sessions_result.c
+++ b/core/sessions_result.c
@@ -107,9 +107,8 @@
 static void record_own_commit(struct session *s, const struct route_spec *route,
 			      const struct run_result *r, hm_time now)
 {
-	bool commits = s->pending.op == STMT_COMMIT ||
-		       (s->pending.writes && session_scope(s) == RUN_SINGLE);
-
+	bool commits = s->pending.writes && (s->pending.op == STMT_COMMIT ||
+					     session_scope(s) == RUN_SINGLE);
 	struct own_commit c = { .at = r->at, .acknowledged_at = now };
 
 	if (r->error || !commits || !route || !r->at.term)
--- a/tests/test_route_moves.c
+++ b/tests/test_route_moves.c
@@ -114,6 +114,16 @@
 }
 END_TEST
 
+/*
+ * Guards against a read that lacks a commit of its own session since a
+ * transaction that only read has ended after it, at a replica that was behind.
+ */
+START_TEST(read_only_transaction_replaces_no_commit)
+{
+	run_script("tests/scripts/route_moves_read_only.txt");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("route moves");
@@ -121,5 +131,6 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, own_commit_is_read_after_the_route_returns);
 	tcase_add_test(tc, request_keeps_the_route_that_it_began_with);
+	tcase_add_test(tc, read_only_transaction_replaces_no_commit);
 	return suite_run("route moves", tc);
 }
