Let an operation return only to the service that refused it

A refused operation that returns at the time that it was told goes ahead of new ones at a member whose level is closed. If its route had moved meanwhile, it did so at a service that had told it nothing: the ticket named the text alone. Found by reading; at most one operation of a session for each move.

The ticket names the service. test_load_level, the test of tickets, has the new case; before, a ticket could not be asked for a service.

--- a/core/return_order.c
+++ b/core/return_order.c
@@ -205,18 +205,21 @@
 	return at;
 }
 
-void return_ticket_set(struct return_ticket *t, const char *text, hm_time at)
+void return_ticket_set(struct return_ticket *t, hm_id service, const char *text,
+		       hm_time at)
 {
 	char *copy = text_copy(text);
 
 	return_ticket_clear(t);
-	*t = (struct return_ticket){ .text = copy, .at = at };
+	*t = (struct return_ticket){ .service = service,
+				     .text = copy,
+				     .at = at };
 }
 
-bool return_ticket_is_due(const struct return_ticket *t, const char *text,
-			  hm_time now)
+bool return_ticket_is_due(const struct return_ticket *t, hm_id service,
+			  const char *text, hm_time now)
 {
-	return t->text && !strcmp(t->text, text) &&
+	return t->text && t->service == service && !strcmp(t->text, text) &&
 	       now - t->at <= TICKET_WITHIN && t->at - now <= TICKET_WITHIN;
 }
 
--- a/core/return_order.h
+++ b/core/return_order.h
@@ -34,15 +34,23 @@
 
 /** What the client of a session was told; all zero for nothing. */
 struct return_ticket {
-	char *text; /**< owned; statement without its request ID */
+	hm_id service; /**< that refused it */
+	char *text;    /**< owned; statement without its request ID */
 	hm_time at;
 };
 
-/** Records that the client of @a text (copied) was told to retry at @a at. */
-void return_ticket_set(struct return_ticket *t, const char *text, hm_time at);
-/** Whether @a text arrives within 300 ms of the time that it was told. */
-bool return_ticket_is_due(const struct return_ticket *t, const char *text,
-			  hm_time now);
+/**
+ * Records that the client of @a text (copied) was told to retry at @a at by
+ * @a service.
+ */
+void return_ticket_set(struct return_ticket *t, hm_id service, const char *text,
+		       hm_time at);
+/**
+ * Whether @a text returns to the service that refused it, within 300 ms of the
+ * time that it was told.
+ */
+bool return_ticket_is_due(const struct return_ticket *t, hm_id service,
+			  const char *text, hm_time now);
 void return_ticket_clear(struct return_ticket *t);
 
 #endif
--- a/core/sessions_load.c
+++ b/core/sessions_load.c
@@ -87,10 +87,12 @@
 	const struct site_member *m =
 		site_members_find(p->members, place->endpoint);
 	struct load_state *l = &place_load(p, place->endpoint)->level;
-	bool returns = return_ticket_is_due(&s->told, s->pending.text, now);
+	bool returns;
 
 	if (!route)
 		return false;
+	returns = return_ticket_is_due(&s->told, route->service,
+				       s->pending.text, now);
 	p->counters.load_returns += returns;
 	switch (load_admit(l, place->owner, route->level, returns, now)) {
 	case LOAD_OPEN:
@@ -143,6 +145,6 @@
 					    : p->service_returns,
 				     tokens ? s->account : route->service,
 				     route->level, retry_at, now);
-	return_ticket_set(&s->told, s->pending.text, retry_at);
+	return_ticket_set(&s->told, route->service, s->pending.text, retry_at);
 	return retry_at;
 }
--- a/tests/test_load_level.c
+++ b/tests/test_load_level.c
@@ -155,13 +155,15 @@
 	struct return_ticket t = { 0 };
 	hm_time at = 100 * HM_SEC;
 
-	return_ticket_set(&t, "READ k", at);
-	ck_assert(return_ticket_is_due(&t, "READ k", at + 300 * HM_MS));
-	ck_assert(!return_ticket_is_due(&t, "READ k", at + 301 * HM_MS));
-	ck_assert(!return_ticket_is_due(&t, "READ k", at - 301 * HM_MS));
-	ck_assert(!return_ticket_is_due(&t, "READ j", at));
+	return_ticket_set(&t, QUEUE, "READ k", at);
+	ck_assert(return_ticket_is_due(&t, QUEUE, "READ k", at + 300 * HM_MS));
+	ck_assert(!return_ticket_is_due(&t, QUEUE, "READ k", at + 301 * HM_MS));
+	ck_assert(!return_ticket_is_due(&t, QUEUE, "READ k", at - 301 * HM_MS));
+	ck_assert(!return_ticket_is_due(&t, QUEUE, "READ j", at));
+	/* Its route has moved: another service has told it nothing. */
+	ck_assert(!return_ticket_is_due(&t, QUEUE + 1, "READ k", at));
 	return_ticket_clear(&t);
-	ck_assert(!return_ticket_is_due(&t, "READ k", at));
+	ck_assert(!return_ticket_is_due(&t, QUEUE, "READ k", at));
 }
 END_TEST
 
