Log which text a prepared statement stands for

An EXECUTE that ran the statement of another client left no line that says which text the member had under the name, nor which one the client had prepared.

event=prepare states the name under which a connection prepares a text, and a digest of it; event=run states the name and the digest of the text that the client of this EXECUTE prepared.

--- a/core/pool_conn.c
+++ b/core/pool_conn.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "grow.h"
+#include "text_digest.h"
 
 struct pool_conn *conn_find(const struct pool *p, uint64_t number)
 {
@@ -218,6 +219,30 @@
 	refuse_unconfirmed(p, c, "no_answer", now, out);
 }
 
+static void log_run(const struct pool *p, const struct pool_conn *c,
+		    hm_time now, struct proxy_output *out)
+{
+	const struct run_request *o = c->job->run;
+	char prepared[PREPARED_NAME_BYTES] = "-";
+	struct text_digest digest = { 0 };
+
+	if (o->op == STMT_EXECUTE) {
+		conn_prepared_name(o, prepared);
+		digest = text_digest(o->shape);
+	}
+	proxy_log(out,
+		  "event=run request=%s member=%s conn=%llu tx=%016llx-%llx "
+		  "scope=%d waited_us=%lld floor=%llu.%llu prepared=%s "
+		  "text=%016llx",
+		  o->request, p->member.name, (unsigned long long)c->number,
+		  (unsigned long long)o->tx.incarnation,
+		  (unsigned long long)o->tx.seq, o->scope,
+		  (long long)(now - c->job->item.queued_at),
+		  (unsigned long long)o->min_position.term,
+		  (unsigned long long)o->min_position.pos, prepared,
+		  (unsigned long long)text_digest_short(&digest));
+}
+
 void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
 		struct proxy_output *out)
 {
@@ -236,19 +261,11 @@
 	o->min_position = floor;
 	if (o->scope != RUN_SINGLE)
 		c->tx = o->tx;
-	proxy_log(out,
-		  "event=run request=%s member=%s conn=%llu tx=%016llx-%llx "
-		  "scope=%d waited_us=%lld floor=%llu.%llu",
-		  o->request, p->member.name, (unsigned long long)c->number,
-		  (unsigned long long)o->tx.incarnation,
-		  (unsigned long long)o->tx.seq, o->scope,
-		  (long long)(now - j->item.queued_at),
-		  (unsigned long long)floor.term,
-		  (unsigned long long)floor.pos);
 	conn_set_phase(c, PHASE_SETUP, now);
 	conn_apply_values(p, c, o, out);
 	if (o->op == STMT_EXECUTE)
-		conn_apply_prepared(c, o, out);
+		conn_apply_prepared(p, c, o, out);
+	log_run(p, c, now, out);
 	if (o->scope != RUN_INSIDE)
 		conn_begin(p, c, o, floor, out);
 	if (!c->expect_count)
--- a/core/pool_setup.c
+++ b/core/pool_setup.c
@@ -10,6 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "text_digest.h"
+
 static const struct session_value *value_of(const struct session_value *list,
 					    uint32_t count, const char *name)
 {
@@ -85,8 +87,22 @@
 		 (unsigned long long)hash);
 }
 
-void conn_apply_prepared(struct pool_conn *c, const struct run_request *o,
-			 struct proxy_output *out)
+static void log_prepare(const struct pool *p, const struct pool_conn *c,
+			const struct run_request *o, const char *name,
+			struct proxy_output *out)
+{
+	struct text_digest digest = text_digest(o->shape);
+
+	proxy_log(out,
+		  "event=prepare request=%s member=%s conn=%llu name=%s "
+		  "text=%016llx bytes=%zu",
+		  o->request, p->member.name, (unsigned long long)c->number,
+		  name, (unsigned long long)text_digest_short(&digest),
+		  strlen(o->shape));
+}
+
+void conn_apply_prepared(const struct pool *p, struct pool_conn *c,
+			 const struct run_request *o, struct proxy_output *out)
 {
 	char name[PREPARED_NAME_BYTES];
 	struct member_command *m;
@@ -105,6 +121,7 @@
 	m->op = o->writes ? STMT_WRITE : STMT_READ;
 	m->name = text_copy(name);
 	m->text = text_copy(o->shape);
+	log_prepare(p, c, o, name, out);
 }
 
 /*
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -262,8 +262,8 @@
 void conn_apply_values(struct pool *p, struct pool_conn *c,
 		       const struct run_request *o, struct proxy_output *out);
 /** Prepares the statement, unless the connection has it already. */
-void conn_apply_prepared(struct pool_conn *c, const struct run_request *o,
-			 struct proxy_output *out);
+void conn_apply_prepared(const struct pool *p, struct pool_conn *c,
+			 const struct run_request *o, struct proxy_output *out);
 /** Writes the name that the prepared statement has at the member to @a out. */
 void conn_prepared_name(const struct run_request *o,
 			char out[PREPARED_NAME_BYTES]);
