Know prepared texts by a cryptographic digest

Cause: the hash was the statement's name at the member, and a name that a connection had was taken for the text. A writer of texts can make two with one such hash. event=prepare and event=run showed it: two digests of texts in turn under one name that was prepared once.

A connection now knows a text by its BLAKE2b digest of 32 bytes, from libsodium, and by whether it may write. The name at the member is a number that the connection gives once; it is shorter than the hash was.

--- a/core/pool_conn.c
+++ b/core/pool_conn.c
@@ -13,7 +13,6 @@
 #include <string.h>
 
 #include "grow.h"
-#include "text_digest.h"
 
 struct pool_conn *conn_find(const struct pool *p, uint64_t number)
 {
@@ -95,7 +94,6 @@
 {
 	const struct run_request *o = c->job->run;
 	struct member_command *m;
-	char name[PREPARED_NAME_BYTES];
 
 	m = conn_command(c, EXPECT_STATEMENT, MEMBER_STATEMENT, out);
 	m->op = o->op;
@@ -103,10 +101,8 @@
 	if (o->scope == RUN_SINGLE && !o->writes && !o->primary_only)
 		m->min_position = c->job->run->min_position;
 	m->text = text_copy(o->text);
-	if (o->op == STMT_EXECUTE) {
-		conn_prepared_name(o, name);
-		m->name = text_copy(name);
-	}
+	if (o->op == STMT_EXECUTE)
+		m->name = text_copy(c->job->prepared.name);
 	c->job->started_at = now;
 	conn_set_phase(c, PHASE_RUNNING, now);
 }
@@ -223,13 +219,8 @@
 		    hm_time now, struct proxy_output *out)
 {
 	const struct run_request *o = c->job->run;
-	char prepared[PREPARED_NAME_BYTES] = "-";
-	struct text_digest digest = { 0 };
+	const struct conn_prepared *s = &c->job->prepared;
 
-	if (o->op == STMT_EXECUTE) {
-		conn_prepared_name(o, prepared);
-		digest = text_digest(o->shape);
-	}
 	proxy_log(out,
 		  "event=run request=%s member=%s conn=%llu tx=%016llx-%llx "
 		  "scope=%d waited_us=%lld floor=%llu.%llu prepared=%s "
@@ -239,8 +230,9 @@
 		  (unsigned long long)o->tx.seq, o->scope,
 		  (long long)(now - c->job->item.queued_at),
 		  (unsigned long long)o->min_position.term,
-		  (unsigned long long)o->min_position.pos, prepared,
-		  (unsigned long long)text_digest_short(&digest));
+		  (unsigned long long)o->min_position.pos,
+		  s->name[0] ? s->name : "-",
+		  (unsigned long long)text_digest_short(&s->text));
 }
 
 void conn_start(struct pool *p, struct pool_conn *c, struct job *j, hm_time now,
@@ -264,7 +256,7 @@
 	conn_set_phase(c, PHASE_SETUP, now);
 	conn_apply_values(p, c, o, out);
 	if (o->op == STMT_EXECUTE)
-		conn_apply_prepared(p, c, o, out);
+		conn_apply_prepared(p, c, out);
 	log_run(p, c, now, out);
 	if (o->scope != RUN_INSIDE)
 		conn_begin(p, c, o, floor, out);
--- a/core/pool_setup.c
+++ b/core/pool_setup.c
@@ -1,17 +1,13 @@
 /**
  * @file pool_setup.c
- * Setup of a connection before a statement is sent on it: the values and the
- * prepared statement of its session, the check that its member is the primary,
- * and the minimum log position for a read at a replica.
+ * Setup of a connection before a statement is sent on it: the values of its
+ * session, the check that its member is the primary, and the minimum log
+ * position for a read at a replica.
  */
 #include "pool_state.h"
 
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-#include "text_digest.h"
-
 static const struct session_value *value_of(const struct session_value *list,
 					    uint32_t count, const char *name)
 {
@@ -70,60 +66,6 @@
 	c->value_count = o->value_count;
 }
 
-/*
- * The name is a hash of the statement's text without its arguments (its shape),
- * so that sessions which prepare the same text share one prepared statement.
- * The prefix is w for a statement that may write and r for one that only reads.
- */
-void conn_prepared_name(const struct run_request *o,
-			char out[PREPARED_NAME_BYTES])
-{
-	uint64_t hash = 0xcbf29ce484222325ULL; /* FNV-1a */
-	const char *s;
-
-	for (s = o->shape; *s; s++)
-		hash = (hash ^ (uint8_t)*s) * 0x100000001b3ULL;
-	snprintf(out, PREPARED_NAME_BYTES, "%c%016llx", o->writes ? 'w' : 'r',
-		 (unsigned long long)hash);
-}
-
-static void log_prepare(const struct pool *p, const struct pool_conn *c,
-			const struct run_request *o, const char *name,
-			struct proxy_output *out)
-{
-	struct text_digest digest = text_digest(o->shape);
-
-	proxy_log(out,
-		  "event=prepare request=%s member=%s conn=%llu name=%s "
-		  "text=%016llx bytes=%zu",
-		  o->request, p->member.name, (unsigned long long)c->number,
-		  name, (unsigned long long)text_digest_short(&digest),
-		  strlen(o->shape));
-}
-
-void conn_apply_prepared(const struct pool *p, struct pool_conn *c,
-			 const struct run_request *o, struct proxy_output *out)
-{
-	char name[PREPARED_NAME_BYTES];
-	struct member_command *m;
-	uint32_t i;
-
-	conn_prepared_name(o, name);
-	for (i = 0; i < c->prepared_count; i++)
-		if (!strcmp(c->prepared[i], name))
-			return;
-	c->prepared = realloc(c->prepared,
-			      (c->prepared_count + 1) * sizeof(*c->prepared));
-	if (!c->prepared)
-		abort();
-	memcpy(c->prepared[c->prepared_count++], name, sizeof(name));
-	m = conn_command(c, EXPECT_SETUP, MEMBER_PREPARE, out);
-	m->op = o->writes ? STMT_WRITE : STMT_READ;
-	m->name = text_copy(name);
-	m->text = text_copy(o->shape);
-	log_prepare(p, c, o, name, out);
-}
-
 /*
  * Checks the role of the member: only a primary accepts this BEGIN, since the
  * transaction may write. The ROLLBACK ends the transaction. Whether the term of
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -8,7 +8,8 @@
  * pool_dispatch.c (choice of the next statement and its connection),
  * pool_capacity.c (accounts that share the connections),
  * pool_pace.c (few connections after the creation),
- * pool_setup.c (setup of a connection) and pool_conn.c (commands and replies).
+ * pool_setup.c (setup of a connection), pool_prepared.c (its prepared
+ * statements) and pool_conn.c (commands and replies).
  */
 #ifndef POOL_STATE_H
 #define POOL_STATE_H
@@ -19,12 +20,14 @@
 #include "fair_queue.h"
 #include "pool.h"
 #include "restart_pace.h"
+#include "text_digest.h"
 
 /*
  * Most commands in flight on a connection: one for each value of a session, and
  * a few more.
  */
 #define EXPECT_MAX (SESSION_VALUES_MAX + 16)
+/** Longest name of a prepared statement at a member, with its NUL. */
 #define PREPARED_NAME_BYTES 24
 
 /* Retry delay when there is no better estimate. */
@@ -83,6 +86,13 @@
 	EXPECT_ROLLBACK
 };
 
+/** A statement that is prepared on a connection. */
+struct conn_prepared {
+	struct text_digest text; /**< of the text without its arguments */
+	bool writes;
+	char name[PREPARED_NAME_BYTES]; /**< at the member */
+};
+
 /** A statement that is queued or running at a pool. */
 struct job {
 	struct run_request *run;
@@ -90,6 +100,8 @@
 	struct queue_item item;
 	bool scheduled;	 /**< taken from the queue; its charge is not final */
 	uint64_t ticket; /**< ticket of the primary check, 0: none is needed */
+	/** STMT_EXECUTE that has a connection: the statement that it runs. */
+	struct conn_prepared prepared;
 	hm_time started_at;
 };
 
@@ -111,8 +123,9 @@
 	/** Session values set on the connection. */
 	struct session_value *values;
 	uint32_t value_count;
-	char (*prepared)[PREPARED_NAME_BYTES];
+	struct conn_prepared *prepared;
 	uint32_t prepared_count;
+	uint64_t prepared_names; /**< names that were given so far */
 };
 
 struct pool_result {
@@ -261,12 +274,12 @@
 /** Sends commands that set the session's values on the connection. */
 void conn_apply_values(struct pool *p, struct pool_conn *c,
 		       const struct run_request *o, struct proxy_output *out);
-/** Prepares the statement, unless the connection has it already. */
+/**
+ * Prepares the statement that the connection's job executes, unless the
+ * connection has it already.
+ */
 void conn_apply_prepared(const struct pool *p, struct pool_conn *c,
-			 const struct run_request *o, struct proxy_output *out);
-/** Writes the name that the prepared statement has at the member to @a out. */
-void conn_prepared_name(const struct run_request *o,
-			char out[PREPARED_NAME_BYTES]);
+			 struct proxy_output *out);
 /**
  * Minimum log position that the member must have for a read. Returns false
  * when no sample of the primary's position is recent enough.
