Bound the prepared statements of a connection

Nothing but a reset took a prepared statement off a connection.

A connection now has at most 256 statements, the number that a session may prepare. A new text drops the least recently used one, with a DEALLOC at the member, in the same round trip as its PREPARE. event=deallocate logs it.

test_prepared statements_of_a_connection_are_bounded fails before (257 names at the member) and passes: of 20,000 executes of 5,000 texts each ran its own. text_in_use_stays_prepared shows that a text in use is not dropped. The stand-in member now drops statements on DEALLOC and RESET.

--- a/core/pool_prepared.c
+++ b/core/pool_prepared.c
@@ -25,6 +25,23 @@
 	return NULL;
 }
 
+/* Drops the least recently used statement; returns its place in the list. */
+static struct conn_prepared *
+drop_oldest(const struct pool *p, struct pool_conn *c, struct proxy_output *out)
+{
+	struct conn_prepared *oldest = &c->prepared[0];
+	uint32_t i;
+
+	for (i = 1; i < c->prepared_count; i++)
+		if (c->prepared[i].last_use < oldest->last_use)
+			oldest = &c->prepared[i];
+	conn_command(c, EXPECT_SETUP, MEMBER_DEALLOCATE, out)->name =
+		text_copy(oldest->name);
+	proxy_log(out, "event=deallocate member=%s conn=%llu name=%s",
+		  p->member.name, (unsigned long long)c->number, oldest->name);
+	return oldest;
+}
+
 static struct conn_prepared *append(struct pool_conn *c)
 {
 	c->prepared = realloc(c->prepared,
@@ -39,7 +56,9 @@
 				     const struct text_digest *text,
 				     struct proxy_output *out)
 {
-	struct conn_prepared *s = append(c);
+	struct conn_prepared *s = c->prepared_count == SESSION_PREPARED_MAX
+					  ? drop_oldest(p, c, out)
+					  : append(c);
 	struct member_command *m;
 
 	*s = (struct conn_prepared){ .text = *text, .writes = o->writes };
@@ -67,5 +86,6 @@
 
 	if (!s)
 		s = prepare(p, c, o, &text, out);
+	s->last_use = ++c->executes;
 	c->job->prepared = *s;
 }
--- a/core/pool_state.h
+++ b/core/pool_state.h
@@ -91,6 +91,7 @@
 	struct text_digest text; /**< of the text without its arguments */
 	bool writes;
 	char name[PREPARED_NAME_BYTES]; /**< at the member */
+	uint64_t last_use; /**< number of the connection's EXECUTE */
 };
 
 /** A statement that is queued or running at a pool. */
@@ -126,6 +127,7 @@
 	struct conn_prepared *prepared;
 	uint32_t prepared_count;
 	uint64_t prepared_names; /**< names that were given so far */
+	uint64_t executes;
 };
 
 struct pool_result {
@@ -276,7 +278,8 @@
 		       const struct run_request *o, struct proxy_output *out);
 /**
  * Prepares the statement that the connection's job executes, unless the
- * connection has it already.
+ * connection has it already. A connection with SESSION_PREPARED_MAX statements
+ * drops the least recently used one.
  */
 void conn_apply_prepared(const struct pool *p, struct pool_conn *c,
 			 struct proxy_output *out);
--- a/core/proxy.h
+++ b/core/proxy.h
@@ -29,6 +29,7 @@
 	MEMBER_RESET,	/**< discard session values and prepared statements */
 	MEMBER_SET,	/**< set session value @a name to @a text */
 	MEMBER_PREPARE, /**< prepare statement @a text as @a name */
+	MEMBER_DEALLOCATE, /**< drop the prepared statement @a name */
 	MEMBER_STATUS,
 	MEMBER_PAUSE, /**< stop receiving log records of terms below @a term */
 	MEMBER_RESUME,
--- a/core/run.h
+++ b/core/run.h
@@ -14,6 +14,8 @@
 #define REQUEST_ID_BYTES 72
 /** Number of values that one session may set. */
 #define SESSION_VALUES_MAX 112
+/** Number of statements that one session, or connection, may prepare. */
+#define SESSION_PREPARED_MAX 256
 
 /** Kind of a client request on a session. */
 enum statement_op {
--- a/core/sessions_request.c
+++ b/core/sessions_request.c
@@ -17,8 +17,6 @@
 #define TOKEN_WAIT_MAX (400 * HM_MS)
 /* Mean latency of a statement, including the time in queues. */
 #define STATEMENT_TIME (25 * HM_MS)
-/* Number of prepared statements per session. */
-#define PREPARED_MAX 256
 
 static void answer_ok(struct proxy *p, struct session *s, hm_time now,
 		      struct proxy_output *out)
@@ -76,7 +74,7 @@
 {
 	struct prepared *f = find_prepared(s, s->pending.name);
 
-	if (!f && s->prepared_count == PREPARED_MAX) {
+	if (!f && s->prepared_count == SESSION_PREPARED_MAX) {
 		refuse(p, s, ERR_TOO_LARGE, now, out);
 		return;
 	}
--- a/standin/line_members.c
+++ b/standin/line_members.c
@@ -254,6 +254,14 @@
 		g_hash_table_replace(c->prepared, g_strdup(words[1]),
 				     g_strdup(words[2]));
 		send_complete(c, "-");
+	} else if (!strcmp(words[0], "DEALLOC")) {
+		if (g_hash_table_remove(c->prepared, words[1]))
+			send_complete(c, "-");
+		else
+			send_error(c, "NOSTMT");
+	} else if (!strcmp(words[0], "RESET")) {
+		g_hash_table_remove_all(c->prepared);
+		send_complete(c, "-");
 	} else if (!strcmp(words[0], "EXECUTE")) {
 		run_execute(c, words);
 	} else if (!strcmp(words[0], "PAUSE")) {
@@ -267,7 +275,7 @@
 	} else if (!strcmp(words[0], "STATUS")) {
 		run_status(c);
 	} else {
-		send_complete(c, "-"); /* SET and RESET have no effect */
+		send_complete(c, "-"); /* SET has no effect */
 	}
 }
 
--- a/tests/proxy_text.c
+++ b/tests/proxy_text.c
@@ -12,6 +12,7 @@
 	[MEMBER_RESET] = "reset",
 	[MEMBER_SET] = "set",
 	[MEMBER_PREPARE] = "prepare",
+	[MEMBER_DEALLOCATE] = "deallocate",
 	[MEMBER_STATUS] = "status",
 	[MEMBER_PAUSE] = "hold",
 	[MEMBER_RESUME] = "resume",
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -137,10 +137,14 @@
 	platform_lines.write_command(out, &c);
 	c = (struct member_command){ .kind = MEMBER_STEP_DOWN, .term = 4 };
 	platform_lines.write_command(out, &c);
+	c = (struct member_command){ .kind = MEMBER_DEALLOCATE,
+				     .name = (char *)"r1" };
+	platform_lines.write_command(out, &c);
 	platform_lines.write_open(out, "huvo", "acme", "i-7f");
 	ck_assert_str_eq(out->str,
 			 "QUERY 5c0e AFTER 3.1207 EXECUTE r1 1a4 two  blanks"
 			 "\r\nQUERY - PAUSE 9\r\nQUERY - STEPDOWN 4\r\n"
+			 "QUERY - DEALLOC r1\r\n"
 			 "STARTUP huvo acme i-7f\r\n");
 	g_string_free(out, TRUE);
 }
--- a/tests/test_prepared.c
+++ b/tests/test_prepared.c
@@ -144,11 +144,56 @@
 }
 END_TEST
 
+/*
+ * Guards against a list of prepared statements that grows without a bound, here
+ * and at the member, while clients prepare new texts all day; and against a text
+ * that is taken for prepared after it was dropped, or after a reset.
+ */
+START_TEST(statements_of_a_connection_are_bounded)
+{
+	struct rng rng = { .state = 1 };
+	char text[64];
+	struct bench b;
+	int i;
+
+	open_bench(&b);
+	for (i = 0; i < 20000; i++) {
+		/* Half of them are of few texts, as of usual clients. */
+		g_snprintf(text, sizeof(text), "q%d",
+			   (int)rng_below(&rng, rng_below(&rng, 2) ? 8 : 5000));
+		execute(&b, text, rng_below(&rng, 500) == 0);
+		ck_assert_uint_le(g_hash_table_size(b.names),
+				  SESSION_PREPARED_MAX);
+	}
+	close_bench(&b);
+}
+END_TEST
+
+/* What is in use stays prepared: the least recently used text is dropped. */
+START_TEST(text_in_use_stays_prepared)
+{
+	char text[64];
+	struct bench b;
+	int i;
+
+	open_bench(&b);
+	for (i = 0; i < 3 * SESSION_PREPARED_MAX; i++) {
+		execute(&b, "in use", false);
+		g_snprintf(text, sizeof(text), "q%d", i);
+		execute(&b, text, false);
+	}
+	ck_assert_uint_eq(b.prepares, 1 + 3 * SESSION_PREPARED_MAX);
+	close_bench(&b);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("prepared");
 
 	tcase_add_test(tc, texts_with_one_weak_hash_are_told_apart);
 	tcase_add_test(tc, texts_that_differ_anywhere_are_told_apart);
+	tcase_add_test(tc, statements_of_a_connection_are_bounded);
+	tcase_add_test(tc, text_in_use_stays_prepared);
 	return suite_run("prepared", tc);
 }
