Refuse a document in which two names have the same ID

Tenants, services, hosts, databases and endpoints are known by the XXH64 hash of their name. Names with one hash can be computed (the pair of the test took five minutes in a script). Two tenants with one hash were one tenant: a request with the key of one ran for the other; two services got each other's statements.

Databases of a contract and endpoints of a group are refused by the check of their documents, with both names; a contract was refused before as "listed twice".

The hash stays: IDs are sent between instances, also of older builds.

--- a/src/names.c
+++ b/src/names.c
@@ -108,6 +108,14 @@
 				    g_strdup(name));
 }
 
+const char *names_conflict(const struct names *n, const char *name)
+{
+	hm_id id = name_id(name);
+	const char *other = g_hash_table_lookup(n->by_id, &id);
+
+	return other && strcmp(other, name) != 0 ? other : NULL;
+}
+
 const char *names_find(const struct names *n, hm_id id)
 {
 	const char *name = id ? g_hash_table_lookup(n->by_id, &id) : "-";
--- a/src/names.h
+++ b/src/names.h
@@ -24,6 +24,8 @@
 struct names *names_new(void);
 void names_free(struct names *n);
 void names_add(struct names *n, const char *name);
+/** Another name with the ID of @a name that was added before; NULL: none. */
+const char *names_conflict(const struct names *n, const char *name);
 /** Name of @a id; "-" for 0, "?" if unknown. */
 const char *names_find(const struct names *n, hm_id id);
 
--- a/src/spec.c
+++ b/src/spec.c
@@ -163,6 +163,24 @@
 	return true;
 }
 
+/* Checks that different databases of a contract have different IDs. */
+static bool check_databases(char *fault, const struct contract *c)
+{
+	uint32_t i, j;
+
+	for (i = 0; i < c->database_count; i++)
+		for (j = 0; j < i; j++)
+			if (c->databases[i].database ==
+			    c->databases[j].database)
+				return fail(fault,
+					    "databases.%s: found a name with "
+					    "the ID of %s, allowed is each "
+					    "once",
+					    c->databases[i].name,
+					    c->databases[j].name);
+	return true;
+}
+
 static bool read_databases(char *fault, const json_t *value,
 			   struct contract *out)
 {
@@ -182,7 +200,7 @@
 			    json_object_iter_value(at),
 			    &out->databases[out->database_count++]))
 			return false;
-	return true;
+	return check_databases(fault, out);
 }
 
 static bool is_repeated_key(const struct contract *c, struct key_id key)
@@ -392,7 +410,14 @@
 				    "endpoints[%u].connections: found %u, "
 				    "allowed are at least the %u slots",
 				    i, e->connections, e->slots);
-		for (j = 0; j < i; j++)
+		for (j = 0; j < i; j++) {
+			if (e->endpoint == d->endpoints[j].endpoint &&
+			    strcmp(e->name, d->endpoints[j].name) != 0)
+				return fail(fault,
+					    "endpoints[%u].name: found %s, "
+					    "which has the ID of %s, allowed "
+					    "is each once",
+					    i, e->name, d->endpoints[j].name);
 			if (!strcmp(e->name, d->endpoints[j].name) ||
 			    !strcmp(e->address, d->endpoints[j].address))
 				return fail(fault,
@@ -400,6 +425,7 @@
 					    "address of endpoints[%u], "
 					    "allowed is each once",
 					    i, j);
+		}
 	}
 	return true;
 }
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -161,6 +161,54 @@
 }
 END_TEST
 
+/* Different names with the same ID (XXH64). */
+#define NAME_ONE "sts086ktbwm1b9v-"
+#define NAME_TWO "ob0-1bj6i7qzot2v"
+
+/* Configurations, and whether each is accepted. */
+static const struct {
+	const char *text;
+	bool accepted;
+} named_configs[] = {
+	{ "{'Version':1,'Routes':[],'Tenants':[{'Name':'" NAME_ONE "'},"
+	  "{'Name':'" NAME_TWO "'}]}",
+	  false },
+	{ "{'Version':1,'Routes':[{'Host':'" NAME_ONE "'},"
+	  "{'Host':'" NAME_TWO "'}]}",
+	  false },
+	{ "{'Version':1,'Routes':[],'Services':[{'Name':'" NAME_ONE "'},"
+	  "{'Name':'" NAME_TWO "'}]}",
+	  false },
+	{ "{'Version':1,'Routes':[{'Host':'a','Service':'" NAME_ONE "'}],"
+	  "'Services':[{'Name':'" NAME_TWO "'}]}",
+	  false },
+	/* The same name twice, or in another role, is no conflict. */
+	{ "{'Version':1,'Routes':[{'Host':'" NAME_ONE "','Service':'" NAME_TWO
+	  "'},{'Host':'" NAME_ONE "'}],'Services':[{'Name':'" NAME_TWO "'}]}",
+	  true },
+};
+
+/* Guards against a tenant, service or route that is taken for another one. */
+START_TEST(names_with_one_id_are_refused)
+{
+	char *text = g_strdelimit(g_strdup(named_configs[_i].text), "'", '"');
+	json_t *json = json_loads(text, 0, NULL);
+	const char *fault;
+	struct site_config *c;
+
+	ck_assert_uint_eq(name_id(NAME_ONE), name_id(NAME_TWO));
+	ck_assert_ptr_nonnull(json);
+	c = platform_site.parse_config(json, (struct zone_names){ 0 }, &fault);
+	ck_assert_int_eq(c != NULL, named_configs[_i].accepted);
+	if (c)
+		site_config_free(c);
+	else
+		ck_assert_str_eq(fault, "two names have the same ID");
+	json_decref(json);
+	g_free(text);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("documents");
@@ -171,5 +219,7 @@
 			    sizeof(priority_rows) / sizeof(priority_rows[0]));
 	tcase_add_loop_test(tc, invalid_entry_is_no_member, 0,
 			    G_N_ELEMENTS(entries));
+	tcase_add_loop_test(tc, names_with_one_id_are_refused, 0,
+			    G_N_ELEMENTS(named_configs));
 	return suite_run("documents", tc);
 }
