--- a/tests/test_route_moves.c
+++ b/tests/test_route_moves.c
@@ -11,18 +11,6 @@
 #include "script.h"
 #include "suite.h"
 
-static const struct {
-	const char *name;
-	enum statement_op op;
-	const char *text;
-} requests[] = {
-	{ "write", STMT_WRITE, "WRITE k v" },
-	{ "read", STMT_READ, "READ k" },
-	{ "begin_read", STMT_BEGIN_READ, "BEGIN READ" },
-	{ "begin", STMT_BEGIN, "BEGIN" },
-	{ "commit", STMT_COMMIT, "COMMIT" },
-};
-
 static enum consistency consistency_of(const char *line)
 {
 	char *type = script_arg(line, "type");
@@ -44,45 +32,87 @@
 	return service;
 }
 
-static void request(struct route_fixture *r, const char *line)
+static void move(struct route_fixture *r, const char *line)
+{
+	route_fixture_move(r, service_arg(line, "to"), consistency_of(line),
+			   script_int(line, "age", 2500) * HM_MS);
+}
+
+static void remove_route(struct route_fixture *r, const char *line)
+{
+	(void)line;
+	route_fixture_remove(r);
+}
+
+/* The replica of a service is ms= behind from now on. */
+static void lag(struct route_fixture *r, const char *line)
+{
+	r->services[service_arg(line, "of")].lag =
+		script_int(line, "ms", 0) * HM_MS;
+}
+
+/* Members answer no statement until "answer". */
+static void hold(struct route_fixture *r, const char *line)
+{
+	(void)line;
+	r->hold = true;
+}
+
+static void answer(struct route_fixture *r, const char *line)
+{
+	(void)line;
+	r->hold = false;
+	route_fixture_answer(r);
+}
+
+static void request(struct route_fixture *r, const char *line,
+		    enum statement_op op, const char *text)
 {
 	char *id = script_arg(line, "id");
-	size_t i;
 
-	for (i = 0; i < G_N_ELEMENTS(requests); i++)
-		if (g_str_has_prefix(line, requests[i].name))
-			break;
-	ck_assert_msg(i < G_N_ELEMENTS(requests), "%s", line);
-	route_fixture_request(r, 1, requests[i].op, id ? id : "-",
-			      requests[i].text);
+	route_fixture_request(r, 1, op, id ? id : "-", text);
 	g_free(id);
 }
 
+/* The first word of a line is one of these; with a text it is a request. */
+static const struct {
+	const char *name;
+	void (*run)(struct route_fixture *r, const char *line);
+	enum statement_op op;
+	const char *text;
+} commands[] = {
+	{ "move", move, 0, NULL },
+	{ "remove", remove_route, 0, NULL },
+	{ "lag", lag, 0, NULL },
+	{ "hold", hold, 0, NULL },
+	{ "answer", answer, 0, NULL },
+	{ "write", NULL, STMT_WRITE, "WRITE k v" },
+	{ "read", NULL, STMT_READ, "READ k" },
+	{ "begin_read", NULL, STMT_BEGIN_READ, "BEGIN READ" },
+	{ "commit", NULL, STMT_COMMIT, "COMMIT" },
+};
+
+/* Runs a line; after= lets that many milliseconds pass before. */
 static void command(void *context, const char *line, GString *out)
 {
-	struct route_fixture *r = context;
 	hm_time after = script_int(line, "after", 0) * HM_MS;
+	struct route_fixture *r = context;
+	char **words = g_strsplit(line, " ", 2);
+	size_t i;
 
 	if (after)
 		route_fixture_run(r, after);
-	if (g_str_has_prefix(line, "move"))
-		route_fixture_move(r, service_arg(line, "to"),
-				   consistency_of(line),
-				   script_int(line, "age", 2500) * HM_MS);
-	else if (g_str_has_prefix(line, "remove"))
-		route_fixture_remove(r);
-	else if (g_str_has_prefix(line, "lag"))
-		r->services[service_arg(line, "of")].lag =
-			script_int(line, "ms", 0) * HM_MS;
-	else if (g_str_has_prefix(line, "hold"))
-		r->hold = true;
-	else if (g_str_has_prefix(line, "answer")) {
-		r->hold = false;
-		route_fixture_answer(r);
-	} else if (!g_str_has_prefix(line, "wait"))
-		request(r, line);
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (!strcmp(words[0], commands[i].name))
+			break;
+	ck_assert_msg(i < G_N_ELEMENTS(commands), "%s", line);
+	if (commands[i].run)
+		commands[i].run(r, line);
+	else
+		request(r, line, commands[i].op, commands[i].text);
 	g_string_append(out, r->text->str);
 	g_string_truncate(r->text, 0);
+	g_strfreev(words);
 }
 
 static void run_script(const char *file)
