--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -347,11 +347,10 @@
 	c->used = c->capacity = 0;
 }
 
-static void put_config(void)
+void lab_configure(int version, const char *tenants)
 {
-	object_store_put(
-		store, "config", "main",
-		"{\"Version\":1,\"Routes\":["
+	char *spec = g_strdup_printf(
+		"{\"Version\":%d,\"Routes\":["
 		"{\"Host\":\"rota\",\"Type\":\"primary\",\"TimeoutMs\":2000,"
 		"\"TargetLatencyMs\":300,\"Service\":\"rota-db\","
 		"\"Priority\":1},"
@@ -360,8 +359,12 @@
 		"\"Service\":\"rota-db\",\"Priority\":2}],"
 		"\"Services\":[{\"Name\":\"rota-db\",\"MaxConnections\":24,"
 		"\"SyncReplicas\":1}],\"Limits\":{\"TxIdleMs\":3000},"
-		"\"Tenants\":[{\"Name\":\"acme\",\"ApiKeys\":[\"secret\"],"
-		"\"PerS\":200,\"Burst\":200}]}");
+		"\"Tenants\":%s}",
+		version, tenants);
+
+	object_store_put(store, "config", "main", spec);
+	lab_note("config version %d acknowledged, tenants %s", version, tenants);
+	g_free(spec);
 }
 
 static void put_members(void)
@@ -405,7 +408,10 @@
 	store = object_store_new(line_members_new("unused"));
 	if (!store || !members_start("rota-db"))
 		lab_end(LAB_NOT_RUN);
-	put_config();
+	lab_configure(1, "[{\"Name\":\"acme\",\"ApiKeys\":[\"secret\"],"
+			 "\"PerS\":200,\"Burst\":200},"
+			 "{\"Name\":\"zenith\",\"ApiKeys\":[\"other\"],"
+			 "\"PerS\":200,\"Burst\":200}]");
 	put_members();
 	for (i = 0; i < count; i++) {
 		struct lab_instance *n = &lab_instances[i];
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -57,8 +57,8 @@
 /** Resident memory of the process, in KiB; 0 if it has ended. */
 long lab_memory_kb(const struct lab_instance *i);
 
-/** Members: `READ many:N:B` is answered with N rows of B bytes. */
-uint64_t lab_member_runs(void);
+/** Writes a version of the config; @a tenants is a JSON array. */
+void lab_configure(int version, const char *tenants);
 
 /** A session of a client. */
 struct lab_client {
--- a/review/lab-3/member.c
+++ b/review/lab-3/member.c
@@ -19,6 +19,7 @@
 struct conn {
 	struct member *member;
 	int fd;
+	char who[64];	   /* the tenant's name */
 	bool open, writes; /* a transaction is open; it wrote */
 	GHashTable *prepared;
 	GString *out;
@@ -28,6 +29,12 @@
 static char service[64];
 static GMutex lock;
 static uint64_t position = 1, runs;
+static member_hook hook;
+
+void members_on_run(member_hook h)
+{
+	hook = h;
+}
 
 const char *member_name(int index)
 {
@@ -203,6 +210,8 @@
 		ok = g_strv_length(w) >= 3 && !strcmp(w[0], "STARTUP") &&
 		     !strcmp(w[1], service) &&
 		     (!w[3] || !strcmp(w[3], member_name(c->member->index)));
+		if (ok)
+			g_strlcpy(c->who, w[2], sizeof(c->who));
 		if (ok)
 			ready(c);
 		else
@@ -211,6 +220,9 @@
 		g_strfreev(w);
 	} else if (g_str_has_prefix(line, "QUERY ") &&
 		   (text = strchr(line + 6, ' '))) {
+		*text = '\0';
+		if (hook && strcmp(line + 6, "-") != 0)
+			hook(c->member->index, c->who, line + 6, text + 1);
 		run_text(c, text + 1);
 	} else {
 		ok = false;
--- a/review/lab-3/member.h
+++ b/review/lab-3/member.h
@@ -16,4 +16,9 @@
 const char *member_name(int index);
 uint64_t members_runs(void);
 
+/** Called for each statement with a client's id, before it runs. */
+typedef void (*member_hook)(int member, const char *tenant, const char *id,
+			    const char *text);
+void members_on_run(member_hook h);
+
 #endif
