--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -18,6 +18,8 @@
 
 struct lab_instance lab_instances[LAB_INSTANCES_MAX];
 int lab_instance_count;
+int lab_zone_count;
+int lab_former_machines;
 
 static FILE *record;
 static GMutex record_lock;
@@ -111,10 +113,10 @@
 	char *text;
 	int z;
 
-	for (z = 0; z < lab_instance_count; z++)
+	for (z = 0; z < lab_zone_count; z++)
 		g_string_append_printf(zones, "%s\"z%d\"", z ? "," : "", z);
 	text = g_strdup_printf(
-		"{\"instance\":\"frontend-z%d-1\",\"zone\":\"z%d\","
+		"{\"instance\":\"frontend-%d\",\"zone\":\"z%d\","
 		"\"zones\":[%s],\"listen\":{\"sessions\":\"%s\","
 		"\"health\":\"%s\",\"health_path\":\"/readiness\","
 		"\"peers\":\"%s\"},\"seeds\":[],\"store\":\"%s\","
@@ -122,7 +124,7 @@
 		"\"capacity\":{\"processor_cores\":0.25,"
 		"\"link_mbit\":1000},"
 		"\"timing\":{\"drain_ms\":7000,\"grace_s\":%d}}\n",
-		i->index, i->index, zones->str, i->sessions, i->health,
+		i->index, i->index % lab_zone_count, zones->str, i->sessions, i->health,
 		i->peers, object_store_address(store),
 		object_store_address(store), LAB_GRACE_S);
 	g_file_set_contents(i->settings, text, -1, NULL);
@@ -378,13 +380,29 @@
 			"\"Zone\":\"z%d\",\"Version\":\"v1\",\"Capacity\":3,"
 			"\"State\":\"ready\",\"DbRole\":\"%s\","
 			"\"ColdLeftMs\":0,\"Sequence\":1,\"born\":%d}",
-			member_address(i), i % lab_instance_count,
+			member_address(i), i % lab_zone_count,
 			i ? "replica" : "primary", 1700000000 + i);
 		object_store_put(store, "servers", member_name(i), spec);
 		g_free(spec);
 	}
 }
 
+/* Addresses of ports at which nothing listens. */
+static void put_former_machines(void)
+{
+	char name[64], spec[64];
+	int i;
+
+	for (i = 0; i < lab_former_machines; i++) {
+		g_snprintf(name, sizeof(name), "frontend-former-%d", i);
+		g_snprintf(spec, sizeof(spec),
+			   "{\"address\":\"127.0.%d.%d:7560\"}", 1 + i / 250,
+			   1 + i % 250);
+		object_store_put(store, "proxy-instances", name, spec);
+	}
+	object_store_set_page(store, 500);
+}
+
 static bool serves(const struct lab_instance *i, const char *database)
 {
 	struct lab_client c;
@@ -404,6 +422,8 @@
 	int i;
 
 	lab_instance_count = count;
+	if (!lab_zone_count)
+		lab_zone_count = count;
 	/* The store's promote call needs members; none is promoted here. */
 	store = object_store_new(line_members_new("unused"));
 	if (!store || !members_start("rota-db"))
@@ -413,6 +433,7 @@
 			 "{\"Name\":\"zenith\",\"ApiKeys\":[\"other\"],"
 			 "\"PerS\":200,\"Burst\":200}]");
 	put_members();
+	put_former_machines();
 	for (i = 0; i < count; i++) {
 		struct lab_instance *n = &lab_instances[i];
 
--- a/review/lab-3/lab.h
+++ b/review/lab-3/lab.h
@@ -43,6 +43,13 @@
 };
 extern struct lab_instance lab_instances[LAB_INSTANCES_MAX];
 extern int lab_instance_count;
+/** Zones of the instances and members, 0: as many as there are instances. */
+extern int lab_zone_count;
+/**
+ * Machines that have been replaced: each has left the entry that an instance
+ * writes to the store when it starts. Nothing answers at their addresses.
+ */
+extern int lab_former_machines;
 
 /**
  * Starts the store, three members and @a count instances in as many zones, and
